Add admission library and serving core

Cause: the gateway needs decisions for the life of a request. Change: admission has fair queues, a wait estimate, concurrency limits, a retry budget and Retry-After as free functions. ServingCore admits, queues, dispatches, tracks streams, resumes, hands over, and ends every exchange. ServingCounters and serving_log_events.h are new in the interface.

--- a/include/endiveyard/serving/serving_core.h
+++ b/include/endiveyard/serving/serving_core.h
@@ -17,6 +17,18 @@
   uint64_t seed = 1;
 };
 
+// Totals since the start of the core.
+struct ServingCounters {
+  uint64_t stale_events = 0;     // of an attempt or exchange that has ended
+  uint64_t foreign_events = 0;   // with the event id of another request
+  uint64_t repeated_tokens = 0;  // dropped because their index was delivered
+  uint64_t first_attempts = 0;
+  uint64_t retries = 0;        // charged to the retry budget
+  uint64_t planned_moves = 0;  // hand-overs, drains and leaving targets
+  uint64_t targets_lost = 0;   // attempts that ended with their target's loss
+  uint64_t culprits = 0;       // requests identified as crashing targets
+};
+
 // Decides the life of every request of one instance, from receipt to answer.
 // No I/O, clock, thread or lock: the same events at the same times with the
 // same seed give the same actions.
@@ -37,6 +49,8 @@
   // Requests queued or running.
   size_t open_exchanges() const;
 
+  const ServingCounters& counters() const;
+
   // Human-readable list of the targets considered for `request` and the
   // terms of each estimate, without changing anything.
   std::string Explain(const ServingRequest& request, TimePoint now) const;
--- /dev/null
+++ b/include/endiveyard/serving/serving_log_events.h
@@ -0,0 +1,22 @@
+#ifndef ENDIVEYARD_SERVING_SERVING_LOG_EVENTS_H_
+#define ENDIVEYARD_SERVING_SERVING_LOG_EVENTS_H_
+
+namespace endiveyard {
+
+// Numbers of the log events that the serving core emits. docs/events.md is
+// their catalogue.
+inline constexpr int kLogTargetLost = 301;
+inline constexpr int kLogStreamResumed = 302;
+inline constexpr int kLogStreamStalled = 303;
+inline constexpr int kLogForeignEvent = 304;
+inline constexpr int kLogIndexJump = 305;
+inline constexpr int kLogCulpritFound = 306;
+inline constexpr int kLogTargetLeaving = 307;
+inline constexpr int kLogDrainBoundReached = 308;
+inline constexpr int kLogRetryBudgetEmpty = 309;
+inline constexpr int kLogOutcomeUnknown = 310;
+inline constexpr int kLogShutdownStarted = 311;
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SERVING_SERVING_LOG_EVENTS_H_
--- /dev/null
+++ b/src/admission/fair_queue.cc
@@ -0,0 +1,240 @@
+#include "endiveyard/admission/fair_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace endiveyard {
+namespace {
+
+QueueOrder OrderOf(const QueuedRequest& request) {
+  return {request.class_priority, request.priority, request.sequence};
+}
+
+// Head of the house's best flow that is not blocked, or nullptr.
+const QueuedRequest* Head(const FairHouse& house) {
+  const QueuedRequest* best = nullptr;
+  for (const auto& [name, flow] : house.flows) {
+    if (flow.blocked || flow.waiting.empty()) {
+      continue;
+    }
+    const QueuedRequest& it = flow.waiting.begin()->second;
+    if (best == nullptr || OrderOf(it) < OrderOf(*best)) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+const FairFlow* FindFlow(const FairQueue& queue,
+                         const std::string& house,
+                         const std::string& flow) {
+  const auto owner = queue.houses.find(house);
+  if (owner == queue.houses.end()) {
+    return nullptr;
+  }
+  const auto it = owner->second.flows.find(flow);
+  return it == owner->second.flows.end() ? nullptr : &it->second;
+}
+
+void ChangeCount(FairHouse* house, const std::string& caller_class, int n) {
+  const auto it = house->counted_per_class.try_emplace(caller_class, 0).first;
+  it->second += n;
+  if (it->second <= 0) {
+    house->counted_per_class.erase(it);
+  }
+}
+
+// Drops an empty flow, and the credit of a house that has nothing waiting.
+void EraseIfEmpty(FairHouse* house, const std::string& flow) {
+  const auto it = house->flows.find(flow);
+  if (it != house->flows.end() && it->second.waiting.empty()) {
+    house->flows.erase(it);
+  }
+  if (house->flows.empty()) {
+    house->deficit = 0;
+  }
+}
+
+}  // namespace
+
+bool HasRoom(const FairQueue& queue,
+             const std::string& house,
+             const std::string& caller_class,
+             int limit) {
+  const auto it = queue.houses.find(house);
+  if (it == queue.houses.end()) {
+    return limit > 0;
+  }
+  const auto n = it->second.counted_per_class.find(caller_class);
+  return (n == it->second.counted_per_class.end() ? 0 : n->second) < limit;
+}
+
+void Reserve(FairQueue* queue,
+             const std::string& house,
+             const std::string& caller_class,
+             int change) {
+  ChangeCount(&queue->houses[house], caller_class, change);
+}
+
+QueueOrder Enqueue(FairQueue* queue, QueuedRequest request) {
+  request.sequence = queue->next_sequence++;
+  FairHouse& house = queue->houses[request.house];
+  if (request.counted) {
+    ChangeCount(&house, request.caller_class, 1);
+  }
+  const QueueOrder order = OrderOf(request);
+  std::map<QueueOrder, QueuedRequest>& waiting =
+      house.flows[request.flow].waiting;
+  waiting.emplace(order, std::move(request));
+  ++queue->size;
+  return order;
+}
+
+bool Remove(FairQueue* queue,
+            const std::string& house,
+            const std::string& flow,
+            const QueueOrder& order) {
+  const auto owner = queue->houses.find(house);
+  if (owner == queue->houses.end()) {
+    return false;
+  }
+  const auto place = owner->second.flows.find(flow);
+  if (place == owner->second.flows.end()) {
+    return false;
+  }
+  const auto it = place->second.waiting.find(order);
+  if (it == place->second.waiting.end()) {
+    return false;
+  }
+  if (it->second.counted) {
+    ChangeCount(&owner->second, it->second.caller_class, -1);
+  }
+  place->second.waiting.erase(it);
+  --queue->size;
+  EraseIfEmpty(&owner->second, flow);
+  return true;
+}
+
+const QueuedRequest* NextCandidate(FairQueue* queue) {
+  if (queue->size == 0) {
+    return nullptr;
+  }
+  // The house on turn continues while its deficit covers its head. Otherwise
+  // the turn passes on. Whole rounds in which no house can be served are added
+  // at once, so that an expensive request costs no extra passes.
+  double rounds = std::numeric_limits<double>::infinity();
+  auto start = queue->houses.lower_bound(queue->turn);
+  if (start == queue->houses.end()) {
+    start = queue->houses.begin();
+  }
+  for (int pass = 0; pass < 2; ++pass) {
+    auto it = start;
+    do {
+      FairHouse& house = it->second;
+      if (const QueuedRequest* head = Head(house); head != nullptr) {
+        if (pass == 1) {
+          house.deficit += rounds * kFairQuantum * house.weight;
+        }
+        const double missing = static_cast<double>(head->cost) - house.deficit;
+        if (missing <= 0) {
+          queue->turn = it->first;
+          if (pass == 0) {
+            return head;
+          }
+        } else {
+          rounds = std::min(rounds,
+                            std::ceil(missing / (kFairQuantum * house.weight)));
+        }
+      }
+      if (++it == queue->houses.end()) {
+        it = queue->houses.begin();
+      }
+    } while (it != start);
+    if (std::isinf(rounds)) {
+      return nullptr;
+    }
+    if (pass == 1) {
+      break;
+    }
+  }
+  // After the credit of the second pass at least one house is served.
+  auto it = start;
+  do {
+    const QueuedRequest* head = Head(it->second);
+    if (head != nullptr &&
+        it->second.deficit >= static_cast<double>(head->cost)) {
+      queue->turn = it->first;
+      return head;
+    }
+    if (++it == queue->houses.end()) {
+      it = queue->houses.begin();
+    }
+  } while (it != start);
+  return nullptr;
+}
+
+void Take(FairQueue* queue, const QueuedRequest& candidate) {
+  FairHouse& house = queue->houses[candidate.house];
+  house.deficit -= static_cast<double>(candidate.cost);
+  const std::string name = candidate.house;
+  const std::string flow = candidate.flow;
+  const QueueOrder order = OrderOf(candidate);
+  Remove(queue, name, flow, order);
+}
+
+void Block(FairQueue* queue, const QueuedRequest& candidate) {
+  queue->houses[candidate.house].flows[candidate.flow].blocked = true;
+}
+
+void Unblock(FairQueue* queue,
+             const std::string& house,
+             std::string_view prefix) {
+  const auto owner = queue->houses.find(house);
+  if (owner == queue->houses.end()) {
+    return;
+  }
+  auto& flows = owner->second.flows;
+  for (auto it = flows.lower_bound(std::string(prefix));
+       it != flows.end() && it->first.compare(0, prefix.size(), prefix) == 0;
+       ++it) {
+    it->second.blocked = false;
+  }
+}
+
+void UnblockAll(FairQueue* queue) {
+  for (auto& [name, house] : queue->houses) {
+    for (auto& [flow_name, flow] : house.flows) {
+      flow.blocked = false;
+    }
+  }
+}
+
+void SetWeight(FairQueue* queue, const std::string& house, double weight) {
+  // A weight of 0 would never be served.
+  queue->houses[house].weight = std::max(weight, 0.01);
+}
+
+size_t CountWaiting(const FairQueue& queue,
+                    const std::string& house,
+                    const std::string& flow) {
+  const FairFlow* place = FindFlow(queue, house, flow);
+  return place == nullptr ? 0 : place->waiting.size();
+}
+
+size_t CountAhead(const FairQueue& queue,
+                  const std::string& house,
+                  const std::string& flow,
+                  int class_priority,
+                  int priority) {
+  const FairFlow* place = FindFlow(queue, house, flow);
+  if (place == nullptr) {
+    return 0;
+  }
+  const auto end = place->waiting.lower_bound(
+      {class_priority, priority, std::numeric_limits<uint64_t>::max()});
+  return static_cast<size_t>(std::distance(place->waiting.begin(), end));
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/serving/attempt_end.cc
@@ -0,0 +1,202 @@
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "endiveyard/serving/serving_log_events.h"
+#include "serving/serving_state.h"
+
+namespace endiveyard {
+namespace {
+
+// Attempts of one request that may fail before it is refused. Bounds what one
+// request can take from the retry budget.
+constexpr int kMaxFailures = 5;
+// Time without new work for a target that was lost, unless it reports sooner.
+constexpr Duration kAvoidLostTarget = std::chrono::seconds(2);
+
+bool NothingRan(AttemptFailure failure) {
+  return failure == AttemptFailure::kConnectFailed ||
+         failure == AttemptFailure::kTargetRefused;
+}
+
+void Exclude(Exchange* exchange, const std::string& target) {
+  std::vector<std::string>& excluded = exchange->route.excluded_targets;
+  if (std::find(excluded.begin(), excluded.end(), target) == excluded.end()) {
+    excluded.push_back(target);
+  }
+}
+
+ErrorKind FinalKind(const Exchange& exchange, AttemptFailure failure) {
+  if (exchange.maybe_ran) {
+    return ErrorKind::kTargetFailed;
+  }
+  return failure == AttemptFailure::kTargetRefused ? ErrorKind::kTargetRefused
+                                                   : ErrorKind::kNoCapacity;
+}
+
+void NoteFailedTarget(const StepContext& ctx,
+                      const std::string& target,
+                      AttemptFailure failure) {
+  NoteFailure(&EnsureTarget(ctx, target)->limit, ctx.now);
+  ApplyTargetLimit(ctx, target);
+  if (failure == AttemptFailure::kConnectFailed ||
+      failure == AttemptFailure::kConnectionLost) {
+    ctx.state->router.NoteLost(target, ctx.now + kAvoidLostTarget);
+  }
+}
+
+}  // namespace
+
+Exchange* FindRunning(const StepContext& ctx, ExchangeId id, int attempt) {
+  const auto it = ctx.state->exchanges.find(id);
+  if (it != ctx.state->exchanges.end()) {
+    Exchange* exchange = it->second.get();
+    const bool running = exchange->state == ExchangeState::kRunning ||
+                         exchange->state == ExchangeState::kDetached;
+    if (running && exchange->attempt.number == attempt) {
+      return exchange;
+    }
+  }
+  ++ctx.state->counters.stale_events;
+  return nullptr;
+}
+
+void LeaveTarget(const StepContext& ctx,
+                 Exchange* exchange,
+                 Duration first_token) {
+  ServingState& state = *ctx.state;
+  const std::string& name = exchange->attempt.target;
+  state.router.NoteFinished(name, exchange->route, first_token, ctx.now);
+  TargetState* target = EnsureTarget(ctx, name);
+  target->in_flight.erase(exchange->id);
+  if (exchange->route.suspect) {
+    --target->suspects;
+  }
+  if (!target->listed && target->in_flight.empty()) {
+    EraseTarget(&state, name);
+  } else {
+    ApplyTargetLimit(ctx, name);
+  }
+  UnblockService(ctx, exchange->house, exchange->route.service);
+}
+
+void MoveElsewhere(const StepContext& ctx, Exchange* exchange) {
+  ctx.Emit(CancelAttempt{exchange->id, exchange->attempt.number,
+                         exchange->attempt.target, exchange->attempt.address});
+  LeaveTarget(ctx, exchange, exchange->attempt.first_token);
+  ++ctx.state->counters.planned_moves;
+  exchange->maybe_ran = true;
+  exchange->kv_handle.clear();
+  Exclude(exchange, exchange->attempt.target);
+  exchange->last_failure = ctx.now;
+  EnqueueExchange(ctx, exchange);
+}
+
+void FailAttempt(const StepContext& ctx,
+                 Exchange* exchange,
+                 AttemptFailure failure,
+                 const std::string& detail) {
+  ServingState& state = *ctx.state;
+  const std::string target = exchange->attempt.target;
+  const bool was_suspect = exchange->route.suspect;
+  LeaveTarget(ctx, exchange, Duration(-1));
+  NoteFailedTarget(ctx, target, failure);
+  if (!NothingRan(failure)) {
+    exchange->maybe_ran = true;
+  }
+  if (failure == AttemptFailure::kConnectionLost &&
+      NoteTargetLost(ctx, exchange, target, was_suspect)) {
+    return;
+  }
+  if (!exchange->idempotent) {
+    FailAtMostOnce(ctx, exchange, failure, detail);
+    return;
+  }
+  ++exchange->failures;
+  exchange->last_failure = ctx.now;
+  exchange->kv_handle.clear();
+  Exclude(exchange, target);
+  if (exchange->failures >= kMaxFailures) {
+    RefuseExchange(ctx, exchange, FinalKind(*exchange, failure), detail);
+    return;
+  }
+  if (!SpendRetry(&state.budget)) {
+    ctx.Log(kLogRetryBudgetEmpty, absl::StrCat("x", exchange->id));
+    RefuseExchange(ctx, exchange, FinalKind(*exchange, failure), detail);
+    return;
+  }
+  ++state.counters.retries;
+  if (!exchange->delivered.empty()) {
+    ctx.Log(kLogStreamResumed,
+            absl::StrCat("x", exchange->id, " after ",
+                         exchange->delivered.size(), " tokens from ", target));
+  }
+  EnqueueExchange(ctx, exchange);
+}
+
+void OnAttemptCompleted(const StepContext& ctx, const AttemptCompleted& event) {
+  Exchange* exchange = FindRunning(ctx, event.exchange, event.attempt);
+  if (exchange == nullptr) {
+    return;
+  }
+  if (exchange->kind == RequestKind::kPlain) {
+    ++ctx.state->counters.stale_events;
+    return;
+  }
+  if (event.prompt_tokens > 0 && exchange->prompt_tokens == 0) {
+    exchange->prompt_tokens = event.prompt_tokens;
+  }
+  const RunningAttempt& attempt = exchange->attempt;
+  const bool more = attempt.prefill_only && event.finish_reason != "stop" &&
+                    exchange->delivered.size() < exchange->max_tokens;
+  if (!more) {
+    FinishCompleted(ctx, exchange, event.finish_reason);
+    return;
+  }
+  LeaveTarget(ctx, exchange, attempt.first_token);
+  ++ctx.state->counters.planned_moves;
+  exchange->maybe_ran = true;
+  exchange->kv_handle = event.kv_handle;
+  exchange->kv_from = attempt.address;
+  EnqueueExchange(ctx, exchange);
+}
+
+void OnAttemptFailed(const StepContext& ctx, const AttemptFailed& event) {
+  Exchange* exchange = FindRunning(ctx, event.exchange, event.attempt);
+  if (exchange == nullptr) {
+    return;
+  }
+  const std::string target = exchange->attempt.target;
+  const bool leaving =
+      event.failure == AttemptFailure::kTargetRefused && event.target_leaving;
+  if (leaving) {
+    NoteLeaving(ctx, target, /*announce=*/true);
+  }
+  if (leaving && exchange->idempotent) {
+    LeaveTarget(ctx, exchange, Duration(-1));
+    ++ctx.state->counters.planned_moves;
+    Exclude(exchange, target);
+    EnqueueExchange(ctx, exchange);
+    return;
+  }
+  FailAttempt(ctx, exchange, event.failure, event.detail);
+}
+
+void OnPlainAnswered(const StepContext& ctx, const PlainAnswered& event) {
+  Exchange* exchange = FindRunning(ctx, event.exchange, event.attempt);
+  if (exchange == nullptr) {
+    return;
+  }
+  if (exchange->kind != RequestKind::kPlain) {
+    ++ctx.state->counters.stale_events;
+    return;
+  }
+  exchange->attempt.first_token = ctx.now - exchange->attempt.started;
+  TargetState* target = EnsureTarget(ctx, exchange->attempt.target);
+  NoteLatency(&target->limit,
+              static_cast<double>(exchange->attempt.first_token.count()),
+              static_cast<int>(target->in_flight.size()), ctx.now);
+  FinishAnswered(ctx, exchange, event);
+}
+
+}  // namespace endiveyard
