--- a/include/endiveyard/routing/target_router.h
+++ b/include/endiveyard/routing/target_router.h
@@ -68,6 +68,14 @@
   Duration same_region_latency = std::chrono::milliseconds(1);
   Duration cross_region_latency = std::chrono::milliseconds(12);
   size_t max_prefix_entries = 200000;
+  // Age of a load report when it arrives. Own work that started within this
+  // time before the report is added to what the report says.
+  Duration expected_report_lag = std::chrono::milliseconds(500);
+  // Delay of the first token by each sequence that the target is decoding.
+  Duration decode_wait_per_sequence = std::chrono::microseconds(300);
+  // While every local target is at its concurrency limit, another region is
+  // considered only when less than this remains until the deadline.
+  Duration busy_region_wait = std::chrono::seconds(2);
 };
 
 // View of the targets as one instance knows them, and the choice among them.
@@ -88,8 +96,9 @@
                  const TargetLoad& load,
                  TimePoint now);
 
-  // Applies cache events that start with number `sequence`. A gap drops what
-  // was learnt about the target before.
+  // Applies cache events that start with number `sequence`; each stored or
+  // evicted hash is one event. A gap drops what was learnt about the target
+  // before.
   void ApplyCacheEvents(std::string_view target,
                         uint64_t sequence,
                         const std::vector<uint64_t>& stored,
@@ -102,7 +111,9 @@
   // Most requests of this instance in flight on the target; at least 1.
   void SetConcurrencyLimit(std::string_view target, int limit);
 
-  // Accounts for an attempt of this instance from its start to its end.
+  // Accounts for an attempt of this instance from its start to its end. The
+  // attempt is found again by the prompt, the phase and the deadline of
+  // `request`, which must be the same in all calls.
   void NoteStarted(std::string_view target,
                    const RouteRequest& request,
                    TimePoint now);
@@ -111,6 +122,17 @@
                     const RouteRequest& request,
                     Duration first_token,
                     TimePoint now);
+  // The first token of an attempt arrived after `first_token`; optional.
+  // Corrects the queue estimate earlier than NoteFinished() does.
+  void NoteFirstToken(std::string_view target,
+                      const RouteRequest& request,
+                      Duration first_token,
+                      TimePoint now);
+  // The target found only `cached_tokens` of the prompt in its cache: forgets
+  // the longer prefixes of the prompt for this target. O(prompt blocks).
+  void NoteCached(std::string_view target,
+                  const RouteRequest& request,
+                  int64_t cached_tokens);
   // The target was lost: forgets its cached prefixes and avoids it until the
   // next load report or `retry_at`.
   void NoteLost(std::string_view target, TimePoint retry_at);
@@ -128,6 +150,8 @@
   // Attempts of this instance in flight on the target; 0 if unknown.
   int InFlight(std::string_view target) const;
   size_t prefix_entries() const;
+  // Learnt prefill rate in tokens per second; 0 if unknown.
+  double PrefillRate(std::string_view target) const;
 
  private:
   class Impl;
--- /dev/null
+++ b/src/routing/candidate_estimate.cc
@@ -0,0 +1,124 @@
+#include "routing/candidate_estimate.h"
+
+#include <algorithm>
+
+namespace endiveyard {
+
+namespace {
+
+constexpr int64_t kTokensPerBlock = kPromptBlockBytes / kBytesPerToken;
+
+// Weight of one measurement in the learnt prefill rate.
+constexpr double kRateWeight = 0.1;
+// Shorter prefills measure the network and the batching delay, not the rate.
+constexpr double kMinMeasuredTokens = 256;
+// A learnt rate stays within this factor of the configured one, so that a
+// few bad measurements can't make a target look free or unusable.
+constexpr double kMaxRateFactor = 10;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+// Both directions of the way to the target.
+Duration NetworkTime(const Target& target, const TargetRouterOptions& options) {
+  if (target.info.region != options.region) {
+    return 2 * options.cross_region_latency;
+  }
+  if (target.info.failure_domain != options.failure_domain) {
+    return 2 * options.same_region_latency;
+  }
+  return Duration(0);
+}
+
+}  // namespace
+
+double QueuedTokens(const Target& target, TimePoint now) {
+  const double drained =
+      Seconds(now - target.backlog_at) / target.seconds_per_token;
+  return std::max(0.0, target.backlog_tokens - std::max(0.0, drained));
+}
+
+int RunningSequences(const Target& target) {
+  return std::max(static_cast<int>(target.in_flight.size()),
+                  target.load.running_sequences + target.running_delta);
+}
+
+int64_t UncachedTokens(const RouteRequest& request, int cached_blocks) {
+  // A decode target imports the KV cache of the prompt.
+  if (request.phase == RoutePhase::kDecode) {
+    return 0;
+  }
+  return std::max<int64_t>(
+      0, request.prompt_tokens - cached_blocks * kTokensPerBlock);
+}
+
+RouteCandidate EstimateCandidate(const Target& target,
+                                 const RouteRequest& request,
+                                 int cached_blocks,
+                                 const TargetRouterOptions& options,
+                                 TimePoint now) {
+  const double queued = QueuedTokens(target, now);
+  const int64_t uncached = UncachedTokens(request, cached_blocks);
+  RouteCandidate candidate;
+  candidate.cached_tokens =
+      std::min<int64_t>(request.prompt_tokens, cached_blocks * kTokensPerBlock);
+  candidate.queued_tokens = static_cast<int64_t>(queued);
+  candidate.prefill = FromSeconds((queued + static_cast<double>(uncached)) *
+                                  target.seconds_per_token);
+  candidate.decode_wait =
+      options.decode_wait_per_sequence * RunningSequences(target);
+  candidate.network = NetworkTime(target, options);
+  candidate.first_token =
+      candidate.prefill + candidate.decode_wait + candidate.network;
+  return candidate;
+}
+
+void CorrectByReport(Target& target, Duration report_lag, TimePoint now) {
+  target.backlog_tokens =
+      static_cast<double>(target.load.queued_prefill_tokens);
+  target.backlog_at = now;
+  target.running_delta = 0;
+  for (const InFlightAttempt& it : target.in_flight) {
+    if (now - it.started < report_lag) {
+      ++target.running_delta;
+      if (!it.prefilled) {
+        target.backlog_tokens += static_cast<double>(it.uncached_tokens);
+      }
+    }
+  }
+}
+
+void AddAttempt(Target& target, const InFlightAttempt& attempt, TimePoint now) {
+  target.backlog_tokens =
+      QueuedTokens(target, now) + static_cast<double>(attempt.uncached_tokens);
+  target.backlog_at = now;
+  ++target.running_delta;
+  target.in_flight.push_back(attempt);
+}
+
+void LearnPrefillRate(Target& target,
+                      const InFlightAttempt& attempt,
+                      Duration first_token,
+                      const TargetRouterOptions& options) {
+  const double tokens =
+      attempt.queued_tokens + static_cast<double>(attempt.uncached_tokens);
+  const double seconds = Seconds(first_token - NetworkTime(target, options)) -
+                         attempt.decode_wait_seconds;
+  if (tokens < kMinMeasuredTokens || seconds <= 0) {
+    return;
+  }
+  const double expected = 1 / options.prefill_tokens_per_second;
+  target.seconds_per_token +=
+      kRateWeight * (seconds / tokens - target.seconds_per_token);
+  target.seconds_per_token =
+      std::clamp(target.seconds_per_token, expected / kMaxRateFactor,
+                 expected * kMaxRateFactor);
+}
+
+}  // namespace endiveyard
