--- /dev/null
+++ b/include/endiveyard/object_api/fake_object_api.h
@@ -0,0 +1,71 @@
+#ifndef ENDIVEYARD_OBJECT_API_FAKE_OBJECT_API_H_
+#define ENDIVEYARD_OBJECT_API_FAKE_OBJECT_API_H_
+
+#include <array>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "endiveyard/object_api/fault_table.h"
+#include "endiveyard/object_api/object_api.h"
+#include "endiveyard/object_api/object_store.h"
+
+namespace endiveyard {
+
+// In-memory object API for tests. It has no threads and never waits: time
+// passes only through Advance(), and a watch returns at once. A slow call
+// advances the time by its delay; with a delay above the timeout, a read
+// fails and a write takes effect with kOutcomeUnknown.
+class FakeObjectApi : public ObjectApi {
+ public:
+  explicit FakeObjectApi(TimePoint start = TimePoint{},
+                         size_t history_limit = 10000);
+
+  absl::StatusOr<std::optional<StoredObject>> Get(const std::string& key,
+                                                  Duration timeout) override;
+  absl::StatusOr<ObjectList> List(const std::string& prefix,
+                                  Duration timeout) override;
+  WriteResult PutIf(const std::string& key,
+                    const std::string& value,
+                    uint64_t if_version,
+                    Duration timeout) override;
+  WriteResult Delete(const std::string& key,
+                     uint64_t if_version,
+                     Duration timeout) override;
+  absl::StatusOr<WatchResult> Watch(const std::string& prefix,
+                                    uint64_t since,
+                                    Duration wait) override;
+  absl::StatusOr<InstanceList> ListInstances(Duration timeout) override;
+
+  void AddFault(FaultRule rule);
+  void ClearFaults();
+  void SetInstances(InstanceList list);
+  void DropHistory();
+  void Advance(Duration step);
+  TimePoint now() const;
+  // Calls received, faulty ones included; kAny = all.
+  uint64_t calls(ObjectCall call) const;
+  // Writes that took effect on `key`.
+  uint64_t writes(const std::string& key) const;
+
+ private:
+  // Decides the fault of a call and counts it; advances time when slow.
+  FaultRule Begin(ObjectCall call, const std::string& key);
+  WriteResult Write(ObjectCall call,
+                    const std::string& key,
+                    Duration timeout,
+                    const std::function<WriteResult()>& effect);
+
+  mutable std::mutex mutex_;
+  TimePoint now_;
+  ObjectStore store_;
+  FaultTable faults_;
+  InstanceList instances_;
+  std::array<uint64_t, 7> calls_{};
+  std::map<std::string, uint64_t> writes_;
+};
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_OBJECT_API_FAKE_OBJECT_API_H_
