--- a/src/object_api/fault_table.cc
+++ b/src/object_api/fault_table.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "absl/strings/match.h"
-
 namespace endiveyard {
 namespace {
 
@@ -38,7 +36,7 @@
   for (Row& it : rows_) {
     const FaultRule& rule = it.rule;
     if ((rule.call != ObjectCall::kAny && rule.call != call) ||
-        !absl::StartsWith(key, rule.key_prefix)) {
+        key.substr(0, rule.key_prefix.size()) != rule.key_prefix) {
       continue;
     }
     const uint64_t n = it.matched++;
