Add gateway, telemetry and target stand-ins

Attempts at engines and bookings use a connection of their own, since cpprestsdk sends a request again when a pooled connection breaks.

--- /dev/null
+++ b/include/endiveyard/telemetry/metrics.h
@@ -0,0 +1,45 @@
+#ifndef ENDIVEYARD_TELEMETRY_METRICS_H_
+#define ENDIVEYARD_TELEMETRY_METRICS_H_
+
+#include <memory>
+#include <string>
+
+#include "endiveyard/base/time_point.h"
+
+namespace endiveyard {
+
+// Metrics of one instance. Safe from any thread. Histograms carry the labels
+// house and class; a negative duration is not recorded.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  // Records one finished request; `outcome` is "ok" or an error kind.
+  void ObserveRequest(const std::string& house,
+                      const std::string& caller_class,
+                      const std::string& outcome,
+                      Duration queued,
+                      Duration first_token,
+                      Duration total);
+  void ObserveTokenGap(const std::string& house,
+                       const std::string& caller_class,
+                       Duration gap);
+  void CountEvent(int number);
+  void SetOpenExchanges(double value);
+  void SetConfigurationVersion(double value);
+  void CountObjectApiCall(const std::string& outcome);
+
+  // Text exposition format of Prometheus.
+  std::string Serialize() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_TELEMETRY_METRICS_H_
--- /dev/null
+++ b/src/gateway/plain_service_client.cc
@@ -0,0 +1,181 @@
+#include "gateway/plain_service_client.h"
+
+#include <cpprest/http_client.h>
+
+#include <exception>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "gateway/client_failure.h"
+
+namespace endiveyard {
+namespace {
+
+using web::http::http_request;
+using web::http::http_response;
+using web::http::client::http_client;
+
+struct Attempt {
+  StartAttempt start;
+  std::shared_ptr<http_client> client;
+  pplx::cancellation_token_source cancellation;
+  int status = 0;
+  std::string content_type;
+};
+
+// A body without a length ends with the connection, so a cut one looks whole.
+bool HasKnownEnd(const http_response& response) {
+  return response.headers().has("Content-Length") ||
+         response.headers().has("Transfer-Encoding") ||
+         response.status_code() == web::http::status_codes::NoContent ||
+         response.status_code() == web::http::status_codes::NotModified;
+}
+
+http_request BuildRequest(const PlainServiceRequest& request) {
+  http_request http(request.method);
+  http.set_request_uri(request.path);
+  if (!request.body.empty() || !request.content_type.empty()) {
+    http.set_body(request.body, request.content_type.empty()
+                                    ? "application/octet-stream"
+                                    : request.content_type);
+  }
+  http.headers().add("X-Request-Id", request.request_id);
+  http.headers().add("X-Deadline-Ms", std::to_string(request.remaining_ms));
+  if (!request.idempotency_key.empty()) {
+    http.headers().add("Idempotency-Key", request.idempotency_key);
+  }
+  return http;
+}
+
+}  // namespace
+
+class PlainServiceClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  explicit Impl(Report report) : report_(std::move(report)) {}
+
+  void Start(const PlainServiceRequest& request) {
+    auto attempt = std::make_shared<Attempt>();
+    attempt->start = request.start;
+    attempt->client =
+        request.start.own_connection
+            ? std::make_shared<http_client>("http://" + request.start.address)
+            : PooledClient(request.start.address);
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      attempts_[{request.start.exchange, request.start.attempt}] = attempt;
+    }
+    auto self = shared_from_this();
+    attempt->client
+        ->request(BuildRequest(request), attempt->cancellation.get_token())
+        .then([self, attempt](pplx::task<http_response> task) {
+          try {
+            self->TakeHead(attempt, task.get());
+          } catch (const std::exception& error) {
+            self->Fail(attempt, ClassifyClientFailure(error.what()),
+                       error.what());
+          }
+        });
+  }
+
+  void Cancel(const CancelAttempt& action) {
+    const auto attempt = Remove(action.exchange, action.attempt);
+    if (attempt != nullptr) {
+      attempt->cancellation.cancel();
+    }
+  }
+
+ private:
+  std::shared_ptr<http_client> PooledClient(const std::string& address) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto& client = clients_[address];
+    if (client == nullptr) {
+      client = std::make_shared<http_client>("http://" + address);
+    }
+    return client;
+  }
+
+  std::shared_ptr<Attempt> Remove(ExchangeId exchange, int attempt) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = attempts_.find({exchange, attempt});
+    if (it == attempts_.end()) {
+      return nullptr;
+    }
+    auto removed = it->second;
+    attempts_.erase(it);
+    return removed;
+  }
+
+  void TakeHead(const std::shared_ptr<Attempt>& attempt,
+                const http_response& response) {
+    if (!HasKnownEnd(response)) {
+      Fail(attempt, AttemptFailure::kMalformed,
+           "the answer has neither a length nor chunks");
+      return;
+    }
+    if (response.headers().content_length() > kMaxAnswerBytes &&
+        response.headers().has("Content-Length")) {
+      Fail(attempt, AttemptFailure::kMalformed, "the answer is too large");
+      return;
+    }
+    attempt->status = response.status_code();
+    attempt->content_type = response.headers().content_type();
+    auto self = shared_from_this();
+    // extract_vector() reports a body that is cut short.
+    response.extract_vector().then(
+        [self, attempt](pplx::task<std::vector<unsigned char>> task) {
+          try {
+            self->Finish(attempt, task.get());
+          } catch (const std::exception& error) {
+            self->Fail(attempt, AttemptFailure::kConnectionLost, error.what());
+          }
+        });
+  }
+
+  void Finish(const std::shared_ptr<Attempt>& attempt,
+              const std::vector<unsigned char>& body) {
+    if (Remove(attempt->start.exchange, attempt->start.attempt) == nullptr) {
+      return;
+    }
+    PlainAnswered answered;
+    answered.exchange = attempt->start.exchange;
+    answered.attempt = attempt->start.attempt;
+    answered.status = attempt->status;
+    answered.content_type = attempt->content_type;
+    answered.body.assign(body.begin(), body.end());
+    report_(answered);
+  }
+
+  void Fail(const std::shared_ptr<Attempt>& attempt,
+            AttemptFailure failure,
+            const std::string& detail) {
+    if (Remove(attempt->start.exchange, attempt->start.attempt) == nullptr) {
+      return;
+    }
+    AttemptFailed failed;
+    failed.exchange = attempt->start.exchange;
+    failed.attempt = attempt->start.attempt;
+    failed.failure = failure;
+    failed.detail = detail;
+    report_(failed);
+  }
+
+  const Report report_;
+  std::mutex mutex_;
+  std::map<std::string, std::shared_ptr<http_client>> clients_;
+  std::map<std::pair<ExchangeId, int>, std::shared_ptr<Attempt>> attempts_;
+};
+
+PlainServiceClient::PlainServiceClient(Report report)
+    : impl_(std::make_shared<Impl>(std::move(report))) {}
+PlainServiceClient::~PlainServiceClient() = default;
+
+void PlainServiceClient::Start(const PlainServiceRequest& request) {
+  impl_->Start(request);
+}
+
+void PlainServiceClient::Cancel(const CancelAttempt& action) {
+  impl_->Cancel(action);
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/gateway/target_poller.cc
@@ -0,0 +1,167 @@
+#include "gateway/target_poller.h"
+
+#include <cpprest/http_client.h>
+#include <cpprest/json.h>
+
+#include <exception>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace endiveyard {
+namespace {
+
+using web::http::http_response;
+using web::http::methods;
+using web::http::client::http_client;
+using web::http::client::http_client_config;
+using web::json::value;
+
+constexpr std::chrono::seconds kPollTimeout(2);
+
+TargetLoad ParseLoad(const value& body) {
+  TargetLoad load;
+  ParseRole(body.at("role").as_string(), &load.role);
+  load.model = body.at("model").as_string();
+  load.version = body.at("version").as_string();
+  for (const value& it : body.at("adapters").as_array()) {
+    load.adapters.push_back(it.as_string());
+  }
+  load.queued_prefill_tokens =
+      body.at("queued_prefill_tokens").as_number().to_int64();
+  load.running_sequences = body.at("running_sequences").as_integer();
+  load.free_cache_blocks = body.at("free_cache_blocks").as_number().to_int64();
+  load.sequence = body.at("sequence").as_number().to_uint64();
+  return load;
+}
+
+std::vector<uint64_t> ParseHashes(const value& array) {
+  std::vector<uint64_t> hashes;
+  for (const value& it : array.as_array()) {
+    hashes.push_back(std::stoull(it.as_string()));
+  }
+  return hashes;
+}
+
+struct PolledTarget {
+  std::shared_ptr<http_client> client;
+  uint64_t next_cache_event = 0;
+  bool polling = false;
+};
+
+}  // namespace
+
+class TargetPoller::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(Report report, ReportFailure report_failure)
+      : report_(std::move(report)),
+        report_failure_(std::move(report_failure)) {}
+
+  void SetTargets(const std::vector<TargetInfo>& targets) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    std::map<std::string, PolledTarget> next;
+    for (const TargetInfo& it : targets) {
+      if (it.kind != TargetKind::kEngine) {
+        continue;
+      }
+      const auto known = targets_.find(it.id);
+      if (known != targets_.end()) {
+        next[it.id] = known->second;
+        continue;
+      }
+      http_client_config config;
+      config.set_timeout(kPollTimeout);
+      next[it.id].client =
+          std::make_shared<http_client>("http://" + it.address, config);
+    }
+    targets_ = std::move(next);
+  }
+
+  void Poll() {
+    std::vector<std::pair<std::string, PolledTarget>> due;
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      for (auto& [id, target] : targets_) {
+        if (!target.polling) {
+          target.polling = true;
+          due.emplace_back(id, target);
+        }
+      }
+    }
+    for (const auto& [id, target] : due) {
+      PollOne(id, target);
+    }
+  }
+
+ private:
+  void PollOne(const std::string& id, const PolledTarget& target) {
+    auto self = shared_from_this();
+    const auto client = target.client;
+    const uint64_t since = target.next_cache_event;
+    client->request(methods::GET, "/v1/load")
+        .then([](http_response response) { return response.extract_json(); })
+        .then([self, id, client, since](value body) {
+          self->report_(LoadReported{id, ParseLoad(body)});
+          return client->request(methods::GET, "/v1/cache_events?since=" +
+                                                   std::to_string(since));
+        })
+        .then([](http_response response) { return response.extract_json(); })
+        .then([self, id](pplx::task<value> task) {
+          try {
+            self->TakeCacheEvents(id, task.get());
+          } catch (const std::exception&) {
+            self->report_failure_(id);
+          }
+          self->EndPoll(id);
+        });
+  }
+
+  void TakeCacheEvents(const std::string& id, const value& body) {
+    CacheChanged changed;
+    changed.target = id;
+    changed.sequence = body.at("sequence").as_number().to_uint64();
+    changed.stored = ParseHashes(body.at("stored"));
+    changed.evicted = ParseHashes(body.at("evicted"));
+    if (changed.stored.empty() && changed.evicted.empty()) {
+      return;
+    }
+    {
+      std::lock_guard<std::mutex> lock(mutex_);
+      const auto it = targets_.find(id);
+      if (it != targets_.end()) {
+        it->second.next_cache_event = changed.sequence +
+                                      changed.stored.size() +
+                                      changed.evicted.size();
+      }
+    }
+    report_(changed);
+  }
+
+  void EndPoll(const std::string& id) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = targets_.find(id);
+    if (it != targets_.end()) {
+      it->second.polling = false;
+    }
+  }
+
+  const Report report_;
+  const ReportFailure report_failure_;
+  std::mutex mutex_;
+  std::map<std::string, PolledTarget> targets_;
+};
+
+TargetPoller::TargetPoller(Report report, ReportFailure report_failure)
+    : impl_(std::make_shared<Impl>(std::move(report),
+                                   std::move(report_failure))) {}
+TargetPoller::~TargetPoller() = default;
+
+void TargetPoller::SetTargets(const std::vector<TargetInfo>& targets) {
+  impl_->SetTargets(targets);
+}
+
+void TargetPoller::Poll() {
+  impl_->Poll();
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/telemetry/metrics.cc
@@ -0,0 +1,164 @@
+#include "endiveyard/telemetry/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace endiveyard {
+namespace {
+
+using Buckets = prometheus::Histogram::BucketBoundaries;
+
+// Seconds. 1.7 and 0.026 are the targets for first token and token gap.
+const Buckets kLatencyBuckets = {0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+                                 0.5,   1.0,   1.7,  3.0,   10.0, 30.0};
+const Buckets kTokenGapBuckets = {0.001, 0.005, 0.01, 0.02, 0.026,
+                                  0.05,  0.1,   0.5,  2.0};
+
+double Seconds(Duration d) {
+  return std::chrono::duration<double>(d).count();
+}
+
+prometheus::Family<prometheus::Histogram>& HistogramFamily(
+    prometheus::Registry& registry,
+    const char* name,
+    const char* help) {
+  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+}  // namespace
+
+class Metrics::Impl {
+ public:
+  using Labels = std::map<std::string, std::string>;
+
+  void ObserveRequest(const Labels& labels,
+                      const std::string& outcome,
+                      Duration queued,
+                      Duration first_token,
+                      Duration total) {
+    Labels with_outcome = labels;
+    with_outcome["outcome"] = outcome;
+    requests_.Add(with_outcome).Increment();
+    Observe(queued_, labels, kLatencyBuckets, queued);
+    Observe(first_token_, labels, kLatencyBuckets, first_token);
+    Observe(total_, labels, kLatencyBuckets, total);
+  }
+
+  void ObserveTokenGap(const Labels& labels, Duration gap) {
+    Observe(token_gap_, labels, kTokenGapBuckets, gap);
+  }
+
+  void CountEvent(int number) {
+    events_.Add({{"event", std::to_string(number)}}).Increment();
+  }
+
+  void CountObjectApiCall(const std::string& outcome) {
+    object_api_calls_.Add({{"outcome", outcome}}).Increment();
+  }
+
+  prometheus::Gauge& open_exchanges() { return open_exchanges_; }
+  prometheus::Gauge& configuration_version() { return configuration_version_; }
+
+  std::string Serialize() const {
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+  }
+
+ private:
+  static void Observe(prometheus::Family<prometheus::Histogram>& family,
+                      const Labels& labels,
+                      const Buckets& buckets,
+                      Duration value) {
+    if (value >= Duration::zero()) {
+      family.Add(labels, buckets).Observe(Seconds(value));
+    }
+  }
+
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Histogram>& queued_ =
+      HistogramFamily(registry_,
+                      "endiveyard_queue_seconds",
+                      "Time from receipt to the first attempt.");
+  prometheus::Family<prometheus::Histogram>& first_token_ =
+      HistogramFamily(registry_,
+                      "endiveyard_first_token_seconds",
+                      "Time from receipt to the first token delivered.");
+  prometheus::Family<prometheus::Histogram>& total_ =
+      HistogramFamily(registry_,
+                      "endiveyard_request_seconds",
+                      "Time from receipt to the end of the answer.");
+  prometheus::Family<prometheus::Histogram>& token_gap_ =
+      HistogramFamily(registry_,
+                      "endiveyard_token_gap_seconds",
+                      "Time between deliveries of tokens.");
+  prometheus::Family<prometheus::Counter>& requests_ =
+      prometheus::BuildCounter()
+          .Name("endiveyard_requests_total")
+          .Help("Requests ended, by outcome.")
+          .Register(registry_);
+  prometheus::Family<prometheus::Counter>& events_ =
+      prometheus::BuildCounter()
+          .Name("endiveyard_events_total")
+          .Help("Numbered log events; see docs/events.md.")
+          .Register(registry_);
+  prometheus::Family<prometheus::Counter>& object_api_calls_ =
+      prometheus::BuildCounter()
+          .Name("endiveyard_object_api_calls_total")
+          .Help("Calls to the object API, by outcome.")
+          .Register(registry_);
+  prometheus::Gauge& open_exchanges_ = prometheus::BuildGauge()
+                                           .Name("endiveyard_open_exchanges")
+                                           .Help("Requests queued or running.")
+                                           .Register(registry_)
+                                           .Add({});
+  prometheus::Gauge& configuration_version_ =
+      prometheus::BuildGauge()
+          .Name("endiveyard_configuration_version")
+          .Help("Version of the fleet configuration in force.")
+          .Register(registry_)
+          .Add({});
+};
+
+Metrics::Metrics() : impl_(std::make_unique<Impl>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::ObserveRequest(const std::string& house,
+                             const std::string& caller_class,
+                             const std::string& outcome,
+                             Duration queued,
+                             Duration first_token,
+                             Duration total) {
+  impl_->ObserveRequest({{"house", house}, {"class", caller_class}}, outcome,
+                        queued, first_token, total);
+}
+
+void Metrics::ObserveTokenGap(const std::string& house,
+                              const std::string& caller_class,
+                              Duration gap) {
+  impl_->ObserveTokenGap({{"house", house}, {"class", caller_class}}, gap);
+}
+
+void Metrics::CountEvent(int number) {
+  impl_->CountEvent(number);
+}
+
+void Metrics::SetOpenExchanges(double value) {
+  impl_->open_exchanges().Set(value);
+}
+
+void Metrics::SetConfigurationVersion(double value) {
+  impl_->configuration_version().Set(value);
+}
+
+void Metrics::CountObjectApiCall(const std::string& outcome) {
+  impl_->CountObjectApiCall(outcome);
+}
+
+std::string Metrics::Serialize() const {
+  return impl_->Serialize();
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/tools/standin/process_standin.cc
@@ -0,0 +1,29 @@
+#include <signal.h>
+
+#include "standin/standin_process.h"
+
+namespace endiveyard::standin {
+namespace {
+
+sigset_t StopSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, SIGINT);
+  sigaddset(&set, SIGTERM);
+  return set;
+}
+
+}  // namespace
+
+void BlockStopSignals() {
+  const sigset_t set = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
+void WaitForStopSignal() {
+  const sigset_t set = StopSignals();
+  int signal = 0;
+  sigwait(&set, &signal);
+}
+
+}  // namespace endiveyard::standin
