Add the typed fleet configuration

Cause: gateway, serving and control need one validated view of houses, classes, callers, services and exceptions.

--- /dev/null
+++ b/src/fleet/configuration_keys.cc
@@ -0,0 +1,187 @@
+#include "endiveyard/fleet/configuration_keys.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace endiveyard {
+namespace {
+
+constexpr int kTargetScopes = kHouseScope | kServiceScope | kTargetScope;
+
+ConfigurationKey IntegerKey(std::string_view name,
+                            int64_t FleetDefaults::*member,
+                            double lowest,
+                            double highest,
+                            int scopes) {
+  ConfigurationKey key;
+  key.name = name;
+  key.integer = member;
+  key.lowest = lowest;
+  key.highest = highest;
+  key.scopes = scopes;
+  return key;
+}
+
+std::vector<ConfigurationKey> MakeKeys() {
+  using D = FleetDefaults;
+  std::vector<ConfigurationKey> keys = {
+      IntegerKey("queue_limit", &D::queue_limit, 1, 100'000,
+                 kHouseScope | kClassScope),
+      IntegerKey("target_concurrency", &D::target_concurrency, 1, 4096,
+                 kTargetScopes),
+      IntegerKey("stall_ms", &D::stall_ms, 100, 60'000, kTargetScopes),
+      IntegerKey("drain_ms", &D::drain_ms, 0, 600'000, kTargetScopes),
+      IntegerKey("default_deadline_ms", &D::default_deadline_ms, 100, 3'600'000,
+                 kHouseScope | kClassScope | kServiceScope),
+      IntegerKey("max_body_bytes", &D::max_body_bytes, 1024, 256 << 20,
+                 kHouseScope | kServiceScope),
+      // Headers are read before the caller is known, so no scope applies.
+      IntegerKey("max_header_bytes", &D::max_header_bytes, 1024, 1 << 20, 0),
+  };
+  ConfigurationKey weight;
+  weight.name = "role_change_weight";
+  weight.real = &D::role_change_weight;
+  weight.highest = 1;
+  weight.scopes = kHouseScope | kServiceScope;
+  keys.push_back(weight);
+  ConfigurationKey planner;
+  planner.name = "planner";
+  planner.text = &D::planner;
+  planner.scopes = kHouseScope | kServiceScope;
+  keys.push_back(planner);
+  for (const auto& [name, member] :
+       {std::pair("minimum_mixed", &D::minimum_mixed),
+        std::pair("minimum_prefill", &D::minimum_prefill),
+        std::pair("minimum_decode", &D::minimum_decode)}) {
+    keys.push_back(
+        IntegerKey(name, member, 0, 24'000, kHouseScope | kServiceScope));
+  }
+  return keys;
+}
+
+std::string FormatReal(double value) {
+  std::array<char, 32> buf{};
+  const auto result = std::to_chars(buf.data(), buf.data() + buf.size(), value);
+  std::string text(buf.data(), result.ptr);
+  if (text.find_first_of(".en") == std::string::npos) {
+    text += ".0";
+  }
+  return text;
+}
+
+}  // namespace
+
+const std::vector<ConfigurationKey>& ConfigurationKeys() {
+  static const auto* const kKeys =
+      new std::vector<ConfigurationKey>(MakeKeys());
+  return *kKeys;
+}
+
+const ConfigurationKey* FindConfigurationKey(std::string_view name) {
+  for (const ConfigurationKey& it : ConfigurationKeys()) {
+    if (it.name == name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+const std::vector<std::string>& PlannerNames() {
+  static const auto* const kNames = new std::vector<std::string>{
+      "fixed", "threshold", "hysteresis", "cost-benefit"};
+  return *kNames;
+}
+
+std::string CheckSettingValue(const ConfigurationKey& key,
+                              const SettingValue& value) {
+  if (key.text != nullptr) {
+    const auto* text = std::get_if<std::string>(&value);
+    if (text == nullptr) {
+      return "must be a string";
+    }
+    const auto& names = PlannerNames();
+    if (std::find(names.begin(), names.end(), *text) == names.end()) {
+      std::string reason = "must be one of";
+      for (const std::string& it : names) {
+        reason += " \"" + it + "\"";
+      }
+      return reason;
+    }
+    return "";
+  }
+  double number = 0;
+  if (key.integer != nullptr) {
+    const auto* integer = std::get_if<int64_t>(&value);
+    if (integer == nullptr) {
+      return "must be an integer";
+    }
+    number = static_cast<double>(*integer);
+  } else {
+    const auto* real = std::get_if<double>(&value);
+    if (real == nullptr) {
+      return "must be a number";
+    }
+    number = *real;
+  }
+  // The negated form also refuses NaN.
+  if (!(number >= key.lowest && number <= key.highest)) {
+    const auto bound = [&key](double n) {
+      return key.integer != nullptr ? std::to_string(static_cast<int64_t>(n))
+                                    : FormatReal(n);
+    };
+    return FormatSettingValue(value) + " is outside " + bound(key.lowest) +
+           " to " + bound(key.highest);
+  }
+  return "";
+}
+
+SettingValue GetDefault(const FleetDefaults& defaults,
+                        const ConfigurationKey& key) {
+  if (key.integer != nullptr) {
+    return defaults.*key.integer;
+  }
+  if (key.real != nullptr) {
+    return defaults.*key.real;
+  }
+  return defaults.*key.text;
+}
+
+void SetDefault(FleetDefaults* defaults,
+                const ConfigurationKey& key,
+                const SettingValue& value) {
+  if (key.integer != nullptr) {
+    defaults->*key.integer = std::get<int64_t>(value);
+  } else if (key.real != nullptr) {
+    defaults->*key.real = std::get<double>(value);
+  } else {
+    defaults->*key.text = std::get<std::string>(value);
+  }
+}
+
+std::string FormatSettingValue(const SettingValue& value) {
+  if (const auto* integer = std::get_if<int64_t>(&value)) {
+    return std::to_string(*integer);
+  }
+  if (const auto* real = std::get_if<double>(&value)) {
+    return FormatReal(*real);
+  }
+  static constexpr char kHexDigits[] = "0123456789abcdef";
+  std::string text = "\"";
+  for (char it : std::get<std::string>(value)) {
+    const auto byte = static_cast<unsigned char>(it);
+    if (it == '"' || it == '\\') {
+      text += '\\';
+      text += it;
+    } else if (byte < 0x20 || byte == 0x7f) {
+      text += "\\u00";
+      text += kHexDigits[byte >> 4];
+      text += kHexDigits[byte & 0xf];
+    } else {
+      text += it;
+    }
+  }
+  return text + "\"";
+}
+
+}  // namespace endiveyard
