--- /dev/null
+++ b/src/cli/command.h
@@ -0,0 +1,34 @@
+#ifndef ENDIVEYARD_SRC_CLI_COMMAND_H_
+#define ENDIVEYARD_SRC_CLI_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+#include <boost/program_options.hpp>
+
+namespace endiveyard {
+
+// Exit codes of every command.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;  // the command ran and failed
+inline constexpr int kExitUsage = 2;   // wrong command line or settings
+
+using Arguments = std::vector<std::string>;
+
+// Parses `arguments` into `values`. Returns false when the command should end
+// with `*exit_code`, after help was printed or an error was reported.
+bool ParseArguments(const boost::program_options::options_description& options,
+                    const Arguments& arguments,
+                    boost::program_options::variables_map* values,
+                    int* exit_code);
+
+int RunServeCommand(const Arguments& arguments);
+int RunCheckCommand(const Arguments& arguments);
+int RunExplainCommand(const Arguments& arguments);
+int RunBenchCommand(const Arguments& arguments);
+int RunConfigCommand(const Arguments& arguments);
+int RunStatusCommand(const Arguments& arguments);
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SRC_CLI_COMMAND_H_
--- /dev/null
+++ b/src/cli/instance_query.h
@@ -0,0 +1,21 @@
+#ifndef ENDIVEYARD_SRC_CLI_INSTANCE_QUERY_H_
+#define ENDIVEYARD_SRC_CLI_INSTANCE_QUERY_H_
+
+#include <string>
+
+#include "absl/status/statusor.h"
+
+namespace endiveyard {
+
+// Sends one request to an instance and returns the body of a 200 answer.
+// Error: kTargetFailed with the status and body, or kNoCapacity when the
+// instance cannot be reached.
+absl::StatusOr<std::string> QueryInstance(const std::string& url,
+                                          const std::string& method,
+                                          const std::string& path,
+                                          const std::string& caller_key,
+                                          const std::string& body);
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SRC_CLI_INSTANCE_QUERY_H_
--- a/src/gateway/answer_body.cc
+++ b/src/gateway/answer_body.cc
@@ -89,8 +89,8 @@
                         const std::string& text,
                         const std::string& finish_reason,
                         const AnswerUsage& usage) {
-  value body = Envelope(identity,
-                        identity.chat ? "chat.completion" : "text_completion");
+  value body =
+      Envelope(identity, identity.chat ? "chat.completion" : "text_completion");
   value choice = value::object();
   choice["index"] = value::number(0);
   if (identity.chat) {
--- a/src/gateway/caller_request.cc
+++ b/src/gateway/caller_request.cc
@@ -163,8 +163,7 @@
   request->service = route.service->name;
   request->idempotent = route.rule->idempotent;
   request->method = head.method;
-  request->path =
-      head.query.empty() ? head.path : head.path + "?" + head.query;
+  request->path = head.query.empty() ? head.path : head.path + "?" + head.query;
   request->content_type = head.Header("content-type");
   return absl::OkStatus();
 }
@@ -199,9 +198,9 @@
     return Bad("Content-Length is not a length");
   }
   if (*length > limits.max_body_bytes) {
-    return MakeError(ErrorKind::kBodyTooLarge,
-                     "the limit is " + std::to_string(limits.max_body_bytes) +
-                         " bytes");
+    return MakeError(
+        ErrorKind::kBodyTooLarge,
+        "the limit is " + std::to_string(limits.max_body_bytes) + " bytes");
   }
   return *length;
 }
--- a/src/gateway/caller_request.h
+++ b/src/gateway/caller_request.h
@@ -16,8 +16,8 @@
 // Head of a caller's request, free of the HTTP library's types.
 struct CallerRequestHead {
   std::string method;
-  std::string path;   // without the query
-  std::string query;  // without '?', may be empty
+  std::string path;                            // without the query
+  std::string query;                           // without '?', may be empty
   std::map<std::string, std::string> headers;  // names in lower case
   int64_t header_bytes = 0;
 
--- a/src/gateway/engine_client.cc
+++ b/src/gateway/engine_client.cc
@@ -31,8 +31,7 @@
   value body = value::parse(request.body);
   body["stream"] = value::boolean(true);
   value extension = value::object();
-  extension["request_id"] =
-      value::string("x" + std::to_string(start.exchange));
+  extension["request_id"] = value::string("x" + std::to_string(start.exchange));
   extension["attempt"] = value::number(start.attempt);
   extension["priority"] = value::number(request.priority);
   extension["deadline_ms"] = value::number(request.remaining_ms);
@@ -103,8 +102,7 @@
   }
 
   void Cancel(const CancelAttempt& action) {
-    std::shared_ptr<Attempt> attempt =
-        Remove(action.exchange, action.attempt);
+    std::shared_ptr<Attempt> attempt = Remove(action.exchange, action.attempt);
     if (attempt != nullptr) {
       attempt->cancellation.cancel();
     }
@@ -158,10 +156,8 @@
           } catch (const std::exception& error) {
             text = error.what();
           }
-          const bool refused =
-              text.find("\"not_run\"") != std::string::npos;
-          const bool leaving =
-              text.find("\"leaving\"") != std::string::npos;
+          const bool refused = text.find("\"not_run\"") != std::string::npos;
+          const bool leaving = text.find("\"leaving\"") != std::string::npos;
           self->Fail(attempt,
                      refused ? AttemptFailure::kTargetRefused
                              : AttemptFailure::kTargetError,
--- a/src/gateway/engine_event.cc
+++ b/src/gateway/engine_event.cc
@@ -50,8 +50,7 @@
     event->finish_reason = ToString(element);
   }
   int64_t prompt_tokens = 0;
-  if (root["usage"]["prompt_tokens"].get(prompt_tokens) ==
-      simdjson::SUCCESS) {
+  if (root["usage"]["prompt_tokens"].get(prompt_tokens) == simdjson::SUCCESS) {
     event->prompt_tokens = static_cast<int>(prompt_tokens);
   }
   if (root["kv_handle"].get(element) == simdjson::SUCCESS) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -237,33 +237,33 @@
       return;
     }
     const TimePoint now = BootClock::now();
-    http.extract_vector().then([this, http, head, applied, now, request_id,
-                                caller = *caller, length = *length](
-                                   pplx::task<std::vector<unsigned char>> task)
-                                   mutable {
-      std::string body;
-      try {
-        const std::vector<unsigned char> bytes = task.get();
-        body.assign(bytes.begin(), bytes.end());
-      } catch (const std::exception& error) {
-        Refuse(http, request_id,
-               MakeError(ErrorKind::kBadRequest, "the body is incomplete"));
-        return;
-      }
-      if (static_cast<int64_t>(body.size()) != length) {
-        Refuse(http, request_id,
-               MakeError(ErrorKind::kBadRequest, "the body is incomplete"));
-        return;
-      }
-      auto request = ParseCallerRequest(head, std::move(body), *caller,
-                                        applied->fleet, now);
-      if (!request.ok()) {
-        Refuse(http, request_id, request.status());
-        return;
-      }
-      request->request_id = request_id;
-      Admit(http, std::move(*request));
-    });
+    http.extract_vector().then(
+        [this, http, head, applied, now, request_id, caller = *caller,
+         length =
+             *length](pplx::task<std::vector<unsigned char>> task) mutable {
+          std::string body;
+          try {
+            const std::vector<unsigned char> bytes = task.get();
+            body.assign(bytes.begin(), bytes.end());
+          } catch (const std::exception& error) {
+            Refuse(http, request_id,
+                   MakeError(ErrorKind::kBadRequest, "the body is incomplete"));
+            return;
+          }
+          if (static_cast<int64_t>(body.size()) != length) {
+            Refuse(http, request_id,
+                   MakeError(ErrorKind::kBadRequest, "the body is incomplete"));
+            return;
+          }
+          auto request = ParseCallerRequest(head, std::move(body), *caller,
+                                            applied->fleet, now);
+          if (!request.ok()) {
+            Refuse(http, request_id, request.status());
+            return;
+          }
+          request->request_id = request_id;
+          Admit(http, std::move(*request));
+        });
   }
 
   // Returns true when the path is one of the instance's own.
@@ -306,32 +306,31 @@
       return;
     }
     head.path = "/v1/completions";
-    http.extract_utf8string(true).then([this, http, head, applied,
-                                        caller = *caller](
-                                           pplx::task<std::string>
-                                               task) mutable {
-      std::string body;
-      try {
-        body = task.get();
-      } catch (const std::exception&) {
-        Refuse(http, "explain", MakeError(ErrorKind::kBadRequest, ""));
-        return;
-      }
-      const auto request = ParseCallerRequest(
-          head, std::move(body), *caller, applied->fleet, BootClock::now());
-      if (!request.ok()) {
-        Refuse(http, "explain", request.status());
-        return;
-      }
-      const bool posted = serving_.TryRun(
-          [http, request = *request](const ServingCore& core, TimePoint now) {
-            http.reply(web::http::status_codes::OK,
-                       core.Explain(request, now));
+    http.extract_utf8string(true).then(
+        [this, http, head, applied,
+         caller = *caller](pplx::task<std::string> task) mutable {
+          std::string body;
+          try {
+            body = task.get();
+          } catch (const std::exception&) {
+            Refuse(http, "explain", MakeError(ErrorKind::kBadRequest, ""));
+            return;
+          }
+          const auto request = ParseCallerRequest(
+              head, std::move(body), *caller, applied->fleet, BootClock::now());
+          if (!request.ok()) {
+            Refuse(http, "explain", request.status());
+            return;
+          }
+          const bool posted = serving_.TryRun([http, request = *request](
+                                                  const ServingCore& core,
+                                                  TimePoint now) {
+            http.reply(web::http::status_codes::OK, core.Explain(request, now));
           });
-      if (!posted) {
-        Refuse(http, "explain", MakeError(ErrorKind::kOverloaded, ""));
-      }
-    });
+          if (!posted) {
+            Refuse(http, "explain", MakeError(ErrorKind::kOverloaded, ""));
+          }
+        });
   }
 
   void Refuse(http_request& http,
@@ -344,16 +343,18 @@
                                             : std::string();
     ServingRequest request;
     request.request_id = request_id;
-    CallerExchange(http, request, [] {}).RefuseRequest(kind, message,
-                                                       Duration::zero());
+    CallerExchange(http, request, [] {
+    }).RefuseRequest(kind, message, Duration::zero());
     metrics_->ObserveRequest("", "", std::string(AnswerFor(kind).name),
                              Duration(-1), Duration(-1), Duration(-1));
   }
 
   void Admit(http_request& http, ServingRequest request) {
     const ExchangeId id = ++next_exchange_;
-    auto exchange = std::make_shared<CallerExchange>(
-        http, request, [this, id] { Post(CallerGone{id}); });
+    auto exchange = std::make_shared<CallerExchange>(http, request, [this, id] {
+      Remove(id);
+      Post(CallerGone{id});
+    });
     {
       std::lock_guard<std::mutex> lock(mutex_);
       exchanges_[id] = exchange;
@@ -391,8 +392,8 @@
     }
     const ServingRequest& request = exchange->request();
     const int64_t remaining_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            request.deadline - BootClock::now())
+        std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline -
+                                                              BootClock::now())
             .count();
     if (request.kind == RequestKind::kPlain) {
       services_.Start({action, request.method, request.path,
@@ -499,10 +500,9 @@
                  const EventLogger* logger,
                  Metrics* metrics,
                  GatewayHooks hooks)
-    : impl_(std::make_unique<Impl>(settings,
-                                   logger,
-                                   metrics,
-                                   std::move(hooks))) {}
+    : impl_(
+          std::make_unique<Impl>(settings, logger, metrics, std::move(hooks))) {
+}
 Gateway::~Gateway() = default;
 
 absl::Status Gateway::Open() {
--- a/src/gateway/target_poller.cc
+++ b/src/gateway/target_poller.cc
@@ -102,8 +102,8 @@
         .then([](http_response response) { return response.extract_json(); })
         .then([self, id, client, since](value body) {
           self->report_(LoadReported{id, ParseLoad(body)});
-          return client->request(methods::GET, "/v1/cache_events?since=" +
-                                                   std::to_string(since));
+          return client->request(
+              methods::GET, "/v1/cache_events?since=" + std::to_string(since));
         })
         .then([](http_response response) { return response.extract_json(); })
         .then([self, id](pplx::task<value> task) {
@@ -129,9 +129,8 @@
       std::lock_guard<std::mutex> lock(mutex_);
       const auto it = targets_.find(id);
       if (it != targets_.end()) {
-        it->second.next_cache_event = changed.sequence +
-                                      changed.stored.size() +
-                                      changed.evicted.size();
+        it->second.next_cache_event =
+            changed.sequence + changed.stored.size() + changed.evicted.size();
       }
     }
     report_(changed);
--- /dev/null
+++ b/src/instance/instance.cc
@@ -0,0 +1,139 @@
+#include "endiveyard/instance/instance.h"
+
+#include <string>
+#include <utility>
+
+#include "endiveyard/base/digest.h"
+#include "endiveyard/base/timer_service.h"
+#include "endiveyard/gateway/gateway.h"
+#include "endiveyard/instance/configuration_store.h"
+#include "endiveyard/object_api/http_object_api.h"
+#include "endiveyard/telemetry/log_event.h"
+#include "endiveyard/telemetry/metrics.h"
+#include "instance/configuration_thread.h"
+#include "instance/platform_threads.h"
+
+namespace endiveyard {
+namespace {
+
+constexpr std::chrono::milliseconds kReplicaTick(250);
+constexpr std::chrono::seconds kInstanceListInterval(1);
+
+// "host:port" of "http://host:port".
+std::string AddressOf(const std::string& url) {
+  const size_t scheme = url.find("://");
+  std::string address =
+      scheme == std::string::npos ? url : url.substr(scheme + 3);
+  while (!address.empty() && address.back() == '/') {
+    address.pop_back();
+  }
+  return address;
+}
+
+}  // namespace
+
+class Instance::Impl {
+ public:
+  explicit Impl(const InstanceSettings& settings)
+      : settings_(settings),
+        seed_(Digest64(settings.id())),
+        logger_(settings.log_level(), settings.id()),
+        api_(AddressOf(settings.object_api_url())),
+        gateway_(settings, &logger_, &metrics_, Hooks()),
+        configuration_(
+            ConfigurationStore(&api_, settings.object_api_timeout()),
+            MakeReplicaOptions(),
+            &logger_,
+            [this](uint64_t version, const FleetConfiguration& fleet) {
+              gateway_.ApplyConfiguration(version, fleet);
+            },
+            [this](bool accepting, const std::string& reason) {
+              gateway_.SetReady(accepting, reason);
+            }) {}
+
+  absl::Status Start() {
+    gateway_.SetReady(false, "the configuration is being read");
+    if (absl::Status status = gateway_.Open(); !status.ok()) {
+      logger_.Log(104, std::string(status.message()));
+      return status;
+    }
+    configuration_.Start();
+    timers_.Subscribe(kReplicaTick, [this](TimePoint) {
+      configuration_.TryPost(ReplicaTick{});
+    });
+    list_thread_ = std::make_unique<InstanceListThread>(
+        &api_, kInstanceListInterval, settings_.object_api_timeout(),
+        [this](const InstanceList& list) {
+          gateway_.ApplyTargets(list.targets);
+          configuration_.TryPost(ObjectApiAnswered{});
+        });
+    watch_thread_ = std::make_unique<LogWatchThread>(
+        &api_, "config/log/", seed_,
+        [this] { configuration_.TryPost(LogChanged{newest_hint()}); },
+        [this](bool watching) {
+          configuration_.TryPost(WatchChanged{watching});
+        });
+    logger_.Log(101, settings_.caller_endpoint().ToString());
+    return absl::OkStatus();
+  }
+
+  void Shutdown() {
+    logger_.Log(102, std::to_string(gateway_.open_exchanges()) + " open");
+    const size_t cut = gateway_.Shutdown(settings_.shutdown_bound());
+    if (cut > 0) {
+      logger_.Log(105, std::to_string(cut) + " requests cut");
+    }
+    timers_.Stop();
+    watch_thread_->Stop();
+    list_thread_->Stop();
+    configuration_.Stop();
+    logger_.Log(103, "");
+  }
+
+ private:
+  ReplicaOptions MakeReplicaOptions() const {
+    ReplicaOptions options;
+    options.seed = seed_;
+    return options;
+  }
+
+  GatewayHooks Hooks() {
+    GatewayHooks hooks;
+    hooks.status = [this] {
+      return "{\"instance\":\"" + settings_.id() +
+             "\",\"configuration_version\":" +
+             std::to_string(configuration_.version()) +
+             ",\"open_exchanges\":" +
+             std::to_string(gateway_.open_exchanges()) + "}";
+    };
+    return hooks;
+  }
+
+  // The watch tells that there is a newer entry, not which.
+  uint64_t newest_hint() const { return configuration_.version() + 1; }
+
+  const InstanceSettings settings_;
+  const uint64_t seed_;
+  EventLogger logger_;
+  Metrics metrics_;
+  HttpObjectApi api_;
+  Gateway gateway_;
+  ConfigurationThread configuration_;
+  TimerService timers_;
+  std::unique_ptr<InstanceListThread> list_thread_;
+  std::unique_ptr<LogWatchThread> watch_thread_;
+};
+
+Instance::Instance(const InstanceSettings& settings)
+    : impl_(std::make_unique<Impl>(settings)) {}
+Instance::~Instance() = default;
+
+absl::Status Instance::Start() {
+  return impl_->Start();
+}
+
+void Instance::Shutdown() {
+  impl_->Shutdown();
+}
+
+}  // namespace endiveyard
--- a/tools/standin/engine_standin.cc
+++ b/tools/standin/engine_standin.cc
@@ -21,7 +21,7 @@
 #include "endiveyard/base/time_point.h"
 #include "standin/standin_process.h"
 
-namespace endiveyard::standin {
+namespace endiveyard {
 namespace {
 
 using concurrency::streams::producer_consumer_buffer;
@@ -581,4 +581,4 @@
   return 0;
 }
 
-}  // namespace endiveyard::standin
+}  // namespace endiveyard
--- a/tools/standin/engine_standin.h
+++ b/tools/standin/engine_standin.h
@@ -7,7 +7,7 @@
 
 #include "endiveyard/base/target.h"
 
-namespace endiveyard::standin {
+namespace endiveyard {
 
 struct EngineOptions {
   std::string listen = "127.0.0.1:9100";
@@ -66,6 +66,6 @@
 
 int RunEngineStandin(int argc, char** argv);
 
-}  // namespace endiveyard::standin
+}  // namespace endiveyard
 
 #endif  // ENDIVEYARD_TOOLS_STANDIN_ENGINE_STANDIN_H_
--- a/tools/standin/process_standin.cc
+++ b/tools/standin/process_standin.cc
@@ -2,7 +2,7 @@
 
 #include "standin/standin_process.h"
 
-namespace endiveyard::standin {
+namespace endiveyard {
 namespace {
 
 sigset_t StopSignals() {
@@ -26,4 +26,4 @@
   sigwait(&set, &signal);
 }
 
-}  // namespace endiveyard::standin
+}  // namespace endiveyard
--- a/tools/standin/service_standin.cc
+++ b/tools/standin/service_standin.cc
@@ -11,7 +11,7 @@
 
 #include "standin/standin_process.h"
 
-namespace endiveyard::standin {
+namespace endiveyard {
 namespace {
 
 using web::http::http_request;
@@ -165,4 +165,4 @@
   return 0;
 }
 
-}  // namespace endiveyard::standin
+}  // namespace endiveyard
--- a/tools/standin/service_standin.h
+++ b/tools/standin/service_standin.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-namespace endiveyard::standin {
+namespace endiveyard {
 
 struct ServiceFaults {
   int lose_answers = 0;     // next n requests run; their connection is closed
@@ -31,6 +31,6 @@
 
 int RunServiceStandin(int argc, char** argv);
 
-}  // namespace endiveyard::standin
+}  // namespace endiveyard
 
 #endif  // ENDIVEYARD_TOOLS_STANDIN_SERVICE_STANDIN_H_
--- a/tools/standin/standin_process.h
+++ b/tools/standin/standin_process.h
@@ -1,7 +1,7 @@
 #ifndef ENDIVEYARD_TOOLS_STANDIN_STANDIN_PROCESS_H_
 #define ENDIVEYARD_TOOLS_STANDIN_STANDIN_PROCESS_H_
 
-namespace endiveyard::standin {
+namespace endiveyard {
 
 // Blocks SIGINT and SIGTERM for all threads started later. Call first.
 void BlockStopSignals();
@@ -9,6 +9,6 @@
 // Returns once SIGINT or SIGTERM arrives.
 void WaitForStopSignal();
 
-}  // namespace endiveyard::standin
+}  // namespace endiveyard
 
 #endif  // ENDIVEYARD_TOOLS_STANDIN_STANDIN_PROCESS_H_
