--- a/src/routing/prefix_view.cc
+++ b/src/routing/prefix_view.cc
@@ -122,6 +122,7 @@
 
 void PrefixView::Grow() {
   buckets_.assign(buckets_.size() * 2, kNone);
+  nodes_.reserve(std::min(buckets_.size(), max_entries_));
   for (uint32_t i = 0; i < nodes_.size(); ++i) {
     uint32_t& bucket = Bucket(nodes_[i].block);
     nodes_[i].chain = bucket;
