--- a/tests/telemetry/catalogue_test.cc
+++ b/tests/telemetry/catalogue_test.cc
@@ -42,9 +42,8 @@
   for (const LogEventEntry& it : LogEventCatalogue()) {
     BOOST_TEST(numbers.insert(it.number).second);
     std::ostringstream row;
-    row << "| " << it.number << " | " << it.name << " | "
-        << LevelName(it.level) << " | " << it.meaning << " | " << it.action
-        << " |";
+    row << "| " << it.number << " | " << it.name << " | " << LevelName(it.level)
+        << " | " << it.meaning << " | " << it.action << " |";
     BOOST_TEST(document.find(row.str()) != std::string::npos, row.str());
   }
 }
@@ -64,10 +63,9 @@
 // Guards against histograms that mix houses or count missing values.
 BOOST_AUTO_TEST_CASE(HistogramsAreKeptByHouseAndClass) {
   Metrics metrics;
-  metrics.ObserveRequest("trinacria", "quotes", "ok",
-                         std::chrono::milliseconds(2),
-                         std::chrono::milliseconds(1500),
-                         std::chrono::seconds(4));
+  metrics.ObserveRequest(
+      "trinacria", "quotes", "ok", std::chrono::milliseconds(2),
+      std::chrono::milliseconds(1500), std::chrono::seconds(4));
   metrics.ObserveRequest("split", "bookings", "overloaded", Duration(-1),
                          Duration(-1), Duration(-1));
   const std::string text = metrics.Serialize();
