--- /dev/null
+++ b/src/object_api/instance_list_json.cc
@@ -0,0 +1,131 @@
+#include "endiveyard/object_api/instance_list_json.h"
+
+#include <cpprest/json.h>
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace endiveyard {
+namespace {
+
+using web::json::value;
+
+std::string StateName(ListedState state) {
+  return state == ListedState::kLive ? "live" : "leaving";
+}
+
+std::string Field(const value& object, const std::string& name) {
+  return object.has_field(name) ? object.at(name).as_string() : "";
+}
+
+// Throws web::json::json_exception, as the accessors of the library do.
+ListedState ParseState(const value& object) {
+  const std::string name = Field(object, "state");
+  if (name.empty() || name == "live") {
+    return ListedState::kLive;
+  }
+  if (name == "leaving") {
+    return ListedState::kLeaving;
+  }
+  throw web::json::json_exception(absl::StrCat("unknown state \"", name, "\""));
+}
+
+std::string ParseId(const value& object) {
+  std::string id = Field(object, "id");
+  if (id.empty()) {
+    throw web::json::json_exception("entry without an id");
+  }
+  return id;
+}
+
+TargetInfo ParseTarget(const value& object) {
+  TargetInfo target;
+  target.id = ParseId(object);
+  const std::string kind = Field(object, "kind");
+  if (kind == "service") {
+    target.kind = TargetKind::kService;
+  } else if (!kind.empty() && kind != "engine") {
+    throw web::json::json_exception(
+        absl::StrCat("unknown kind \"", kind, "\""));
+  }
+  target.house = Field(object, "house");
+  target.service = Field(object, "service");
+  target.address = Field(object, "address");
+  target.region = Field(object, "region");
+  target.failure_domain = Field(object, "failure_domain");
+  target.state = ParseState(object);
+  if (object.has_field("checks_fencing")) {
+    target.checks_fencing = object.at("checks_fencing").as_bool();
+  }
+  return target;
+}
+
+EntryInstance ParseEntry(const value& object) {
+  EntryInstance entry;
+  entry.id = ParseId(object);
+  entry.address = Field(object, "address");
+  entry.region = Field(object, "region");
+  entry.failure_domain = Field(object, "failure_domain");
+  entry.state = ParseState(object);
+  return entry;
+}
+
+}  // namespace
+
+std::string FormatInstanceList(const InstanceList& list) {
+  std::vector<value> targets;
+  targets.reserve(list.targets.size());
+  for (const TargetInfo& it : list.targets) {
+    value object = value::object();
+    object["id"] = value::string(it.id);
+    object["kind"] =
+        value::string(it.kind == TargetKind::kEngine ? "engine" : "service");
+    object["house"] = value::string(it.house);
+    object["service"] = value::string(it.service);
+    object["address"] = value::string(it.address);
+    object["region"] = value::string(it.region);
+    object["failure_domain"] = value::string(it.failure_domain);
+    object["state"] = value::string(StateName(it.state));
+    object["checks_fencing"] = value::boolean(it.checks_fencing);
+    targets.push_back(std::move(object));
+  }
+  std::vector<value> entries;
+  entries.reserve(list.entries.size());
+  for (const EntryInstance& it : list.entries) {
+    value object = value::object();
+    object["id"] = value::string(it.id);
+    object["address"] = value::string(it.address);
+    object["region"] = value::string(it.region);
+    object["failure_domain"] = value::string(it.failure_domain);
+    object["state"] = value::string(StateName(it.state));
+    entries.push_back(std::move(object));
+  }
+  value body = value::object();
+  body["targets"] = value::array(std::move(targets));
+  body["entries"] = value::array(std::move(entries));
+  return body.serialize();
+}
+
+absl::StatusOr<InstanceList> ParseInstanceList(const std::string& json) {
+  try {
+    const value body = value::parse(json);
+    InstanceList list;
+    if (body.has_field("targets")) {
+      for (const value& it : body.at("targets").as_array()) {
+        list.targets.push_back(ParseTarget(it));
+      }
+    }
+    if (body.has_field("entries")) {
+      for (const value& it : body.at("entries").as_array()) {
+        list.entries.push_back(ParseEntry(it));
+      }
+    }
+    return list;
+  } catch (const web::json::json_exception& e) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("instance list: ", e.what()));
+  }
+}
+
+}  // namespace endiveyard
