Take the finish of a stream only from its own events

Cause: the contract test with an engine that answers with somebody else's identifier ended streams early, because the finish reason was taken from any event. Change: the engine client compares the event id; a stream without its own finish reason is malformed. The catalogue of log events now lists the numbers that the serving core emits.

--- a/src/cli/bench_command.cc
+++ b/src/cli/bench_command.cc
@@ -57,20 +57,20 @@
       "concurrency", po::value(&load.concurrency)->default_value(0),
       "closed loop with this many requests; 0 means open loop")(
       "duration-s", po::value(&duration_s)->default_value(10),
-      "seconds, at most 3600")(
-      "max-requests", po::value(&load.max_requests), "bound on requests")(
+      "seconds, at most 3600")("max-requests", po::value(&load.max_requests),
+                               "bound on requests")(
       "deadline-ms", po::value(&load.deadline_ms)->default_value(60000),
       "deadline of each request")(
       "reading-share", po::value(&reading_share)->default_value(0.5),
       "share of requests with a long prompt and a short answer")(
       "reading-prompt-bytes",
-      po::value(&reading.prompt_bytes)->default_value(8192), "bytes")(
-      "reading-output-tokens",
-      po::value(&reading.output_tokens)->default_value(16), "tokens")(
+      po::value(&reading.prompt_bytes)->default_value(8192),
+      "bytes")("reading-output-tokens",
+               po::value(&reading.output_tokens)->default_value(16), "tokens")(
       "writing-prompt-bytes",
-      po::value(&writing.prompt_bytes)->default_value(512), "bytes")(
-      "writing-output-tokens",
-      po::value(&writing.output_tokens)->default_value(64), "tokens")(
+      po::value(&writing.prompt_bytes)->default_value(512),
+      "bytes")("writing-output-tokens",
+               po::value(&writing.output_tokens)->default_value(64), "tokens")(
       "prefixes", po::value(&load.shared_prefixes)->default_value(8),
       "distinct prompt prefixes")(
       "stream", po::value(&load.stream)->default_value(true),
--- a/src/cli/config_command.cc
+++ b/src/cli/config_command.cc
@@ -86,11 +86,11 @@
   request.delta = FormatConfigurationDelta(
       DiffConfigurations(state.configuration, *wanted));
   // Unique among writers: the log is read back for it after a lost answer.
-  request.edit_id = Sha256Hex(options.author + std::to_string(getpid()) +
-                              std::to_string(
-                                  BootClock::now().time_since_epoch().count()) +
-                              request.delta)
-                        .substr(0, 16);
+  request.edit_id =
+      Sha256Hex(options.author + std::to_string(getpid()) +
+                std::to_string(BootClock::now().time_since_epoch().count()) +
+                request.delta)
+          .substr(0, 16);
   EditorOptions editor;
   editor.seed = Digest64(request.edit_id);
   const EditFinished finished = store.Edit(request, editor);
@@ -110,8 +110,7 @@
 int RunConfigCommand(const Arguments& arguments) {
   const std::string verb = arguments.empty() ? "" : arguments[0];
   ConfigOptions config;
-  po::options_description options(
-      "endiveyard config get|diff|apply|history");
+  po::options_description options("endiveyard config get|diff|apply|history");
   options.add_options()("help", "print this text")(
       "object-api", po::value(&config.object_api), "IP:PORT")(
       "file", po::value(&config.file), "configuration file in TOML")(
@@ -123,13 +122,12 @@
   int exit_code = kExitOk;
   const bool has_verb =
       verb == "get" || verb == "diff" || verb == "apply" || verb == "history";
-  const Arguments rest(arguments.begin() + (has_verb ? 1 : 0),
-                       arguments.end());
+  const Arguments rest(arguments.begin() + (has_verb ? 1 : 0), arguments.end());
   if (!ParseArguments(options, rest, &values, &exit_code)) {
     return exit_code;
   }
-  if (!has_verb || ((verb == "diff" || verb == "apply") &&
-                    config.file.empty())) {
+  if (!has_verb ||
+      ((verb == "diff" || verb == "apply") && config.file.empty())) {
     std::cerr << options;
     return kExitUsage;
   }
--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -16,8 +16,8 @@
   std::string prompt;
   int max_tokens = 16;
   po::options_description options("endiveyard explain");
-  options.add_options()("help", "print this text")(
-      "url", po::value(&url), "URL of the instance")(
+  options.add_options()("help", "print this text")("url", po::value(&url),
+                                                   "URL of the instance")(
       "key", po::value(&key)->required(), "caller key")(
       "model", po::value(&model)->required(), "model name")(
       "prompt", po::value(&prompt)->default_value(""), "prompt text")(
--- a/src/cli/load_generator.cc
+++ b/src/cli/load_generator.cc
@@ -83,8 +83,8 @@
   }
 
   void RunClosedLoop(TimePoint end) {
-    for (int64_t n = 0;
-         n < options_.max_requests && BootClock::now() < end; ++n) {
+    for (int64_t n = 0; n < options_.max_requests && BootClock::now() < end;
+         ++n) {
       {
         std::unique_lock<std::mutex> lock(mutex_);
         changed_.wait(lock, [&] { return open_ < options_.concurrency; });
@@ -104,8 +104,8 @@
     if (options_.method == "POST") {
       std::discrete_distribution<size_t> pick(shares_.begin(), shares_.end());
       const LoadClass& load_class = options_.classes[pick(random_)];
-      const int prefix = absl::Uniform<int>(
-          random_, 0, std::max(1, options_.shared_prefixes));
+      const int prefix =
+          absl::Uniform<int>(random_, 0, std::max(1, options_.shared_prefixes));
       std::string prompt = "prefix " + std::to_string(prefix) + " ";
       prompt.resize(static_cast<size_t>(load_class.prompt_bytes), 'a');
       value body = value::object();
--- a/src/cli/load_report.cc
+++ b/src/cli/load_report.cc
@@ -47,7 +47,8 @@
   }
   std::sort(values.begin(), values.end());
   const auto at = [&](double quantile) {
-    const double rank = std::ceil(quantile * static_cast<double>(values.size()));
+    const double rank =
+        std::ceil(quantile * static_cast<double>(values.size()));
     return Millis(values[static_cast<size_t>(std::max(1.0, rank)) - 1]);
   };
   summary.p50 = at(0.50);
@@ -81,10 +82,9 @@
     }
   }
   report.requests_per_second = static_cast<double>(total.size()) / seconds;
-  report.goodput =
-      samples.empty() ? 0
-                      : static_cast<double>(good) /
-                            static_cast<double>(samples.size());
+  report.goodput = samples.empty() ? 0
+                                   : static_cast<double>(good) /
+                                         static_cast<double>(samples.size());
   report.first_token = Summarize(std::move(first_token));
   report.largest_gap = Summarize(std::move(largest_gap));
   report.total = Summarize(std::move(total));
--- a/src/gateway/engine_client.cc
+++ b/src/gateway/engine_client.cc
@@ -26,6 +26,10 @@
 
 constexpr std::chrono::seconds kCancelTimeout(1);
 
+std::string EventId(ExchangeId exchange, int attempt) {
+  return "x" + std::to_string(exchange) + "/" + std::to_string(attempt);
+}
+
 std::string BuildBody(const EngineRequest& request) {
   const StartAttempt& start = request.start;
   value body = value::parse(request.body);
@@ -59,6 +63,7 @@
 // One attempt and its connection.
 struct Attempt {
   StartAttempt start;
+  std::string event_id;  // that the engine puts on its own events
   std::unique_ptr<http_client> client;
   pplx::cancellation_token_source cancellation;
   concurrency::streams::streambuf<uint8_t> buf;
@@ -77,6 +82,7 @@
   void Start(const EngineRequest& request) {
     auto attempt = std::make_shared<Attempt>();
     attempt->start = request.start;
+    attempt->event_id = EventId(request.start.exchange, request.start.attempt);
     attempt->completed.exchange = request.start.exchange;
     attempt->completed.attempt = request.start.attempt;
     attempt->client =
@@ -111,8 +117,7 @@
     auto client =
         std::make_shared<http_client>("http://" + action.address, config);
     value body = value::object();
-    body["id"] = value::string("x" + std::to_string(action.exchange) + "/" +
-                               std::to_string(action.attempt));
+    body["id"] = value::string(EventId(action.exchange, action.attempt));
     client->request(methods::POST, "/v1/cancel", body)
         .then([client](pplx::task<http_response> task) {
           try {
@@ -220,7 +225,8 @@
         continue;
       }
       AppendTokens(*attempt, event, &batch);
-      if (!event.finish_reason.empty()) {
+      // The finish of another request must not end this one.
+      if (!event.finish_reason.empty() && event.id == attempt->event_id) {
         attempt->completed.finish_reason = event.finish_reason;
         attempt->completed.prompt_tokens = event.prompt_tokens;
         attempt->completed.kv_handle = event.kv_handle;
@@ -268,6 +274,11 @@
            "stream ended without its end marker");
       return;
     }
+    if (attempt->completed.finish_reason.empty()) {
+      Fail(attempt, AttemptFailure::kMalformed,
+           "stream ended without a finish reason");
+      return;
+    }
     if (Remove(attempt->start.exchange, attempt->start.attempt) != nullptr) {
       report_(attempt->completed);
     }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -12,6 +12,7 @@
 #include "endiveyard/base/error_kind.h"
 #include "endiveyard/base/timer_service.h"
 #include "endiveyard/gateway/serving_thread.h"
+#include "endiveyard/telemetry/log_event_numbers.h"
 #include "gateway/caller_exchange.h"
 #include "gateway/caller_request.h"
 #include "gateway/engine_client.h"
@@ -101,7 +102,9 @@
         engines_([this](ServingEvent event) { Post(std::move(event)); }),
         services_([this](ServingEvent event) { Post(std::move(event)); }),
         poller_([this](ServingEvent event) { Post(std::move(event)); },
-                [this](const std::string& target) { Emit(303, target); }),
+                [this](const std::string& target) {
+                  Emit(kLogLoadReportFailed, target);
+                }),
         serving_(CoreOptions(settings),
                  kServingRingCapacity,
                  [this](const ServingAction& action) {
@@ -435,9 +438,9 @@
 
   void Carry(const endiveyard::Refuse& action) {
     if (const auto exchange = Remove(action.exchange)) {
-      Emit(206, exchange->request().request_id + " " +
-                    std::string(AnswerFor(action.kind).name) + " " +
-                    action.detail);
+      Emit(kLogRequestRefused, exchange->request().request_id + " " +
+                                   std::string(AnswerFor(action.kind).name) +
+                                   " " + action.detail);
       exchange->RefuseRequest(action.kind, action.detail, action.retry_after);
     }
   }
--- a/src/instance/configuration_store.cc
+++ b/src/instance/configuration_store.cc
@@ -68,8 +68,9 @@
     return snapshots.status();
   }
   if (snapshots->items.empty()) {
-    return MakeError(ErrorKind::kInternal, "the log is truncated and has no "
-                                           "snapshot");
+    return MakeError(ErrorKind::kInternal,
+                     "the log is truncated and has no "
+                     "snapshot");
   }
   const StoredObject& newest = snapshots->items.back();
   ConfigurationSnapshot snapshot;
--- a/src/instance/configuration_thread.cc
+++ b/src/instance/configuration_thread.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "endiveyard/telemetry/log_event_numbers.h"
+
 namespace endiveyard {
 namespace {
 
@@ -84,7 +86,7 @@
   const auto read = store_.ReadAfter(action.after);
   if (read.ok() != object_api_up_) {
     object_api_up_ = read.ok();
-    logger_->Log(read.ok() ? 802 : 801,
+    logger_->Log(read.ok() ? kLogObjectApiRecovered : kLogObjectApiUnavailable,
                  read.ok() ? "" : std::string(read.status().message()));
   }
   if (read.ok()) {
@@ -101,13 +103,14 @@
     configuration = state_.configuration;
   }
   applied_(action.version, configuration);
-  logger_->Log(601, "version " + std::to_string(action.version));
+  logger_->Log(kLogConfigurationApplied,
+               "version " + std::to_string(action.version));
 }
 
 void ConfigurationThread::Carry(const AcceptingChanged& action) {
   accepting_(action.accepting, action.reason);
   if (!action.accepting) {
-    logger_->Log(602, action.reason);
+    logger_->Log(kLogConfigurationStale, action.reason);
   }
 }
 
@@ -122,8 +125,9 @@
 }
 
 void ConfigurationThread::Carry(const EntrySkipped& action) {
-  logger_->Log(603, "version " + std::to_string(action.version) + ": " +
-                        action.reason);
+  logger_->Log(
+      kLogConfigurationInvalid,
+      "version " + std::to_string(action.version) + ": " + action.reason);
 }
 
 }  // namespace endiveyard
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -9,6 +9,7 @@
 #include "endiveyard/instance/configuration_store.h"
 #include "endiveyard/object_api/http_object_api.h"
 #include "endiveyard/telemetry/log_event.h"
+#include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
 #include "instance/configuration_thread.h"
 #include "instance/platform_threads.h"
@@ -54,7 +55,7 @@
   absl::Status Start() {
     gateway_.SetReady(false, "the configuration is being read");
     if (absl::Status status = gateway_.Open(); !status.ok()) {
-      logger_.Log(104, std::string(status.message()));
+      logger_.Log(kLogListenFailed, std::string(status.message()));
       return status;
     }
     configuration_.Start();
@@ -73,21 +74,23 @@
         [this](bool watching) {
           configuration_.TryPost(WatchChanged{watching});
         });
-    logger_.Log(101, settings_.caller_endpoint().ToString());
+    logger_.Log(kLogInstanceStarted, settings_.caller_endpoint().ToString());
     return absl::OkStatus();
   }
 
   void Shutdown() {
-    logger_.Log(102, std::to_string(gateway_.open_exchanges()) + " open");
+    logger_.Log(kLogInstanceShutdown,
+                std::to_string(gateway_.open_exchanges()) + " open");
     const size_t cut = gateway_.Shutdown(settings_.shutdown_bound());
     if (cut > 0) {
-      logger_.Log(105, std::to_string(cut) + " requests cut");
+      logger_.Log(kLogShutdownBoundPassed,
+                  std::to_string(cut) + " requests cut");
     }
     timers_.Stop();
     watch_thread_->Stop();
     list_thread_->Stop();
     configuration_.Stop();
-    logger_.Log(103, "");
+    logger_.Log(kLogInstanceStopped, "");
   }
 
  private:
@@ -102,8 +105,7 @@
     hooks.status = [this] {
       return "{\"instance\":\"" + settings_.id() +
              "\",\"configuration_version\":" +
-             std::to_string(configuration_.version()) +
-             ",\"open_exchanges\":" +
+             std::to_string(configuration_.version()) + ",\"open_exchanges\":" +
              std::to_string(gateway_.open_exchanges()) + "}";
     };
     return hooks;
--- a/src/telemetry/event_logger.cc
+++ b/src/telemetry/event_logger.cc
@@ -43,8 +43,10 @@
 class EventLogger::Impl {
  public:
   Impl(std::string_view level, std::string_view instance)
-      : logger_(log4cplus::Logger::getInstance("endiveyard")),
-        instance_(instance) {
+      : instance_(instance) {
+    // log4cplus cannot be initialized again after it was shut down.
+    static const log4cplus::Initializer kInitializer;
+    logger_ = log4cplus::Logger::getInstance("endiveyard");
     constexpr bool kLogToStdErr = true;
     constexpr bool kImmediateFlush = true;
     log4cplus::SharedAppenderPtr appender(
@@ -86,7 +88,6 @@
     return escaped;
   }
 
-  log4cplus::Initializer initializer_;
   log4cplus::Logger logger_;
   std::string instance_;
 };
--- a/tests/telemetry/catalogue_test.cc
+++ b/tests/telemetry/catalogue_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "endiveyard/base/error_kind.h"
+#include "endiveyard/serving/serving_log_events.h"
 #include "endiveyard/telemetry/log_event.h"
 #include "endiveyard/telemetry/metrics.h"
 
@@ -48,6 +49,13 @@
   }
 }
 
+// Guards against events that are emitted without an entry.
+BOOST_AUTO_TEST_CASE(EventsOfTheServingCoreAreInTheCatalogue) {
+  for (int n = kLogTargetLost; n <= kLogShutdownStarted; ++n) {
+    BOOST_TEST(FindLogEvent(n) != nullptr, n);
+  }
+}
+
 // Guards against an error answer that differs from its documentation.
 BOOST_AUTO_TEST_CASE(ErrorsAreDocumented) {
   const std::string document = ReadDocument("errors.md");
