--- a/benchmark/routing_policy_experiment.cc
+++ b/benchmark/routing_policy_experiment.cc
@@ -63,6 +63,7 @@
 constexpr Workload kWorkloads[] = {
     {"no sharing", 1, 0, 0, 16, 0.7},
     {"few hot prefixes", 40, 1.2, 16, 2, 1.5},
+    {"one prefix", 1, 0, 16, 2, 6.0},
     {"many prefixes", 4000, 0.6, 16, 2, 1.5},
     {"long catalogues", 300, 0.9, 100, 4, 2.0},
 };
--- a/src/routing/prefix_view.cc
+++ b/src/routing/prefix_view.cc
@@ -8,13 +8,20 @@
 
 constexpr size_t kInitialBuckets = 64;
 
-bool IsEmpty(const BlockHolders& holders) {
-  return std::all_of(holders.begin(), holders.end(),
-                     [](PrefixHolder it) { return it.slot == UINT32_MAX; });
+bool SlotLess(PrefixHolder a, PrefixHolder b) {
+  return a.slot < b.slot;
 }
 
 }  // namespace
 
+bool HolderSpan::Contains(PrefixHolder holder) const {
+  if (size_ <= PrefixView::kInlineHolders) {
+    return std::find(begin(), end(), holder) != end();
+  }
+  const PrefixHolder* it = std::lower_bound(begin(), end(), holder, SlotLess);
+  return it != end() && *it == holder;
+}
+
 PrefixView::PrefixView(size_t max_entries)
     : max_entries_(std::max<size_t>(1, max_entries)),
       buckets_(kInitialBuckets, kNone) {}
@@ -27,17 +34,20 @@
     Unlink(node);
   }
   Link(node);
-  // Moves the holder to the front; an older epoch of the same target, or else
-  // the last place, is overwritten.
-  BlockHolders& holders = nodes_[node].holders;
-  size_t last = 0;
-  while (last + 1 < holders.size() && holders[last].slot != holder.slot &&
-         holders[last].slot != UINT32_MAX) {
-    ++last;
+  Node& entry = nodes_[node];
+  const bool full = entry.holders.back().slot != UINT32_MAX;
+  const bool known =
+      std::any_of(entry.holders.begin(), entry.holders.end(),
+                  [&](PrefixHolder it) { return it.slot == holder.slot; });
+  if (entry.list == kNone && full && !known &&
+      listed_holders_ + kInlineHolders < max_entries_) {
+    MoveToList(entry);
+  }
+  if (entry.list == kNone) {
+    AddInline(entry, holder);
+  } else {
+    AddToList(entry, holder);
   }
-  std::copy_backward(holders.begin(), holders.begin() + last,
-                     holders.begin() + last + 1);
-  holders[0] = holder;
 }
 
 void PrefixView::Remove(uint64_t block, uint32_t slot) {
@@ -45,19 +55,78 @@
   if (node == kNone) {
     return;
   }
-  BlockHolders& holders = nodes_[node].holders;
-  const auto end =
-      std::remove_if(holders.begin(), holders.end(),
-                     [slot](PrefixHolder it) { return it.slot == slot; });
-  std::fill(end, holders.end(), PrefixHolder());
-  if (IsEmpty(holders)) {
+  Node& entry = nodes_[node];
+  const auto is_target = [slot](PrefixHolder it) { return it.slot == slot; };
+  bool empty = false;
+  if (entry.list != kNone) {
+    std::vector<PrefixHolder>& list = lists_[entry.list];
+    const auto end = std::remove_if(list.begin(), list.end(), is_target);
+    listed_holders_ -= list.end() - end;
+    list.erase(end, list.end());
+    empty = list.empty();
+  } else {
+    const auto end =
+        std::remove_if(entry.holders.begin(), entry.holders.end(), is_target);
+    std::fill(end, entry.holders.end(), PrefixHolder());
+    empty = entry.holders.front().slot == UINT32_MAX;
+  }
+  if (empty) {
     Erase(node);
   }
 }
 
-const BlockHolders* PrefixView::Find(uint64_t block) const {
+HolderSpan PrefixView::Find(uint64_t block) const {
   const uint32_t node = FindNode(block);
-  return node == kNone ? nullptr : &nodes_[node].holders;
+  if (node == kNone) {
+    return {};
+  }
+  const Node& entry = nodes_[node];
+  if (entry.list != kNone) {
+    return {lists_[entry.list].data(), lists_[entry.list].size()};
+  }
+  size_t size = 0;
+  while (size < entry.holders.size() &&
+         entry.holders[size].slot != UINT32_MAX) {
+    ++size;
+  }
+  return {entry.holders.data(), size};
+}
+
+// Moves the holder to the front; an older epoch of the same target, or else
+// the last place, is overwritten.
+void PrefixView::AddInline(Node& node, PrefixHolder holder) {
+  auto& holders = node.holders;
+  size_t last = 0;
+  while (last + 1 < holders.size() && holders[last].slot != holder.slot &&
+         holders[last].slot != UINT32_MAX) {
+    ++last;
+  }
+  std::copy_backward(holders.begin(), holders.begin() + last,
+                     holders.begin() + last + 1);
+  holders[0] = holder;
+}
+
+void PrefixView::AddToList(Node& node, PrefixHolder holder) {
+  std::vector<PrefixHolder>& list = lists_[node.list];
+  const auto it = std::lower_bound(list.begin(), list.end(), holder, SlotLess);
+  if (it != list.end() && it->slot == holder.slot) {
+    *it = holder;
+  } else if (list.size() < kMaxHolders && listed_holders_ < max_entries_) {
+    list.insert(it, holder);
+    ++listed_holders_;
+  }
+}
+
+void PrefixView::MoveToList(Node& node) {
+  if (free_lists_.empty()) {
+    free_lists_.push_back(static_cast<uint32_t>(lists_.size()));
+    lists_.emplace_back();
+  }
+  node.list = free_lists_.back();
+  free_lists_.pop_back();
+  lists_[node.list].assign(node.holders.begin(), node.holders.end());
+  std::sort(lists_[node.list].begin(), lists_[node.list].end(), SlotLess);
+  listed_holders_ += node.holders.size();
 }
 
 uint32_t PrefixView::FindNode(uint64_t block) const {
@@ -98,6 +167,12 @@
     it = &nodes_[*it].chain;
   }
   *it = nodes_[node].chain;
+  const uint32_t list = nodes_[node].list;
+  if (list != kNone) {
+    listed_holders_ -= lists_[list].size();
+    lists_[list] = std::vector<PrefixHolder>();
+    free_lists_.push_back(list);
+  }
   free_.push_back(node);
 }
 
--- a/src/routing/target_router.cc
+++ b/src/routing/target_router.cc
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr size_t kMaxHolders = 4;
+constexpr size_t kMaxHolders = 4;  // compared for each request
 constexpr size_t kMaxRandom = 4;
 // Most targets drawn to find kMaxRandom that suit the request; covers every
 // target of a bucket of up to this size.
@@ -342,13 +342,12 @@
     const PrefixHolder holder{target.slot, target.cache_epoch};
     int cached = 0;
     for (size_t i = 0; i < request.prompt_blocks.size(); ++i) {
-      const BlockHolders* holders =
+      const HolderSpan holders =
           prefixes_.Find(request.prompt_blocks[i] ^ target.cache_salt);
-      if (holders == nullptr) {
+      if (holders.empty()) {
         break;
       }
-      if (std::find(holders->begin(), holders->end(), holder) !=
-          holders->end()) {
+      if (holders.Contains(holder)) {
         cached = static_cast<int>(i) + 1;
       }
     }
@@ -379,27 +378,31 @@
     }
   }
 
-  // Adds the holders of the longest prefixes that are members of `buckets`.
+  // Adds holders of the longest prefixes that are members of `buckets`.
   void CompareHolders(const BucketList& buckets,
                       const RouteRequest& request,
                       TimePoint now,
+                      std::mt19937_64& random,
                       Comparison* comparison) const {
     const uint64_t salt = CacheSalt(request.house, request.service);
-    // Holders with the deepest block that each holds, deepest first.
-    std::vector<const BlockHolders*> chain;
+    std::vector<HolderSpan> chain;
     for (uint64_t it : request.prompt_blocks) {
-      const BlockHolders* holders = prefixes_.Find(it ^ salt);
-      if (holders == nullptr) {
+      const HolderSpan holders = prefixes_.Find(it ^ salt);
+      if (holders.empty()) {
         break;
       }
       chain.push_back(holders);
     }
     size_t found = 0;
+    size_t draws = 0;
     for (size_t i = chain.size(); i > 0 && found < kMaxHolders; --i) {
-      for (const PrefixHolder& it : *chain[i - 1]) {
-        if (found == kMaxHolders || it.slot >= view_.slots()) {
-          break;
-        }
+      const HolderSpan& holders = chain[i - 1];
+      // Starts at a random holder, to spread a prefix that many targets hold.
+      const size_t first = random() % holders.size();
+      for (size_t n = 0; n < holders.size() && found < kMaxHolders &&
+                         draws < kMaxDraws + chain.size();
+           ++n, ++draws) {
+        const PrefixHolder it = holders[(first + n) % holders.size()];
         const Target& target = view_.At(it.slot);
         if (target.cache_epoch == it.epoch && IsEligible(target, request) &&
             IsMember(target, buckets) &&
@@ -425,7 +428,7 @@
                   TimePoint now,
                   std::mt19937_64& random,
                   Comparison* comparison) const {
-    CompareHolders(buckets, request, now, comparison);
+    CompareHolders(buckets, request, now, random, comparison);
     MemberSampler sampler(buckets, random);
     uint32_t slot = 0;
     size_t found = 0;
