--- a/src/serving/attempt_end.cc
+++ b/src/serving/attempt_end.cc
@@ -34,6 +34,13 @@
                                                    : ErrorKind::kNoCapacity;
 }
 
+// Whether the caller has every token that it asked for, so that only the end
+// of the stream is missing.
+bool HasAllTokens(const Exchange& exchange) {
+  return exchange.kind != RequestKind::kPlain && !exchange.delivered.empty() &&
+         exchange.delivered.size() >= exchange.max_tokens;
+}
+
 void NoteFailedTarget(const StepContext& ctx,
                       const std::string& target,
                       AttemptFailure failure) {
@@ -83,6 +90,10 @@
 void MoveElsewhere(const StepContext& ctx, Exchange* exchange) {
   ctx.Emit(CancelAttempt{exchange->id, exchange->attempt.number,
                          exchange->attempt.target, exchange->attempt.address});
+  if (HasAllTokens(*exchange)) {
+    FinishCompleted(ctx, exchange, "length");
+    return;
+  }
   LeaveTarget(ctx, exchange, exchange->attempt.first_token);
   ++ctx.state->counters.planned_moves;
   exchange->maybe_ran = true;
@@ -99,6 +110,11 @@
   ServingState& state = *ctx.state;
   const std::string target = exchange->attempt.target;
   const bool was_suspect = exchange->route.suspect;
+  if (HasAllTokens(*exchange)) {
+    FinishCompleted(ctx, exchange, "length");
+    NoteFailedTarget(ctx, target, failure);
+    return;
+  }
   LeaveTarget(ctx, exchange, Duration(-1));
   NoteFailedTarget(ctx, target, failure);
   if (!NothingRan(failure)) {
--- a/src/serving/crash_suspects.cc
+++ b/src/serving/crash_suspects.cc
@@ -13,18 +13,20 @@
 // Bounds the memory and the sweep; far above the rate of crashing requests.
 constexpr size_t kMaxRemembered = 10000;
 
-// Clears the suspects whose losses `culprit` explains.
+// Clears the suspects whose losses `culprit` explains. Their losses still
+// count towards the bound, because the verdict may be wrong.
 void Exonerate(const StepContext& ctx, const Exchange& culprit) {
   const std::vector<std::string>& explained = culprit.targets_lost;
   std::vector<ExchangeId> cleared;
   for (const ExchangeId id : ctx.state->suspects) {
-    std::vector<std::string>& lost = ctx.state->exchanges.at(id)->targets_lost;
+    Exchange* exchange = ctx.state->exchanges.at(id).get();
+    const std::vector<std::string>& lost = exchange->targets_lost;
     const bool all = std::all_of(lost.begin(), lost.end(), [&](const auto& it) {
       return std::find(explained.begin(), explained.end(), it) !=
              explained.end();
     });
     if (all && id != culprit.id) {
-      lost.clear();
+      exchange->suspect = false;
       cleared.push_back(id);
     }
   }
@@ -82,6 +84,7 @@
   const auto it = remembered.find(exchange->fingerprint);
   if (it != remembered.end() && it->second.expires > ctx.now) {
     exchange->targets_lost = it->second.targets_lost;
+    exchange->suspect = true;
     ctx.state->suspects.insert(exchange->id);
   }
 }
@@ -95,6 +98,7 @@
   ctx.Log(kLogTargetLost,
           absl::StrCat(target, " while it ran x", exchange->id));
   exchange->targets_lost.push_back(target);
+  exchange->suspect = true;
   state.suspects.insert(exchange->id);
   const auto bound = static_cast<size_t>(
       std::max(1, state.policy->max_targets_lost_per_request));
@@ -119,7 +123,7 @@
   Exonerate(ctx, *exchange);
   AddCrashFingerprint(ctx, fingerprint, ctx.now + kSuspicionLifetime);
   ctx.Emit(AnnounceToPeers{"", fingerprint});
-  exchange->targets_lost.clear();
+  exchange->suspect = false;
   if (caller_waits) {
     RefuseExchange(ctx, exchange, ErrorKind::kCrashesTargets, "");
   } else {
@@ -130,15 +134,15 @@
 }
 
 void ClearSuspicion(const StepContext& ctx, Exchange* exchange) {
-  if (!exchange->targets_lost.empty()) {
-    exchange->targets_lost.clear();
+  if (exchange->suspect) {
+    exchange->suspect = false;
     ctx.state->remembered_suspects.erase(exchange->fingerprint);
   }
 }
 
 void RememberSuspect(const StepContext& ctx, const Exchange& exchange) {
   auto& remembered = ctx.state->remembered_suspects;
-  if (exchange.targets_lost.empty() || remembered.size() >= kMaxRemembered) {
+  if (!exchange.suspect || remembered.size() >= kMaxRemembered) {
     return;
   }
   RememberedSuspect& it = remembered[exchange.fingerprint];
--- a/src/serving/dispatch.cc
+++ b/src/serving/dispatch.cc
@@ -57,7 +57,7 @@
 RouteDecision ChooseTarget(const StepContext& ctx, Exchange* exchange) {
   ServingState* state = ctx.state;
   RouteRequest& route = exchange->route;
-  route.suspect = !exchange->targets_lost.empty();
+  route.suspect = exchange->suspect;
   if (!exchange->kv_handle.empty()) {
     route.phase = RoutePhase::kDecode;
     RouteDecision decode = ChooseOnce(state, route, ctx.now);
@@ -69,8 +69,7 @@
   }
   route.phase = RoutePhase::kWhole;
   RouteDecision whole = ChooseOnce(state, route, ctx.now);
-  if (exchange->kind == RequestKind::kPlain || !IsSplit(*state, *exchange) ||
-      exchange->max_tokens - exchange->delivered.size() <= 1) {
+  if (exchange->kind == RequestKind::kPlain || !IsSplit(*state, *exchange)) {
     return whole;
   }
   route.phase = RoutePhase::kPrefill;
@@ -167,8 +166,8 @@
                    "\n", exchange->route.adapter);
   // Exclusions differ from request to request, so one that was moved and
   // cannot be placed must not hold up the next.
-  exchange->own_flow = !exchange->targets_lost.empty() ||
-                       (!fresh && exchange->kv_handle.empty());
+  exchange->own_flow =
+      exchange->suspect || (!fresh && exchange->kv_handle.empty());
   if (exchange->own_flow) {
     exchange->flow = absl::StrCat(new_flow, "\nresume ", exchange->id);
   } else if (fresh) {
--- a/src/serving/serving_state.h
+++ b/src/serving/serving_state.h
@@ -78,6 +78,7 @@
   std::string kv_from;
 
   std::vector<std::string> targets_lost;  // while this request ran on them
+  bool suspect = false;  // some of these losses are not explained
 
   TimePoint first_dispatch;
   TimePoint first_token;
@@ -134,7 +135,7 @@
   RetryBudget budget;
   std::unordered_map<uint64_t, TimePoint> crash_fingerprints;
   std::unordered_map<uint64_t, RememberedSuspect> remembered_suspects;
-  std::unordered_set<ExchangeId> suspects;  // open exchanges that lost targets
+  std::unordered_set<ExchangeId> suspects;  // open exchanges
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
   TimePoint next_sweep;
   ServingCounters counters;
--- a/tests/serving/session_script.cc
+++ b/tests/serving/session_script.cc
@@ -405,7 +405,8 @@
   for (auto& [name, instance] : instances_) {
     instance->checker.AtEnd(instance->core);
     for (const std::string& it : instance->checker.violations()) {
-      result.violations.push_back(name + " " + it);
+      result.violations.push_back(name);
+      result.violations.back().append(" ").append(it);
     }
   }
   result.transcript = out_.str();
