--- /dev/null
+++ b/tests/serving/failure_table_test.cc
@@ -0,0 +1,360 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "endiveyard/serving/serving_core.h"
+#include "invariant_checker.h"
+
+namespace endiveyard {
+namespace {
+
+TimePoint At(int64_t millis) {
+  return TimePointFromMicros(millis * 1000);
+}
+
+// One core with `targets` replicas of one service.
+class Fixture {
+ public:
+  explicit Fixture(int targets, bool engines = false)
+      : core_(Options()), engines_(engines) {
+    TargetsListed listed;
+    for (int i = 0; i < targets; ++i) {
+      TargetInfo info;
+      info.id = "t" + std::to_string(i);
+      info.kind = engines ? TargetKind::kEngine : TargetKind::kService;
+      info.house = "h";
+      info.service = "s";
+      info.address = info.id + ":1";
+      info.region = "r";
+      listed.targets.push_back(info);
+    }
+    Step(listed, 0);
+    for (int i = 0; engines && i < targets; ++i) {
+      LoadReported report;
+      report.target = "t" + std::to_string(i);
+      report.load.model = "m";
+      report.load.sequence = 1;
+      Step(report, 0);
+    }
+  }
+
+  void Step(const ServingEvent& event, int64_t millis) {
+    std::vector<ServingAction> actions;
+    checker_.BeforeStep(event);
+    core_.Step(event, At(millis), &actions);
+    checker_.AfterStep(event, actions);
+    for (const ServingAction& it : actions) {
+      if (const auto* start = std::get_if<StartAttempt>(&it)) {
+        started_.push_back(*start);
+      }
+      records_ += std::holds_alternative<RecordOutcome>(it) ? 1 : 0;
+      commits_ += std::holds_alternative<CommitIntent>(it) ? 1 : 0;
+    }
+  }
+
+  void Arrive(ExchangeId id,
+              int64_t millis,
+              bool idempotent,
+              const std::string& key,
+              int64_t deadline = 10000) {
+    RequestArrived arrived;
+    arrived.exchange = id;
+    ServingRequest& request = arrived.request;
+    request.request_id = "r" + std::to_string(id);
+    request.house = "h";
+    request.caller_class = "c";
+    request.service = "s";
+    request.kind = engines_ ? RequestKind::kCompletion : RequestKind::kPlain;
+    request.model = engines_ ? "m" : "";
+    request.body = request.request_id;
+    request.idempotent = idempotent;
+    request.idempotency_key = key;
+    request.deadline = At(millis + deadline);
+    Step(arrived, millis);
+  }
+
+  const std::string& Outcome(ExchangeId id) { return checker_.Outcome(id); }
+  std::vector<StartAttempt> TakeStarted() {
+    std::vector<StartAttempt> started;
+    started.swap(started_);
+    return started;
+  }
+  int records() const { return records_; }
+  int commits() const { return commits_; }
+  ServingCore& core() { return core_; }
+  void ExpectNoViolation() {
+    checker_.AtEnd(core_);
+    for (const std::string& it : checker_.violations()) {
+      BOOST_ERROR(it);
+    }
+  }
+
+ private:
+  static ServingCoreOptions Options() {
+    ServingCoreOptions options;
+    options.region = "r";
+    return options;
+  }
+
+  ServingCore core_;
+  InvariantChecker checker_;
+  std::vector<StartAttempt> started_;
+  int records_ = 0;
+  int commits_ = 0;
+  bool engines_;
+};
+
+}  // namespace
+
+// Guards the answer at each failure point of a request that is never answered
+// by any of its three replicas, with the number of attempts and records.
+BOOST_AUTO_TEST_CASE(FailurePointDecidesKindAndAttempts) {
+  using Failure = AttemptFailure;
+  struct Case {
+    const char* name;
+    bool idempotent;
+    const char* key;
+    Failure failure;
+    const char* kind;
+    int max_attempts;
+    int records;
+  };
+  const Case cases[] = {
+      {"lookup, no connection", true, "", Failure::kConnectFailed,
+       "no_capacity", 5, 0},
+      {"lookup, refused", true, "", Failure::kTargetRefused, "target_refused",
+       5, 0},
+      {"lookup, lost", true, "", Failure::kConnectionLost, "crashes_targets", 2,
+       0},
+      {"lookup, malformed", true, "", Failure::kMalformed, "target_failed", 5,
+       0},
+      {"lookup, error", true, "", Failure::kTargetError, "target_failed", 5, 0},
+      {"order, no connection", false, "k", Failure::kConnectFailed,
+       "no_capacity", 1, 1},
+      {"order, refused", false, "k", Failure::kTargetRefused, "target_refused",
+       1, 1},
+      {"order, lost", false, "k", Failure::kConnectionLost, "outcome_unknown",
+       1, 0},
+      {"order, malformed", false, "k", Failure::kMalformed, "outcome_unknown",
+       1, 0},
+      {"order, error", false, "k", Failure::kTargetError, "outcome_unknown", 1,
+       0},
+      {"no key, no connection", false, "", Failure::kConnectFailed,
+       "no_capacity", 1, 0},
+      {"no key, refused", false, "", Failure::kTargetRefused, "target_refused",
+       1, 0},
+      {"no key, lost", false, "", Failure::kConnectionLost, "outcome_unknown",
+       1, 0},
+      {"no key, error", false, "", Failure::kTargetError, "outcome_unknown", 1,
+       0},
+  };
+  for (const Case& it : cases) {
+    BOOST_TEST_CONTEXT(it.name) {
+      Fixture fixture(3);
+      fixture.Arrive(1, 10, it.idempotent, it.key, 100000);
+      BOOST_TEST(fixture.commits() == (*it.key != '\0' ? 1 : 0));
+      if (fixture.commits() > 0) {
+        BOOST_TEST(fixture.TakeStarted().empty());
+        IntentResolved resolved;
+        resolved.exchange = 1;
+        resolved.state = IntentState::kCommitted;
+        fixture.Step(resolved, 20);
+      }
+      int attempts = 0;
+      for (int64_t now = 30; now < 60000; now += 100) {
+        for (const StartAttempt& start : fixture.TakeStarted()) {
+          ++attempts;
+          BOOST_TEST(start.own_connection == !it.idempotent);
+          fixture.Step(AttemptFailed{1, start.attempt, it.failure, "", false},
+                       now);
+        }
+        fixture.Step(Tick{}, now);
+      }
+      BOOST_TEST(fixture.Outcome(1) == it.kind);
+      BOOST_TEST(attempts == it.max_attempts);
+      BOOST_TEST(fixture.records() == it.records);
+      fixture.ExpectNoViolation();
+    }
+  }
+}
+
+// Guards the answer for each way in which an intent is resolved: only a
+// committed intent is dispatched.
+BOOST_AUTO_TEST_CASE(IntentStateDecidesAnswer) {
+  struct Case {
+    IntentState state;
+    const char* outcome;
+  };
+  for (const Case& it :
+       {Case{IntentState::kStoredAnswer, "ok"},
+        Case{IntentState::kInProgress, "in_progress"},
+        Case{IntentState::kUnknown, "outcome_unknown"},
+        Case{IntentState::kKeyReused, "key_reused"},
+        Case{IntentState::kUnavailable, "object_api_unavailable"}}) {
+    Fixture fixture(1);
+    fixture.Arrive(1, 10, false, "k");
+    IntentResolved resolved;
+    resolved.exchange = 1;
+    resolved.state = it.state;
+    fixture.Step(resolved, 20);
+    BOOST_TEST(fixture.Outcome(1) == it.outcome);
+    BOOST_TEST(fixture.TakeStarted().empty());
+    BOOST_TEST(fixture.records() == 0);
+    // A second resolution and a late commit change nothing.
+    resolved.state = IntentState::kCommitted;
+    fixture.Step(resolved, 30);
+    BOOST_TEST(fixture.TakeStarted().empty());
+    fixture.ExpectNoViolation();
+  }
+}
+
+// Guards against a retry storm: during an outage of a part of the replicas and
+// after it, attempts stay below 1.1 times the requests plus the saved retries,
+// and after the outage each request takes one attempt.
+BOOST_AUTO_TEST_CASE(NoRetryStormAfterOutage) {
+  struct Case {
+    int failing_of_6;
+    AttemptFailure failure;
+  };
+  for (const Case& it : {Case{6, AttemptFailure::kConnectFailed},
+                         Case{6, AttemptFailure::kTargetRefused},
+                         Case{6, AttemptFailure::kTargetError},
+                         Case{3, AttemptFailure::kTargetError},
+                         Case{2, AttemptFailure::kConnectFailed}}) {
+    Fixture fixture(6);
+    int attempts = 0;
+    int after_outage = 0;
+    const int requests = 4000;
+    for (int i = 1; i <= requests; ++i) {
+      const int64_t now = i * 10;
+      const bool outage = i <= requests / 2;
+      fixture.Arrive(static_cast<ExchangeId>(i), now, true, "", 300);
+      if (i % 10 == 0) {
+        fixture.Step(Tick{}, now);
+      }
+      for (auto started = fixture.TakeStarted(); !started.empty();
+           started = fixture.TakeStarted()) {
+        for (const StartAttempt& start : started) {
+          ++attempts;
+          // Lost targets are avoided for 2 s after the outage.
+          after_outage += i > requests / 2 + 250 ? 1 : 0;
+          if (outage && start.target[1] - '0' < it.failing_of_6) {
+            fixture.Step(AttemptFailed{start.exchange, start.attempt,
+                                       it.failure, "", false},
+                         now);
+          } else {
+            PlainAnswered answer;
+            answer.exchange = start.exchange;
+            answer.attempt = start.attempt;
+            answer.status = 200;
+            fixture.Step(answer, now);
+          }
+        }
+      }
+    }
+    fixture.Step(Tick{}, requests * 10 + 1000);
+    BOOST_TEST_CONTEXT("failing " << it.failing_of_6) {
+      BOOST_TEST(attempts <= requests + requests / 10 + 100);
+      BOOST_TEST(after_outage == requests / 2 - 250);
+      fixture.ExpectNoViolation();
+    }
+  }
+}
+
+// Guards against a stream that waits for ever for its first token, and against
+// one that is given up while a long prompt is still being read.
+BOOST_AUTO_TEST_CASE(FirstTokenHasItsOwnBound) {
+  Fixture fixture(2, /*engines=*/true);
+  LoadReported slow;
+  slow.target = "t0";
+  slow.load.model = "m";
+  slow.load.queued_prefill_tokens = 8000;  // 1 s at the assumed rate
+  slow.load.sequence = 2;
+  fixture.Step(slow, 0);
+  slow.target = "t1";
+  fixture.Step(slow, 0);
+  fixture.Arrive(1, 10, true, "", 20000);
+  BOOST_TEST(fixture.TakeStarted().size() == 1U);
+  fixture.Step(Tick{}, 5000);
+  BOOST_TEST(fixture.TakeStarted().empty());
+  fixture.Step(Tick{}, 7000);
+  BOOST_TEST(fixture.TakeStarted().size() == 1U);
+  fixture.Step(Tick{}, 30000);
+  BOOST_TEST(fixture.Outcome(1) == "deadline_exceeded");
+  fixture.ExpectNoViolation();
+}
+
+// Guards against a verdict that outlives its time, and against one that was
+// learnt too late to be of use.
+BOOST_AUTO_TEST_CASE(CrashVerdictExpires) {
+  Fixture fixture(3);
+  fixture.Arrive(1, 10, true, "", 100000);
+  for (int attempt = 1; attempt <= 2; ++attempt) {
+    fixture.Step(
+        AttemptFailed{1, attempt, AttemptFailure::kConnectionLost, "", false},
+        20);
+  }
+  BOOST_TEST(fixture.Outcome(1) == "crashes_targets");
+  fixture.Arrive(2, 30, true, "");  // another body
+  BOOST_TEST(fixture.TakeStarted().size() == 3U);
+  fixture.Step(PlainAnswered{2, 1, 200, "", ""}, 40);
+  RequestArrived repeat;
+  repeat.exchange = 3;
+  repeat.request.request_id = "other id";
+  repeat.request.house = "h";
+  repeat.request.service = "s";
+  repeat.request.kind = RequestKind::kPlain;
+  repeat.request.body = "r1";
+  repeat.request.deadline = At(1000000);
+  fixture.Step(repeat, 599000);
+  BOOST_TEST(fixture.Outcome(3) == "crashes_targets");
+  repeat.exchange = 4;
+  fixture.Step(repeat, 601000);
+  BOOST_TEST(fixture.TakeStarted().size() == 1U);
+  fixture.Step(PlainAnswered{4, 1, 200, "", ""}, 601010);
+  fixture.ExpectNoViolation();
+}
+
+// Guards against a caller that reaches its goal by repeating a request that
+// lost one target: the repeat starts alone and is found after one more.
+BOOST_AUTO_TEST_CASE(RepeatInheritsSuspicion) {
+  Fixture fixture(3);
+  for (ExchangeId id = 1; id <= 2; ++id) {
+    RequestArrived arrived;
+    arrived.exchange = id;
+    arrived.request.house = "h";
+    arrived.request.service = "s";
+    arrived.request.kind = RequestKind::kPlain;
+    arrived.request.idempotent = false;
+    arrived.request.deadline = At(100000);
+    fixture.Step(arrived, static_cast<int64_t>(id) * 10);
+    fixture.Step(
+        AttemptFailed{id, 1, AttemptFailure::kConnectionLost, "", false},
+        static_cast<int64_t>(id) * 10 + 5);
+  }
+  BOOST_TEST(fixture.Outcome(1) == "outcome_unknown");
+  BOOST_TEST(fixture.Outcome(2) == "crashes_targets");
+  BOOST_TEST(fixture.core().counters().culprits == 1U);
+  fixture.ExpectNoViolation();
+}
+
+// Guards against an explanation that changes the choice it explains.
+BOOST_AUTO_TEST_CASE(ExplainChangesNothing) {
+  Fixture fixture(8, /*engines=*/true);
+  Fixture other(8, /*engines=*/true);
+  ServingRequest request;
+  request.house = "h";
+  request.service = "s";
+  request.model = "m";
+  for (ExchangeId id = 1; id <= 50; ++id) {
+    const std::string text = fixture.core().Explain(request, At(10));
+    BOOST_TEST(text.find("* t") != std::string::npos);
+    fixture.Arrive(id, 10, true, "");
+    other.Arrive(id, 10, true, "");
+    BOOST_TEST(fixture.TakeStarted().at(0).target ==
+               other.TakeStarted().at(0).target);
+  }
+}
+
+}  // namespace endiveyard
