--- a/tests/gateway/gateway_contract_test.cc
+++ b/tests/gateway/gateway_contract_test.cc
@@ -121,7 +121,7 @@
   fixture.service().SetFaults(faults);
   const CallerAnswer answer =
       fixture.Send("POST", "/orders", R"({"n":1})", {"Idempotency-Key: k1"});
-  BOOST_TEST(answer.status == 502);
+  BOOST_TEST(answer.status == 502, answer.body);
   BOOST_TEST(Contains(answer.body, "\"kind\":\"outcome_unknown\""));
   BOOST_TEST(Contains(answer.body, "\"run\":\"unknown\""));
   BOOST_TEST(fixture.service().executions() == 1);
--- a/tools/standin/service_standin.cc
+++ b/tools/standin/service_standin.cc
@@ -112,13 +112,15 @@
     request.reply(status_codes::Created, answer);
   }
 
-  // A body stream that fails makes the listener close the connection.
+  // A body that ends before its declared length makes the listener close the
+  // connection.
   static void CloseWithoutAnswer(http_request& request) {
+    constexpr size_t kDeclaredBytes = 1 << 20;
     concurrency::streams::producer_consumer_buffer<uint8_t> buf;
-    buf.close(std::ios_base::out,
-              std::make_exception_ptr(std::runtime_error("answer lost")));
     http_response response(status_codes::OK);
-    response.set_body(buf.create_istream(), 1 << 20);
+    response.set_body(buf.create_istream(), kDeclaredBytes);
+    buf.putc('{').wait();
+    buf.close(std::ios_base::out);
     request.reply(response).then([](pplx::task<void> task) {
       try {
         task.get();
