--- a/src/settings/parse_instance_settings.cc
+++ b/src/settings/parse_instance_settings.cc
@@ -121,13 +121,12 @@
 absl::StatusOr<InstanceSettings> ParseInstanceSettings(
     std::string_view toml_text,
     std::string_view source) {
-  toml::table root;
-  try {
-    root = toml::parse(toml_text, source);
-  } catch (const toml::parse_error& error) {
-    return ErrorAt(source, error.source().begin.line, "syntax",
-                   error.description());
+  const toml::parse_result parsed = toml::parse(toml_text, source);
+  if (!parsed) {
+    return ErrorAt(source, parsed.error().source().begin.line, "syntax",
+                   parsed.error().description());
   }
+  const toml::table& root = parsed.table();
   TableReader reader(root, source);
   const auto defaults =
       InstanceSettings::Builder()
