Count the delay that recomputation adds to other requests

With many prefixes a greedy choice sends a request away from the holder as soon as the holder's queue is longer than the recomputation.

The choice now adds b / (1 - b) seconds for each second of prefill, at most 8, where b is the share of time that the random candidates reported a queue.

--- a/include/endiveyard/routing/target_router.h
+++ b/include/endiveyard/routing/target_router.h
@@ -49,6 +49,9 @@
   Duration decode_wait{0};
   Duration network{0};
   Duration first_token{0};  // sum of the three above
+  // Delay that computing the uncached tokens adds to other requests. The
+  // lowest sum of `first_token` and `shared_cost` is chosen.
+  Duration shared_cost{0};
 };
 
 struct RouteDecision {
@@ -73,6 +76,9 @@
   Duration expected_report_lag = std::chrono::milliseconds(500);
   // Delay of the first token by each sequence that the target is decoding.
   Duration decode_wait_per_sequence = std::chrono::microseconds(300);
+  // Most that a second of prefill counts as a delay of other requests; the
+  // factor grows with the share of time that the targets have a queue.
+  double max_shared_cost_factor = 8;
   // While every local target is at its concurrency limit, another region is
   // considered only when less than this remains until the deadline.
   Duration busy_region_wait = std::chrono::seconds(2);
@@ -137,9 +143,9 @@
   // next load report or `retry_at`.
   void NoteLost(std::string_view target, TimePoint retry_at);
 
-  // Chooses the target with the lowest estimated first-token time among at
-  // most 4 prefix holders and 4 random others. Cost does not grow with the
-  // number of targets.
+  // Chooses the target with the lowest sum of estimated first-token time and
+  // shared cost among at most 4 prefix holders and 4 random others. Cost does
+  // not grow with the number of targets.
   RouteDecision Choose(const RouteRequest& request, TimePoint now);
 
   // Same comparison, with no effect on the random sequence or the view.
--- a/src/routing/candidate_estimate.cc
+++ b/src/routing/candidate_estimate.cc
@@ -1,17 +1,18 @@
 #include "routing/candidate_estimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace endiveyard {
 
 namespace {
 
-constexpr int64_t kTokensPerBlock = kPromptBlockBytes / kBytesPerToken;
-
 // Weight of one measurement in the learnt prefill rate.
 constexpr double kRateWeight = 0.1;
 // Shorter prefills measure the network and the batching delay, not the rate.
 constexpr double kMinMeasuredTokens = 256;
+// Time over which the share of busy reports is averaged.
+constexpr double kBusyShareSeconds = 5;
 // A learnt rate stays within this factor of the configured one, so that a
 // few bad measurements can't make a target look free or unusable.
 constexpr double kMaxRateFactor = 10;
@@ -49,13 +50,12 @@
                   target.load.running_sequences + target.running_delta);
 }
 
-int64_t UncachedTokens(const RouteRequest& request, int cached_blocks) {
+int64_t UncachedTokens(const RouteRequest& request, int64_t cached_tokens) {
   // A decode target imports the KV cache of the prompt.
   if (request.phase == RoutePhase::kDecode) {
     return 0;
   }
-  return std::max<int64_t>(
-      0, request.prompt_tokens - cached_blocks * kTokensPerBlock);
+  return std::max<int64_t>(0, request.prompt_tokens - cached_tokens);
 }
 
 RouteCandidate EstimateCandidate(const Target& target,
@@ -64,7 +64,8 @@
                                  const TargetRouterOptions& options,
                                  TimePoint now) {
   const double queued = QueuedTokens(target, now);
-  const int64_t uncached = UncachedTokens(request, cached_blocks);
+  const int64_t uncached =
+      UncachedTokens(request, cached_blocks * kTokensPerBlock);
   RouteCandidate candidate;
   candidate.cached_tokens =
       std::min<int64_t>(request.prompt_tokens, cached_blocks * kTokensPerBlock);
@@ -79,7 +80,23 @@
   return candidate;
 }
 
+void AddSharedCost(double busy_share,
+                   double prefill_seconds,
+                   const TargetRouterOptions& options,
+                   RouteCandidate* candidate) {
+  // In a queue that is busy for a share b of the time, a second of work
+  // delays the work behind it by b / (1 - b) seconds in total.
+  const double factor = std::min(options.max_shared_cost_factor,
+                                 busy_share / std::max(1e-6, 1 - busy_share));
+  candidate->shared_cost = FromSeconds(factor * prefill_seconds);
+}
+
 void CorrectByReport(Target& target, Duration report_lag, TimePoint now) {
+  const double busy = target.load.queued_prefill_tokens > 0 ? 1 : 0;
+  const double weight =
+      1 - std::exp(-Seconds(now - target.reported_at) / kBusyShareSeconds);
+  target.busy_share += weight * (busy - target.busy_share);
+  target.reported_at = now;
   target.backlog_tokens =
       static_cast<double>(target.load.queued_prefill_tokens);
   target.backlog_at = now;
--- a/src/routing/candidate_estimate.h
+++ b/src/routing/candidate_estimate.h
@@ -9,6 +9,8 @@
 
 namespace endiveyard {
 
+inline constexpr int64_t kTokensPerBlock = kPromptBlockBytes / kBytesPerToken;
+
 // Tokens that wait for prefill on the target at `now`, as estimated from its
 // last report, the own work since and the learnt prefill rate. O(1).
 double QueuedTokens(const Target& target, TimePoint now);
@@ -18,8 +20,8 @@
 int RunningSequences(const Target& target);
 
 // Prompt tokens that the target has to compute for `request`, given the
-// number of leading blocks in its cache.
-int64_t UncachedTokens(const RouteRequest& request, int cached_blocks);
+// number of leading tokens in its cache.
+int64_t UncachedTokens(const RouteRequest& request, int64_t cached_tokens);
 
 // Terms of the first-token time of `request` on the target. Does not fill
 // the names. O(1).
@@ -29,6 +31,13 @@
                                  const TargetRouterOptions& options,
                                  TimePoint now);
 
+// Fills in the delay that `prefill_seconds` of computation add to other
+// requests, if targets are busy for `busy_share` of the time.
+void AddSharedCost(double busy_share,
+                   double prefill_seconds,
+                   const TargetRouterOptions& options,
+                   RouteCandidate* candidate);
+
 // Replaces the queue estimate of the target by its report that arrived at
 // `now`, plus the own work that the report is too old to include.
 // O(attempts in flight on the target).
--- a/src/routing/target_router.cc
+++ b/src/routing/target_router.cc
@@ -29,7 +29,7 @@
 struct Comparison {
   std::vector<uint32_t> slots;
   std::vector<RouteCandidate> candidates;
-  int best = -1;
+  size_t holders = 0;  // the first candidates; the others are random
 };
 
 uint64_t AttemptKey(const RouteRequest& request) {
@@ -204,8 +204,8 @@
     InFlightAttempt attempt;
     attempt.key = AttemptKey(request);
     attempt.started = now;
-    attempt.uncached_tokens =
-        UncachedTokens(request, CachedBlocks(*target, request));
+    attempt.uncached_tokens = UncachedTokens(
+        request, CachedBlocks(*target, request) * kTokensPerBlock);
     attempt.queued_tokens = QueuedTokens(*target, now);
     attempt.decode_wait_seconds =
         std::chrono::duration<double>(options_.decode_wait_per_sequence *
@@ -371,11 +371,6 @@
     RouteCandidate& candidate = comparison->candidates.back();
     candidate.target = target.info.id;
     candidate.address = target.info.address;
-    const int best = comparison->best;
-    if (best < 0 ||
-        candidate.first_token < comparison->candidates[best].first_token) {
-      comparison->best = static_cast<int>(comparison->slots.size()) - 1;
-    }
   }
 
   // Adds holders of the longest prefixes that are members of `buckets`.
@@ -429,6 +424,7 @@
                   std::mt19937_64& random,
                   Comparison* comparison) const {
     CompareHolders(buckets, request, now, random, comparison);
+    comparison->holders = comparison->slots.size();
     MemberSampler sampler(buckets, random);
     uint32_t slot = 0;
     size_t found = 0;
@@ -446,6 +442,34 @@
     }
   }
 
+  // Fills in the shared costs and returns the index of the best candidate, or
+  // -1. The random candidates show how busy the targets are, and one factor
+  // for all keeps noise in it from deciding between equal candidates.
+  int Best(const RouteRequest& request, Comparison* comparison) const {
+    double busy_share = 0;
+    const auto& slots = comparison->slots;
+    for (size_t i = comparison->holders; i < slots.size(); ++i) {
+      busy_share += view_.At(slots[i]).busy_share /
+                    static_cast<double>(slots.size() - comparison->holders);
+    }
+    int best = -1;
+    for (size_t i = 0; i < slots.size(); ++i) {
+      RouteCandidate& candidate = comparison->candidates[i];
+      const auto uncached =
+          static_cast<double>(UncachedTokens(request, candidate.cached_tokens));
+      AddSharedCost(busy_share, uncached * view_.At(slots[i]).seconds_per_token,
+                    options_, &candidate);
+      if (best < 0 || Cost(candidate) < Cost(comparison->candidates[best])) {
+        best = static_cast<int>(i);
+      }
+    }
+    return best;
+  }
+
+  static Duration Cost(const RouteCandidate& candidate) {
+    return candidate.first_token + candidate.shared_cost;
+  }
+
   // True if waiting for a local target is better than crossing regions: all
   // are at their limit and the deadline is far.
   bool ShouldWaitForLocal(const BucketList& local,
@@ -505,23 +529,29 @@
     }
     Comparison comparison;
     CompareAll(local, request, now, random, &comparison);
-    const int local_best = comparison.best;
-    const bool local_meets =
-        local_best >= 0 &&
-        MeetsDeadline(comparison.candidates[local_best], request, now);
-    if (!local_meets &&
-        (local_best >= 0 || !ShouldWaitForLocal(local, request, now))) {
-      CompareAll(remote, request, now, random, &comparison);
+    int best = Best(request, &comparison);
+    const auto meets_deadline = [&](int index) {
+      return index >= 0 &&
+             MeetsDeadline(comparison.candidates[index], request, now);
+    };
+    if (!meets_deadline(best) &&
+        (best >= 0 || !ShouldWaitForLocal(local, request, now))) {
+      Comparison other;
+      CompareAll(remote, request, now, random, &other);
+      const int other_best = Best(request, &other);
+      const auto offset = static_cast<int>(comparison.candidates.size());
+      comparison.candidates.insert(comparison.candidates.end(),
+                                   other.candidates.begin(),
+                                   other.candidates.end());
       // Crossing regions costs link volume and pays only if it helps.
-      if (local_best >= 0 &&
-          !MeetsDeadline(comparison.candidates[comparison.best], request,
-                         now)) {
-        comparison.best = local_best;
+      if (other_best >= 0 &&
+          (best < 0 || meets_deadline(offset + other_best))) {
+        best = offset + other_best;
       }
     }
-    if (comparison.best >= 0) {
+    if (best >= 0) {
       decision.found = true;
-      decision.chosen = comparison.candidates[comparison.best];
+      decision.chosen = comparison.candidates[best];
     }
     decision.considered = std::move(comparison.candidates);
     return decision;
--- a/src/routing/target_view.h
+++ b/src/routing/target_view.h
@@ -71,6 +71,9 @@
   double backlog_tokens = 0;
   TimePoint backlog_at;
   double seconds_per_token = 0;
+  // Share of time with a prefill queue, from the reports.
+  double busy_share = 0;
+  TimePoint reported_at;
   std::vector<InFlightAttempt> in_flight;
   std::vector<Membership> memberships;
 };
--- a/tests/routing/target_router_test.cc
+++ b/tests/routing/target_router_test.cc
@@ -1,6 +1,7 @@
 #include "endiveyard/routing/target_router.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <set>
 #include <string>
 
@@ -348,10 +349,55 @@
     BOOST_TEST(distinct.size() == 8U);
     seen.insert(distinct.begin(), distinct.end());
   }
-  // Targets 0 and 1 hold the prefix, but newer holders took their place.
   BOOST_TEST(seen.size() == 200U);
 }
 
+// Guards against a prefix that is known on a few of its holders only, which
+// would concentrate a prefix that all requests share on them.
+BOOST_AUTO_TEST_CASE(EveryHolderOfAWidePrefixIsKnown) {
+  RouterFixture it(Engines(200));
+  for (int i = 0; i < 40; ++i) {
+    it.router.ApplyCacheEvents(std::to_string(i), 1, {10, 11}, {});
+  }
+  it.router.ApplyCacheEvents("7", 3, {}, {11});
+  it.router.NoteLost("8", kStart);
+  std::map<std::string, int64_t> cached;
+  for (int i = 0; i < 1000; ++i) {
+    for (const RouteCandidate& candidate :
+         it.router.Choose(RouterFixture::Request({10, 11}), kStart)
+             .considered) {
+      cached.emplace(candidate.target, candidate.cached_tokens);
+    }
+  }
+  BOOST_TEST(cached.size() == 200U);
+  for (const auto& [target, tokens] : cached) {
+    const int n = std::stoi(target);
+    BOOST_TEST(tokens == (n == 7 ? 256 : n < 40 && n != 8 ? 512 : 0));
+  }
+}
+
+// Guards against recomputing a cached prefix on another target while all are
+// busy: each copy evicts another prefix, until most work is recomputation.
+BOOST_AUTO_TEST_CASE(RecomputationCountsMoreOnBusyTargets) {
+  const struct {
+    int64_t other_queue;
+    const char* chosen;
+  } cases[] = {{0, "2"}, {100, "1"}};
+  for (const auto& c : cases) {
+    RouterFixture it({Engine("1"), Engine("2")});
+    it.router.ApplyCacheEvents("1", 1, {10, 11, 12, 13}, {});
+    TimePoint now = kStart;
+    for (uint64_t i = 2; i < 40; ++i) {
+      now += seconds(1);
+      it.router.ApplyLoad("1", Load(i, 1200), now);
+      it.router.ApplyLoad("2", Load(i, c.other_queue), now);
+    }
+    RouteRequest request = RouterFixture::Request({10, 11, 12, 13});
+    request.deadline = now + seconds(60);
+    BOOST_TEST(it.Chosen(request, now) == c.chosen);
+  }
+}
+
 // Guards against an explanation that changes the choices that follow, and
 // against choices that the seed does not determine.
 BOOST_AUTO_TEST_CASE(ChoicesDependOnSeedAndEventsOnly) {
