Reduce the weight of load reports as they age

Every instance sees the same reports and sends its work to the shortest reported queues, so an old report names targets that have filled since. The estimate now moves the reported queue towards the average of the candidates, by 63 % at an age of 2 s. Own work since the report keeps its full weight.

The share of busy reports starts with the second report, as the first covers no time.

--- a/src/routing/candidate_estimate.cc
+++ b/src/routing/candidate_estimate.cc
@@ -13,6 +13,9 @@
 constexpr double kMinMeasuredTokens = 256;
 // Time over which the share of busy reports is averaged.
 constexpr double kBusyShareSeconds = 5;
+// Age at which a report has lost 63 % of its weight. Of 0.25, 0.5, 1, 2 and
+// 4 s, 2 s was best over the workloads of routing_policy_experiment.
+constexpr double kReportWeightSeconds = 2;
 // A learnt rate stays within this factor of the configured one, so that a
 // few bad measurements can't make a target look free or unusable.
 constexpr double kMaxRateFactor = 10;
@@ -37,6 +40,22 @@
   return Duration(0);
 }
 
+// Moves the reported queue towards the average as the report ages: other
+// instances saw the same report and sent their work to the shortest queues.
+double StalenessCorrection(const Target& target,
+                           const PeerLoad& peers,
+                           const TargetRouterOptions& options,
+                           TimePoint now) {
+  if (peers.targets == 0 || !target.reported) {
+    return 0;
+  }
+  const double age =
+      Seconds(options.expected_report_lag + (now - target.reported_at));
+  const double lost_weight = 1 - std::exp(-age / kReportWeightSeconds);
+  return lost_weight * (peers.queued_tokens -
+                        static_cast<double>(target.load.queued_prefill_tokens));
+}
+
 }  // namespace
 
 double QueuedTokens(const Target& target, TimePoint now) {
@@ -58,44 +77,54 @@
   return std::max<int64_t>(0, request.prompt_tokens - cached_tokens);
 }
 
+void AddToPeerLoad(const Target& target, PeerLoad* peers) {
+  const double weight = 1.0 / ++peers->targets;
+  const auto queued = static_cast<double>(target.load.queued_prefill_tokens);
+  peers->queued_tokens += weight * (queued - peers->queued_tokens);
+  peers->busy_share += weight * (target.busy_share - peers->busy_share);
+}
+
 RouteCandidate EstimateCandidate(const Target& target,
                                  const RouteRequest& request,
                                  int cached_blocks,
+                                 const PeerLoad& peers,
                                  const TargetRouterOptions& options,
                                  TimePoint now) {
-  const double queued = QueuedTokens(target, now);
+  const double queued =
+      std::max(0.0, QueuedTokens(target, now) +
+                        StalenessCorrection(target, peers, options, now));
   const int64_t uncached =
       UncachedTokens(request, cached_blocks * kTokensPerBlock);
+  const double compute_seconds =
+      static_cast<double>(uncached) * target.seconds_per_token;
   RouteCandidate candidate;
   candidate.cached_tokens =
       std::min<int64_t>(request.prompt_tokens, cached_blocks * kTokensPerBlock);
   candidate.queued_tokens = static_cast<int64_t>(queued);
-  candidate.prefill = FromSeconds((queued + static_cast<double>(uncached)) *
-                                  target.seconds_per_token);
+  candidate.prefill =
+      FromSeconds(queued * target.seconds_per_token + compute_seconds);
   candidate.decode_wait =
       options.decode_wait_per_sequence * RunningSequences(target);
   candidate.network = NetworkTime(target, options);
   candidate.first_token =
       candidate.prefill + candidate.decode_wait + candidate.network;
-  return candidate;
-}
-
-void AddSharedCost(double busy_share,
-                   double prefill_seconds,
-                   const TargetRouterOptions& options,
-                   RouteCandidate* candidate) {
   // In a queue that is busy for a share b of the time, a second of work
-  // delays the work behind it by b / (1 - b) seconds in total.
-  const double factor = std::min(options.max_shared_cost_factor,
-                                 busy_share / std::max(1e-6, 1 - busy_share));
-  candidate->shared_cost = FromSeconds(factor * prefill_seconds);
+  // delays the work behind it by b / (1 - b) seconds in total. One factor for
+  // all candidates keeps noise in b from deciding between equal ones.
+  const double factor =
+      std::min(options.max_shared_cost_factor,
+               peers.busy_share / std::max(1e-6, 1 - peers.busy_share));
+  candidate.shared_cost = FromSeconds(factor * compute_seconds);
+  return candidate;
 }
 
 void CorrectByReport(Target& target, Duration report_lag, TimePoint now) {
-  const double busy = target.load.queued_prefill_tokens > 0 ? 1 : 0;
-  const double weight =
-      1 - std::exp(-Seconds(now - target.reported_at) / kBusyShareSeconds);
-  target.busy_share += weight * (busy - target.busy_share);
+  if (target.reported_at != TimePoint()) {
+    const double busy = target.load.queued_prefill_tokens > 0 ? 1 : 0;
+    const double weight =
+        1 - std::exp(-Seconds(now - target.reported_at) / kBusyShareSeconds);
+    target.busy_share += weight * (busy - target.busy_share);
+  }
   target.reported_at = now;
   target.backlog_tokens =
       static_cast<double>(target.load.queued_prefill_tokens);
--- a/src/routing/candidate_estimate.h
+++ b/src/routing/candidate_estimate.h
@@ -23,21 +23,26 @@
 // number of leading tokens in its cache.
 int64_t UncachedTokens(const RouteRequest& request, int64_t cached_tokens);
 
-// Terms of the first-token time of `request` on the target. Does not fill
-// the names. O(1).
+// Average over the candidates of one decision, which stand for all targets
+// that could take the request.
+struct PeerLoad {
+  int targets = 0;
+  double queued_tokens = 0;  // as reported
+  double busy_share = 0;     // share of time with a prefill queue
+};
+
+// Adds one target to the average. O(1).
+void AddToPeerLoad(const Target& target, PeerLoad* peers);
+
+// Terms of the first-token time of `request` on the target, and the delay of
+// other requests. Does not fill the names. O(1).
 RouteCandidate EstimateCandidate(const Target& target,
                                  const RouteRequest& request,
                                  int cached_blocks,
+                                 const PeerLoad& peers,
                                  const TargetRouterOptions& options,
                                  TimePoint now);
 
-// Fills in the delay that `prefill_seconds` of computation add to other
-// requests, if targets are busy for `busy_share` of the time.
-void AddSharedCost(double busy_share,
-                   double prefill_seconds,
-                   const TargetRouterOptions& options,
-                   RouteCandidate* candidate);
-
 // Replaces the queue estimate of the target by its report that arrived at
 // `now`, plus the own work that the report is too old to include.
 // O(attempts in flight on the target).
--- a/src/routing/target_router.cc
+++ b/src/routing/target_router.cc
@@ -28,8 +28,8 @@
 
 struct Comparison {
   std::vector<uint32_t> slots;
+  std::vector<int> cached_blocks;  // of each slot
   std::vector<RouteCandidate> candidates;
-  size_t holders = 0;  // the first candidates; the others are random
 };
 
 uint64_t AttemptKey(const RouteRequest& request) {
@@ -359,24 +359,9 @@
            !Contains(request.excluded_targets, target.info.id);
   }
 
-  void Compare(uint32_t slot,
-               int cached_blocks,
-               const RouteRequest& request,
-               TimePoint now,
-               Comparison* comparison) const {
-    const Target& target = view_.At(slot);
-    comparison->slots.push_back(slot);
-    comparison->candidates.push_back(
-        EstimateCandidate(target, request, cached_blocks, options_, now));
-    RouteCandidate& candidate = comparison->candidates.back();
-    candidate.target = target.info.id;
-    candidate.address = target.info.address;
-  }
-
   // Adds holders of the longest prefixes that are members of `buckets`.
-  void CompareHolders(const BucketList& buckets,
+  void CollectHolders(const BucketList& buckets,
                       const RouteRequest& request,
-                      TimePoint now,
                       std::mt19937_64& random,
                       Comparison* comparison) const {
     const uint64_t salt = CacheSalt(request.house, request.service);
@@ -403,7 +388,8 @@
             IsMember(target, buckets) &&
             std::find(comparison->slots.begin(), comparison->slots.end(),
                       it.slot) == comparison->slots.end()) {
-          Compare(it.slot, static_cast<int>(i), request, now, comparison);
+          comparison->slots.push_back(it.slot);
+          comparison->cached_blocks.push_back(static_cast<int>(i));
           ++found;
         }
       }
@@ -418,13 +404,11 @@
                        });
   }
 
-  void CompareAll(const BucketList& buckets,
-                  const RouteRequest& request,
-                  TimePoint now,
-                  std::mt19937_64& random,
-                  Comparison* comparison) const {
-    CompareHolders(buckets, request, now, random, comparison);
-    comparison->holders = comparison->slots.size();
+  void Collect(const BucketList& buckets,
+               const RouteRequest& request,
+               std::mt19937_64& random,
+               Comparison* comparison) const {
+    CollectHolders(buckets, request, random, comparison);
     MemberSampler sampler(buckets, random);
     uint32_t slot = 0;
     size_t found = 0;
@@ -436,30 +420,32 @@
       if (IsEligible(target, request) &&
           std::find(comparison->slots.begin(), comparison->slots.end(), slot) ==
               comparison->slots.end()) {
-        Compare(slot, CachedBlocks(target, request), request, now, comparison);
+        comparison->slots.push_back(slot);
+        comparison->cached_blocks.push_back(CachedBlocks(target, request));
         ++found;
       }
     }
   }
 
-  // Fills in the shared costs and returns the index of the best candidate, or
-  // -1. The random candidates show how busy the targets are, and one factor
-  // for all keeps noise in it from deciding between equal candidates.
-  int Best(const RouteRequest& request, Comparison* comparison) const {
-    double busy_share = 0;
+  // Estimates all candidates and returns the index of the best, or -1.
+  int Best(const RouteRequest& request,
+           TimePoint now,
+           Comparison* comparison) const {
     const auto& slots = comparison->slots;
-    for (size_t i = comparison->holders; i < slots.size(); ++i) {
-      busy_share += view_.At(slots[i]).busy_share /
-                    static_cast<double>(slots.size() - comparison->holders);
+    PeerLoad peers;
+    for (uint32_t it : slots) {
+      AddToPeerLoad(view_.At(it), &peers);
     }
+    auto& candidates = comparison->candidates;
+    candidates.reserve(slots.size());
     int best = -1;
     for (size_t i = 0; i < slots.size(); ++i) {
-      RouteCandidate& candidate = comparison->candidates[i];
-      const auto uncached =
-          static_cast<double>(UncachedTokens(request, candidate.cached_tokens));
-      AddSharedCost(busy_share, uncached * view_.At(slots[i]).seconds_per_token,
-                    options_, &candidate);
-      if (best < 0 || Cost(candidate) < Cost(comparison->candidates[best])) {
+      const Target& target = view_.At(slots[i]);
+      candidates.push_back(EstimateCandidate(
+          target, request, comparison->cached_blocks[i], peers, options_, now));
+      candidates[i].target = target.info.id;
+      candidates[i].address = target.info.address;
+      if (best < 0 || Cost(candidates[i]) < Cost(candidates[best])) {
         best = static_cast<int>(i);
       }
     }
@@ -528,8 +514,8 @@
       }
     }
     Comparison comparison;
-    CompareAll(local, request, now, random, &comparison);
-    int best = Best(request, &comparison);
+    Collect(local, request, random, &comparison);
+    int best = Best(request, now, &comparison);
     const auto meets_deadline = [&](int index) {
       return index >= 0 &&
              MeetsDeadline(comparison.candidates[index], request, now);
@@ -537,8 +523,8 @@
     if (!meets_deadline(best) &&
         (best >= 0 || !ShouldWaitForLocal(local, request, now))) {
       Comparison other;
-      CompareAll(remote, request, now, random, &other);
-      const int other_best = Best(request, &other);
+      Collect(remote, request, random, &other);
+      const int other_best = Best(request, now, &other);
       const auto offset = static_cast<int>(comparison.candidates.size());
       comparison.candidates.insert(comparison.candidates.end(),
                                    other.candidates.begin(),
