--- /dev/null
+++ b/benchmark/planner_experiment.cc
@@ -0,0 +1,229 @@
+// Compares the role planners over the same token-mix traces in a fluid model
+// of prefill and decode capacity, and sweeps the role change weight.
+//
+// Usage: planner_experiment [seed]
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "endiveyard/planner/role_planner.h"
+
+namespace endiveyard {
+namespace {
+
+constexpr int kEngines = 24;
+constexpr int kSeconds = 3600;
+constexpr int kPlanInterval = 5;
+constexpr double kPrefillRate = 8000;  // tokens/s of a prefill engine
+constexpr double kDecodeRate = 1500;   // tokens/s of a decode engine
+constexpr double kMixedEfficiency = 0.8;
+constexpr double kUtilisation = 0.85;   // of all engines with the best split
+constexpr double kMaxQueueSeconds = 5;  // older work has missed its deadline
+constexpr int kChangeSeconds = 10;
+constexpr int kCrashed = 4;  // engines lost midway, for kCrashSeconds
+constexpr int kCrashSeconds = 120;
+constexpr double kPi = 3.14159265358979;
+
+struct Trace {
+  const char* name;
+  double (*share)(int second);  // prefill share of the work
+};
+
+constexpr Trace kTraces[] = {
+    {"steady", [](int) { return 0.35; }},
+    {"step", [](int t) { return t / 900 % 2 == 0 ? 0.25 : 0.5; }},
+    {"slow swing",
+     [](int t) { return 0.35 + 0.175 * std::sin(2 * kPi * t / 1200); }},
+    {"fast oscillation",
+     [](int t) { return 0.35 + 0.175 * std::sin(2 * kPi * t / 40); }},
+    {"burst", [](int t) { return t % 300 < 60 ? 0.55 : 0.3; }},
+};
+
+struct Result {
+  double goodput = 0;  // share of the offered output tokens
+  int changes = 0;
+};
+
+TimePoint At(int second) {
+  return TimePointFromMicros((second + 1000) * 1000000LL);
+}
+
+// Runs one trace. Each second the engines serve the prefill and the decode
+// queue; mixed engines divide their time by the queues. Work beyond
+// kMaxQueueSeconds of its stage's queue is dropped.
+Result Run(const Trace& trace,
+           PlannerKind kind,
+           double weight,
+           int lag,
+           bool crash,
+           int initial_mixed,
+           uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::normal_distribution<double> noise(0, 0.03);
+  PlannerSettings settings;
+  settings.kind = kind;
+  settings.engine_capacity = {kPrefillRate, kDecodeRate};
+  settings.mixed_efficiency = kMixedEfficiency;
+  settings.minimum = {2 * kPrefillRate, 2 * kDecodeRate};
+  settings.change_time = std::chrono::seconds(kChangeSeconds);
+  settings.role_change_weight = weight;
+  std::vector<PlannerEngine> engines(kEngines);
+  std::vector<int> back(kEngines, -1);  // end of a change or a crash
+  for (int i = 0; i < kEngines; ++i) {
+    engines[i].id = "engine-" + std::to_string(100 + i);
+    engines[i].role = i < initial_mixed ? Role::kMixed
+                      : i % 3 == 0      ? Role::kPrefill
+                                        : Role::kDecode;
+  }
+  MixHistory history;
+  std::deque<TokenRates> observed;
+  double prefill_queue = 0;  // in engine seconds, like all amounts below
+  double outstanding = 0;    // decode work of the prompts in prefill_queue
+  double decode_queue = 0;
+  double offered = 0;
+  double served = 0;
+  Result result;
+  for (int t = 0; t < kSeconds; ++t) {
+    const double share = std::clamp(trace.share(t) + noise(random), 0.05, 0.95);
+    const double work = kUtilisation * kEngines * (1 + noise(random));
+    const double prefill_work = share * work;
+    const double decode_work = (1 - share) * work;
+    observed.push_back(
+        {prefill_work * kPrefillRate, decode_work * kDecodeRate});
+    for (int i = 0; i < kEngines; ++i) {
+      if (crash && t == kSeconds / 2 && i < kCrashed) {
+        engines[i].available = false;  // also in the middle of a change
+        engines[i].changing = false;
+        back[i] = t + kCrashSeconds;
+      }
+      if (back[i] == t) {
+        if (engines[i].changing) {
+          engines[i].role = engines[i].next_role;
+        }
+        engines[i].available = true;
+        engines[i].changing = false;
+        engines[i].changed_at = At(t);
+      }
+    }
+    if (t % kPlanInterval == 0 && t >= lag) {
+      ObserveMix(settings, observed[t - lag], At(t), &history);
+      for (const RoleChange& it :
+           PlanRoles(settings, engines, history, At(t))) {
+        for (int i = 0; i < kEngines; ++i) {
+          if (engines[i].id == it.id) {
+            engines[i].changing = true;
+            engines[i].next_role = it.to;
+            back[i] = t + kChangeSeconds;
+            ++result.changes;
+          }
+        }
+      }
+    }
+    double prefill = 0;
+    double decode = 0;
+    double mixed = 0;
+    for (const PlannerEngine& it : engines) {
+      if (it.available && !it.changing) {
+        (it.role == Role::kPrefill  ? prefill
+         : it.role == Role::kDecode ? decode
+                                    : mixed) += 1;
+      }
+    }
+    mixed *= kMixedEfficiency;
+    // A prompt that is prefilled brings its output to the decode queue, and a
+    // prompt that is dropped takes it along.
+    prefill_queue += prefill_work;
+    outstanding += decode_work;
+    const double prefill_missing = std::max(0.0, prefill_queue - prefill);
+    const double decode_missing = std::max(0.0, decode_queue - decode);
+    const double missing = prefill_missing + decode_missing;
+    const double to_prefill =
+        missing > 0 ? mixed * prefill_missing / missing : 0;
+    const double decoded = std::min(decode_queue, decode + mixed - to_prefill);
+    decode_queue -= decoded;
+    const double prefilled = std::min(prefill_queue, prefill + to_prefill);
+    const double output = outstanding * prefilled / prefill_queue;
+    decode_queue += output;
+    outstanding -= output;
+    prefill_queue -= prefilled;
+    const double kept = std::min(
+        1.0, kMaxQueueSeconds * prefill_work / std::max(1e-9, prefill_queue));
+    prefill_queue *= kept;
+    outstanding *= kept;
+    decode_queue = std::min(decode_queue, kMaxQueueSeconds * decode_work);
+    offered += decode_work;
+    served += decoded;
+  }
+  result.goodput = served / offered;
+  return result;
+}
+
+void ComparePlanners(uint64_t seed) {
+  const struct {
+    const char* name;
+    PlannerKind kind;
+  } planners[] = {{"fixed", PlannerKind::kFixed},
+                  {"threshold", PlannerKind::kThreshold},
+                  {"hysteresis", PlannerKind::kHysteresis},
+                  {"cost-benefit", PlannerKind::kCostBenefit}};
+  std::printf("%-17s %-13s", "trace", "planner");
+  const struct {
+    const char* name;
+    int lag;
+    bool crash;
+  } conditions[] = {{"no lag", 0, false},
+                    {"lag 10 s", 10, false},
+                    {"lag 10 s, crash", 10, true}};
+  for (const auto& it : conditions) {
+    std::printf(" | %-17s", it.name);
+  }
+  std::printf("\n");
+  for (const Trace& trace : kTraces) {
+    for (const auto& planner : planners) {
+      std::printf("%-17s %-13s", trace.name, planner.name);
+      for (const auto& it : conditions) {
+        const Result result =
+            Run(trace, planner.kind, 0.5, it.lag, it.crash, 0, seed);
+        std::printf(" | %6.2f %% %8d", 100 * result.goodput, result.changes);
+      }
+      std::printf("\n");
+    }
+  }
+}
+
+void SweepWeight(uint64_t seed) {
+  std::printf(
+      "\nrole change weight, lag 10 s, no crash (goodput %% / changes)\n");
+  for (const auto& [name, kind] :
+       {std::pair("hysteresis", PlannerKind::kHysteresis),
+        {"cost-benefit", PlannerKind::kCostBenefit}}) {
+    std::printf("%-13s", name);
+    for (const Trace& trace : kTraces) {
+      std::printf(" | %-16s", trace.name);
+    }
+    std::printf("\n");
+    for (double weight : {0.0, 0.2, 0.4, 0.5, 0.6, 0.8, 0.9, 1.0}) {
+      std::printf("%-13.1f", weight);
+      for (const Trace& trace : kTraces) {
+        const Result result = Run(trace, kind, weight, 10, false, 0, seed);
+        std::printf(" | %7.2f %8d", 100 * result.goodput, result.changes);
+      }
+      std::printf("\n");
+    }
+  }
+}
+
+}  // namespace
+}  // namespace endiveyard
+
+int main(int argc, char** argv) {
+  const uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+  endiveyard::ComparePlanners(seed);
+  endiveyard::SweepWeight(seed);
+  return 0;
+}
