Count missed goodput against the price of a role change

At a high role change weight the cost-benefit planner moved engines on a large mismatch and never moved them back, because one engine can't gain more within the horizon than the price. What the present split has failed to serve since the last change now counts against the price, so that a lasting mismatch ends.

--- a/benchmark/planner_experiment.cc
+++ b/benchmark/planner_experiment.cc
@@ -1,7 +1,7 @@
 // Compares the role planners over the same token-mix traces in a fluid model
 // of prefill and decode capacity, and sweeps the role change weight.
 //
-// Usage: planner_experiment [seed]
+// Usage: planner_experiment [seed] [utilisation]
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -22,7 +22,6 @@
 constexpr double kPrefillRate = 8000;  // tokens/s of a prefill engine
 constexpr double kDecodeRate = 1500;   // tokens/s of a decode engine
 constexpr double kMixedEfficiency = 0.8;
-constexpr double kUtilisation = 0.85;   // of all engines with the best split
 constexpr double kMaxQueueSeconds = 5;  // older work has missed its deadline
 constexpr int kChangeSeconds = 10;
 constexpr int kCrashed = 4;  // engines lost midway, for kCrashSeconds
@@ -49,6 +48,11 @@
   int changes = 0;
 };
 
+struct Options {
+  uint64_t seed = 1;
+  double utilisation = 0.85;  // of all engines with the best split
+};
+
 TimePoint At(int second) {
   return TimePointFromMicros((second + 1000) * 1000000LL);
 }
@@ -62,8 +66,8 @@
            int lag,
            bool crash,
            int initial_mixed,
-           uint64_t seed) {
-  std::mt19937_64 random(seed);
+           const Options& options) {
+  std::mt19937_64 random(options.seed);
   std::normal_distribution<double> noise(0, 0.03);
   PlannerSettings settings;
   settings.kind = kind;
@@ -90,7 +94,7 @@
   Result result;
   for (int t = 0; t < kSeconds; ++t) {
     const double share = std::clamp(trace.share(t) + noise(random), 0.05, 0.95);
-    const double work = kUtilisation * kEngines * (1 + noise(random));
+    const double work = options.utilisation * kEngines * (1 + noise(random));
     const double prefill_work = share * work;
     const double decode_work = (1 - share) * work;
     observed.push_back(
@@ -163,14 +167,16 @@
   return result;
 }
 
-void ComparePlanners(uint64_t seed) {
+void ComparePlanners(const Options& options) {
   const struct {
     const char* name;
     PlannerKind kind;
-  } planners[] = {{"fixed", PlannerKind::kFixed},
-                  {"threshold", PlannerKind::kThreshold},
-                  {"hysteresis", PlannerKind::kHysteresis},
-                  {"cost-benefit", PlannerKind::kCostBenefit}};
+    int initial_mixed;
+  } planners[] = {{"all mixed", PlannerKind::kFixed, kEngines},
+                  {"fixed", PlannerKind::kFixed, 0},
+                  {"threshold", PlannerKind::kThreshold, 0},
+                  {"hysteresis", PlannerKind::kHysteresis, 0},
+                  {"cost-benefit", PlannerKind::kCostBenefit, 0}};
   std::printf("%-17s %-13s", "trace", "planner");
   const struct {
     const char* name;
@@ -187,8 +193,8 @@
     for (const auto& planner : planners) {
       std::printf("%-17s %-13s", trace.name, planner.name);
       for (const auto& it : conditions) {
-        const Result result =
-            Run(trace, planner.kind, 0.5, it.lag, it.crash, 0, seed);
+        const Result result = Run(trace, planner.kind, 0.5, it.lag, it.crash,
+                                  planner.initial_mixed, options);
         std::printf(" | %6.2f %% %8d", 100 * result.goodput, result.changes);
       }
       std::printf("\n");
@@ -196,7 +202,7 @@
   }
 }
 
-void SweepWeight(uint64_t seed) {
+void SweepWeight(const Options& options) {
   std::printf(
       "\nrole change weight, lag 10 s, no crash (goodput %% / changes)\n");
   for (const auto& [name, kind] :
@@ -207,10 +213,10 @@
       std::printf(" | %-16s", trace.name);
     }
     std::printf("\n");
-    for (double weight : {0.0, 0.2, 0.4, 0.5, 0.6, 0.8, 0.9, 1.0}) {
-      std::printf("%-13.1f", weight);
+    for (double weight : {0.0, 0.2, 0.4, 0.5, 0.6, 0.8, 0.9, 0.95, 0.98, 1.0}) {
+      std::printf("%-13.2f", weight);
       for (const Trace& trace : kTraces) {
-        const Result result = Run(trace, kind, weight, 10, false, 0, seed);
+        const Result result = Run(trace, kind, weight, 10, false, 0, options);
         std::printf(" | %7.2f %8d", 100 * result.goodput, result.changes);
       }
       std::printf("\n");
@@ -222,8 +228,14 @@
 }  // namespace endiveyard
 
 int main(int argc, char** argv) {
-  const uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
-  endiveyard::ComparePlanners(seed);
-  endiveyard::SweepWeight(seed);
+  endiveyard::Options options;
+  if (argc > 1) {
+    options.seed = std::strtoull(argv[1], nullptr, 10);
+  }
+  if (argc > 2) {
+    options.utilisation = std::strtod(argv[2], nullptr);
+  }
+  endiveyard::ComparePlanners(options);
+  endiveyard::SweepWeight(options);
   return 0;
 }
--- a/src/planner/cost_benefit_planner.cc
+++ b/src/planner/cost_benefit_planner.cc
@@ -26,13 +26,38 @@
                    const PlannerSettings& settings) {
   double share = 0;
   for (const MixScenario& it : scenarios) {
-    share +=
-        it.weight *
-        std::min(1.0, ServableFactor(counts, it.mix, settings) / kHeadroom);
+    const double factor = ServableFactor(counts, it.mix, settings);
+    share += it.weight * std::min(1.0, factor / kHeadroom);
   }
   return share;
 }
 
+// Engine seconds that `after` instead of `before` would have served since the
+// last change ended, as far as the history reaches. Counts real losses only,
+// without the headroom.
+double MissedGain(const RoleCounts& before,
+                  const RoleCounts& after,
+                  const PlannerView& view) {
+  TimePoint last_change;
+  for (const PlannerEngine& it : view.engines) {
+    last_change = std::max(last_change, it.changed_at);
+  }
+  const auto& samples = view.history.samples;
+  double missed = 0;
+  for (size_t i = samples.size(); i > 1; --i) {
+    const MixSample& sample = samples[i - 1];
+    const TimePoint from = samples[i - 2].at;
+    if (from < last_change) {
+      break;
+    }
+    const double gain =
+        std::min(1.0, ServableFactor(after, sample.mix, view.settings)) -
+        std::min(1.0, ServableFactor(before, sample.mix, view.settings));
+    missed += Seconds(sample.at - from) * gain;
+  }
+  return std::max(0.0, missed * before.Total());
+}
+
 }  // namespace
 
 void PlanCostBenefit(const PlannerView& view, ChangeList* changes) {
@@ -66,8 +91,14 @@
             useful * (ServedShare(after, scenarios, settings) - now);
         const double loss =
             change * (serving - ServedShare(during, scenarios, settings));
-        // In engine seconds.
-        const double net = planned.Total() * (gain - loss) - price;
+        if (gain <= loss) {
+          continue;
+        }
+        // In engine seconds. What the present split has missed already counts
+        // against the price, so that a lasting mismatch ends at any weight.
+        const double open_price =
+            std::max(0.0, price - MissedGain(planned, after, view));
+        const double net = planned.Total() * (gain - loss) - open_price;
         if (net > best + 1e-6) {
           best = net;
           best_from = from;
