--- a/src/planner/split_planners.cc
+++ b/src/planner/split_planners.cc
@@ -26,6 +26,9 @@
 double BestPrefillEngines(const PlannerSettings& settings,
                           const TokenRates& mix,
                           const ChangeList& changes) {
+  if (mix == TokenRates()) {
+    return changes.planned().prefill;  // nothing asks for another split
+  }
   const int dedicated = changes.planned().prefill + changes.planned().decode;
   return PrefillShare(mix, settings) * dedicated;
 }
