Ignore load reports from before the loss of a target

A report that left a target before it was lost, for example in a digest of a peer, reopened the target, so that the next attempt failed too. Reports within expected_report_lag of the loss are now ignored.

--- a/include/endiveyard/routing/target_router.h
+++ b/include/endiveyard/routing/target_router.h
@@ -139,8 +139,9 @@
   void NoteCached(std::string_view target,
                   const RouteRequest& request,
                   int64_t cached_tokens);
-  // The target was lost: forgets its cached prefixes and avoids it until the
-  // next load report or `retry_at`.
+  // The target was lost: forgets its cached prefixes and avoids it until
+  // `retry_at` or the next load report. Reports within expected_report_lag of
+  // the loss don't count, as they may have left the target before it.
   void NoteLost(std::string_view target, TimePoint retry_at);
 
   // Chooses the target with the lowest sum of estimated first-token time and
--- a/src/routing/target_router.cc
+++ b/src/routing/target_router.cc
@@ -124,6 +124,10 @@
     if (target == nullptr || !target->listed) {
       return;
     }
+    // Reports lag, so that one may have left the target before it was lost.
+    if (target->lost && now < target->lost_at + options_.expected_report_lag) {
+      return;
+    }
     if (target->numbered && load.sequence <= target->load.sequence &&
         !IsRestart(*target, load.sequence)) {
       return;
@@ -280,11 +284,15 @@
     target->numbered = false;
     target->backlog_tokens = 0;
     target->lost = true;
+    target->lost_at = latest_;
     target->retry_at = retry_at;
     retries_.emplace(retry_at, target->slot);
     view_.UpdateOpen(*target);
   }
 
+  // Remembers the latest time seen, for events that come without one.
+  void Advance(TimePoint now) { latest_ = std::max(latest_, now); }
+
   // Opens lost targets whose retry time has come. O(1) for each.
   void ReopenDue(TimePoint now) {
     while (!retries_.empty() && retries_.top().first <= now) {
@@ -543,6 +551,7 @@
     return decision;
   }
 
+  TimePoint latest_;
   std::priority_queue<Retry, std::vector<Retry>, std::greater<>> retries_;
 };
 
@@ -552,13 +561,15 @@
 TargetRouter::~TargetRouter() = default;
 
 void TargetRouter::ApplyList(const std::vector<TargetInfo>& targets,
-                             TimePoint /*now*/) {
+                             TimePoint now) {
+  impl_->Advance(now);
   impl_->view_.ReplaceList(targets);
 }
 
 void TargetRouter::ApplyLoad(std::string_view target,
                              const TargetLoad& load,
                              TimePoint now) {
+  impl_->Advance(now);
   impl_->ApplyLoad(target, load, now);
 }
 
@@ -584,20 +595,23 @@
 void TargetRouter::NoteStarted(std::string_view target,
                                const RouteRequest& request,
                                TimePoint now) {
+  impl_->Advance(now);
   impl_->NoteStarted(target, request, now);
 }
 
 void TargetRouter::NoteFirstToken(std::string_view target,
                                   const RouteRequest& request,
                                   Duration first_token,
-                                  TimePoint /*now*/) {
+                                  TimePoint now) {
+  impl_->Advance(now);
   impl_->NoteFirstToken(target, request, first_token);
 }
 
 void TargetRouter::NoteFinished(std::string_view target,
                                 const RouteRequest& request,
                                 Duration first_token,
-                                TimePoint /*now*/) {
+                                TimePoint now) {
+  impl_->Advance(now);
   impl_->NoteFinished(target, request, first_token);
 }
 
@@ -612,6 +626,7 @@
 }
 
 RouteDecision TargetRouter::Choose(const RouteRequest& request, TimePoint now) {
+  impl_->Advance(now);
   impl_->ReopenDue(now);
   return impl_->Choose(request, now, impl_->random_);
 }
--- a/src/routing/target_view.h
+++ b/src/routing/target_view.h
@@ -57,6 +57,7 @@
   bool leaving = false;
   bool draining = false;
   bool lost = false;
+  TimePoint lost_at;
   TimePoint retry_at;  // a lost target opens again
   bool open = false;   // in the open part of its buckets
   uint8_t stale_reports = 0;
