--- a/src/routing/target_router.cc
+++ b/src/routing/target_router.cc
@@ -28,8 +28,8 @@
 
 struct Comparison {
   std::vector<uint32_t> slots;
+  std::vector<int> cached_blocks;  // of each slot
   std::vector<RouteCandidate> candidates;
-  int best = -1;
 };
 
 uint64_t AttemptKey(const RouteRequest& request) {
@@ -124,6 +124,10 @@
     if (target == nullptr || !target->listed) {
       return;
     }
+    // Reports lag, so that one may have left the target before it was lost.
+    if (target->lost && now < target->lost_at + options_.expected_report_lag) {
+      return;
+    }
     if (target->numbered && load.sequence <= target->load.sequence &&
         !IsRestart(*target, load.sequence)) {
       return;
@@ -204,8 +208,8 @@
     InFlightAttempt attempt;
     attempt.key = AttemptKey(request);
     attempt.started = now;
-    attempt.uncached_tokens =
-        UncachedTokens(request, CachedBlocks(*target, request));
+    attempt.uncached_tokens = UncachedTokens(
+        request, CachedBlocks(*target, request) * kTokensPerBlock);
     attempt.queued_tokens = QueuedTokens(*target, now);
     attempt.decode_wait_seconds =
         std::chrono::duration<double>(options_.decode_wait_per_sequence *
@@ -280,11 +284,15 @@
     target->numbered = false;
     target->backlog_tokens = 0;
     target->lost = true;
+    target->lost_at = latest_;
     target->retry_at = retry_at;
     retries_.emplace(retry_at, target->slot);
     view_.UpdateOpen(*target);
   }
 
+  // Remembers the latest time seen, for events that come without one.
+  void Advance(TimePoint now) { latest_ = std::max(latest_, now); }
+
   // Opens lost targets whose retry time has come. O(1) for each.
   void ReopenDue(TimePoint now) {
     while (!retries_.empty() && retries_.top().first <= now) {
@@ -359,29 +367,9 @@
            !Contains(request.excluded_targets, target.info.id);
   }
 
-  void Compare(uint32_t slot,
-               int cached_blocks,
-               const RouteRequest& request,
-               TimePoint now,
-               Comparison* comparison) const {
-    const Target& target = view_.At(slot);
-    comparison->slots.push_back(slot);
-    comparison->candidates.push_back(
-        EstimateCandidate(target, request, cached_blocks, options_, now));
-    RouteCandidate& candidate = comparison->candidates.back();
-    candidate.target = target.info.id;
-    candidate.address = target.info.address;
-    const int best = comparison->best;
-    if (best < 0 ||
-        candidate.first_token < comparison->candidates[best].first_token) {
-      comparison->best = static_cast<int>(comparison->slots.size()) - 1;
-    }
-  }
-
   // Adds holders of the longest prefixes that are members of `buckets`.
-  void CompareHolders(const BucketList& buckets,
+  void CollectHolders(const BucketList& buckets,
                       const RouteRequest& request,
-                      TimePoint now,
                       std::mt19937_64& random,
                       Comparison* comparison) const {
     const uint64_t salt = CacheSalt(request.house, request.service);
@@ -408,7 +396,8 @@
             IsMember(target, buckets) &&
             std::find(comparison->slots.begin(), comparison->slots.end(),
                       it.slot) == comparison->slots.end()) {
-          Compare(it.slot, static_cast<int>(i), request, now, comparison);
+          comparison->slots.push_back(it.slot);
+          comparison->cached_blocks.push_back(static_cast<int>(i));
           ++found;
         }
       }
@@ -423,12 +412,11 @@
                        });
   }
 
-  void CompareAll(const BucketList& buckets,
-                  const RouteRequest& request,
-                  TimePoint now,
-                  std::mt19937_64& random,
-                  Comparison* comparison) const {
-    CompareHolders(buckets, request, now, random, comparison);
+  void Collect(const BucketList& buckets,
+               const RouteRequest& request,
+               std::mt19937_64& random,
+               Comparison* comparison) const {
+    CollectHolders(buckets, request, random, comparison);
     MemberSampler sampler(buckets, random);
     uint32_t slot = 0;
     size_t found = 0;
@@ -440,12 +428,42 @@
       if (IsEligible(target, request) &&
           std::find(comparison->slots.begin(), comparison->slots.end(), slot) ==
               comparison->slots.end()) {
-        Compare(slot, CachedBlocks(target, request), request, now, comparison);
+        comparison->slots.push_back(slot);
+        comparison->cached_blocks.push_back(CachedBlocks(target, request));
         ++found;
       }
     }
   }
 
+  // Estimates all candidates and returns the index of the best, or -1.
+  int Best(const RouteRequest& request,
+           TimePoint now,
+           Comparison* comparison) const {
+    const auto& slots = comparison->slots;
+    PeerLoad peers;
+    for (uint32_t it : slots) {
+      AddToPeerLoad(view_.At(it), &peers);
+    }
+    auto& candidates = comparison->candidates;
+    candidates.reserve(slots.size());
+    int best = -1;
+    for (size_t i = 0; i < slots.size(); ++i) {
+      const Target& target = view_.At(slots[i]);
+      candidates.push_back(EstimateCandidate(
+          target, request, comparison->cached_blocks[i], peers, options_, now));
+      candidates[i].target = target.info.id;
+      candidates[i].address = target.info.address;
+      if (best < 0 || Cost(candidates[i]) < Cost(candidates[best])) {
+        best = static_cast<int>(i);
+      }
+    }
+    return best;
+  }
+
+  static Duration Cost(const RouteCandidate& candidate) {
+    return candidate.first_token + candidate.shared_cost;
+  }
+
   // True if waiting for a local target is better than crossing regions: all
   // are at their limit and the deadline is far.
   bool ShouldWaitForLocal(const BucketList& local,
@@ -504,29 +522,36 @@
       }
     }
     Comparison comparison;
-    CompareAll(local, request, now, random, &comparison);
-    const int local_best = comparison.best;
-    const bool local_meets =
-        local_best >= 0 &&
-        MeetsDeadline(comparison.candidates[local_best], request, now);
-    if (!local_meets &&
-        (local_best >= 0 || !ShouldWaitForLocal(local, request, now))) {
-      CompareAll(remote, request, now, random, &comparison);
+    Collect(local, request, random, &comparison);
+    int best = Best(request, now, &comparison);
+    const auto meets_deadline = [&](int index) {
+      return index >= 0 &&
+             MeetsDeadline(comparison.candidates[index], request, now);
+    };
+    if (!meets_deadline(best) &&
+        (best >= 0 || !ShouldWaitForLocal(local, request, now))) {
+      Comparison other;
+      Collect(remote, request, random, &other);
+      const int other_best = Best(request, now, &other);
+      const auto offset = static_cast<int>(comparison.candidates.size());
+      comparison.candidates.insert(comparison.candidates.end(),
+                                   other.candidates.begin(),
+                                   other.candidates.end());
       // Crossing regions costs link volume and pays only if it helps.
-      if (local_best >= 0 &&
-          !MeetsDeadline(comparison.candidates[comparison.best], request,
-                         now)) {
-        comparison.best = local_best;
+      if (other_best >= 0 &&
+          (best < 0 || meets_deadline(offset + other_best))) {
+        best = offset + other_best;
       }
     }
-    if (comparison.best >= 0) {
+    if (best >= 0) {
       decision.found = true;
-      decision.chosen = comparison.candidates[comparison.best];
+      decision.chosen = comparison.candidates[best];
     }
     decision.considered = std::move(comparison.candidates);
     return decision;
   }
 
+  TimePoint latest_;
   std::priority_queue<Retry, std::vector<Retry>, std::greater<>> retries_;
 };
 
@@ -536,13 +561,15 @@
 TargetRouter::~TargetRouter() = default;
 
 void TargetRouter::ApplyList(const std::vector<TargetInfo>& targets,
-                             TimePoint /*now*/) {
+                             TimePoint now) {
+  impl_->Advance(now);
   impl_->view_.ReplaceList(targets);
 }
 
 void TargetRouter::ApplyLoad(std::string_view target,
                              const TargetLoad& load,
                              TimePoint now) {
+  impl_->Advance(now);
   impl_->ApplyLoad(target, load, now);
 }
 
@@ -568,20 +595,23 @@
 void TargetRouter::NoteStarted(std::string_view target,
                                const RouteRequest& request,
                                TimePoint now) {
+  impl_->Advance(now);
   impl_->NoteStarted(target, request, now);
 }
 
 void TargetRouter::NoteFirstToken(std::string_view target,
                                   const RouteRequest& request,
                                   Duration first_token,
-                                  TimePoint /*now*/) {
+                                  TimePoint now) {
+  impl_->Advance(now);
   impl_->NoteFirstToken(target, request, first_token);
 }
 
 void TargetRouter::NoteFinished(std::string_view target,
                                 const RouteRequest& request,
                                 Duration first_token,
-                                TimePoint /*now*/) {
+                                TimePoint now) {
+  impl_->Advance(now);
   impl_->NoteFinished(target, request, first_token);
 }
 
@@ -596,6 +626,7 @@
 }
 
 RouteDecision TargetRouter::Choose(const RouteRequest& request, TimePoint now) {
+  impl_->Advance(now);
   impl_->ReopenDue(now);
   return impl_->Choose(request, now, impl_->random_);
 }
