--- /dev/null
+++ b/benchmark/admission_benchmark.cc
@@ -0,0 +1,92 @@
+#include <benchmark/benchmark.h>
+
+#include <cstdint>
+#include <string>
+
+#include "endiveyard/admission/concurrency_limit.h"
+#include "endiveyard/admission/fair_queue.h"
+#include "endiveyard/admission/retry_after.h"
+#include "endiveyard/admission/retry_budget.h"
+#include "endiveyard/admission/wait_estimate.h"
+
+namespace endiveyard {
+namespace {
+
+QueuedRequest Make(uint64_t id, int houses) {
+  QueuedRequest request;
+  request.id = id;
+  request.house = "house" + std::to_string(id % houses);
+  request.flow = "lm\nmodel" + std::to_string(id % 18);
+  request.caller_class = "class" + std::to_string(id % 3);
+  request.priority = static_cast<int>(id % 10);
+  request.cost = 500 + static_cast<int64_t>(id * 7919 % 3000);
+  return request;
+}
+
+// One request enters and one leaves, with `waiting` requests of `houses`.
+void BM_EnqueueAndTake(benchmark::State& state) {
+  FairQueue queue;
+  const int houses = static_cast<int>(state.range(0));
+  uint64_t id = 0;
+  for (; id < static_cast<uint64_t>(state.range(1)); ++id) {
+    Enqueue(&queue, Make(id, houses));
+  }
+  for (auto _ : state) {
+    QueuedRequest request = Make(id++, houses);
+    benchmark::DoNotOptimize(
+        HasRoom(queue, request.house, request.caller_class, 1 << 20));
+    Enqueue(&queue, std::move(request));
+    Take(&queue, *NextCandidate(&queue));
+  }
+}
+BENCHMARK(BM_EnqueueAndTake)
+    ->Args({2, 0})
+    ->Args({2, 100})
+    ->Args({2, 10000})
+    ->Args({100, 10000});
+
+// Decision to refuse early: bound, requests ahead and estimated wait.
+void BM_RefusalDecision(benchmark::State& state) {
+  FairQueue queue;
+  WaitEstimate wait;
+  const TimePoint now = TimePointFromMicros(1000000);
+  NoteBacklog(&wait, TimePointFromMicros(0));
+  NoteDispatch(&wait, 1, TimePointFromMicros(20000));
+  for (uint64_t id = 0; id < static_cast<uint64_t>(state.range(0)); ++id) {
+    QueuedRequest request = Make(id, 1);
+    request.flow = "lm\n";
+    Enqueue(&queue, request);
+  }
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(HasRoom(queue, "house0", "class0", 1 << 20));
+    const size_t ahead = CountAhead(queue, "house0", "lm\n", 0, 5);
+    benchmark::DoNotOptimize(RetryAfter(EstimateWait(wait, ahead, now), ahead));
+  }
+}
+BENCHMARK(BM_RefusalDecision)->Arg(10)->Arg(256)->Arg(1000);
+
+void BM_NoteLatency(benchmark::State& state) {
+  ConcurrencyLimit limit = MakeConcurrencyLimit(32, TimePointFromMicros(0));
+  int64_t now = 0;
+  for (auto _ : state) {
+    now += 1000;
+    NoteLatency(&limit, static_cast<double>(100 + now * 7919 % 150),
+                AllowedInFlight(limit), TimePointFromMicros(now));
+  }
+  benchmark::DoNotOptimize(limit);
+}
+BENCHMARK(BM_NoteLatency);
+
+void BM_RetryBudget(benchmark::State& state) {
+  RetryBudget budget;
+  for (auto _ : state) {
+    EarnFromFirstAttempt(&budget);
+    benchmark::DoNotOptimize(SpendRetry(&budget));
+  }
+}
+BENCHMARK(BM_RetryBudget);
+
+}  // namespace
+}  // namespace endiveyard
+
+BENCHMARK_MAIN();
--- a/src/admission/fair_queue.cc
+++ b/src/admission/fair_queue.cc
@@ -38,6 +38,32 @@
   return it == owner->second.flows.end() ? nullptr : &it->second;
 }
 
+// Passes the turn on to the first house whose deficit covers its head and
+// returns that head. If there is none, returns nullptr and sets `rounds` to
+// the number of rounds after which there will be one; infinite if nothing can
+// be dispatched.
+const QueuedRequest* FirstAffordable(FairQueue* queue, double* rounds) {
+  *rounds = std::numeric_limits<double>::infinity();
+  auto it = queue->houses.lower_bound(queue->turn);
+  for (size_t n = 0; n < queue->houses.size(); ++n, ++it) {
+    if (it == queue->houses.end()) {
+      it = queue->houses.begin();
+    }
+    const QueuedRequest* head = Head(it->second);
+    if (head == nullptr) {
+      continue;
+    }
+    const double missing = static_cast<double>(head->cost) - it->second.deficit;
+    if (missing <= 0) {
+      queue->turn = it->first;
+      return head;
+    }
+    *rounds = std::min(*rounds,
+                       std::ceil(missing / (kFairQuantum * it->second.weight)));
+  }
+  return nullptr;
+}
+
 void ChangeCount(FairHouse* house, const std::string& caller_class, int n) {
   const auto it = house->counted_per_class.try_emplace(caller_class, 0).first;
   it->second += n;
@@ -121,58 +147,19 @@
   if (queue->size == 0) {
     return nullptr;
   }
-  // The house on turn continues while its deficit covers its head. Otherwise
-  // the turn passes on. Whole rounds in which no house can be served are added
-  // at once, so that an expensive request costs no extra passes.
-  double rounds = std::numeric_limits<double>::infinity();
-  auto start = queue->houses.lower_bound(queue->turn);
-  if (start == queue->houses.end()) {
-    start = queue->houses.begin();
-  }
-  for (int pass = 0; pass < 2; ++pass) {
-    auto it = start;
-    do {
-      FairHouse& house = it->second;
-      if (const QueuedRequest* head = Head(house); head != nullptr) {
-        if (pass == 1) {
-          house.deficit += rounds * kFairQuantum * house.weight;
-        }
-        const double missing = static_cast<double>(head->cost) - house.deficit;
-        if (missing <= 0) {
-          queue->turn = it->first;
-          if (pass == 0) {
-            return head;
-          }
-        } else {
-          rounds = std::min(rounds,
-                            std::ceil(missing / (kFairQuantum * house.weight)));
-        }
-      }
-      if (++it == queue->houses.end()) {
-        it = queue->houses.begin();
+  double rounds = 0;
+  const QueuedRequest* next = FirstAffordable(queue, &rounds);
+  if (next == nullptr && std::isfinite(rounds)) {
+    // Whole rounds in which no house can be served are added at once, so that
+    // an expensive request costs no extra passes.
+    for (auto& [name, house] : queue->houses) {
+      if (Head(house) != nullptr) {
+        house.deficit += rounds * kFairQuantum * house.weight;
       }
-    } while (it != start);
-    if (std::isinf(rounds)) {
-      return nullptr;
-    }
-    if (pass == 1) {
-      break;
     }
+    next = FirstAffordable(queue, &rounds);
   }
-  // After the credit of the second pass at least one house is served.
-  auto it = start;
-  do {
-    const QueuedRequest* head = Head(it->second);
-    if (head != nullptr &&
-        it->second.deficit >= static_cast<double>(head->cost)) {
-      queue->turn = it->first;
-      return head;
-    }
-    if (++it == queue->houses.end()) {
-      it = queue->houses.begin();
-    }
-  } while (it != start);
-  return nullptr;
+  return next;
 }
 
 void Take(FairQueue* queue, const QueuedRequest& candidate) {
--- a/tests/admission/fair_queue_test.cc
+++ b/tests/admission/fair_queue_test.cc
@@ -48,7 +48,9 @@
     double served_a = 0;
     double served_b = 0;
     while (served_a + served_b < 800000) {
-      if (TakeNext(&queue) % 2 == 0) {
+      const uint64_t id = TakeNext(&queue);
+      BOOST_REQUIRE(id != 0U);
+      if (id % 2 == 0) {
         served_a += static_cast<double>(it.cost_a);
       } else {
         served_b += static_cast<double>(it.cost_b);
@@ -62,6 +64,22 @@
   }
 }
 
+// Guards against a queue that offers nothing although requests wait; a wrong
+// credit of many houses with different costs did that once.
+BOOST_AUTO_TEST_CASE(WaitingRequestsAreAlwaysOffered) {
+  FairQueue queue;
+  uint64_t id = 0;
+  for (; id < 500; ++id) {
+    Enqueue(&queue,
+            Make(id + 1, std::string(1, static_cast<char>('a' + id % 7)),
+                 1 + static_cast<int64_t>(id * 7919 % 3000)));
+  }
+  for (int left = 500; left > 0; --left) {
+    BOOST_REQUIRE(TakeNext(&queue) != 0U);
+  }
+  BOOST_TEST(queue.size == 0U);
+}
+
 // Guards against a lower class or priority that overtakes a higher one, and
 // against reordering within one priority.
 BOOST_AUTO_TEST_CASE(ClassThenPriorityThenArrival) {
