Tell a broken connection from a lost target

Cause: two broken connections of one lookup gave a crash verdict that would refuse an identical lookup everywhere for 10 minutes. Change: AttemptFailed has target_alive; the gateway sets it when it knows that the target survived. Such a failure counts towards the retry budget only.

--- a/include/endiveyard/serving/serving_messages.h
+++ b/include/endiveyard/serving/serving_messages.h
@@ -80,6 +80,9 @@
   AttemptFailure failure = AttemptFailure::kConnectionLost;
   std::string detail;
   bool target_leaving = false;  // kTargetRefused: the target is leaving
+  // kConnectionLost: the target is known to have survived, so the request is
+  // not suspected of having crashed it.
+  bool target_alive = false;
 };
 struct PlainAnswered {
   ExchangeId exchange = 0;
--- a/src/serving/at_most_once.cc
+++ b/src/serving/at_most_once.cc
@@ -43,6 +43,7 @@
     return;
   }
   Reserve(&ctx.state->queue, exchange->house, exchange->caller_class, -1);
+  // Nothing is queued or in flight from here until the request is enqueued.
   exchange->state = ExchangeState::kIntentAbandoned;
   switch (event.state) {
     case IntentState::kCommitted:
--- a/src/serving/attempt_end.cc
+++ b/src/serving/attempt_end.cc
@@ -43,11 +43,12 @@
 
 void NoteFailedTarget(const StepContext& ctx,
                       const std::string& target,
-                      AttemptFailure failure) {
+                      const AttemptFailed& failed) {
   NoteFailure(&EnsureTarget(ctx, target)->limit, ctx.now);
   ApplyTargetLimit(ctx, target);
-  if (failure == AttemptFailure::kConnectFailed ||
-      failure == AttemptFailure::kConnectionLost) {
+  if (failed.failure == AttemptFailure::kConnectFailed ||
+      (failed.failure == AttemptFailure::kConnectionLost &&
+       !failed.target_alive)) {
     ctx.state->router.NoteLost(target, ctx.now + kAvoidLostTarget);
   }
 }
@@ -103,24 +104,36 @@
   EnqueueExchange(ctx, exchange);
 }
 
+void FailMalformed(const StepContext& ctx,
+                   Exchange* exchange,
+                   const std::string& detail) {
+  ctx.Emit(CancelAttempt{exchange->id, exchange->attempt.number,
+                         exchange->attempt.target, exchange->attempt.address});
+  AttemptFailed failed;
+  failed.failure = AttemptFailure::kMalformed;
+  failed.detail = detail;
+  FailAttempt(ctx, exchange, failed);
+}
+
 void FailAttempt(const StepContext& ctx,
                  Exchange* exchange,
-                 AttemptFailure failure,
-                 const std::string& detail) {
+                 const AttemptFailed& failed) {
   ServingState& state = *ctx.state;
+  const AttemptFailure failure = failed.failure;
+  const std::string& detail = failed.detail;
   const std::string target = exchange->attempt.target;
   const bool was_suspect = exchange->route.suspect;
   if (HasAllTokens(*exchange)) {
     FinishCompleted(ctx, exchange, "length");
-    NoteFailedTarget(ctx, target, failure);
+    NoteFailedTarget(ctx, target, failed);
     return;
   }
   LeaveTarget(ctx, exchange, Duration(-1));
-  NoteFailedTarget(ctx, target, failure);
+  NoteFailedTarget(ctx, target, failed);
   if (!NothingRan(failure)) {
     exchange->maybe_ran = true;
   }
-  if (failure == AttemptFailure::kConnectionLost &&
+  if (failure == AttemptFailure::kConnectionLost && !failed.target_alive &&
       NoteTargetLost(ctx, exchange, target, was_suspect)) {
     return;
   }
@@ -195,7 +208,7 @@
     EnqueueExchange(ctx, exchange);
     return;
   }
-  FailAttempt(ctx, exchange, event.failure, event.detail);
+  FailAttempt(ctx, exchange, event);
 }
 
 void OnPlainAnswered(const StepContext& ctx, const PlainAnswered& event) {
--- a/src/serving/deadlines.cc
+++ b/src/serving/deadlines.cc
@@ -82,9 +82,7 @@
     if (stalled <= ctx.now) {
       ctx.Log(kLogStreamStalled,
               absl::StrCat(attempt.event_id, " at ", attempt.target));
-      ctx.Emit(CancelAttempt{exchange->id, attempt.number, attempt.target,
-                             attempt.address});
-      FailAttempt(ctx, exchange, AttemptFailure::kMalformed, "stalled");
+      FailMalformed(ctx, exchange, "stalled");
       return TimePoint::max();
     }
     next = std::min(next, stalled);
--- a/src/serving/serving_state.h
+++ b/src/serving/serving_state.h
@@ -177,11 +177,14 @@
 void LeaveTarget(const StepContext& ctx,
                  Exchange* exchange,
                  Duration first_token);
-// Ends the attempt that failed with `failure` and retries or refuses.
+// Ends the attempt in flight and retries or refuses.
 void FailAttempt(const StepContext& ctx,
                  Exchange* exchange,
-                 AttemptFailure failure,
-                 const std::string& detail);
+                 const AttemptFailed& failed);
+// Fails the attempt because of what its answer did or did not hold.
+void FailMalformed(const StepContext& ctx,
+                   Exchange* exchange,
+                   const std::string& detail);
 // Cancels the attempt in flight and queues the rest for another target. A
 // planned move is not charged to the retry budget.
 void MoveElsewhere(const StepContext& ctx, Exchange* exchange);
--- a/src/serving/stream_tracking.cc
+++ b/src/serving/stream_tracking.cc
@@ -47,10 +47,7 @@
   if (event.index > next || event.index < 0) {
     ctx.Log(kLogIndexJump, absl::StrCat(exchange->attempt.event_id, " index ",
                                         event.index, " instead of ", next));
-    ctx.Emit(CancelAttempt{exchange->id, exchange->attempt.number,
-                           exchange->attempt.target,
-                           exchange->attempt.address});
-    FailAttempt(ctx, exchange, AttemptFailure::kMalformed, "index jump");
+    FailMalformed(ctx, exchange, "index jump");
     DispatchQueued(ctx);
     return;
   }
