--- a/src/routing/candidate_estimate.h
+++ b/src/routing/candidate_estimate.h
@@ -9,6 +9,8 @@
 
 namespace endiveyard {
 
+inline constexpr int64_t kTokensPerBlock = kPromptBlockBytes / kBytesPerToken;
+
 // Tokens that wait for prefill on the target at `now`, as estimated from its
 // last report, the own work since and the learnt prefill rate. O(1).
 double QueuedTokens(const Target& target, TimePoint now);
@@ -18,14 +20,26 @@
 int RunningSequences(const Target& target);
 
 // Prompt tokens that the target has to compute for `request`, given the
-// number of leading blocks in its cache.
-int64_t UncachedTokens(const RouteRequest& request, int cached_blocks);
-
-// Terms of the first-token time of `request` on the target. Does not fill
-// the names. O(1).
+// number of leading tokens in its cache.
+int64_t UncachedTokens(const RouteRequest& request, int64_t cached_tokens);
+
+// Average over the candidates of one decision, which stand for all targets
+// that could take the request.
+struct PeerLoad {
+  int targets = 0;
+  double queued_tokens = 0;  // as reported
+  double busy_share = 0;     // share of time with a prefill queue
+};
+
+// Adds one target to the average. O(1).
+void AddToPeerLoad(const Target& target, PeerLoad* peers);
+
+// Terms of the first-token time of `request` on the target, and the delay of
+// other requests. Does not fill the names. O(1).
 RouteCandidate EstimateCandidate(const Target& target,
                                  const RouteRequest& request,
                                  int cached_blocks,
+                                 const PeerLoad& peers,
                                  const TargetRouterOptions& options,
                                  TimePoint now);
 
--- a/src/routing/target_view.h
+++ b/src/routing/target_view.h
@@ -57,6 +57,7 @@
   bool leaving = false;
   bool draining = false;
   bool lost = false;
+  TimePoint lost_at;
   TimePoint retry_at;  // a lost target opens again
   bool open = false;   // in the open part of its buckets
   uint8_t stale_reports = 0;
@@ -71,6 +72,9 @@
   double backlog_tokens = 0;
   TimePoint backlog_at;
   double seconds_per_token = 0;
+  // Share of time with a prefill queue, from the reports.
+  double busy_share = 0;
+  TimePoint reported_at;
   std::vector<InFlightAttempt> in_flight;
   std::vector<Membership> memberships;
 };
