--- a/benchmark/admission_benchmark.cc
+++ b/benchmark/admission_benchmark.cc
@@ -24,7 +24,7 @@
 }
 
 // One request enters and one leaves, with `waiting` requests of `houses`.
-void BM_EnqueueAndTake(benchmark::State& state) {
+void BenchmarkEnqueueAndTake(benchmark::State& state) {
   FairQueue queue;
   const int houses = static_cast<int>(state.range(0));
   uint64_t id = 0;
@@ -39,14 +39,14 @@
     Take(&queue, *NextCandidate(&queue));
   }
 }
-BENCHMARK(BM_EnqueueAndTake)
+BENCHMARK(BenchmarkEnqueueAndTake)
     ->Args({2, 0})
     ->Args({2, 100})
     ->Args({2, 10000})
     ->Args({100, 10000});
 
 // Decision to refuse early: bound, requests ahead and estimated wait.
-void BM_RefusalDecision(benchmark::State& state) {
+void BenchmarkRefusalDecision(benchmark::State& state) {
   FairQueue queue;
   WaitEstimate wait;
   const TimePoint now = TimePointFromMicros(1000000);
@@ -63,9 +63,9 @@
     benchmark::DoNotOptimize(RetryAfter(EstimateWait(wait, ahead, now), ahead));
   }
 }
-BENCHMARK(BM_RefusalDecision)->Arg(10)->Arg(256)->Arg(1000);
+BENCHMARK(BenchmarkRefusalDecision)->Arg(10)->Arg(256)->Arg(1000);
 
-void BM_NoteLatency(benchmark::State& state) {
+void BenchmarkNoteLatency(benchmark::State& state) {
   ConcurrencyLimit limit = MakeConcurrencyLimit(32, TimePointFromMicros(0));
   int64_t now = 0;
   for (auto _ : state) {
@@ -75,16 +75,16 @@
   }
   benchmark::DoNotOptimize(limit);
 }
-BENCHMARK(BM_NoteLatency);
+BENCHMARK(BenchmarkNoteLatency);
 
-void BM_RetryBudget(benchmark::State& state) {
+void BenchmarkRetryBudget(benchmark::State& state) {
   RetryBudget budget;
   for (auto _ : state) {
     EarnFromFirstAttempt(&budget);
     benchmark::DoNotOptimize(SpendRetry(&budget));
   }
 }
-BENCHMARK(BM_RetryBudget);
+BENCHMARK(BenchmarkRetryBudget);
 
 }  // namespace
 }  // namespace endiveyard
--- a/benchmark/retry_experiment.cc
+++ b/benchmark/retry_experiment.cc
@@ -114,7 +114,7 @@
        start += kTicksPerSecond / 10) {
     int sum = 0;
     for (int i = 0; i < kTicksPerSecond; ++i) {
-      sum += answered_at[static_cast<size_t>(start + i)];
+      sum += answered_at.at(start + i);
     }
     if (sum >= needed) {
       outcome.recover_seconds =
--- a/benchmark/serving_benchmark.cc
+++ b/benchmark/serving_benchmark.cc
@@ -147,7 +147,7 @@
 }
 
 // One token event of a stream.
-void BM_Token(benchmark::State& state) {
+void BenchmarkToken(benchmark::State& state) {
   OpenStreams streams(static_cast<int>(state.range(0)),
                       static_cast<int>(state.range(1)),
                       2 * static_cast<int>(state.range(1)));
@@ -155,11 +155,11 @@
     streams.Token();
   }
 }
-BENCHMARK(BM_Token)->Apply(Fleets);
+BENCHMARK(BenchmarkToken)->Apply(Fleets);
 
 // A whole request apart from its tokens: arrival with a prompt of 4 KiB,
 // choice of a target, first token, end.
-void BM_Request(benchmark::State& state) {
+void BenchmarkRequest(benchmark::State& state) {
   OpenStreams streams(static_cast<int>(state.range(0)),
                       static_cast<int>(state.range(1)),
                       2 * static_cast<int>(state.range(1)));
@@ -169,20 +169,20 @@
     streams.Finish();
   }
 }
-BENCHMARK(BM_Request)->Apply(Fleets);
+BENCHMARK(BenchmarkRequest)->Apply(Fleets);
 
 // One tick every 100 ms in which no timer is due.
-void BM_IdleTick(benchmark::State& state) {
+void BenchmarkIdleTick(benchmark::State& state) {
   OpenStreams streams(800, static_cast<int>(state.range(0)),
                       2 * static_cast<int>(state.range(0)));
   for (auto _ : state) {
     streams.Advance(Duration(0));
   }
 }
-BENCHMARK(BM_IdleTick)->Arg(10)->Arg(1000)->Arg(10000);
+BENCHMARK(BenchmarkIdleTick)->Arg(10)->Arg(1000)->Arg(10000);
 
 // Heap bytes for each open stream with `range(0)` delivered tokens.
-void BM_BytesPerStream(benchmark::State& state) {
+void BenchmarkBytesPerStream(benchmark::State& state) {
   constexpr int kStreams = 10000;
   for (auto _ : state) {
     OpenStreams streams(12, 0, 2 * kStreams);
@@ -201,7 +201,7 @@
         static_cast<double>(mallinfo2().uordblks - before) / kStreams;
   }
 }
-BENCHMARK(BM_BytesPerStream)->Arg(1)->Arg(64)->Arg(256)->Iterations(1);
+BENCHMARK(BenchmarkBytesPerStream)->Arg(1)->Arg(64)->Arg(256)->Iterations(1);
 
 }  // namespace
 }  // namespace endiveyard
