Do not take a pause of the process for stalled streams

Cause: after a pause of 2 s or more the first tick found every open stream silent and moved all of them, although their events waited in the buffers. The retry budget would have refused most of them. Change: a distance of 1 s between two ticks restarts the stall bound. A prefill attempt hands over only when it finished for length.

--- a/src/serving/attempt_end.cc
+++ b/src/serving/attempt_end.cc
@@ -176,7 +176,9 @@
     exchange->prompt_tokens = event.prompt_tokens;
   }
   const RunningAttempt& attempt = exchange->attempt;
-  const bool more = attempt.prefill_only && event.finish_reason != "stop" &&
+  // A prefill attempt is limited to one token; any other reason to finish ends
+  // the whole answer.
+  const bool more = attempt.prefill_only && event.finish_reason == "length" &&
                     exchange->delivered.size() < exchange->max_tokens;
   if (!more) {
     FinishCompleted(ctx, exchange, event.finish_reason);
--- a/src/serving/deadlines.cc
+++ b/src/serving/deadlines.cc
@@ -13,6 +13,10 @@
 // Interval at which a request on a drained target looks for another one.
 constexpr Duration kMoveRetryInterval = std::chrono::seconds(1);
 
+// Ticks come every few tens of milliseconds; a gap this long means that the
+// process was paused or starved.
+constexpr Duration kPause = std::chrono::seconds(1);
+
 void OnDeadline(const StepContext& ctx, Exchange* exchange) {
   switch (exchange->state) {
     case ExchangeState::kIntentPending:
@@ -75,10 +79,12 @@
   const RunningAttempt& attempt = exchange->attempt;
   TimePoint next = exchange->deadline;
   if (exchange->kind != RequestKind::kPlain) {
+    // During a pause of this process events wait in its buffers. Counting the
+    // pause as silence would move all open streams at once.
     const TimePoint stalled =
-        attempt.last_event + (attempt.first_token < Duration(0)
-                                  ? attempt.first_event_bound
-                                  : ctx.state->policy->stall_bound);
+        std::max(attempt.last_event, ctx.state->resumed_at) +
+        (attempt.first_token < Duration(0) ? attempt.first_event_bound
+                                           : ctx.state->policy->stall_bound);
     if (stalled <= ctx.now) {
       ctx.Log(kLogStreamStalled,
               absl::StrCat(attempt.event_id, " at ", attempt.target));
@@ -106,6 +112,14 @@
 
 }  // namespace
 
+void NoteTick(const StepContext& ctx) {
+  ServingState& state = *ctx.state;
+  if (state.last_tick != TimePoint() && ctx.now - state.last_tick >= kPause) {
+    state.resumed_at = ctx.now;
+  }
+  state.last_tick = ctx.now;
+}
+
 void ArmTimer(const StepContext& ctx, Exchange* exchange, TimePoint at) {
   if (at < exchange->timer_at) {
     exchange->timer_at = at;
--- a/src/serving/serving_core.cc
+++ b/src/serving/serving_core.cc
@@ -84,6 +84,7 @@
     }
   }
   void operator()(const Tick&) const {
+    NoteTick(ctx);
     FireTimers(ctx);
     SweepSuspects(ctx);
     UnblockAll(&ctx.state->queue);
--- a/src/serving/serving_state.h
+++ b/src/serving/serving_state.h
@@ -138,6 +138,8 @@
   std::unordered_set<ExchangeId> suspects;  // open exchanges
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
   TimePoint next_sweep;
+  TimePoint last_tick;
+  TimePoint resumed_at;  // end of the last pause of this process
   ServingCounters counters;
 };
 
@@ -234,6 +236,8 @@
 // deadlines.cc
 void ArmTimer(const StepContext& ctx, Exchange* exchange, TimePoint at);
 void FireTimers(const StepContext& ctx);
+// Notices from the distance of two ticks that this process was paused.
+void NoteTick(const StepContext& ctx);
 
 // exchange_end.cc
 void OnCallerGone(const StepContext& ctx, const CallerGone& event);
