--- a/src/serving/serving_state.h
+++ b/src/serving/serving_state.h
@@ -138,6 +138,8 @@
   std::unordered_set<ExchangeId> suspects;  // open exchanges
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
   TimePoint next_sweep;
+  TimePoint last_tick;
+  TimePoint resumed_at;  // end of the last pause of this process
   ServingCounters counters;
 };
 
@@ -177,11 +179,14 @@
 void LeaveTarget(const StepContext& ctx,
                  Exchange* exchange,
                  Duration first_token);
-// Ends the attempt that failed with `failure` and retries or refuses.
+// Ends the attempt in flight and retries or refuses.
 void FailAttempt(const StepContext& ctx,
                  Exchange* exchange,
-                 AttemptFailure failure,
-                 const std::string& detail);
+                 const AttemptFailed& failed);
+// Fails the attempt because of what its answer did or did not hold.
+void FailMalformed(const StepContext& ctx,
+                   Exchange* exchange,
+                   const std::string& detail);
 // Cancels the attempt in flight and queues the rest for another target. A
 // planned move is not charged to the retry budget.
 void MoveElsewhere(const StepContext& ctx, Exchange* exchange);
@@ -231,6 +236,8 @@
 // deadlines.cc
 void ArmTimer(const StepContext& ctx, Exchange* exchange, TimePoint at);
 void FireTimers(const StepContext& ctx);
+// Notices from the distance of two ticks that this process was paused.
+void NoteTick(const StepContext& ctx);
 
 // exchange_end.cc
 void OnCallerGone(const StepContext& ctx, const CallerGone& event);
