Add at-most-once bookings on the sequenced log

Cause: an order, kiln slot or lane booking must not run twice, whichever instances get the request and its repeats. Change: StepBookings() keeps the records of one of 16 shards. An intent holds its key only if no earlier record stands against it in the order of the log; only then may its process dispatch, once. Only the writer of an intent can close it. A repeat whose key another instance holds open is answered after the log was read again. An intent that is not committed by the deadline is abandoned: the answer is "not run", and if it turns out to be in the log it is closed as not run. object_api has the calls of a log and of a truncation.

--- /dev/null
+++ b/include/endiveyard/object_api/log_calls.h
@@ -0,0 +1,34 @@
+#ifndef ENDIVEYARD_OBJECT_API_LOG_CALLS_H_
+#define ENDIVEYARD_OBJECT_API_LOG_CALLS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "endiveyard/base/time_point.h"
+#include "endiveyard/object_api/object_api.h"
+#include "endiveyard/object_log/object_log.h"
+
+namespace endiveyard {
+
+// Carry out the calls of a sequenced log. Each blocks for up to `timeout` and
+// returns the event to pass to StepLog().
+LogCreateDone RunLogCall(ObjectApi* api,
+                         const CreateLogEntry& call,
+                         Duration timeout);
+LogEntriesRead RunLogCall(ObjectApi* api,
+                          const ReadLogEntries& call,
+                          Duration timeout);
+LogFloorRead RunLogCall(ObjectApi* api,
+                        const ReadLogFloor& call,
+                        Duration timeout);
+
+// Runs one truncation; see StepTruncation(). Returns false when it has to be
+// repeated. Blocks for up to 104 calls.
+bool RunTruncation(ObjectApi* api,
+                   const std::string& log,
+                   uint64_t through,
+                   Duration timeout);
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_OBJECT_API_LOG_CALLS_H_
--- /dev/null
+++ b/src/bookings/booking_record.cc
@@ -0,0 +1,177 @@
+#include "endiveyard/bookings/booking_record.h"
+
+#include <cctype>
+#include <charconv>
+
+#include "endiveyard/base/digest.h"
+
+namespace endiveyard {
+namespace {
+
+constexpr char kHexDigits[] = "0123456789abcdef";
+constexpr size_t kHexWidth = 16;
+
+std::string Hex(uint64_t number) {
+  std::string out(kHexWidth, '0');
+  for (size_t i = kHexWidth; i > 0 && number != 0; --i) {
+    out[i - 1] = kHexDigits[number & 0xf];
+    number >>= 4;
+  }
+  return out;
+}
+
+template <typename T>
+bool ParseNumber(std::string_view text, int base, T* number) {
+  const auto result =
+      std::from_chars(text.data(), text.data() + text.size(), *number, base);
+  return result.ec == std::errc() && result.ptr == text.data() + text.size();
+}
+
+// Escapes what is not printable ASCII, so that a body of any bytes fits into
+// one line of a JSON string.
+std::string Escape(std::string_view text) {
+  std::string out;
+  out.reserve(text.size());
+  for (char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte <= ' ' || byte > '~' || c == '%') {
+      out.push_back('%');
+      out.push_back(kHexDigits[byte >> 4]);
+      out.push_back(kHexDigits[byte & 0xf]);
+    } else {
+      out.push_back(c);
+    }
+  }
+  return out;
+}
+
+bool Unescape(std::string_view text, std::string* out) {
+  out->clear();
+  out->reserve(text.size());
+  for (size_t i = 0; i < text.size(); ++i) {
+    if (text[i] != '%') {
+      out->push_back(text[i]);
+      continue;
+    }
+    unsigned char byte = 0;
+    if (i + 2 >= text.size() ||
+        !ParseNumber(text.substr(i + 1, 2), 16, &byte)) {
+      return false;
+    }
+    out->push_back(static_cast<char>(byte));
+    i += 2;
+  }
+  return true;
+}
+
+// Cuts the text up to `end` off `rest`.
+std::string_view Cut(std::string_view* rest, char end) {
+  const size_t n = rest->find(end);
+  const std::string_view part = rest->substr(0, n);
+  *rest = n == std::string_view::npos ? "" : rest->substr(n + 1);
+  return part;
+}
+
+bool ParseLine(std::string_view text, BookingLine* line) {
+  const std::string_view kind = Cut(&text, ' ');
+  const std::string_view key = Cut(&text, ' ');
+  if (key.size() != 2 * kHexWidth ||
+      !ParseNumber(key.substr(0, kHexWidth), 16, &line->key.high) ||
+      !ParseNumber(key.substr(kHexWidth), 16, &line->key.low) ||
+      !ParseNumber(Cut(&text, ' '), 10, &line->intent)) {
+    return false;
+  }
+  if (kind == "I") {
+    line->kind = BookingLineKind::kIntent;
+    return ParseNumber(text, 16, &line->fingerprint);
+  }
+  if (kind == "N") {
+    line->kind = BookingLineKind::kNotRun;
+    return text.empty();
+  }
+  line->kind = BookingLineKind::kResult;
+  if (kind == "X") {
+    return text.empty();
+  }
+  line->stored = true;
+  return kind == "R" && ParseNumber(Cut(&text, ' '), 10, &line->status) &&
+         Unescape(Cut(&text, ' '), &line->content_type) &&
+         Unescape(text, &line->body);
+}
+
+}  // namespace
+
+BookingKey MakeBookingKey(std::string_view house, std::string_view key) {
+  // The length keeps ("a", "bc") apart from ("ab", "c").
+  std::string text = std::to_string(house.size());
+  text.push_back(':');
+  text.append(house).append(key);
+  const std::string hex = Sha256Hex(text);
+  const std::string_view view(hex);
+  BookingKey out;
+  ParseNumber(view.substr(0, kHexWidth), 16, &out.high);
+  ParseNumber(view.substr(kHexWidth, kHexWidth), 16, &out.low);
+  return out;
+}
+
+int BookingShardOf(const BookingKey& key) {
+  return static_cast<int>(key.high % kBookingShards);
+}
+
+std::string BookingLogName(int shard) {
+  std::string digits = std::to_string(shard);
+  return "bookings/" + std::string(digits.size() < 2 ? "0" : "") + digits;
+}
+
+std::string FormatBookingLine(const BookingLine& line) {
+  std::string out;
+  const auto add = [&](std::string_view kind) {
+    out.append(kind).append(" ");
+    out.append(Hex(line.key.high)).append(Hex(line.key.low)).append(" ");
+    out.append(std::to_string(line.intent));
+  };
+  switch (line.kind) {
+    case BookingLineKind::kIntent:
+      add("I");
+      out.append(" ").append(Hex(line.fingerprint));
+      break;
+    case BookingLineKind::kNotRun:
+      add("N");
+      break;
+    case BookingLineKind::kResult:
+      add(line.stored ? "R" : "X");
+      if (line.stored) {
+        out.append(" ").append(std::to_string(line.status)).append(" ");
+        out.append(Escape(line.content_type)).append(" ");
+        out.append(Escape(line.body));
+      }
+      break;
+  }
+  return out;
+}
+
+std::string FormatBookingBatch(int64_t wall_ms,
+                               const std::vector<std::string>& lines) {
+  std::string out = std::to_string(wall_ms);
+  for (const std::string& it : lines) {
+    out.append("\n").append(it);
+  }
+  return out;
+}
+
+bool ParseBookingBatch(std::string_view payload, BookingBatch* batch) {
+  batch->lines.clear();
+  if (!ParseNumber(Cut(&payload, '\n'), 10, &batch->wall_ms)) {
+    return false;
+  }
+  while (!payload.empty()) {
+    BookingLine line;
+    if (!ParseLine(Cut(&payload, '\n'), &line)) {
+      return false;
+    }
+    batch->lines.push_back(std::move(line));
+  }
+  return true;
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/object_api/log_calls.cc
@@ -0,0 +1,128 @@
+#include "endiveyard/object_api/log_calls.h"
+
+#include <utility>
+
+#include "endiveyard/object_log/log_truncation.h"
+
+namespace endiveyard {
+namespace {
+
+TruncationEvent RunCall(ObjectApi* api,
+                        const ReadFloorObject& call,
+                        Duration timeout) {
+  const auto object = api->Get(call.key, timeout);
+  FloorObjectRead event;
+  event.ok = object.ok();
+  if (object.ok() && object->has_value()) {
+    event.version = (*object)->version;
+    event.value = (*object)->value;
+  }
+  return event;
+}
+
+TruncationEvent RunCall(ObjectApi* api,
+                        const WriteFloorObject& call,
+                        Duration timeout) {
+  const WriteResult result =
+      api->PutIf(call.key, call.value, call.if_version, timeout);
+  return FloorObjectWritten{result.outcome == WriteOutcome::kApplied,
+                            result.version};
+}
+
+TruncationEvent RunCall(ObjectApi* api,
+                        const ListLogEntries& call,
+                        Duration timeout) {
+  const auto list = api->List(call.prefix, timeout);
+  LogEntriesListed event;
+  event.ok = list.ok();
+  if (list.ok()) {
+    for (const StoredObject& it : list->items) {
+      event.versions.emplace_back(it.key, it.version);
+    }
+  }
+  return event;
+}
+
+TruncationEvent RunCall(ObjectApi* api,
+                        const DeleteLogEntry& call,
+                        Duration timeout) {
+  const WriteResult result = api->Delete(call.key, call.version, timeout);
+  // A conflict with no version: another instance has deleted it.
+  return LogEntryDeleted{
+      result.outcome == WriteOutcome::kApplied ||
+      (result.outcome == WriteOutcome::kConflict && result.version == 0)};
+}
+
+TruncationEvent RunCall(ObjectApi* /*api*/,
+                        const TruncationEnded& /*call*/,
+                        Duration /*timeout*/) {
+  return TruncationStarted{};  // not reached
+}
+
+}  // namespace
+
+LogCreateDone RunLogCall(ObjectApi* api,
+                         const CreateLogEntry& call,
+                         Duration timeout) {
+  const WriteResult result = api->PutIf(call.key, call.value, 0, timeout);
+  switch (result.outcome) {
+    case WriteOutcome::kApplied:
+      return {LogCreateResult::kCreated};
+    case WriteOutcome::kConflict:
+      return {LogCreateResult::kExists};
+    case WriteOutcome::kUnavailable:
+    case WriteOutcome::kRateLimited:
+      return {LogCreateResult::kNotWritten, result.retry_after};
+    case WriteOutcome::kRejected:
+      return {LogCreateResult::kInvalid};
+    case WriteOutcome::kOutcomeUnknown:
+      break;
+  }
+  return {LogCreateResult::kUnknown};
+}
+
+LogEntriesRead RunLogCall(ObjectApi* api,
+                          const ReadLogEntries& call,
+                          Duration timeout) {
+  auto list = api->List(call.prefix, timeout);
+  LogEntriesRead event;
+  event.ok = list.ok();
+  if (list.ok()) {
+    for (StoredObject& it : list->items) {
+      event.items.push_back({std::move(it.key), std::move(it.value)});
+    }
+  }
+  return event;
+}
+
+LogFloorRead RunLogCall(ObjectApi* api,
+                        const ReadLogFloor& call,
+                        Duration timeout) {
+  const auto object = api->Get(call.key, timeout);
+  if (!object.ok()) {
+    return {};
+  }
+  LogFloor floor;
+  if (object->has_value() && !ParseLogFloor((*object)->value, &floor)) {
+    return {};
+  }
+  return {true, floor.floor};
+}
+
+bool RunTruncation(ObjectApi* api,
+                   const std::string& log,
+                   uint64_t through,
+                   Duration timeout) {
+  TruncationState state;
+  state.log = log;
+  state.through = through;
+  TruncationAction action = StepTruncation(&state, TruncationStarted{});
+  while (std::get_if<TruncationEnded>(&action) == nullptr) {
+    const TruncationEvent event = std::visit(
+        [&](const auto& it) { return RunCall(api, it, timeout); }, action);
+    action = StepTruncation(&state, event);
+  }
+  return std::get<TruncationEnded>(action).ok;
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/tests/bookings/booking_shard_test.cc
@@ -0,0 +1,327 @@
+#include "endiveyard/bookings/booking_shard.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "endiveyard/object_api/fake_object_api.h"
+#include "endiveyard/object_api/log_calls.h"
+
+namespace endiveyard {
+namespace {
+
+namespace data = boost::unit_test::data;
+
+constexpr Duration kTimeout = std::chrono::seconds(2);
+constexpr int64_t kDayMs = 24LL * 3600 * 1000;
+
+// One shard of one process over the fake API. Retries run when time passes.
+class Instance {
+ public:
+  Instance(FakeObjectApi* api, const std::string& writer)
+      : api_(api), shard(MakeBookingShard(0, writer, BookingLimits())) {}
+
+  void Pass(Duration step) {
+    api_->Advance(step);
+    if (retry_) {
+      retry_ = false;
+      Run(LogEvent(LogRetryDue{}));
+    }
+    Run(BookingTick{});
+  }
+
+  // Commits an intent and returns the answer given so far, if any.
+  IntentResolved* Commit(const std::string& key, uint64_t fingerprint = 1) {
+    CommitIntent intent;
+    intent.exchange = ++last_exchange_;
+    intent.house = "h";
+    intent.key = key;
+    intent.fingerprint = fingerprint;
+    intent.give_up = api_->now() + std::chrono::seconds(30);
+    Run(intent);
+    return Last();
+  }
+
+  IntentResolved* Last() {
+    for (IntentResolved& it : resolved) {
+      if (it.exchange == last_exchange_) {
+        return &it;
+      }
+    }
+    return nullptr;
+  }
+
+  void Record(const std::string& key, bool ran, const std::string& body) {
+    RecordOutcome outcome;
+    outcome.house = "h";
+    outcome.key = key;
+    outcome.ran = ran;
+    outcome.status = 201;
+    outcome.content_type = "text/plain";
+    outcome.body = body;
+    Run(outcome);
+  }
+
+  std::vector<IntentResolved> resolved;
+
+ private:
+  void Run(const BookingEvent& event) {
+    const BookingTime time = {
+        api_->now(), std::chrono::duration_cast<std::chrono::milliseconds>(
+                         api_->now().time_since_epoch())
+                         .count()};
+    for (BookingAction& it : StepBookings(&shard, event, time)) {
+      if (auto* answer = std::get_if<ResolveIntent>(&it)) {
+        resolved.push_back(answer->resolved);
+      } else if (auto* create = std::get_if<CreateLogEntry>(&it)) {
+        Run(LogEvent(RunLogCall(api_, *create, kTimeout)));
+      } else if (auto* read = std::get_if<ReadLogEntries>(&it)) {
+        Run(LogEvent(RunLogCall(api_, *read, kTimeout)));
+      } else if (auto* floor = std::get_if<ReadLogFloor>(&it)) {
+        Run(LogEvent(RunLogCall(api_, *floor, kTimeout)));
+      } else {
+        retry_ = true;
+      }
+    }
+  }
+
+  FakeObjectApi* api_;
+  bool retry_ = false;
+  ExchangeId last_exchange_ = 0;
+
+ public:
+  BookingShard shard;
+};
+
+constexpr Duration kStep = std::chrono::milliseconds(100);
+
+}  // namespace
+
+// Guards against bodies that break the format of the log.
+BOOST_AUTO_TEST_CASE(LinesRoundTrip) {
+  BookingLine line;
+  line.kind = BookingLineKind::kResult;
+  line.key = MakeBookingKey("house", "key");
+  line.intent = 12;
+  line.stored = true;
+  line.status = 200;
+  line.content_type = "a b;c=\"d\"";
+  line.body = std::string("x\n y\0%\xff\t", 8);
+  BookingLine intent;
+  intent.key = line.key;
+  intent.fingerprint = 0xfedcba9876543210;
+  BookingBatch batch;
+  BOOST_REQUIRE(ParseBookingBatch(
+      FormatBookingBatch(-5,
+                         {FormatBookingLine(line), FormatBookingLine(intent)}),
+      &batch));
+  BOOST_TEST(batch.wall_ms == -5);
+  BOOST_REQUIRE(batch.lines.size() == 2u);
+  BOOST_TEST((batch.lines[0].key == line.key));
+  BOOST_TEST(batch.lines[0].body == line.body);
+  BOOST_TEST(batch.lines[0].content_type == line.content_type);
+  BOOST_TEST(batch.lines[1].fingerprint == intent.fingerprint);
+  BOOST_TEST(!ParseBookingBatch("12\nZ zz", &batch));
+  BOOST_TEST(!(MakeBookingKey("a", "bc") == MakeBookingKey("ab", "c")));
+}
+
+// Guards against each wrong answer to a repeat, at the same instance.
+BOOST_AUTO_TEST_CASE(RepeatAtSameInstance) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  BOOST_TEST((a.Commit("k")->state == IntentState::kCommitted));
+  BOOST_TEST((a.Commit("k")->state == IntentState::kInProgress));
+  BOOST_TEST((a.Commit("k", 2)->state == IntentState::kKeyReused));
+  a.Pass(kStep);
+  a.Record("k", true, "done");
+  const IntentResolved* stored = a.Commit("k");
+  BOOST_REQUIRE((stored->state == IntentState::kStoredAnswer));
+  BOOST_TEST(stored->status == 201);
+  BOOST_TEST(stored->content_type == "text/plain");
+  BOOST_TEST(stored->body == "done");
+}
+
+// Guards against a second dispatch by another instance or a new incarnation.
+BOOST_AUTO_TEST_CASE(RepeatAtOtherInstance) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  Instance b(&api, "b.1");
+  BOOST_TEST((b.Commit("other")->state == IntentState::kCommitted));
+  BOOST_TEST((a.Commit("k")->state == IntentState::kCommitted));
+  BOOST_TEST(b.Commit("k") == nullptr);
+  b.Pass(kStep);
+  BOOST_TEST((b.Last()->state == IntentState::kUnknown));
+  Instance restarted(&api, "a.2");
+  BOOST_TEST((restarted.Commit("k")->state == IntentState::kUnknown));
+  a.Pass(kStep);
+  a.Record("k", true, "done");
+  // The result is read before the repeat is answered.
+  BOOST_TEST((b.Commit("k")->state == IntentState::kStoredAnswer));
+  BOOST_TEST((restarted.Commit("k")->state == IntentState::kStoredAnswer));
+}
+
+// Guards against a key that stays blocked although nothing was sent.
+BOOST_AUTO_TEST_CASE(NotRunAllowsRepeat) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  Instance b(&api, "b.1");
+  a.Commit("k");
+  a.Pass(kStep);
+  a.Record("k", false, "");
+  BOOST_TEST((b.Commit("k")->state == IntentState::kCommitted));
+  // Only the writer of an intent can close it.
+  a.Pass(kStep);
+  a.Record("k", false, "");
+  a.Pass(kStep);
+  BOOST_TEST((a.Commit("k")->state == IntentState::kUnknown));
+}
+
+const std::vector<std::string> kOutages = {"unavailable", "rate_limited",
+                                           "answer_lost_before_effect",
+                                           "answer_lost_after_effect"};
+
+// Guards against a request refused as "not run" that is dispatched later, and
+// against a refused key that never works again.
+BOOST_DATA_TEST_CASE(OutageIsRefusedInTime, data::make(kOutages), fault) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  a.Commit("first");
+  a.Pass(kStep);
+  FaultRule rule;
+  BOOST_REQUIRE(ParseObjectFault(fault, &rule.fault));
+  rule.count = 0;
+  api.AddFault(rule);
+  BOOST_TEST(a.Commit("k") == nullptr);
+  a.Pass(std::chrono::seconds(29));
+  BOOST_TEST(a.Last() == nullptr);
+  a.Pass(std::chrono::seconds(2));
+  BOOST_REQUIRE(a.Last() != nullptr);
+  BOOST_TEST((a.Last()->state == IntentState::kUnavailable));
+  api.ClearFaults();
+  for (int n = 0; n < 3; ++n) {
+    a.Pass(std::chrono::seconds(11));
+  }
+  BOOST_TEST(a.resolved.size() == 2u);
+  Instance b(&api, "b.1");
+  BOOST_TEST((b.Commit("k")->state == IntentState::kCommitted));
+  const auto list = api.List("bookings/00/", kTimeout);
+  std::string log;
+  for (const StoredObject& object : list->items) {
+    log += object.value + "\n";
+  }
+  const BookingKey key = MakeBookingKey("h", "k");
+  BookingLine not_run;
+  not_run.kind = BookingLineKind::kNotRun;
+  not_run.key = key;
+  not_run.intent = 2;
+  BOOST_TEST(log.find(FormatBookingLine(not_run)) != std::string::npos);
+}
+
+// Guards against a booking that waits for ever at a new process.
+BOOST_AUTO_TEST_CASE(OutageFromTheStart) {
+  FakeObjectApi api;
+  FaultRule rule;
+  rule.fault = ObjectFault::kUnavailable;
+  rule.count = 0;
+  api.AddFault(rule);
+  Instance a(&api, "a.1");
+  BOOST_TEST(a.Commit("k") == nullptr);
+  a.Pass(std::chrono::seconds(31));
+  BOOST_TEST((a.Last()->state == IntentState::kUnavailable));
+  api.ClearFaults();
+  a.Pass(std::chrono::seconds(11));
+  BOOST_TEST((a.Commit("k")->state == IntentState::kCommitted));
+}
+
+// Guards against a key that is forgotten early, and records kept for ever.
+BOOST_AUTO_TEST_CASE(KeysExpireAfterRetention) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  a.Commit("k");
+  a.Pass(kStep);
+  a.Record("k", true, "done");
+  a.Pass(std::chrono::hours(24) - std::chrono::minutes(1));
+  BOOST_TEST((a.Commit("k")->state == IntentState::kStoredAnswer));
+  a.Pass(std::chrono::minutes(2));
+  BOOST_TEST((a.Commit("k")->state == IntentState::kCommitted));
+  BOOST_TEST(TruncatableEntry(a.shard, kDayMs) == 0u);
+  a.Pass(std::chrono::hours(27));
+  BOOST_TEST(a.shard.records.empty());
+  BOOST_TEST(TruncatableEntry(a.shard, 54LL * 3600 * 1000) == 3u);
+  BOOST_TEST(RunTruncation(&api, "bookings/00", 3, kTimeout));
+  BOOST_TEST((a.Commit("k2")->state == IntentState::kCommitted));
+  Instance b(&api, "b.1");
+  BOOST_TEST((b.Commit("k2")->state == IntentState::kUnknown));
+  BOOST_TEST(b.shard.log.applied == 4u);
+}
+
+// Guards against a late record that closes the intent of another process, as
+// after a pause longer than the retention.
+BOOST_AUTO_TEST_CASE(LateOutcomeClosesOnlyItsOwnIntent) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  Instance b(&api, "b.1");
+  BOOST_TEST((a.Commit("k")->state == IntentState::kCommitted));
+  api.Advance(std::chrono::hours(25));
+  BOOST_TEST((b.Commit("k")->state == IntentState::kCommitted));
+  a.Pass(kStep);
+  a.Record("k", false, "");
+  a.Pass(kStep);
+  Instance c(&api, "c.1");
+  BOOST_TEST((c.Commit("k")->state == IntentState::kUnknown));
+}
+
+// Guards against more than one write per 50 ms and shard.
+BOOST_AUTO_TEST_CASE(IntentsAreBatched) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  a.Commit("k0");
+  const uint64_t before = api.calls(ObjectCall::kPut);
+  for (int n = 1; n <= 20; ++n) {
+    BOOST_TEST(a.Commit("k" + std::to_string(n)) == nullptr);
+  }
+  BOOST_TEST(api.calls(ObjectCall::kPut) == before);
+  a.Pass(std::chrono::milliseconds(50));
+  BOOST_TEST(api.calls(ObjectCall::kPut) == before + 1);
+  BOOST_TEST(a.resolved.size() == 21u);
+}
+
+// Guards against an answer too large for the log that blocks the shard.
+BOOST_AUTO_TEST_CASE(LargeAnswerIsNotStored) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  a.Commit("k");
+  a.Pass(kStep);
+  a.Record("k", true,
+           std::string(BookingLimits().max_stored_body_bytes + 1, '\n'));
+  BOOST_TEST((a.Commit("k")->state == IntentState::kUnknown));
+  for (int n = 0; n < 40; ++n) {
+    a.Commit("l" + std::to_string(n));
+  }
+  a.Pass(kStep);
+  for (int n = 0; n < 40; ++n) {
+    a.Record("l" + std::to_string(n), true,
+             std::string(BookingLimits().max_stored_body_bytes, '\n'));
+  }
+  for (int n = 0; n < 40; ++n) {
+    a.Pass(kStep);
+  }
+  BOOST_TEST((a.Commit("l0")->state == IntentState::kStoredAnswer));
+  BOOST_TEST((a.Commit("l39")->state == IntentState::kStoredAnswer));
+}
+
+// Guards against memory that grows without bound while the API is down.
+BOOST_AUTO_TEST_CASE(QueueIsBounded) {
+  FakeObjectApi api;
+  Instance a(&api, "a.1");
+  a.Commit("first");
+  const size_t limit = BookingLimits().max_queued_intents;
+  for (size_t n = 0; n < limit; ++n) {
+    BOOST_TEST(a.Commit("k" + std::to_string(n)) == nullptr);
+  }
+  BOOST_TEST((a.Commit("last")->state == IntentState::kUnavailable));
+}
+
+}  // namespace endiveyard
--- a/tests/object_log/object_log_exploration_test.cc
+++ b/tests/object_log/object_log_exploration_test.cc
@@ -8,6 +8,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "describe_log_state.h"
 #include "endiveyard/object_log/object_log.h"
 
 namespace endiveyard {
@@ -54,19 +55,7 @@
 std::string Describe(const World& world) {
   std::ostringstream out;
   for (const Node& it : world.nodes) {
-    const LogState& log = it.log;
-    out << log.writer << ',' << log.applied << ','
-        << (log.batch ? log.batch->id : 0) << ',' << static_cast<int>(log.wait)
-        << ',' << static_cast<int>(log.unconfirmed) << ',' << log.floor_needed
-        << log.read_needed << log.page_read << log.catching_up << ','
-        << log.maybe_written << ','
-        << (log.verified ? log.verified->time_since_epoch().count() : -1) << ','
-        << log.sent.time_since_epoch().count() << ','
-        << log.unconfirmed_since.time_since_epoch().count() << ','
-        << (log.collisions > 0);
-    for (const LogItem& item : log.unconfirmed_items) {
-      out << '[' << item.key << item.value << ']';
-    }
+    out << DescribeLogState(it.log);
     out << '|' << it.open << it.key << it.value << '|' << it.ready_text << '|'
         << it.appended << it.restore << ';';
   }
