Add booking service

Cause: the serving thread must not wait for the object API. It takes intents and outcomes from a bounded ring with room for the outcome of each open intent, so Record() never waits, makes one object API call at a time in turn of the shards, truncates expired entries between other calls, and writes recorded outcomes before a graceful stop.

--- a/include/endiveyard/object_api/log_calls.h
+++ b/include/endiveyard/object_api/log_calls.h
@@ -6,6 +6,7 @@
 
 #include "endiveyard/base/time_point.h"
 #include "endiveyard/object_api/object_api.h"
+#include "endiveyard/object_log/log_truncation.h"
 #include "endiveyard/object_log/object_log.h"
 
 namespace endiveyard {
@@ -22,6 +23,11 @@
                         const ReadLogFloor& call,
                         Duration timeout);
 
+// The same for StepTruncation(). Precondition: not TruncationEnded.
+TruncationEvent RunTruncationCall(ObjectApi* api,
+                                  const TruncationAction& call,
+                                  Duration timeout);
+
 // Runs one truncation; see StepTruncation(). Returns false when it has to be
 // repeated. Blocks for up to 104 calls.
 bool RunTruncation(ObjectApi* api,
--- a/src/object_api/log_calls.cc
+++ b/src/object_api/log_calls.cc
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "endiveyard/object_log/log_truncation.h"
-
 namespace endiveyard {
 namespace {
 
@@ -109,6 +107,13 @@
   return {true, floor.floor};
 }
 
+TruncationEvent RunTruncationCall(ObjectApi* api,
+                                  const TruncationAction& call,
+                                  Duration timeout) {
+  return std::visit([&](const auto& it) { return RunCall(api, it, timeout); },
+                    call);
+}
+
 bool RunTruncation(ObjectApi* api,
                    const std::string& log,
                    uint64_t through,
@@ -118,9 +123,7 @@
   state.through = through;
   TruncationAction action = StepTruncation(&state, TruncationStarted{});
   while (std::get_if<TruncationEnded>(&action) == nullptr) {
-    const TruncationEvent event = std::visit(
-        [&](const auto& it) { return RunCall(api, it, timeout); }, action);
-    action = StepTruncation(&state, event);
+    action = StepTruncation(&state, RunTruncationCall(api, action, timeout));
   }
   return std::get<TruncationEnded>(action).ok;
 }
--- /dev/null
+++ b/tests/bookings/booking_service_test.cc
@@ -0,0 +1,151 @@
+#include "endiveyard/bookings/booking_service.h"
+
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "endiveyard/object_api/fake_object_api.h"
+
+namespace endiveyard {
+namespace {
+
+// Ends each wait that no verdict depends on.
+constexpr Duration kLongTime = std::chrono::seconds(60);
+
+// Collects answers and waits for them.
+class Answers {
+ public:
+  void Add(const IntentResolved& resolved) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    ++count_[resolved.exchange];
+    last_[resolved.exchange] = resolved;
+    changed_.notify_all();
+  }
+  IntentResolved Wait(ExchangeId exchange) {
+    std::unique_lock<std::mutex> lock(mutex_);
+    changed_.wait(lock, [&] { return count_[exchange] > 0; });
+    return last_[exchange];
+  }
+  int count(ExchangeId exchange) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return count_[exchange];
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<ExchangeId, int> count_;
+  std::map<ExchangeId, IntentResolved> last_;
+};
+
+struct Process {
+  Process(ObjectApi* api, const std::string& writer, size_t max_open = 4096)
+      : service(api,
+                &timers,
+                MakeOptions(writer, max_open),
+                [this](const IntentResolved& it) { answers.Add(it); }) {}
+
+  static BookingServiceOptions MakeOptions(const std::string& writer,
+                                           size_t max_open) {
+    BookingServiceOptions options;
+    options.writer = writer;
+    options.max_open_intents = max_open;
+    return options;
+  }
+
+  bool Commit(ExchangeId exchange, const std::string& key, Duration bound) {
+    CommitIntent intent;
+    intent.exchange = exchange;
+    intent.house = "h";
+    intent.key = key;
+    intent.fingerprint = 1;
+    intent.give_up = BootClock::now() + bound;
+    return service.Commit(intent);
+  }
+
+  void Record(const std::string& key, bool ran) {
+    RecordOutcome outcome;
+    outcome.house = "h";
+    outcome.key = key;
+    outcome.ran = ran;
+    outcome.status = 200;
+    outcome.body = "done";
+    service.Record(outcome);
+  }
+
+  TimerService timers;
+  Answers answers;
+  BookingService service;
+};
+
+}  // namespace
+
+// Guards against a repeat that runs, and a result lost by a graceful stop.
+BOOST_AUTO_TEST_CASE(StopWritesOutcomes) {
+  FakeObjectApi api;
+  Process a(&api, "a.1");
+  constexpr ExchangeId kRequests = 200;
+  for (ExchangeId n = 1; n <= kRequests; ++n) {
+    BOOST_TEST(a.Commit(n, "k" + std::to_string(n), kLongTime));
+  }
+  for (ExchangeId n = 1; n <= kRequests; ++n) {
+    BOOST_TEST((a.answers.Wait(n).state == IntentState::kCommitted));
+    a.Record("k" + std::to_string(n), true);
+  }
+  BOOST_TEST(a.service.Stop(kLongTime));
+  BOOST_TEST(!a.Commit(kRequests + 1, "late", kLongTime));
+  Process b(&api, "b.1");
+  for (ExchangeId n = 1; n <= kRequests; ++n) {
+    b.Commit(n, "k" + std::to_string(n), kLongTime);
+  }
+  for (ExchangeId n = 1; n <= kRequests; ++n) {
+    const IntentResolved answer = b.answers.Wait(n);
+    BOOST_TEST((answer.state == IntentState::kStoredAnswer));
+    BOOST_TEST(answer.body == "done");
+    BOOST_TEST(a.answers.count(n) == 1);
+  }
+}
+
+// Guards against a request that an outage leaves without an answer.
+BOOST_AUTO_TEST_CASE(OutageIsAnsweredByDeadline) {
+  FakeObjectApi api;
+  Process a(&api, "a.1");
+  FaultRule rule;
+  rule.fault = ObjectFault::kUnavailable;
+  rule.count = 0;
+  api.AddFault(rule);
+  a.Commit(1, "k", std::chrono::milliseconds(100));
+  BOOST_TEST((a.answers.Wait(1).state == IntentState::kUnavailable));
+  a.Commit(2, "k", kLongTime);
+  BOOST_TEST(a.service.Stop(Duration(0)));
+  BOOST_TEST((a.answers.Wait(2).state == IntentState::kUnavailable));
+  BOOST_TEST(a.answers.count(1) == 1);
+}
+
+// Guards against intents accepted without bound, and a count of open intents
+// that never falls.
+BOOST_AUTO_TEST_CASE(OpenIntentsAreBounded) {
+  FakeObjectApi api;
+  Process a(&api, "a.1", 2);
+  for (ExchangeId n = 1; n <= 5; ++n) {
+    const std::string key = "k" + std::to_string(n);
+    BOOST_REQUIRE(a.Commit(2 * n, key, kLongTime));
+    a.answers.Wait(2 * n);
+    BOOST_REQUIRE(a.Commit(2 * n + 1, key + "x", kLongTime));
+    a.answers.Wait(2 * n + 1);
+    BOOST_TEST(!a.Commit(100 + n, "more", kLongTime));
+    a.Record(key, true);
+    a.Record(key + "x", false);
+    // The repeat is answered behind the outcomes; while it is refused, the
+    // outcomes are still on their way.
+    while (!a.Commit(200 + n, key, kLongTime)) {
+      std::this_thread::yield();
+    }
+    a.answers.Wait(200 + n);
+  }
+}
+
+}  // namespace endiveyard
