--- a/include/endiveyard/fleet/configuration_replica.h
+++ b/include/endiveyard/fleet/configuration_replica.h
@@ -25,6 +25,9 @@
   Duration peer_settle = std::chrono::seconds(3);
   // Without a watch and without peers the log is polled.
   Duration poll_interval = std::chrono::seconds(4);
+  // Without a watch but with peers; finds edits even if every watcher of the
+  // fleet has stopped.
+  Duration slow_poll_interval = std::chrono::seconds(30);
   // A read without an answer counts as failed after this time.
   Duration read_timeout = std::chrono::seconds(5);
   // Failed reads are repeated with full jitter up to this time.
@@ -135,6 +138,7 @@
   std::optional<TimePoint> first_peer_contact;
   std::optional<TimePoint> read_sent;
   TimePoint next_read;
+  TimePoint last_read;
   bool read_due = false;
   uint32_t failed_reads = 0;
   uint64_t jitter_draws = 0;
--- a/src/fleet/configuration_editor.cc
+++ b/src/fleet/configuration_editor.cc
@@ -105,10 +105,14 @@
     if (!event.reachable) {
       Retry();
     } else if (event.truncated < state_.edit.version) {
-      End(EditOutcome::kAccepted, {});
+      if (state_.winner) {
+        Begin(EditorPhase::kReadingWinners);
+      } else {
+        End(EditOutcome::kAccepted, {});
+      }
     } else {
-      // Either the number was free only because the log was truncated, or
-      // the accepted entry was truncated before this check.
+      // The number was deleted and is free again, so the entry found there
+      // does not tell which edit became this version.
       End(EditOutcome::kUnknown,
           {absl::StrCat("the log was truncated through version ",
                         event.truncated, " while version ", state_.edit.version,
@@ -154,11 +158,11 @@
   void FoundEntry(const ConfigurationEdit& entry) {
     if (entry.edit_id == state_.edit.edit_id) {
       state_.may_exist = true;
-      Begin(EditorPhase::kCheckingTruncation);
     } else {
       state_.winner = entry;
-      Begin(EditorPhase::kReadingWinners);
     }
+    Begin(state_.may_exist ? EditorPhase::kCheckingTruncation
+                           : EditorPhase::kReadingWinners);
   }
 
   // Sends the call that belongs to `phase`.
@@ -200,7 +204,7 @@
   }
 
   void GiveUp() {
-    if (state_.winner) {
+    if (state_.phase == EditorPhase::kReadingWinners) {
       End(EditOutcome::kConflict,
           DescribeConflict(state_.base, state_.edit, {*state_.winner}));
       return;
--- a/src/fleet/configuration_replica.cc
+++ b/src/fleet/configuration_replica.cc
@@ -49,7 +49,7 @@
     // log does not have, and that was heard before the read, does not exist.
     state_.newest_heard = std::max(state_.version, state_.heard_since_read);
     state_.log_known = true;
-    state_.next_read = now_ + options_.poll_interval;
+    state_.last_read = now_;
     if (state_.newest_heard > state_.version) {
       RequestRead(now_ + Jitter(kFirstRetry));
     }
@@ -126,8 +126,10 @@
     }
     const bool has_peer =
         state_.peer_contact && now_ - *state_.peer_contact < kPeerSilence;
+    const Duration interval =
+        has_peer ? options_.slow_poll_interval : options_.poll_interval;
     if (!state_.read_due && !state_.read_sent && !state_.watching &&
-        !has_peer && now_ >= state_.next_read) {
+        now_ - state_.last_read >= interval) {
       RequestRead(now_);
     }
   }
