--- a/include/endiveyard/gateway/gateway.h
+++ b/include/endiveyard/gateway/gateway.h
@@ -18,7 +18,8 @@
 // Parts of the instance that the serving path hands work to. Called on the
 // serving thread; must not block.
 struct GatewayHooks {
-  std::function<void(const CommitIntent&)> commit_intent;
+  // Returns false when the intent was not accepted and never will be.
+  std::function<bool(const CommitIntent&)> commit_intent;
   std::function<void(const RecordOutcome&)> record_outcome;
   std::function<void(const AnnounceToPeers&)> announce;
   // Text of GET /status; called on a pool thread.
--- a/src/fleet/configuration_reader.cc
+++ b/src/fleet/configuration_reader.cc
@@ -1,6 +1,6 @@
 #include "fleet/configuration_reader.h"
 
-#define TOML_EXCEPTIONS 0
+
 #include <toml++/toml.h>
 
 #include <optional>
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -446,14 +446,15 @@
   }
 
   void Carry(const CommitIntent& action) {
-    if (hooks_.commit_intent) {
-      hooks_.commit_intent(action);
-    } else {
-      IntentResolved resolved;
-      resolved.exchange = action.exchange;
-      resolved.state = IntentState::kUnavailable;
-      serving_.TryPost(resolved);
+    if (hooks_.commit_intent && hooks_.commit_intent(action)) {
+      return;
     }
+    IntentResolved resolved;
+    resolved.exchange = action.exchange;
+    resolved.state = IntentState::kUnavailable;
+    // Does not wait, since this is the thread that empties the ring. If the
+    // ring is full, the request ends at its deadline.
+    serving_.TryPost(resolved);
   }
 
   void Carry(const RecordOutcome& action) {
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -1,10 +1,14 @@
 #include "endiveyard/instance/instance.h"
 
+#include <random>
 #include <string>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+
 #include "endiveyard/base/digest.h"
 #include "endiveyard/base/timer_service.h"
+#include "endiveyard/bookings/booking_service.h"
 #include "endiveyard/gateway/gateway.h"
 #include "endiveyard/instance/configuration_store.h"
 #include "endiveyard/object_api/http_object_api.h"
@@ -19,6 +23,7 @@
 
 constexpr std::chrono::milliseconds kReplicaTick(250);
 constexpr std::chrono::seconds kInstanceListInterval(1);
+constexpr std::chrono::seconds kBookingFlush(5);
 
 // "host:port" of "http://host:port".
 std::string AddressOf(const std::string& url) {
@@ -31,6 +36,15 @@
   return address;
 }
 
+// Names this process among all earlier ones, also after a restart with the
+// same instance id.
+std::string MakeIncarnation(const std::string& id) {
+  std::random_device device;
+  const uint64_t high = device();
+  const uint64_t low = device();
+  return absl::StrCat(id, "-", absl::Hex(high << 32 | low, absl::kZeroPad16));
+}
+
 }  // namespace
 
 class Instance::Impl {
@@ -50,7 +64,13 @@
             },
             [this](bool accepting, const std::string& reason) {
               gateway_.SetReady(accepting, reason);
-            }) {}
+            }),
+        bookings_(&api_,
+                  &timers_,
+                  MakeBookingOptions(),
+                  [this](IntentResolved resolved) {
+                    gateway_.Post(std::move(resolved));
+                  }) {}
 
   absl::Status Start() {
     gateway_.SetReady(false, "the configuration is being read");
@@ -86,6 +106,7 @@
       logger_.Log(kLogShutdownBoundPassed,
                   std::to_string(cut) + " requests cut");
     }
+    bookings_.Stop(kBookingFlush);
     timers_.Stop();
     watch_thread_->Stop();
     list_thread_->Stop();
@@ -100,8 +121,20 @@
     return options;
   }
 
+  BookingServiceOptions MakeBookingOptions() const {
+    BookingServiceOptions options;
+    options.writer = incarnation_;
+    return options;
+  }
+
   GatewayHooks Hooks() {
     GatewayHooks hooks;
+    hooks.commit_intent = [this](const CommitIntent& intent) {
+      return bookings_.Commit(intent);
+    };
+    hooks.record_outcome = [this](const RecordOutcome& outcome) {
+      bookings_.Record(outcome);
+    };
     hooks.status = [this] {
       return "{\"instance\":\"" + settings_.id() +
              "\",\"configuration_version\":" +
@@ -116,12 +149,14 @@
 
   const InstanceSettings settings_;
   const uint64_t seed_;
+  const std::string incarnation_ = MakeIncarnation(settings_.id());
   EventLogger logger_;
   Metrics metrics_;
   HttpObjectApi api_;
   Gateway gateway_;
   ConfigurationThread configuration_;
   TimerService timers_;
+  BookingService bookings_;
   std::unique_ptr<InstanceListThread> list_thread_;
   std::unique_ptr<LogWatchThread> watch_thread_;
 };
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -129,7 +129,7 @@
     resolved.exchange = intent.exchange;
     std::lock_guard<std::mutex> lock(shared->mutex);
     resolved.state = shared->intent_state;
-    shared->gateway->Post(resolved);
+    return shared->gateway->Post(resolved);
   };
   hooks.record_outcome = [shared = shared_](const RecordOutcome& outcome) {
     std::lock_guard<std::mutex> lock(shared->mutex);
