Finish writing answers before the listener closes

Cause: the shutdown test failed once under load (the stream lost its end) and another run crashed in the destructor. The wait between the end of an exchange and the closing of the listener was a fixed 100 ms, and tasks of the HTTP library called into a gateway that no longer existed. Change: answers being written are counted and waited for; callbacks go through a gate that the owner closes.

--- a/src/gateway/caller_exchange.cc
+++ b/src/gateway/caller_exchange.cc
@@ -23,9 +23,11 @@
 
 CallerExchange::CallerExchange(web::http::http_request http,
                                ServingRequest request,
+                               OpenReplies open_replies,
                                std::function<void()> on_gone)
     : http_(std::move(http)),
       request_(std::move(request)),
+      open_replies_(std::move(open_replies)),
       on_gone_(std::move(on_gone)),
       identity_(MakeIdentity(request_)) {}
 
@@ -97,13 +99,16 @@
 void CallerExchange::Reply(http_response response) {
   head_sent_ = true;
   response.headers().add("X-Request-Id", request_.request_id);
-  http_.reply(response).then([on_gone = on_gone_](pplx::task<void> task) {
-    try {
-      task.get();
-    } catch (const std::exception&) {
-      on_gone();
-    }
-  });
+  ++*open_replies_;
+  http_.reply(response).then(
+      [on_gone = on_gone_, open = open_replies_](pplx::task<void> task) {
+        try {
+          task.get();
+        } catch (const std::exception&) {
+          on_gone();
+        }
+        --*open;
+      });
 }
 
 }  // namespace endiveyard
--- a/src/gateway/caller_exchange.h
+++ b/src/gateway/caller_exchange.h
@@ -4,7 +4,9 @@
 #include <cpprest/http_msg.h>
 #include <cpprest/producerconsumerstream.h>
 
+#include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -13,6 +15,9 @@
 
 namespace endiveyard {
 
+// Answers that are being written to callers.
+using OpenReplies = std::shared_ptr<std::atomic<int>>;
+
 // Connection of one caller while its request is open. Used by the serving
 // thread only, once the request has been posted.
 class CallerExchange {
@@ -21,6 +26,7 @@
   // breaks before the answer is written.
   CallerExchange(web::http::http_request http,
                  ServingRequest request,
+                 OpenReplies open_replies,
                  std::function<void()> on_gone);
 
   const ServingRequest& request() const { return request_; }
@@ -41,6 +47,7 @@
 
   web::http::http_request http_;
   const ServingRequest request_;
+  const OpenReplies open_replies_;
   const std::function<void()> on_gone_;
   const AnswerIdentity identity_;
   concurrency::streams::producer_consumer_buffer<uint8_t> buf_;
--- a/src/gateway/engine_client.cc
+++ b/src/gateway/engine_client.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/callback_gate.h"
 #include "gateway/client_failure.h"
 #include "gateway/engine_event.h"
 #include "gateway/sse_parser.h"
@@ -128,6 +129,15 @@
         });
   }
 
+  void Stop() {
+    report_.Close();
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& [key, attempt] : attempts_) {
+      attempt->cancellation.cancel();
+    }
+    attempts_.clear();
+  }
+
  private:
   static std::pair<ExchangeId, int> Key(ExchangeId exchange, int attempt) {
     return {exchange, attempt};
@@ -302,14 +312,20 @@
     report_(failed);
   }
 
-  const Report report_;
+  CallbackGate<ServingEvent> report_;
   std::mutex mutex_;
   std::map<std::pair<ExchangeId, int>, std::shared_ptr<Attempt>> attempts_;
 };
 
 EngineClient::EngineClient(Report report)
     : impl_(std::make_shared<Impl>(std::move(report))) {}
-EngineClient::~EngineClient() = default;
+EngineClient::~EngineClient() {
+  Stop();
+}
+
+void EngineClient::Stop() {
+  impl_->Stop();
+}
 
 void EngineClient::Start(const EngineRequest& request) {
   impl_->Start(request);
--- a/src/gateway/engine_client.h
+++ b/src/gateway/engine_client.h
@@ -37,6 +37,9 @@
   // Closes the connection and tells the engine. Does not block.
   void Cancel(const CancelAttempt& action);
 
+  // Closes all connections; nothing is reported after the return.
+  void Stop();
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -13,6 +13,7 @@
 #include "endiveyard/base/timer_service.h"
 #include "endiveyard/gateway/serving_thread.h"
 #include "endiveyard/telemetry/log_event_numbers.h"
+#include "gateway/callback_gate.h"
 #include "gateway/caller_exchange.h"
 #include "gateway/caller_request.h"
 #include "gateway/engine_client.h"
@@ -109,7 +110,25 @@
                  kServingRingCapacity,
                  [this](const ServingAction& action) {
                    std::visit([this](const auto& it) { Carry(it); }, action);
-                 }) {}
+                 }),
+        caller_gone_(
+            std::make_shared<CallbackGate<ExchangeId>>([this](ExchangeId id) {
+              Remove(id);
+              Post(CallerGone{id});
+            })) {}
+
+  // Callbacks of the HTTP library may still be under way.
+  ~Impl() {
+    timers_.Stop();
+    if (listener_ != nullptr) {
+      listener_->close().wait();
+    }
+    serving_.Stop();
+    caller_gone_->Close();
+    poller_.Stop();
+    services_.Stop();
+    engines_.Stop();
+  }
 
   absl::Status Open() {
     const bool tls = settings_.caller_tls().enabled();
@@ -171,8 +190,10 @@
       std::this_thread::sleep_for(kShutdownPoll);
     }
     const size_t cut = open_exchanges();
-    // The last answers are still being written after their exchange ended.
-    std::this_thread::sleep_for(kShutdownPoll * 5);
+    // An exchange ends before the last bytes of its answer are written.
+    while (*open_replies_ > 0 && BootClock::now() < give_up) {
+      std::this_thread::sleep_for(kShutdownPoll);
+    }
     timers_.Stop();
     if (listener_ != nullptr) {
       listener_->close().wait();
@@ -346,7 +367,7 @@
                                             : std::string();
     ServingRequest request;
     request.request_id = request_id;
-    CallerExchange(http, request, [] {
+    CallerExchange(http, request, open_replies_, [] {
     }).RefuseRequest(kind, message, Duration::zero());
     metrics_->ObserveRequest("", "", std::string(AnswerFor(kind).name),
                              Duration(-1), Duration(-1), Duration(-1));
@@ -354,10 +375,9 @@
 
   void Admit(http_request& http, ServingRequest request) {
     const ExchangeId id = ++next_exchange_;
-    auto exchange = std::make_shared<CallerExchange>(http, request, [this, id] {
-      Remove(id);
-      Post(CallerGone{id});
-    });
+    auto exchange = std::make_shared<CallerExchange>(
+        http, request, open_replies_,
+        [gate = caller_gone_, id] { (*gate)(id); });
     {
       std::lock_guard<std::mutex> lock(mutex_);
       exchanges_[id] = exchange;
@@ -495,7 +515,9 @@
   EngineClient engines_;
   PlainServiceClient services_;
   TargetPoller poller_;
+  const OpenReplies open_replies_ = std::make_shared<std::atomic<int>>(0);
   ServingThread serving_;
+  const std::shared_ptr<CallbackGate<ExchangeId>> caller_gone_;
   TimerService timers_;
   std::unique_ptr<http_listener> listener_;
 };
--- a/src/gateway/plain_service_client.cc
+++ b/src/gateway/plain_service_client.cc
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <utility>
 
+#include "gateway/callback_gate.h"
 #include "gateway/client_failure.h"
 
 namespace endiveyard {
@@ -85,6 +86,15 @@
     }
   }
 
+  void Stop() {
+    report_.Close();
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& [key, attempt] : attempts_) {
+      attempt->cancellation.cancel();
+    }
+    attempts_.clear();
+  }
+
  private:
   std::shared_ptr<http_client> PooledClient(const std::string& address) {
     std::lock_guard<std::mutex> lock(mutex_);
@@ -160,7 +170,7 @@
     report_(failed);
   }
 
-  const Report report_;
+  CallbackGate<ServingEvent> report_;
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<http_client>> clients_;
   std::map<std::pair<ExchangeId, int>, std::shared_ptr<Attempt>> attempts_;
@@ -168,7 +178,13 @@
 
 PlainServiceClient::PlainServiceClient(Report report)
     : impl_(std::make_shared<Impl>(std::move(report))) {}
-PlainServiceClient::~PlainServiceClient() = default;
+PlainServiceClient::~PlainServiceClient() {
+  Stop();
+}
+
+void PlainServiceClient::Stop() {
+  impl_->Stop();
+}
 
 void PlainServiceClient::Start(const PlainServiceRequest& request) {
   impl_->Start(request);
--- a/src/gateway/plain_service_client.h
+++ b/src/gateway/plain_service_client.h
@@ -39,6 +39,9 @@
 
   void Cancel(const CancelAttempt& action);
 
+  // Closes all connections; nothing is reported after the return.
+  void Stop();
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/gateway/target_poller.cc
+++ b/src/gateway/target_poller.cc
@@ -8,6 +8,8 @@
 #include <mutex>
 #include <utility>
 
+#include "gateway/callback_gate.h"
+
 namespace endiveyard {
 namespace {
 
@@ -93,6 +95,11 @@
     }
   }
 
+  void Stop() {
+    report_.Close();
+    report_failure_.Close();
+  }
+
  private:
   void PollOne(const std::string& id, const PolledTarget& target) {
     auto self = shared_from_this();
@@ -144,8 +151,8 @@
     }
   }
 
-  const Report report_;
-  const ReportFailure report_failure_;
+  CallbackGate<ServingEvent> report_;
+  CallbackGate<const std::string&> report_failure_;
   std::mutex mutex_;
   std::map<std::string, PolledTarget> targets_;
 };
@@ -153,7 +160,13 @@
 TargetPoller::TargetPoller(Report report, ReportFailure report_failure)
     : impl_(std::make_shared<Impl>(std::move(report),
                                    std::move(report_failure))) {}
-TargetPoller::~TargetPoller() = default;
+TargetPoller::~TargetPoller() {
+  Stop();
+}
+
+void TargetPoller::Stop() {
+  impl_->Stop();
+}
 
 void TargetPoller::SetTargets(const std::vector<TargetInfo>& targets) {
   impl_->SetTargets(targets);
--- a/src/gateway/target_poller.h
+++ b/src/gateway/target_poller.h
@@ -27,6 +27,9 @@
   // Starts a poll of each engine that is not being polled. Does not block.
   void Poll();
 
+  // Nothing is reported after the return.
+  void Stop();
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
