--- a/src/serving/serving_core.cc
+++ b/src/serving/serving_core.cc
@@ -71,6 +71,7 @@
   }
   void operator()(const CrashFingerprintLearnt& event) const {
     OnCrashFingerprintLearnt(ctx, event);
+    DispatchQueued(ctx);
   }
   void operator()(const PolicyChanged& event) const {
     OnPolicyChanged(ctx, event);
