--- /dev/null
+++ b/benchmark/bookings_benchmark.cc
@@ -0,0 +1,172 @@
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "endiveyard/bookings/booking_shard.h"
+
+namespace endiveyard {
+namespace {
+
+constexpr int64_t kWallMs = 1700000000000;
+constexpr TimePoint kNow = TimePointFromMicros(1000000);
+constexpr int kRecordsPerEntry = 20;
+
+size_t HeapBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+// Carries out log calls against an empty log, so that each create succeeds.
+void Carry(BookingShard* shard, const std::vector<BookingAction>& actions) {
+  for (const BookingAction& it : actions) {
+    LogEvent event;
+    if (std::get_if<CreateLogEntry>(&it) != nullptr) {
+      event = LogCreateDone{LogCreateResult::kCreated};
+    } else if (std::get_if<ReadLogEntries>(&it) != nullptr) {
+      LogEntriesRead read;
+      read.ok = true;
+      event = read;
+    } else if (std::get_if<ReadLogFloor>(&it) != nullptr) {
+      event = LogFloorRead{true, 0};
+    } else {
+      continue;
+    }
+    Carry(shard, StepBookings(shard, event, {kNow, kWallMs}));
+  }
+}
+
+CommitIntent MakeIntent(int64_t n) {
+  CommitIntent intent;
+  intent.exchange = static_cast<ExchangeId>(n);
+  intent.house = "trinacria";
+  intent.key = "order-" + std::to_string(n);
+  intent.fingerprint = static_cast<uint64_t>(n);
+  intent.give_up = kNow + std::chrono::seconds(30);
+  return intent;
+}
+
+// Fills a shard with finished records of another process, as a catch-up does.
+BookingShard MakeFilled(int64_t records, const std::string& body) {
+  BookingShard shard = MakeBookingShard(0, "a.1", BookingLimits());
+  Carry(&shard, StepBookings(&shard, MakeIntent(0), {kNow, kWallMs}));
+  uint64_t number = shard.log.applied;
+  for (int64_t n = 1; n <= records; n += kRecordsPerEntry) {
+    std::vector<std::string> lines;
+    for (int64_t i = n; i < n + kRecordsPerEntry && i <= records; ++i) {
+      BookingLine line;
+      line.key = MakeBookingKey("trinacria", "order-" + std::to_string(i));
+      line.intent = static_cast<uint64_t>(i);
+      line.fingerprint = static_cast<uint64_t>(i);
+      lines.push_back(FormatBookingLine(line));
+      line.kind = BookingLineKind::kResult;
+      line.stored = true;
+      line.status = 201;
+      line.content_type = "application/json";
+      line.body = body;
+      lines.push_back(FormatBookingLine(line));
+    }
+    shard.log.wait = LogState::Wait::kRead;
+    LogEntriesRead read;
+    read.ok = true;
+    LogEntry entry;
+    entry.writer = "b.1";
+    entry.batch = number;
+    entry.payload = FormatBookingBatch(kWallMs, lines);
+    read.items.push_back(
+        {LogEntryKey(shard.log.name, ++number), FormatLogEntry(entry)});
+    StepBookings(&shard, LogEvent(read), {kNow, kWallMs});
+    shard.log.wait = LogState::Wait::kNothing;
+  }
+  return shard;
+}
+
+// Answers a repeat from the records.
+void BookingLookup(benchmark::State& state) {
+  const int64_t records = state.range(0);
+  BookingShard shard = MakeFilled(records, "{\"order\":\"0123456789\"}");
+  int64_t n = 0;
+  for (auto _ : state) {
+    n = (n + 7919) % records;
+    benchmark::DoNotOptimize(
+        StepBookings(&shard, MakeIntent(n + 1), {kNow, kWallMs}));
+  }
+  state.SetItemsProcessed(state.iterations());
+}
+BENCHMARK(BookingLookup)->RangeMultiplier(10)->Range(1000, 1000000);
+
+// Commits batches of new intents, without the time of the object API.
+void BookingAppend(benchmark::State& state) {
+  const int64_t records = state.range(0);
+  BookingShard shard = MakeFilled(records, "{\"order\":\"0123456789\"}");
+  int64_t n = records;
+  TimePoint now = kNow;
+  for (auto _ : state) {
+    for (int i = 0; i < kRecordsPerEntry; ++i) {
+      CommitIntent intent = MakeIntent(++n);
+      intent.give_up = now + std::chrono::seconds(30);
+      Carry(&shard, StepBookings(&shard, intent, {now, kWallMs}));
+    }
+    now += shard.limits.batch_interval;
+    Carry(&shard, StepBookings(&shard, BookingTick{}, {now, kWallMs}));
+  }
+  state.SetItemsProcessed(state.iterations() * kRecordsPerEntry);
+}
+BENCHMARK(BookingAppend)->RangeMultiplier(10)->Range(1000, 1000000);
+
+// Reads the log of a shard, as a starting process does, and reports the
+// memory that one record with a result of `body` bytes takes.
+void BookingCatchUp(benchmark::State& state) {
+  const int64_t records = state.range(0);
+  const std::string body(static_cast<size_t>(state.range(1)), 'x');
+  double bytes = 0;
+  for (auto _ : state) {
+    // mallinfo2() walks the free chunks, and freeing is not part of it.
+    state.PauseTiming();
+    malloc_trim(0);  // of what earlier benchmarks freed
+    const size_t before = HeapBytes();
+    state.ResumeTiming();
+    auto shard = std::make_unique<BookingShard>(MakeFilled(records, body));
+    state.PauseTiming();
+    bytes = static_cast<double>(HeapBytes() - before);
+    shard.reset();
+    state.ResumeTiming();
+  }
+  state.counters["bytes_per_record"] = bytes / static_cast<double>(records);
+  state.SetItemsProcessed(state.iterations() * records);
+}
+BENCHMARK(BookingCatchUp)
+    ->ArgsProduct({{1000, 10000, 100000, 1000000}, {0, 200}})
+    ->Unit(benchmark::kMillisecond);
+
+// Size of the records in the log.
+void BookingLogBytes(benchmark::State& state) {
+  BookingLine intent;
+  intent.key = MakeBookingKey("trinacria", "order-1");
+  intent.intent = 123456;
+  intent.fingerprint = 1;
+  BookingLine result = intent;
+  result.kind = BookingLineKind::kResult;
+  result.stored = true;
+  result.status = 201;
+  result.content_type = "application/json";
+  result.body = "{\"order\":\"0123456789\",\"slot\":\"K7-0415\"}";
+  size_t bytes = 0;
+  for (auto _ : state) {
+    bytes = FormatBookingLine(intent).size() + FormatBookingLine(result).size();
+    benchmark::DoNotOptimize(bytes);
+  }
+  state.counters["intent_bytes"] =
+      static_cast<double>(FormatBookingLine(intent).size() + 1);
+  state.counters["result_bytes"] =
+      static_cast<double>(FormatBookingLine(result).size() + 1);
+}
+BENCHMARK(BookingLogBytes);
+
+}  // namespace
+}  // namespace endiveyard
+
+BENCHMARK_MAIN();
