Forget that a target was leaving once the list dropped it

Cause: requests on a target that was dropped and listed again were moved at the old drain bound. Change: listing a dropped target clears its leaving state and its bound.

--- a/src/serving/target_changes.cc
+++ b/src/serving/target_changes.cc
@@ -94,7 +94,14 @@
     named.insert(it.id);
     state.services.emplace(it.house, it.service);
     TargetState* target = EnsureTarget(ctx, it.id);
-    target->listed = true;
+    if (!target->listed) {
+      // The list had dropped it, so what was known about its leaving is over.
+      target->listed = true;
+      target->leaving = false;
+      target->move_at = TimePoint::max();
+      target->house = it.house;
+      target->service = it.service;
+    }
     if (it.state == ListedState::kLeaving) {
       NoteLeaving(ctx, it.id, /*announce=*/false);
     }
--- a/tests/serving/failure_table_test.cc
+++ b/tests/serving/failure_table_test.cc
@@ -18,25 +18,32 @@
  public:
   explicit Fixture(int targets, bool engines = false)
       : core_(Options()), engines_(engines) {
+    List(targets, "", 0);
+    for (int i = 0; engines && i < targets; ++i) {
+      LoadReported report;
+      report.target = "t" + std::to_string(i);
+      report.load.model = "m";
+      report.load.sequence = 1;
+      Step(report, 0);
+    }
+  }
+
+  // Lists "t0" and so on, apart from `missing`.
+  void List(int targets, const std::string& missing, int64_t millis) {
     TargetsListed listed;
     for (int i = 0; i < targets; ++i) {
       TargetInfo info;
       info.id = "t" + std::to_string(i);
-      info.kind = engines ? TargetKind::kEngine : TargetKind::kService;
+      info.kind = engines_ ? TargetKind::kEngine : TargetKind::kService;
       info.house = "h";
       info.service = "s";
       info.address = info.id + ":1";
       info.region = "r";
-      listed.targets.push_back(info);
-    }
-    Step(listed, 0);
-    for (int i = 0; engines && i < targets; ++i) {
-      LoadReported report;
-      report.target = "t" + std::to_string(i);
-      report.load.model = "m";
-      report.load.sequence = 1;
-      Step(report, 0);
+      if (info.id != missing) {
+        listed.targets.push_back(info);
+      }
     }
+    Step(listed, millis);
   }
 
   void Step(const ServingEvent& event, int64_t millis) {
@@ -374,6 +381,25 @@
   fixture.ExpectNoViolation();
 }
 
+// Guards against a target that came back and is still taken for leaving: its
+// requests would be moved at the drain bound.
+BOOST_AUTO_TEST_CASE(RelistedTargetIsNotLeaving) {
+  for (const bool relisted : {false, true}) {
+    Fixture fixture(2);
+    fixture.Arrive(1, 10, true, "", 100000);
+    const std::string target = fixture.TakeStarted().at(0).target;
+    fixture.Step(TargetLeaving{target}, 20);
+    fixture.List(2, target, 30);
+    if (relisted) {
+      fixture.List(2, "", 40);
+    }
+    fixture.Step(Tick{}, 31000);
+    BOOST_TEST(fixture.TakeStarted().size() == (relisted ? 0U : 1U));
+    fixture.Step(PlainAnswered{1, relisted ? 1 : 2, 200, "", ""}, 31010);
+    fixture.ExpectNoViolation();
+  }
+}
+
 // Guards against an explanation that changes the choice it explains.
 BOOST_AUTO_TEST_CASE(ExplainChangesNothing) {
   Fixture fixture(8, /*engines=*/true);
