Let streams wait for the retry budget instead of cutting them

Cause: with an empty budget a stream that had delivered tokens was refused, and its caller cannot simply ask again. Change: such streams wait in order of failure and resume as the budget is earned, until their deadline. They are kept outside the fair queue, whose scan would be quadratic in their number.

--- a/src/serving/attempt_end.cc
+++ b/src/serving/attempt_end.cc
@@ -151,7 +151,14 @@
   }
   if (!SpendRetry(&state.budget)) {
     ctx.Log(kLogRetryBudgetEmpty, absl::StrCat("x", exchange->id));
-    RefuseExchange(ctx, exchange, FinalKind(*exchange, failure), detail);
+    // A caller that has tokens already cannot simply ask again, so its stream
+    // waits for the budget until its deadline.
+    if (exchange->delivered.empty()) {
+      RefuseExchange(ctx, exchange, FinalKind(*exchange, failure), detail);
+      return;
+    }
+    exchange->state = ExchangeState::kQueued;
+    state.awaiting_budget.push_back(exchange->id);
     return;
   }
   ++state.counters.retries;
--- a/src/serving/dispatch.cc
+++ b/src/serving/dispatch.cc
@@ -151,6 +151,22 @@
   }
 }
 
+// Queues the streams that waited for the retry budget, oldest first.
+void QueueAffordableRetries(const StepContext& ctx) {
+  ServingState& state = *ctx.state;
+  while (!state.awaiting_budget.empty()) {
+    const auto it = state.exchanges.find(state.awaiting_budget.front());
+    if (it != state.exchanges.end()) {
+      if (!SpendRetry(&state.budget)) {
+        return;
+      }
+      ++state.counters.retries;
+      EnqueueExchange(ctx, it->second.get());
+    }
+    state.awaiting_budget.pop_front();
+  }
+}
+
 }  // namespace
 
 std::string FlowPrefix(const std::string& service) {
@@ -200,6 +216,7 @@
 
 void DispatchQueued(const StepContext& ctx) {
   ServingState& state = *ctx.state;
+  QueueAffordableRetries(ctx);
   while (const QueuedRequest* candidate = NextCandidate(&state.queue)) {
     Exchange* exchange = state.exchanges.at(candidate->id).get();
     if (IsKnownCulprit(ctx, exchange->fingerprint)) {
--- a/src/serving/serving_state.h
+++ b/src/serving/serving_state.h
@@ -1,6 +1,7 @@
 #ifndef ENDIVEYARD_SERVING_SERVING_STATE_H_
 #define ENDIVEYARD_SERVING_SERVING_STATE_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <queue>
@@ -133,6 +134,8 @@
   FairQueue queue;
   std::map<std::pair<std::string, std::string>, WaitEstimate> waits;
   RetryBudget budget;
+  // Streams in kQueued that are in no flow until the budget covers them.
+  std::deque<ExchangeId> awaiting_budget;
   std::unordered_map<uint64_t, TimePoint> crash_fingerprints;
   std::unordered_map<uint64_t, RememberedSuspect> remembered_suspects;
   std::unordered_set<ExchangeId> suspects;  // open exchanges
--- a/tests/serving/failure_table_test.cc
+++ b/tests/serving/failure_table_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
 #include <variant>
 #include <vector>
@@ -273,6 +274,50 @@
   }
 }
 
+// Guards against streams that are cut because many fail at once: those beyond
+// the budget wait for it, new requests earn it, and the deadline ends the wait.
+BOOST_AUTO_TEST_CASE(StreamsWaitForRetryBudget) {
+  constexpr ExchangeId kStreams = 150;
+  for (const bool earn : {false, true}) {
+    Fixture fixture(2, /*engines=*/true);
+    auto policy = std::make_shared<ServingPolicy>();
+    policy->target_concurrency = 1000;
+    fixture.Step(PolicyChanged{policy}, 0);
+    fixture.Step(TargetDraining{"t1", true}, 0);
+    for (ExchangeId id = 1; id <= kStreams; ++id) {
+      fixture.Arrive(id, 10, true, "", 100000);
+      fixture.Step(
+          TokensReceived{id, 1, "x" + std::to_string(id) + "/1", 0, {"a"}}, 20);
+    }
+    BOOST_TEST(fixture.TakeStarted().size() == kStreams);
+    fixture.Step(TargetDraining{"t1", false}, 30);
+    for (ExchangeId id = 1; id <= kStreams; ++id) {
+      fixture.Step(
+          AttemptFailed{id, 1, AttemptFailure::kMalformed, "", false, false},
+          40);
+    }
+    BOOST_TEST(fixture.TakeStarted().size() == 100U);
+    fixture.Step(CallerGone{kStreams}, 45);
+    if (earn) {
+      // Each new request earns a tenth of a retry.
+      for (ExchangeId id = 1001; id <= 1500; ++id) {
+        fixture.Arrive(id, 50, true, "", 100000);
+        fixture.Step(AttemptCompleted{id, 1, "stop", 0, ""}, 60);
+      }
+      BOOST_TEST(fixture.TakeStarted().size() == 500U + 49U);
+    }
+    for (ExchangeId id = 1; id <= kStreams; ++id) {
+      fixture.Step(AttemptCompleted{id, 2, "stop", 0, ""}, 70);
+    }
+    fixture.Step(Tick{}, 100010);
+    BOOST_TEST(fixture.Outcome(100) == "ok");
+    BOOST_TEST(fixture.Outcome(101) == (earn ? "ok" : "deadline_exceeded"));
+    BOOST_TEST(fixture.Outcome(149) == (earn ? "ok" : "deadline_exceeded"));
+    BOOST_TEST(fixture.core().counters().retries == (earn ? 149U : 100U));
+    fixture.ExpectNoViolation();
+  }
+}
+
 // Guards against a stream that waits for ever for its first token, and against
 // one that is given up while a long prompt is still being read.
 BOOST_AUTO_TEST_CASE(FirstTokenHasItsOwnBound) {
