Add the membership core

Change: digests are composed within a byte budget, with loads of 4 bytes that carry their age, so that a relayed load never replaces a newer one. Digests of strangers, old incarnations and repeated sequences change nothing. Two instances of each failure domain are watchers by rendezvous rank.

--- a/tests/fleet/configuration_exploration_test.cc
+++ b/tests/fleet/configuration_exploration_test.cc
@@ -491,7 +491,7 @@
       if (!failure.empty()) {
         std::string trace;
         for (size_t n = nodes.size() - 1; n != 0; n = nodes[n].parent) {
-          trace = "\n  " + nodes[n].label + trace;
+          trace.insert(0, "\n  " + nodes[n].label);
         }
         failure += trace;
         break;
--- /dev/null
+++ b/tests/membership/membership_state_test.cc
@@ -0,0 +1,167 @@
+#include "endiveyard/membership/membership_state.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+
+namespace endiveyard {
+namespace {
+
+TimePoint AtSeconds(int64_t s) {
+  return TimePointFromMicros(s * 1'000'000);
+}
+
+MembershipOptions Options(const std::string& name) {
+  MembershipOptions options;
+  options.instance = name;
+  options.failure_domain = "d";
+  return options;
+}
+
+// State of instance "a" that knows the peer "b".
+MembershipState StateWithPeer() {
+  MembershipState state;
+  ApplyPeerList(Options("a"), {{"a", "", "d"}, {"b", "", "d"}}, &state);
+  return state;
+}
+
+PeerDigest DigestFromB(uint64_t incarnation, uint64_t sequence) {
+  PeerDigest digest;
+  digest.sender = "b";
+  digest.incarnation = incarnation;
+  digest.sequence = sequence;
+  return digest;
+}
+
+}  // namespace
+
+// Guards against replayed, reordered or stale digests that bring back what
+// has expired or lower a reported version, and against strangers.
+BOOST_AUTO_TEST_CASE(OnlyNewerDigestsOfKnownPeersCount) {
+  struct Row {
+    const char* name;
+    uint64_t incarnation;
+    uint64_t sequence;
+    const char* sender;
+    bool accepted;
+  };
+  const std::vector<Row> rows = {{"first", 2, 5, "b", true},
+                                 {"duplicate", 2, 5, "b", false},
+                                 {"reordered", 2, 4, "b", false},
+                                 {"next", 2, 6, "b", true},
+                                 {"old incarnation", 1, 90, "b", false},
+                                 {"restart", 3, 1, "b", true},
+                                 {"replay after restart", 2, 7, "b", false},
+                                 {"stranger", 9, 9, "x", false},
+                                 {"own name", 9, 9, "a", false},
+                                 {"no name", 9, 9, "", false}};
+  MembershipState state = StateWithPeer();
+  uint64_t ignored = 0;
+  uint64_t version = 0;
+  for (const Row& it : rows) {
+    PeerDigest digest = DigestFromB(it.incarnation, it.sequence);
+    digest.sender = it.sender;
+    digest.version = ++version;
+    digest.leaving = {{it.name, std::chrono::seconds(60)}};
+    const DigestEffect effect =
+        ReceiveDigest(Options("a"), digest, AtSeconds(1), &state);
+    ignored += it.accepted ? 0 : 1;
+    BOOST_TEST_CONTEXT(it.name) {
+      BOOST_TEST(effect.accepted == it.accepted);
+      BOOST_TEST(state.leaving.count(it.name) == (it.accepted ? 1 : 0));
+      BOOST_TEST(state.ignored_digests == ignored);
+    }
+  }
+  BOOST_TEST(state.peers.at("b").version == 6);
+}
+
+// Guards against digests that exhaust memory, and against entries that live
+// longer than their lifetime or are prolonged by relaying.
+BOOST_AUTO_TEST_CASE(EntriesAreBoundedAndExpire) {
+  const MembershipOptions options = Options("a");
+  MembershipState state = StateWithPeer();
+  PeerDigest large = DigestFromB(1, 1);
+  large.leaving.resize(kMaxDigestLeaving + 1, {"t", std::chrono::seconds(1)});
+  BOOST_TEST(!ReceiveDigest(options, large, AtSeconds(0), &state).accepted);
+  PeerDigest digest = DigestFromB(1, 1);
+  digest.fingerprints = {{7, std::chrono::hours(99)}, {8, Duration(0)}};
+  const DigestEffect effect =
+      ReceiveDigest(options, digest, AtSeconds(0), &state);
+  BOOST_TEST(effect.new_fingerprints == std::vector<uint64_t>{7});
+  const PeerDigest relayed =
+      ComposeDigest(options, "b", {}, AtSeconds(0), &state);
+  NextExchanges(options, AtSeconds(599), &state);
+  const PeerDigest late =
+      ComposeDigest(options, "b", {}, AtSeconds(599), &state);
+  BOOST_REQUIRE(late.fingerprints.size() == 1);
+  BOOST_TEST((late.fingerprints[0].remaining == std::chrono::seconds(1)));
+  NextExchanges(options, AtSeconds(600), &state);
+  BOOST_TEST(state.fingerprints.empty());
+}
+
+// Guards against an older load that replaces a newer one, and against loads
+// of another list of targets.
+BOOST_AUTO_TEST_CASE(NewerLoadWins) {
+  const MembershipOptions options = Options("a");
+  MembershipState state = StateWithPeer();
+  SetDomainTargets({"t2", "t1"}, &state);
+  NoteLoad("t1", 1000, 3, AtSeconds(10), &state);
+  PeerDigest digest = DigestFromB(1, 1);
+  digest.load_list = state.load_list;
+  digest.loads = {{0, QuantiseTokens(500), 9, 2}, {1, 0, 4, 0}, {900, 0, 1, 0}};
+  ReceiveDigest(options, digest, AtSeconds(10), &state);
+  BOOST_TEST(state.loads.at(0).queued_tokens == 1000);
+  BOOST_TEST(state.loads.at(1).running == 4);
+  BOOST_TEST(state.loads.size() == 2);
+  digest.sequence = 2;
+  digest.load_list ^= 1;
+  digest.loads = {{0, 0, 50, 0}};
+  ReceiveDigest(options, digest, AtSeconds(20), &state);
+  BOOST_TEST(state.loads.at(0).running == 3);
+  SetDomainTargets({"t2"}, &state);
+  BOOST_TEST(state.loads.at(0).running == 4);
+}
+
+// Guards against a code that loses the order of queues or exceeds 5 % error.
+BOOST_AUTO_TEST_CASE(LoadSurvivesQuantisation) {
+  BOOST_TEST(ExpandTokens(QuantiseTokens(0)) == 0);
+  for (int64_t n = 1; n < 100'000; n = n * 5 / 4 + 1) {
+    const auto read = static_cast<double>(ExpandTokens(QuantiseTokens(n)));
+    BOOST_TEST(std::abs(read - static_cast<double>(n)) <=
+               0.05 * static_cast<double>(n) + 0.5);
+  }
+  QuantisedLoad load;
+  load.target = 1023;
+  load.queued = 255;
+  load.running = 254;
+  load.age = 63;
+  BOOST_TEST((UnpackLoad(PackLoad(load)) == load));
+}
+
+// Guards against a failure domain without a watcher, and against more than
+// two, when instances come and go.
+BOOST_AUTO_TEST_CASE(TwoLiveInstancesWatch) {
+  const std::vector<std::string> names = {"a", "b", "c", "d", "e"};
+  std::vector<PeerInfo> infos;
+  infos.reserve(names.size() + 1);
+  for (const std::string& it : names) {
+    infos.push_back({it, "", "d"});
+  }
+  infos.push_back({"z", "", "other"});
+  for (size_t live = 1; live <= names.size(); ++live) {
+    size_t watchers = 0;
+    for (size_t i = 0; i < live; ++i) {
+      const MembershipOptions options = Options(names[i]);
+      MembershipState state;
+      ApplyPeerList(options, infos, &state);
+      for (size_t j = 0; j < live; ++j) {
+        PeerDigest digest = DigestFromB(1, 1);
+        digest.sender = names[j];
+        ReceiveDigest(options, digest, AtSeconds(100), &state);
+      }
+      watchers += IsWatcher(options, AtSeconds(0), AtSeconds(100), state);
+    }
+    BOOST_TEST(watchers == std::min<size_t>(live, 2));
+  }
+}
+
+}  // namespace endiveyard
