--- a/include/endiveyard/authority/instance_lease.h
+++ b/include/endiveyard/authority/instance_lease.h
@@ -16,6 +16,9 @@
   Duration renew_interval = std::chrono::seconds(5);
   // Covers the difference in rate between two clocks over one term.
   Duration challenge_margin = std::chrono::seconds(5);
+  // A longer gap between two reads starts the observation of a lease anew:
+  // in an outage of the object API no holder can renew.
+  Duration max_read_gap = std::chrono::seconds(10);
 };
 
 // Own lease of one process.
@@ -62,8 +65,12 @@
   bool valid = false;  // `record` was read at least once
 };
 
-// Updates `record` after the cell was read or written.
-void RefreshObservedLease(ObservedLease* lease);
+// Applies the answer of a call of this lease; others are ignored.
+CellEvent ApplyObservedLeaseResult(const LeaseOptions& options,
+                                   const ObjectResult& result,
+                                   TimePoint now,
+                                   uint64_t seed,
+                                   ObservedLease* lease);
 
 // True when the lease was unchanged for the term plus the margin by the
 // observer's clock, counted from the arrival of the first read.
--- a/src/authority/instance_lease.cc
+++ b/src/authority/instance_lease.cc
@@ -104,8 +104,21 @@
   }
 }
 
-void RefreshObservedLease(ObservedLease* lease) {
-  lease->valid = ParseLease(lease->cell.value, &lease->record);
+CellEvent ApplyObservedLeaseResult(const LeaseOptions& options,
+                                   const ObjectResult& result,
+                                   TimePoint now,
+                                   uint64_t seed,
+                                   ObservedLease* lease) {
+  const TimePoint last_read = lease->cell.read_at;
+  const CellEvent event =
+      ApplyObjectResult(result, now, seed, &lease->cell).event;
+  if (event == CellEvent::kRead || event == CellEvent::kWritten) {
+    lease->valid = ParseLease(lease->cell.value, &lease->record);
+    if (now - last_read > options.max_read_gap) {
+      lease->cell.first_seen = now;
+    }
+  }
+  return event;
 }
 
 bool MayRevoke(const LeaseOptions& options,
--- /dev/null
+++ b/src/control/control_core.cc
@@ -0,0 +1,970 @@
+#include "endiveyard/control/control_core.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "endiveyard/authority/instance_lease.h"
+#include "endiveyard/authority/object_cell.h"
+#include "endiveyard/authority/shard_assignment.h"
+
+namespace endiveyard {
+namespace {
+
+// How often records of others are read. A takeover comes at most this much
+// later than the term of the lost owner allows.
+constexpr Duration kFollowInterval = std::chrono::seconds(5);
+
+// A deputy of rank n waits n times as long before it takes a free shard, so
+// that candidates rarely race.
+constexpr Duration kDeputyWait = std::chrono::seconds(10);
+
+// One shard moves voluntarily in this time, so that a new instance does not
+// take over many shards at once.
+constexpr Duration kReleaseInterval = std::chrono::seconds(5);
+
+constexpr Duration kTargetRetry = std::chrono::seconds(1);
+constexpr char kWeightSlotKey[] = "weight_store/slot";
+
+enum class Phase {
+  kUnread,     // ownership is new; the state has to be read
+  kRestoring,  // the capacity record has to show the target as serving
+  kServing,
+  kReserving,  // waits until the region can spare the target
+  kDraining,
+  kReady,  // drained; the order has to be journaled
+};
+
+struct Target {
+  TargetInfo info;
+  TargetLoad load;
+  bool load_known = false;
+  bool owned = false;  // by this instance, through its shard
+  std::string capacity_key;
+  Phase phase = Phase::kUnread;
+  bool leaving_announced = false;
+  bool draining_announced = false;
+  bool drained = false;
+  bool has_slot = false;
+  TimePoint drain_started;
+  TimePoint change_started;
+  TimePoint restoring_since;
+  TimePoint retry_at;  // no change before
+  // State read.
+  uint64_t read_pending = 0;
+  bool state_read = false;
+  bool settling = false;
+  TimePoint read_retry;
+  // Orders of this process.
+  std::string journaled;  // not sent yet
+  std::string sent;
+  bool answered = true;
+  OrderOutcome outcome = OrderOutcome::kNotSent;
+  TimePoint answered_at;
+  uint64_t fenced = 0;
+  uint64_t fence_pending = 0;
+  TimePoint fence_retry;
+};
+
+struct Shard {
+  ObjectCell cell;
+  ShardRecord record;
+  bool valid = false;
+  std::string house;
+  std::set<std::string> targets;
+  std::vector<std::string> candidates;
+  bool owned = false;
+};
+
+struct Capacity {
+  ObjectCell cell;
+  CapacityRecord record;
+  CapacityRecord next;
+  bool dirty = false;
+  std::vector<std::string> targets;
+};
+
+struct FollowedLease {
+  ObservedLease lease;
+  bool seen = false;
+  int renewals = 0;  // changes of version seen
+};
+
+bool Matches(const TargetLoad& load, const TargetPlan& plan) {
+  return load.role == plan.role && load.model == plan.model &&
+         load.adapters == plan.adapters && load.version == plan.version;
+}
+
+bool NeedsWeights(const TargetLoad& load, const TargetPlan& plan) {
+  return load.model != plan.model || load.adapters != plan.adapters ||
+         load.version != plan.version;
+}
+
+template <typename Record>
+void ParseCell(bool (*parse)(std::string_view, Record*),
+               const ObjectCell& cell,
+               Record* record) {
+  if (cell.version == 0 || !parse(cell.value, record)) {
+    *record = {};
+  }
+}
+
+}  // namespace
+
+class ControlCore::Impl {
+ public:
+  explicit Impl(ControlCoreOptions options)
+      : options_(std::move(options)),
+        self_{options_.instance_id, options_.incarnation},
+        lease_(MakeLease(options_.instance_id,
+                         options_.incarnation,
+                         options_.seed)),
+        policy_(std::make_shared<const ControlPolicy>()),
+        plan_(std::make_shared<const RolePlan>()) {
+    weight_.key = kWeightSlotKey;
+  }
+
+  void Step(const ControlEvent& event,
+            TimePoint now,
+            std::vector<ControlAction>* actions) {
+    now_ = now;
+    actions_ = actions;
+    std::visit([this](const auto& it) { On(it); }, event);
+    // Load reports are frequent and lead to no action before the next tick.
+    if (!std::holds_alternative<TargetLoadReported>(event)) {
+      Advance();
+    }
+    actions_ = nullptr;
+  }
+
+  bool HoldsLeaseAt(TimePoint now) const { return HoldsLease(lease_, now); }
+
+  size_t owned_shards() const {
+    return static_cast<size_t>(
+        std::count_if(shards_.begin(), shards_.end(),
+                      [](const auto& it) { return it.second.owned; }));
+  }
+
+  bool Idle() const {
+    return owned_shards() == 0 &&
+           std::none_of(targets_.begin(), targets_.end(),
+                        [this](const auto& it) { return InFlight(it.second); });
+  }
+
+ private:
+  // --- Events -------------------------------------------------------------
+
+  void On(const ControlTick&) {}
+
+  void On(const ObjectCallDone& event) {
+    const ObjectResult& result = event.result;
+    const auto owner = calls_.find(result.id);
+    if (owner == calls_.end()) {
+      return;
+    }
+    const std::string key = owner->second;
+    calls_.erase(owner);
+    if (key == lease_.cell.key && lease_.cell.pending == result.id) {
+      ApplyLeaseResult(options_.lease, result, now_, &lease_);
+    } else if (const auto s = shards_.find(key); s != shards_.end()) {
+      OnShardResult(result, &s->second);
+    } else if (const auto c = capacities_.find(key); c != capacities_.end()) {
+      if (Apply(result, &c->second.cell) != CellEvent::kFailed) {
+        ParseCell(ParseCapacity, c->second.cell, &c->second.record);
+      }
+      c->second.next = c->second.record;
+      c->second.dirty = false;
+    } else if (key == kWeightSlotKey) {
+      if (Apply(result, &weight_) == CellEvent::kWritten) {
+        targets_[slot_target_].has_slot = true;
+      }
+    } else if (const auto it = leases_.find(key); it != leases_.end()) {
+      OnFollowedLease(result, &it->second);
+    }
+  }
+
+  void OnShardResult(const ObjectResult& result, Shard* shard) {
+    const CellEvent event = Apply(result, &shard->cell);
+    if (event != CellEvent::kRead && event != CellEvent::kWritten) {
+      return;
+    }
+    ShardRecord record;
+    shard->valid =
+        shard->cell.version == 0 || ParseShard(shard->cell.value, &record);
+    if (!shard->valid) {
+      Note(ControlNoteKind::kRecordMalformed, shard->cell.key);
+    }
+    shard->record = std::move(record);
+  }
+
+  void OnFollowedLease(const ObjectResult& result, FollowedLease* followed) {
+    ObjectCell& cell = followed->lease.cell;
+    const uint64_t version = cell.version;
+    const CellEvent event = ApplyObservedLeaseResult(
+        options_.lease, result, now_, options_.seed, &followed->lease);
+    if (event != CellEvent::kRead && event != CellEvent::kWritten) {
+      return;
+    }
+    if (followed->seen && cell.version != version) {
+      ++followed->renewals;
+    }
+    followed->seen = true;
+    if (event == CellEvent::kWritten) {
+      followed->renewals = 0;
+      Note(ControlNoteKind::kLeaseRevoked, followed->lease.record.instance);
+    }
+  }
+
+  void On(const PlatformListed& event) {
+    instances_ = event.instances;
+    std::set<std::string> listed;
+    for (auto& [key, capacity] : capacities_) {
+      capacity.targets.clear();
+    }
+    for (auto& [key, shard] : shards_) {
+      shard.targets.clear();
+    }
+    for (const TargetInfo& info : event.targets) {
+      if (info.kind != TargetKind::kEngine) {
+        continue;
+      }
+      listed.insert(info.id);
+      Target& target = targets_[info.id];
+      target.info = info;
+      target.capacity_key = absl::StrCat("capacity/", info.house, "/",
+                                         info.service, "/", info.region);
+      capacities_[target.capacity_key].targets.push_back(info.id);
+      const std::string shard_key = ShardKeyOf(info.house, info.id);
+      Shard& shard = shards_[shard_key];
+      shard.house = info.house;
+      shard.targets.insert(info.id);
+      if (info.state == ListedState::kLive) {
+        target.leaving_announced = false;
+      } else if (!target.leaving_announced) {
+        target.leaving_announced = true;
+        actions_->push_back(AnnounceLeaving{info.id});
+      }
+    }
+    // A target that is no longer listed keeps its state while an order to it
+    // is in flight.
+    for (auto it = targets_.begin(); it != targets_.end();) {
+      const bool keep = listed.count(it->first) != 0 || InFlight(it->second);
+      it = keep ? std::next(it) : targets_.erase(it);
+    }
+    for (auto& [key, capacity] : capacities_) {
+      capacity.cell.key = key;
+    }
+    UpdateCandidates();
+    ObserveAbsence();
+  }
+
+  void UpdateCandidates() {
+    std::map<std::string, std::vector<std::string>> eligible;
+    for (auto& [key, shard] : shards_) {
+      shard.cell.key = key;
+      auto it = eligible.find(shard.house);
+      if (it == eligible.end()) {
+        it = eligible
+                 .emplace(shard.house,
+                          EligibleInstances(instances_, shard.house))
+                 .first;
+      }
+      shard.candidates = ShardCandidates(it->second, key);
+    }
+  }
+
+  void ObserveAbsence() {
+    std::vector<FormerHolder> watched;
+    for (const auto& [key, shard] : shards_) {
+      if (shard.owned) {
+        watched.insert(watched.end(), shard.record.former.begin(),
+                       shard.record.former.end());
+      }
+    }
+    ApplyInstanceList(instances_, watched, now_, &absence_);
+  }
+
+  void On(const TargetLoadReported& event) {
+    const auto it = targets_.find(event.target);
+    if (it == targets_.end()) {
+      return;
+    }
+    Target& target = it->second;
+    if (target.owned && target.phase != Phase::kServing) {
+      return;  // a report may be older than the state that was read
+    }
+    if (target.load_known && event.load.sequence <= target.load.sequence) {
+      return;
+    }
+    const bool role_changed =
+        target.load_known && target.load.role != event.load.role;
+    target.load = event.load;
+    target.load_known = true;
+    if (target.owned && role_changed) {
+      Restore(&target);
+    }
+  }
+
+  void On(const TargetStateRead& event) {
+    const auto it = targets_.find(event.target);
+    if (it == targets_.end() || it->second.read_pending != event.read_id) {
+      return;
+    }
+    Target& target = it->second;
+    target.read_pending = 0;
+    if (!event.ok) {
+      target.read_retry = now_ + kTargetRetry;
+      return;
+    }
+    target.load = event.load;
+    target.load_known = true;
+    target.state_read = true;
+  }
+
+  void On(const OrderAnswered& event) {
+    const auto it = targets_.find(event.target);
+    if (it == targets_.end()) {
+      return;
+    }
+    Target& target = it->second;
+    if (target.fence_pending != 0 &&
+        event.order_id == FenceId(target.fence_pending)) {
+      if (event.outcome == OrderOutcome::kApplied) {
+        target.fenced = std::max(target.fenced, target.fence_pending);
+      } else if (event.outcome == OrderOutcome::kStale) {
+        Forget(target.info);
+      }
+      target.fence_pending = 0;
+      target.fence_retry = now_ + kTargetRetry;
+      return;
+    }
+    if (event.order_id != target.sent || target.answered) {
+      return;
+    }
+    target.answered = true;
+    target.outcome = event.outcome;
+    target.answered_at = now_;
+    if (event.outcome == OrderOutcome::kStale) {
+      Forget(target.info);
+    }
+    if (event.outcome == OrderOutcome::kApplied && !HoldsLease(lease_, now_)) {
+      // The open order finished; the journal is closed by the next holder.
+      Announce(false, &target);
+    }
+  }
+
+  void On(const TargetDrained& event) {
+    const auto it = targets_.find(event.target);
+    if (it != targets_.end()) {
+      it->second.drained = it->second.phase == Phase::kDraining;
+    }
+  }
+
+  void On(const RolePlanChanged& event) { plan_ = event.plan; }
+  void On(const ControlPolicyChanged& event) { policy_ = event.policy; }
+  void On(const ControlShutdown&) { shutting_down_ = true; }
+
+  // --- Duties -------------------------------------------------------------
+
+  void Advance() {
+    std::vector<ObjectCall> calls;
+    TickLease(options_.lease, now_, &next_call_, &lease_, &calls);
+    for (ObjectCall& it : calls) {
+      Send(std::move(it));
+    }
+    const bool holds = HoldsLease(lease_, now_);
+    if (holds != held_) {
+      held_ = holds;
+      Note(holds ? ControlNoteKind::kLeaseHeld : ControlNoteKind::kLeaseLost,
+           lease_.instance);
+      if (!holds) {
+        SuspendChanges();
+      }
+    }
+    wants_slot_.clear();
+    for (auto& [key, shard] : shards_) {
+      AdvanceShard(&shard);
+    }
+    for (auto& [key, capacity] : capacities_) {
+      if (capacity.dirty && held_ && capacity.cell.known &&
+          CellReady(capacity.cell, now_)) {
+        capacity.next.writer = NextWriter();
+        Write(FormatCapacity(capacity.next), &capacity.cell);
+      }
+    }
+    AdvanceWeightSlot();
+  }
+
+  // The lease lapsed: nothing new is ordered, and targets that were only
+  // drained go back to work. Records are read again before they are used.
+  void SuspendChanges() {
+    for (auto& [key, shard] : shards_) {
+      if (!shard.owned) {
+        continue;
+      }
+      shard.cell.known = false;
+      for (const std::string& id : shard.targets) {
+        Target& target = targets_[id];
+        target.journaled.clear();
+        target.phase = Phase::kUnread;
+        target.state_read = false;
+        target.settling = false;
+        if (target.answered) {
+          Announce(false, &target);
+        }
+      }
+    }
+  }
+
+  void AdvanceShard(Shard* shard) {
+    if (!CellReady(shard->cell, now_)) {
+      return;
+    }
+    // A lapse alone does not end ownership; another's takeover does.
+    const bool own = shard->cell.known && shard->valid &&
+                     shard->cell.version != 0 &&
+                     OwnsShard(shard->record, lease_);
+    const bool current = held_ && own;
+    if (own != shard->owned && (current || shard->cell.known)) {
+      ChangeOwnership(own, shard);
+    }
+    if (current) {
+      AdvanceOwned(shard);
+      return;
+    }
+    const bool candidate =
+        held_ && !shutting_down_ &&
+        std::find(shard->candidates.begin(), shard->candidates.end(),
+                  self_.instance) != shard->candidates.end();
+    if (!candidate && !shard->owned && !IsFormer(self_, shard->record)) {
+      return;
+    }
+    if (!shard->cell.known || now_ - shard->cell.read_at >= kFollowInterval) {
+      Read(&shard->cell);
+      return;
+    }
+    if (!shard->valid) {
+      return;
+    }
+    if (IsFormer(self_, shard->record)) {
+      if (!AnyInFlight(*shard)) {
+        ShardRecord next = shard->record;
+        DropFormer(self_, &next);
+        WriteShard(std::move(next), shard);
+      }
+      return;
+    }
+    if (candidate) {
+      Challenge(shard);
+    }
+  }
+
+  void ChangeOwnership(bool owned, Shard* shard) {
+    shard->owned = owned;
+    Note(owned                         ? ControlNoteKind::kShardTaken
+         : shard->record.owner.empty() ? ControlNoteKind::kShardReleased
+                                       : ControlNoteKind::kShardLost,
+         absl::StrCat(shard->cell.key, " fencing ", shard->record.fencing));
+    for (const std::string& id : shard->targets) {
+      Target& target = targets_[id];
+      target.owned = owned;
+      target.phase = Phase::kUnread;
+      target.state_read = false;
+      target.settling = false;
+      target.journaled.clear();
+      target.has_slot = false;
+      target.draining_announced = false;
+    }
+    if (owned) {
+      ObserveAbsence();
+    }
+  }
+
+  // Follows the owner's lease, revokes it after its term and takes the shard.
+  void Challenge(Shard* shard) {
+    const ShardRecord& record = shard->record;
+    TimePoint free_since = shard->cell.first_seen;
+    std::vector<std::string> candidates = shard->candidates;
+    LeaseRecord owner_lease;
+    if (record.owner == self_.instance) {
+      owner_lease = lease_.record;
+    } else if (!record.owner.empty()) {
+      FollowedLease& followed = Follow(record.owner);
+      ObservedLease& lease = followed.lease;
+      if (!CellReady(lease.cell, now_) || !lease.valid) {
+        return;
+      }
+      if (lease.cell.known && MayRevoke(options_.lease, lease, now_)) {
+        Write(FormatLease(RevokedLease(lease.record, NextWriter())),
+              &lease.cell);
+        return;
+      }
+      owner_lease = lease.record;
+      free_since = std::max(free_since, lease.cell.first_seen);
+      candidates.erase(
+          std::remove(candidates.begin(), candidates.end(), record.owner),
+          candidates.end());
+    }
+    if (!MayTakeShard(record, owner_lease)) {
+      return;
+    }
+    const auto rank =
+        std::find(candidates.begin(), candidates.end(), self_.instance) -
+        candidates.begin();
+    if (now_ - free_since >= kDeputyWait * rank) {
+      WriteShard(TakeShard(record, lease_, ""), shard);
+    }
+  }
+
+  // Keeps a copy of the lease of `instance` no older than kFollowInterval.
+  FollowedLease& Follow(const std::string& instance) {
+    FollowedLease& followed = leases_[LeaseKey(instance)];
+    ObjectCell& cell = followed.lease.cell;
+    cell.key = LeaseKey(instance);
+    if (CellReady(cell, now_) &&
+        (!cell.known || now_ - cell.read_at >= kFollowInterval)) {
+      Read(&cell);
+    }
+    return followed;
+  }
+
+  void AdvanceOwned(Shard* shard) {
+    ShardRecord next = shard->record;
+    bool dirty = false;
+    for (const FormerHolder& it : shard->record.former) {
+      if (it == self_ || ProvenAbsent(options_.absence, absence_, it)) {
+        DropFormer(it, &next);
+        dirty = true;
+      }
+    }
+    bool busy = false;
+    for (const std::string& id : shard->targets) {
+      Target& target = targets_[id];
+      dirty = AdvanceTarget(*shard, &target, &next) || dirty;
+      busy = busy || (target.phase != Phase::kServing &&
+                      target.phase != Phase::kUnread);
+    }
+    dirty = SettleUnlisted(*shard, &next) || dirty;
+    if (dirty) {
+      WriteShard(std::move(next), shard);
+    } else if (!busy && shard->record.orders.empty() && MayRelease(*shard)) {
+      next_release_ = now_ + kReleaseInterval;
+      WriteShard(ReleaseShard(shard->record, ""), shard);
+    }
+  }
+
+  // Closes orders to targets that the platform no longer lists and that no
+  // order of this process can reach.
+  bool SettleUnlisted(const Shard& shard, ShardRecord* next) const {
+    bool dirty = false;
+    for (const OpenOrder& it : shard.record.orders) {
+      if (shard.targets.count(it.target) == 0 &&
+          targets_.count(it.target) == 0 && shard.record.former.empty()) {
+        CloseOrder(it.order_id, next);
+        dirty = true;
+      }
+    }
+    return dirty;
+  }
+
+  // An owner that is not preferred hands over to an instance that is seen to
+  // renew its lease; the list alone may name one that is gone.
+  bool MayRelease(const Shard& shard) {
+    if (shutting_down_) {
+      return true;
+    }
+    if (shard.candidates.empty() || shard.candidates[0] == self_.instance) {
+      return false;
+    }
+    const FollowedLease& followed = Follow(shard.candidates[0]);
+    return followed.renewals > 0 && !followed.lease.record.revoked &&
+           now_ - followed.lease.cell.first_seen < options_.lease.term &&
+           now_ >= next_release_;
+  }
+
+  // Takes the next step of one target; returns true if `next` was changed.
+  bool AdvanceTarget(const Shard& shard, Target* target, ShardRecord* next) {
+    const OpenOrder* open = FindOrder(shard.record, target->info.id);
+    if (open != nullptr) {
+      return AdvanceOpenOrder(shard, *open, target, next);
+    }
+    const TargetPlan* plan = WantedPlan(shard, *target);
+    switch (target->phase) {
+      case Phase::kUnread:
+        if (ReadState(target)) {
+          Restore(target);
+        }
+        return false;
+      case Phase::kRestoring:
+        AdvanceRestore(target);
+        return false;
+      case Phase::kServing:
+        if (plan != nullptr) {
+          target->phase = Phase::kReserving;
+          target->change_started = now_;
+        }
+        return false;
+      case Phase::kReserving:
+        if (plan == nullptr) {
+          Restore(target);
+        } else {
+          Reserve(target);
+        }
+        return false;
+      case Phase::kDraining:
+        if (plan == nullptr) {
+          Restore(target);
+        } else if (target->drained ||
+                   now_ - target->drain_started >= policy_->drain_bound) {
+          if (!target->drained) {
+            Note(ControlNoteKind::kDrainBoundPassed, target->info.id);
+          }
+          target->phase = Phase::kReady;
+        }
+        return false;
+      case Phase::kReady:
+        if (plan == nullptr) {
+          Restore(target);
+          return false;
+        }
+        if (NeedsWeights(target->load, *plan) && !target->has_slot) {
+          wants_slot_.push_back(target->info.id);
+          return false;
+        }
+        target->has_slot = false;
+        target->journaled = AddOrder(target->info.id, *plan, next);
+        return !target->journaled.empty();
+    }
+    return false;
+  }
+
+  // The plan for the target if it differs from its state and may be ordered.
+  const TargetPlan* WantedPlan(const Shard& shard, const Target& target) const {
+    const auto it = plan_->targets.find(target.info.id);
+    if (it == plan_->targets.end() || !target.load_known || shutting_down_ ||
+        target.info.state != ListedState::kLive || now_ < target.retry_at ||
+        !MayOrder(shard.record, target.info.checks_fencing) ||
+        Matches(target.load, it->second)) {
+      return nullptr;
+    }
+    return &it->second;
+  }
+
+  bool AdvanceOpenOrder(const Shard& shard,
+                        const OpenOrder& open,
+                        Target* target,
+                        ShardRecord* next) {
+    if (target->journaled == open.order_id) {
+      target->journaled.clear();
+      target->sent = open.order_id;
+      target->answered = false;
+      actions_->push_back(SendOrder{open.order_id, target->info.id,
+                                    target->info.address, open.fencing, false,
+                                    open.plan, lease_.expires});
+      return false;
+    }
+    const bool own = target->sent == open.order_id;
+    if (own && !target->answered) {
+      return false;
+    }
+    if (own && target->outcome == OrderOutcome::kApplied) {
+      target->load.role = open.plan.role;
+      target->load.model = open.plan.model;
+      target->load.adapters = open.plan.adapters;
+      target->load.version = open.plan.version;
+      target->load_known = true;
+      Close(open, true, target, next);
+      return true;
+    }
+    if (own && (target->outcome == OrderOutcome::kNotSent ||
+                target->outcome == OrderOutcome::kRejected)) {
+      target->outcome = OrderOutcome::kNotSent;
+      Close(open, false, target, next);
+      return true;
+    }
+    switch (NextSettleStep(options_.absence, shard.record, open,
+                           target->info.checks_fencing, target->fenced,
+                           target->answered_at, now_)) {
+      case SettleStep::kWait:
+        return false;
+      case SettleStep::kRaiseFencing:
+        next->fencing = std::max(next->fencing, open.fencing + 1);
+        return true;
+      case SettleStep::kFence:
+        if (target->fence_pending == 0 && now_ >= target->fence_retry) {
+          target->fence_pending = shard.record.fencing;
+          actions_->push_back(SendOrder{FenceId(shard.record.fencing),
+                                        target->info.id, target->info.address,
+                                        shard.record.fencing, true,
+                                        TargetPlan{}, lease_.expires});
+        }
+        return false;
+      case SettleStep::kReadBack:
+        break;
+    }
+    if (!target->settling) {
+      // Only a read that starts now shows the final state.
+      target->settling = true;
+      target->state_read = false;
+      target->read_pending = 0;
+    }
+    if (!ReadState(target)) {
+      return false;
+    }
+    Close(open, Matches(target->load, open.plan), target, next);
+    return true;
+  }
+
+  void Close(const OpenOrder& open,
+             bool applied,
+             Target* target,
+             ShardRecord* next) {
+    CloseOrder(open.order_id, next);
+    target->settling = false;
+    const Duration elapsed = target->change_started == TimePoint()
+                                 ? Duration(0)
+                                 : now_ - target->change_started;
+    Note(
+        applied ? ControlNoteKind::kChangeDone : ControlNoteKind::kChangeFailed,
+        target->info.id, elapsed);
+    if (!applied) {
+      target->retry_at = now_ + policy_->failed_change_wait;
+    }
+    Restore(target);
+  }
+
+  // Returns true once the state was read since `state_read` was cleared.
+  bool ReadState(Target* target) {
+    if (target->state_read) {
+      return true;
+    }
+    if (target->read_pending == 0 && now_ >= target->read_retry) {
+      target->read_pending = next_read_++;
+      actions_->push_back(ReadTargetState{target->read_pending, target->info.id,
+                                          target->info.address});
+    }
+    return false;
+  }
+
+  // --- Capacity -----------------------------------------------------------
+
+  void Restore(Target* target) {
+    target->phase = Phase::kRestoring;
+    target->restoring_since = now_;
+    target->has_slot = false;
+  }
+
+  // Returns the capacity record if it was read since `since` and can be
+  // changed now; otherwise starts a read if one is due.
+  Capacity* CurrentCapacity(const Target& target, TimePoint since) {
+    Capacity& capacity = capacities_[target.capacity_key];
+    if (!CellReady(capacity.cell, now_)) {
+      return nullptr;
+    }
+    if (!capacity.cell.known || capacity.cell.read_at < since) {
+      if (!capacity.dirty) {
+        Read(&capacity.cell);
+        return nullptr;
+      }
+    }
+    return &capacity;
+  }
+
+  void AdvanceRestore(Target* target) {
+    Capacity* capacity = CurrentCapacity(*target, target->restoring_since);
+    if (capacity == nullptr) {
+      return;
+    }
+    const std::string& id = target->info.id;
+    const auto it = capacity->record.targets.find(id);
+    const bool out = it != capacity->record.targets.end() && it->second.out;
+    const bool stale = it != capacity->record.targets.end() &&
+                       it->second.role != target->load.role;
+    if (out || stale) {
+      capacity->next.targets[id] = {false, target->load.role};
+      capacity->dirty = true;
+      target->draining_announced = target->draining_announced || out;
+      return;
+    }
+    Announce(false, target);
+    target->phase = Phase::kServing;
+  }
+
+  void Reserve(Target* target) {
+    Capacity* capacity = CurrentCapacity(
+        *target, std::max(target->change_started, now_ - kFollowInterval));
+    if (capacity == nullptr) {
+      return;
+    }
+    const auto it = capacity->record.targets.find(target->info.id);
+    if (it != capacity->record.targets.end() && it->second.out) {
+      target->phase = Phase::kDraining;
+      target->drained = false;
+      target->drain_started = now_;
+      Announce(true, target);
+    } else if (CanSpare(*capacity, *target)) {
+      capacity->next.targets[target->info.id] = {true, target->load.role};
+      capacity->dirty = true;
+    }
+  }
+
+  // True when the region keeps the minimum of every role that `target` serves
+  // without it. Targets of unknown role count for nothing.
+  bool CanSpare(const Capacity& capacity, const Target& target) const {
+    int prefill = 0;
+    int decode = 0;
+    for (const std::string& id : capacity.targets) {
+      const Target& other = targets_.at(id);
+      const auto entry = capacity.next.targets.find(id);
+      const bool entered = entry != capacity.next.targets.end();
+      if (&other == &target || other.info.state != ListedState::kLive ||
+          (entered && entry->second.out) || (!entered && !other.load_known)) {
+        continue;
+      }
+      const Role role = entered ? entry->second.role : other.load.role;
+      prefill += role != Role::kDecode ? 1 : 0;
+      decode += role != Role::kPrefill ? 1 : 0;
+    }
+    return (target.load.role == Role::kDecode ||
+            prefill >= policy_->min_prefill) &&
+           (target.load.role == Role::kPrefill ||
+            decode >= policy_->min_decode);
+  }
+
+  // Takes the next load from the weight store once the slot has not changed
+  // for the interval by own clock; the write fails if another came first.
+  void AdvanceWeightSlot() {
+    if (wants_slot_.empty() || !held_ || !CellReady(weight_, now_)) {
+      return;
+    }
+    if (!weight_.known) {
+      Read(&weight_);
+    } else if (weight_.version == 0 ||
+               now_ - weight_.first_seen >= policy_->weight_load_interval) {
+      WeightSlotRecord record;
+      ParseCell(ParseWeightSlot, weight_, &record);
+      ++record.loads;
+      record.writer = NextWriter();
+      slot_target_ = wants_slot_.front();
+      Write(FormatWeightSlot(record), &weight_);
+    }
+  }
+
+  // --- Helpers ------------------------------------------------------------
+
+  static std::string FenceId(uint64_t fencing) {
+    return absl::StrCat("fence-", fencing);
+  }
+
+  // An order of this process that was not answered, or that may arrive
+  // although it was.
+  bool InFlight(const Target& target) const {
+    return !target.answered ||
+           (target.outcome == OrderOutcome::kUnknown &&
+            now_ - target.answered_at < options_.absence.order_in_flight);
+  }
+
+  bool AnyInFlight(const Shard& shard) const {
+    return std::any_of(shard.targets.begin(), shard.targets.end(),
+                       [&](const std::string& id) {
+                         const auto it = targets_.find(id);
+                         return it != targets_.end() && InFlight(it->second);
+                       });
+  }
+
+  // A target knows a higher number: the shard record has to be read again.
+  void Forget(const TargetInfo& info) {
+    const auto it = shards_.find(ShardKeyOf(info.house, info.id));
+    if (it != shards_.end()) {
+      it->second.cell.known = false;
+    }
+  }
+
+  void Announce(bool draining, Target* target) {
+    if (target->draining_announced != draining) {
+      target->draining_announced = draining;
+      actions_->push_back(AnnounceDraining{target->info.id, draining});
+    }
+  }
+
+  void Note(ControlNoteKind kind,
+            std::string subject,
+            Duration elapsed = Duration(0)) {
+    actions_->push_back(ControlNote{kind, std::move(subject), elapsed});
+  }
+
+  std::string NextWriter() {
+    return absl::StrCat(self_.instance, "/", self_.incarnation, ".", ++writes_);
+  }
+
+  CellEvent Apply(const ObjectResult& result, ObjectCell* cell) {
+    return ApplyObjectResult(result, now_, options_.seed, cell).event;
+  }
+
+  void Send(ObjectCall call) {
+    calls_[call.id] = call.key;
+    actions_->push_back(CallObjectApi{std::move(call)});
+  }
+
+  void Read(ObjectCell* cell) { Send(StartRead(next_call_++, cell)); }
+
+  void Write(std::string value, ObjectCell* cell) {
+    Send(StartWrite(next_call_++, std::move(value), now_, cell));
+  }
+
+  void WriteShard(ShardRecord record, Shard* shard) {
+    record.writer = NextWriter();
+    Write(FormatShard(record), &shard->cell);
+  }
+
+  ControlCoreOptions options_;
+  FormerHolder self_;
+  LeaseState lease_;
+  std::shared_ptr<const ControlPolicy> policy_;
+  std::shared_ptr<const RolePlan> plan_;
+  std::vector<InstanceInfo> instances_;
+  AbsenceView absence_;
+  std::map<std::string, Shard> shards_;          // by key
+  std::map<std::string, FollowedLease> leases_;  // by key
+  std::map<std::string, Capacity> capacities_;   // by key
+  std::map<std::string, Target> targets_;        // by id
+  std::map<uint64_t, std::string> calls_;        // key of each call
+  ObjectCell weight_;
+  std::vector<std::string> wants_slot_;
+  std::string slot_target_;
+  bool held_ = false;
+  bool shutting_down_ = false;
+  TimePoint next_release_;
+  uint64_t next_call_ = 1;
+  uint64_t next_read_ = 1;
+  uint64_t writes_ = 0;
+  TimePoint now_;
+  std::vector<ControlAction>* actions_ = nullptr;
+};
+
+ControlCore::ControlCore(ControlCoreOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
+
+ControlCore::~ControlCore() = default;
+
+void ControlCore::Step(const ControlEvent& event,
+                       TimePoint now,
+                       std::vector<ControlAction>* actions) {
+  impl_->Step(event, now, actions);
+}
+
+bool ControlCore::HoldsLeaseAt(TimePoint now) const {
+  return impl_->HoldsLeaseAt(now);
+}
+
+size_t ControlCore::owned_shards() const {
+  return impl_->owned_shards();
+}
+
+bool ControlCore::Idle() const {
+  return impl_->Idle();
+}
+
+}  // namespace endiveyard
