control: test late load reports and former holders that are no candidates

Both cases had been fixed without a test. A report from before a change caused a second change; a holder whose lease was revoked before its shard was taken stopped reading the record when it was no candidate, and an ignoring target then stayed blocked. Each test was seen to fail with its fix removed.

build/tests/control_test passes.

--- a/tests/control/control_harness.h
+++ b/tests/control/control_harness.h
@@ -111,6 +111,21 @@
     policy_ = std::make_shared<ControlPolicy>(policy);
   }
 
+  // Hands the platform's list to an instance.
+  void List(const std::string& id) {
+    PlatformListed list;
+    for (const auto& [name, instance] : instances) {
+      const auto it = listed.find(name);
+      if (it == listed.end() || it->second) {
+        list.instances.push_back({name, instance.incarnation, "", false});
+      }
+    }
+    for (const auto& [name, engine] : engines) {
+      list.targets.push_back(engine.info);
+    }
+    Deliver(id, list);
+  }
+
   void Deliver(const std::string& id, const ControlEvent& event) {
     Instance& instance = instances[id];
     if (!instance.alive) {
@@ -198,20 +213,6 @@
     });
   }
 
-  void List(const std::string& id) {
-    PlatformListed list;
-    for (const auto& [name, instance] : instances) {
-      const auto it = listed.find(name);
-      if (it == listed.end() || it->second) {
-        list.instances.push_back({name, instance.incarnation, "", false});
-      }
-    }
-    for (const auto& [name, engine] : engines) {
-      list.targets.push_back(engine.info);
-    }
-    Deliver(id, list);
-  }
-
   void Do(const std::string& id, const CallObjectApi& action) {
     const ObjectCall call = action.call;
     ObjectResult result;
@@ -318,7 +319,7 @@
     engine->load.model = action.plan.model;
     engine->load.adapters = action.plan.adapters;
     engine->load.version = action.plan.version;
-    ++engine->load.sequence;
+    engine->load.sequence += 2;  // one report was published meanwhile
     ShardRecord shard;
     ParseShard(store[ShardKeyOf("split", action.target)].second, &shard);
     const OpenOrder* open = FindOrder(shard, action.target);
--- a/tests/control/fault_table_test.cc
+++ b/tests/control/fault_table_test.cc
@@ -237,4 +237,58 @@
   BOOST_TEST(harness.violations.empty());
 }
 
+// Guards against a second change caused by a load report that was published
+// before the first and arrived after it.
+BOOST_AUTO_TEST_CASE(LateLoadReportCausesNoChange) {
+  ControlHarness harness;
+  AddWorld(true, &harness);
+  harness.RunFor(60 * kSecond);
+  TargetLoad before = harness.engines["t1"].load;
+  ++before.sequence;
+  harness.Plan("t1", Role::kPrefill, "m");
+  harness.RunFor(30 * kSecond);
+  BOOST_TEST(harness.engines["t1"].applied == 1);
+  for (const char* id : {"a", "b", "c"}) {
+    harness.Deliver(id, TargetLoadReported{"t1", before});
+  }
+  harness.RunFor(60 * kSecond);
+  BOOST_TEST(harness.engines["t1"].applied == 1);
+}
+
+// Guards against a shard that stays blocked because its former holder, which
+// is no candidate any more, does not learn of the takeover.
+BOOST_AUTO_TEST_CASE(FormerHolderThatIsNoCandidateReleases) {
+  ControlHarness harness;
+  for (const char* id : {"t1", "t2", "t3", "t4"}) {
+    harness.AddEngine(id, false);
+  }
+  for (const char* id : {"a", "b", "c", "d", "e", "f"}) {
+    harness.Start(id);
+  }
+  harness.RunFor(120 * kSecond);
+  const std::string owner = harness.OwnerOf("t1");
+  for (auto& [id, instance] : harness.instances) {
+    instance.paused = true;
+  }
+  harness.listed[owner] = false;
+  harness.RunFor(16 * kSecond);
+  // The lease was revoked, but nobody has taken the shard yet.
+  auto& stored = harness.store[LeaseKey(owner)];
+  LeaseRecord lease;
+  BOOST_REQUIRE(ParseLease(stored.second, &lease));
+  stored = {stored.first + 1, FormatLease(RevokedLease(lease, "z.1"))};
+  harness.List(owner);
+  harness.Resume(owner);
+  harness.RunFor(11 * kSecond);
+  BOOST_TEST(harness.OwnerOf("t1") == owner);
+  for (auto& [id, instance] : harness.instances) {
+    harness.Resume(id);
+  }
+  harness.Plan("t1", Role::kPrefill, "m");
+  // Less than the 40 s after which the list alone would prove the absence.
+  harness.RunFor(35 * kSecond);
+  BOOST_TEST(harness.OwnerOf("t1") != owner);
+  BOOST_TEST((harness.engines["t1"].load.role == Role::kPrefill));
+}
+
 }  // namespace endiveyard
