--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -6,11 +6,22 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "control/control_state.h"
 #include "endiveyard/authority/instance_lease.h"
 #include "endiveyard/authority/object_cell.h"
 #include "endiveyard/authority/shard_assignment.h"
 
 namespace endiveyard {
+
+using control_internal::CanSpare;
+using control_internal::Capacity;
+using control_internal::FollowedLease;
+using control_internal::Matches;
+using control_internal::NeedsWeights;
+using control_internal::Phase;
+using control_internal::Shard;
+using control_internal::Target;
+
 namespace {
 
 // How often records of others are read. A takeover comes at most this much
@@ -28,81 +39,6 @@
 constexpr Duration kTargetRetry = std::chrono::seconds(1);
 constexpr char kWeightSlotKey[] = "weight_store/slot";
 
-enum class Phase {
-  kUnread,     // ownership is new; the state has to be read
-  kRestoring,  // the capacity record has to show the target as serving
-  kServing,
-  kReserving,  // waits until the region can spare the target
-  kDraining,
-  kReady,  // drained; the order has to be journaled
-};
-
-struct Target {
-  TargetInfo info;
-  TargetLoad load;
-  bool load_known = false;
-  bool owned = false;  // by this instance, through its shard
-  std::string capacity_key;
-  Phase phase = Phase::kUnread;
-  bool leaving_announced = false;
-  bool draining_announced = false;
-  bool drained = false;
-  bool reserved = false;  // marked as out in the capacity record
-  bool has_slot = false;  // may load from the weight store
-  TimePoint drain_started;
-  TimePoint change_started;
-  TimePoint restoring_since;
-  TimePoint retry_at;  // no change before
-  // State read.
-  uint64_t read_pending = 0;
-  bool state_read = false;
-  bool settling = false;
-  TimePoint read_retry;
-  // Orders of this process.
-  std::string journaled;  // not sent yet
-  std::string sent;
-  bool answered = true;
-  OrderOutcome outcome = OrderOutcome::kNotSent;
-  TimePoint answered_at;
-  uint64_t fenced = 0;
-  uint64_t fence_pending = 0;
-  TimePoint fence_retry;
-};
-
-struct Shard {
-  ObjectCell cell;
-  ShardRecord record;
-  bool valid = false;
-  std::string house;
-  std::set<std::string> targets;
-  std::vector<std::string> candidates;
-  bool owned = false;
-};
-
-struct Capacity {
-  ObjectCell cell;
-  CapacityRecord record;
-  CapacityRecord next;
-  bool dirty = false;
-  std::vector<std::string> targets;
-};
-
-struct FollowedLease {
-  ObservedLease lease;
-  bool seen = false;
-  int renewals = 0;  // changes of version seen
-};
-
-bool Matches(const TargetLoad& load, const TargetPlan& plan) {
-  return load.role == plan.role && load.model == plan.model &&
-         load.adapters == plan.adapters && load.version == plan.version;
-}
-
-bool NeedsWeights(const TargetLoad& load, const TargetPlan& plan) {
-  return load.model != plan.model || load.adapters != plan.adapters ||
-         load.version != plan.version;
-}
-
 template <typename Record>
 void ParseCell(bool (*parse)(std::string_view, Record*),
                const ObjectCell& cell,
@@ -893,7 +829,7 @@
     // the weight store has not granted yet.
     const bool loads =
         NeedsWeights(target->load, plan_->targets.at(target->info.id));
-    if (CanSpare(*capacity, *target) &&
+    if (CanSpare(*policy_, *capacity, targets_, *target) &&
         (!loads || target->reserved || awaiting_slot_ == 0)) {
       awaiting_slot_ += loads && !target->reserved ? 1 : 0;
       target->reserved = true;
@@ -902,29 +838,6 @@
     }
   }
 
-  // True when the region keeps the minimum of every role that `target` serves
-  // without it. Targets of unknown role count for nothing.
-  bool CanSpare(const Capacity& capacity, const Target& target) const {
-    int prefill = 0;
-    int decode = 0;
-    for (const std::string& id : capacity.targets) {
-      const Target& other = targets_.at(id);
-      const auto entry = capacity.next.targets.find(id);
-      const bool entered = entry != capacity.next.targets.end();
-      if (&other == &target || other.info.state != ListedState::kLive ||
-          (entered && entry->second.out) || (!entered && !other.load_known)) {
-        continue;
-      }
-      const Role role = entered ? entry->second.role : other.load.role;
-      prefill += role != Role::kDecode ? 1 : 0;
-      decode += role != Role::kPrefill ? 1 : 0;
-    }
-    return (target.load.role == Role::kDecode ||
-            prefill >= policy_->min_prefill) &&
-           (target.load.role == Role::kPrefill ||
-            decode >= policy_->min_decode);
-  }
-
   // Takes the next load from the weight store once the slot has not changed
   // for the interval by own clock; the write fails if another came first.
   void AdvanceWeightSlot() {
