control: number the draining announcements

An instance that was paused could announce late that a target drains after its successor had readmitted it, and peers had no way to tell the order.

--- a/include/endiveyard/control/control_messages.h
+++ b/include/endiveyard/control/control_messages.h
@@ -114,10 +114,12 @@
   std::string target;
   std::string address;
 };
-// Tells the serving thread and peers whether the target takes new work.
+// Tells the serving thread and peers whether the target takes new work. An
+// announcement with a lower fencing number than a received one is out of date.
 struct AnnounceDraining {
   std::string target;
   bool draining = true;
+  uint64_t fencing = 0;  // of the target's shard
 };
 struct AnnounceLeaving {
   std::string target;
--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -890,7 +890,11 @@
   void Announce(bool draining, Target* target) {
     if (target->draining_announced != draining) {
       target->draining_announced = draining;
-      actions_->push_back(AnnounceDraining{target->info.id, draining});
+      const auto shard =
+          shards_.find(ShardKeyOf(target->info.house, target->info.id));
+      actions_->push_back(AnnounceDraining{
+          target->info.id, draining,
+          shard == shards_.end() ? 0 : shard->second.record.fencing});
     }
   }
 
--- a/tests/control/control_harness.h
+++ b/tests/control/control_harness.h
@@ -337,7 +337,7 @@
 
   void Do(const std::string& id, const AnnounceDraining& action) {
     Log(absl::StrCat(id, action.draining ? " drains " : " readmits ",
-                     action.target));
+                     action.target, " fencing ", action.fencing));
     if (action.draining && drained_at_once) {
       const std::string target = action.target;
       At(now + std::chrono::seconds(2),
