--- a/include/endiveyard/fleet/configuration_keys.h
+++ b/include/endiveyard/fleet/configuration_keys.h
@@ -31,6 +31,7 @@
   int64_t max_header_bytes = 16 << 10;
   double role_change_weight = 0.5;
   std::string planner = "cost-benefit";
+  std::string role = "auto";  // an exception orders a role for its targets
   int64_t minimum_mixed = 0;
   int64_t minimum_prefill = 1;
   int64_t minimum_decode = 1;
@@ -38,8 +39,8 @@
   auto Tied() const {
     return std::tie(queue_limit, target_concurrency, stall_ms, drain_ms,
                     default_deadline_ms, max_body_bytes, max_header_bytes,
-                    role_change_weight, planner, minimum_mixed, minimum_prefill,
-                    minimum_decode);
+                    role_change_weight, planner, role, minimum_mixed,
+                    minimum_prefill, minimum_decode);
   }
   friend bool operator==(const FleetDefaults& a, const FleetDefaults& b) {
     return a.Tied() == b.Tied();
@@ -56,6 +57,7 @@
   int64_t FleetDefaults::*integer = nullptr;
   double FleetDefaults::*real = nullptr;
   std::string FleetDefaults::*text = nullptr;
+  const std::vector<std::string>* names = nullptr;  // values of a text key
   double lowest = 0;
   double highest = 0;
   int scopes = 0;  // scopes that an exception for this key may name
@@ -70,6 +72,9 @@
 // Names of the planners that `planner` may select.
 const std::vector<std::string>& PlannerNames();
 
+// Values that `role` may take. "auto" leaves the role to the planner.
+const std::vector<std::string>& RoleSettingNames();
+
 // Returns why `value` may not be used for `key`, or an empty string.
 std::string CheckSettingValue(const ConfigurationKey& key,
                               const SettingValue& value);
--- a/include/endiveyard/gateway/gateway.h
+++ b/include/endiveyard/gateway/gateway.h
@@ -22,6 +22,8 @@
   std::function<bool(const CommitIntent&)> commit_intent;
   std::function<void(const RecordOutcome&)> record_outcome;
   std::function<void(const AnnounceToPeers&)> announce;
+  // Each load report of a target; called on a pool thread.
+  std::function<void(const std::string&, const TargetLoad&)> load_reported;
   // Text of GET /status; called on a pool thread.
   std::function<std::string()> status;
 };
@@ -53,6 +55,11 @@
   // Hands an event to the serving thread; waits for room in its ring.
   bool Post(ServingEvent event);
 
+  // Calls `answer` on the serving thread with the number of attempts that run
+  // on each target. Returns false when the instance is too busy.
+  bool QueryInFlight(const std::vector<std::string>& targets,
+                     std::function<void(std::vector<int>)> answer);
+
   size_t open_exchanges() const;
 
   // Refuses new work, waits up to `bound` for open requests, then closes the
--- a/include/endiveyard/serving/serving_core.h
+++ b/include/endiveyard/serving/serving_core.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
@@ -51,6 +52,9 @@
 
   const ServingCounters& counters() const;
 
+  // Attempts of this instance that run on `target`.
+  int InFlight(std::string_view target) const;
+
   // Human-readable list of the targets considered for `request` and the
   // terms of each estimate, without changing anything.
   std::string Explain(const ServingRequest& request, TimePoint now) const;
--- a/src/fleet/configuration_keys.cc
+++ b/src/fleet/configuration_keys.cc
@@ -48,8 +48,15 @@
   ConfigurationKey planner;
   planner.name = "planner";
   planner.text = &D::planner;
+  planner.names = &PlannerNames();
   planner.scopes = kHouseScope | kServiceScope;
   keys.push_back(planner);
+  ConfigurationKey role;
+  role.name = "role";
+  role.text = &D::role;
+  role.names = &RoleSettingNames();
+  role.scopes = kTargetScopes;
+  keys.push_back(role);
   for (const auto& [name, member] :
        {std::pair("minimum_mixed", &D::minimum_mixed),
         std::pair("minimum_prefill", &D::minimum_prefill),
@@ -93,6 +100,12 @@
   return *kNames;
 }
 
+const std::vector<std::string>& RoleSettingNames() {
+  static const auto* const kNames =
+      new std::vector<std::string>{"auto", "mixed", "prefill", "decode"};
+  return *kNames;
+}
+
 std::string CheckSettingValue(const ConfigurationKey& key,
                               const SettingValue& value) {
   if (key.text != nullptr) {
@@ -100,7 +113,7 @@
     if (text == nullptr) {
       return "must be a string";
     }
-    const auto& names = PlannerNames();
+    const auto& names = *key.names;
     if (std::find(names.begin(), names.end(), *text) == names.end()) {
       std::string reason = "must be one of";
       for (const std::string& it : names) {
--- a/src/fleet/configuration_reader.cc
+++ b/src/fleet/configuration_reader.cc
@@ -1,6 +1,5 @@
 #include "fleet/configuration_reader.h"
 
-
 #include <toml++/toml.h>
 
 #include <optional>
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -102,7 +102,7 @@
         hooks_(std::move(hooks)),
         engines_([this](ServingEvent event) { Post(std::move(event)); }),
         services_([this](ServingEvent event) { Post(std::move(event)); }),
-        poller_([this](ServingEvent event) { Post(std::move(event)); },
+        poller_([this](ServingEvent event) { TakePolled(std::move(event)); },
                 [this](const std::string& target) {
                   Emit(kLogLoadReportFailed, target);
                 }),
@@ -177,6 +177,19 @@
 
   bool Post(ServingEvent event) { return serving_.Post(std::move(event)); }
 
+  bool QueryInFlight(const std::vector<std::string>& targets,
+                     std::function<void(std::vector<int>)> answer) {
+    return serving_.TryRun([targets, answer = std::move(answer)](
+                               const ServingCore& core, TimePoint) {
+      std::vector<int> counts;
+      counts.reserve(targets.size());
+      for (const std::string& it : targets) {
+        counts.push_back(core.InFlight(it));
+      }
+      answer(std::move(counts));
+    });
+  }
+
   size_t open_exchanges() const {
     std::lock_guard<std::mutex> lock(mutex_);
     return exchanges_.size();
@@ -212,6 +225,14 @@
     return options;
   }
 
+  void TakePolled(ServingEvent event) {
+    if (const auto* report = std::get_if<LoadReported>(&event);
+        report != nullptr && hooks_.load_reported) {
+      hooks_.load_reported(report->target, report->load);
+    }
+    Post(std::move(event));
+  }
+
   void Emit(int number, const std::string& detail) {
     logger_->Log(number, detail);
     metrics_->CountEvent(number);
@@ -552,6 +573,11 @@
   return impl_->Post(std::move(event));
 }
 
+bool Gateway::QueryInFlight(const std::vector<std::string>& targets,
+                            std::function<void(std::vector<int>)> answer) {
+  return impl_->QueryInFlight(targets, std::move(answer));
+}
+
 size_t Gateway::open_exchanges() const {
   return impl_->open_exchanges();
 }
--- /dev/null
+++ b/src/gateway/target_load_json.h
@@ -0,0 +1,16 @@
+#ifndef ENDIVEYARD_SRC_GATEWAY_TARGET_LOAD_JSON_H_
+#define ENDIVEYARD_SRC_GATEWAY_TARGET_LOAD_JSON_H_
+
+#include <cpprest/json.h>
+
+#include "endiveyard/base/target.h"
+
+namespace endiveyard {
+
+// Parses the body of GET /v1/load. Throws web::json::json_exception when a
+// field is missing or has another type.
+TargetLoad ParseTargetLoad(const web::json::value& body);
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SRC_GATEWAY_TARGET_LOAD_JSON_H_
--- a/src/gateway/target_poller.cc
+++ b/src/gateway/target_poller.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "gateway/callback_gate.h"
+#include "gateway/target_load_json.h"
 
 namespace endiveyard {
 namespace {
@@ -21,22 +22,6 @@
 
 constexpr std::chrono::seconds kPollTimeout(2);
 
-TargetLoad ParseLoad(const value& body) {
-  TargetLoad load;
-  ParseRole(body.at("role").as_string(), &load.role);
-  load.model = body.at("model").as_string();
-  load.version = body.at("version").as_string();
-  for (const value& it : body.at("adapters").as_array()) {
-    load.adapters.push_back(it.as_string());
-  }
-  load.queued_prefill_tokens =
-      body.at("queued_prefill_tokens").as_number().to_int64();
-  load.running_sequences = body.at("running_sequences").as_integer();
-  load.free_cache_blocks = body.at("free_cache_blocks").as_number().to_int64();
-  load.sequence = body.at("sequence").as_number().to_uint64();
-  return load;
-}
-
 std::vector<uint64_t> ParseHashes(const value& array) {
   std::vector<uint64_t> hashes;
   for (const value& it : array.as_array()) {
@@ -108,7 +93,7 @@
     client->request(methods::GET, "/v1/load")
         .then([](http_response response) { return response.extract_json(); })
         .then([self, id, client, since](value body) {
-          self->report_(LoadReported{id, ParseLoad(body)});
+          self->report_(LoadReported{id, ParseTargetLoad(body)});
           return client->request(
               methods::GET, "/v1/cache_events?since=" + std::to_string(since));
         })
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -2,6 +2,7 @@
 
 #include <random>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -16,6 +17,8 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
 #include "instance/configuration_thread.h"
+#include "instance/control_thread.h"
+#include "instance/peer_thread.h"
 #include "instance/platform_threads.h"
 
 namespace endiveyard {
@@ -24,6 +27,11 @@
 constexpr std::chrono::milliseconds kReplicaTick(250);
 constexpr std::chrono::seconds kInstanceListInterval(1);
 constexpr std::chrono::seconds kBookingFlush(5);
+constexpr std::chrono::seconds kControlTick(1);
+constexpr std::chrono::seconds kPeerTick(1);
+constexpr std::chrono::minutes kFingerprintLifetime(10);
+constexpr std::chrono::seconds kReleaseBound(5);
+constexpr std::chrono::milliseconds kReleasePoll(50);
 
 // "host:port" of "http://host:port".
 std::string AddressOf(const std::string& url) {
@@ -61,6 +69,7 @@
             &logger_,
             [this](uint64_t version, const FleetConfiguration& fleet) {
               gateway_.ApplyConfiguration(version, fleet);
+              control_.ApplyConfiguration(fleet);
             },
             [this](bool accepting, const std::string& reason) {
               gateway_.SetReady(accepting, reason);
@@ -70,7 +79,13 @@
                   MakeBookingOptions(),
                   [this](IntentResolved resolved) {
                     gateway_.Post(std::move(resolved));
-                  }) {}
+                  }),
+        control_(MakeControlOptions(),
+                 &api_,
+                 settings.object_api_timeout(),
+                 &logger_,
+                 MakeControlHooks()),
+        peers_(settings, seed_, &configuration_, &logger_, MakePeerHooks()) {}
 
   absl::Status Start() {
     gateway_.SetReady(false, "the configuration is being read");
@@ -78,7 +93,21 @@
       logger_.Log(kLogListenFailed, std::string(status.message()));
       return status;
     }
+    watch_thread_ = std::make_unique<LogWatchThread>(
+        &api_, "config/log/", seed_,
+        [this] { configuration_.TryPost(LogChanged{newest_hint()}); },
+        [this](bool watching) {
+          configuration_.TryPost(WatchChanged{watching});
+        });
+    if (absl::Status status = peers_.Start(); !status.ok()) {
+      logger_.Log(kLogListenFailed, std::string(status.message()));
+      return status;
+    }
+    control_.Start();
     configuration_.Start();
+    timers_.Subscribe(kControlTick,
+                      [this](TimePoint) { control_.TryPost(ControlTick{}); });
+    timers_.Subscribe(kPeerTick, [this](TimePoint) { peers_.Tick(); });
     timers_.Subscribe(kReplicaTick, [this](TimePoint) {
       configuration_.TryPost(ReplicaTick{});
     });
@@ -86,14 +115,10 @@
         &api_, kInstanceListInterval, settings_.object_api_timeout(),
         [this](const InstanceList& list) {
           gateway_.ApplyTargets(list.targets);
+          control_.ApplyInstances(list);
+          peers_.ApplyInstances(list);
           configuration_.TryPost(ObjectApiAnswered{});
         });
-    watch_thread_ = std::make_unique<LogWatchThread>(
-        &api_, "config/log/", seed_,
-        [this] { configuration_.TryPost(LogChanged{newest_hint()}); },
-        [this](bool watching) {
-          configuration_.TryPost(WatchChanged{watching});
-        });
     logger_.Log(kLogInstanceStarted, settings_.caller_endpoint().ToString());
     return absl::OkStatus();
   }
@@ -107,9 +132,12 @@
                   std::to_string(cut) + " requests cut");
     }
     bookings_.Stop(kBookingFlush);
+    ReleaseShards();
     timers_.Stop();
     watch_thread_->Stop();
     list_thread_->Stop();
+    peers_.Stop();
+    control_.Stop();
     configuration_.Stop();
     logger_.Log(kLogInstanceStopped, "");
   }
@@ -121,6 +149,62 @@
     return options;
   }
 
+  // Lets another instance take over at once instead of after the lease term.
+  void ReleaseShards() {
+    control_.TryPost(ControlShutdown{});
+    const TimePoint give_up = BootClock::now() + kReleaseBound;
+    while (!control_.idle() && BootClock::now() < give_up) {
+      std::this_thread::sleep_for(kReleasePoll);
+    }
+  }
+
+  ControlCoreOptions MakeControlOptions() const {
+    ControlCoreOptions options;
+    options.instance_id = settings_.id();
+    options.incarnation = incarnation_;
+    options.seed = seed_;
+    return options;
+  }
+
+  ControlHooks MakeControlHooks() {
+    ControlHooks hooks;
+    hooks.draining = [this](const std::string& target, bool draining) {
+      peers_.SetDraining(target, draining);
+    };
+    hooks.leaving = [this](const std::string& target) {
+      gateway_.Post(TargetLeaving{target});
+      peers_.NoteLeaving(target);
+    };
+    return hooks;
+  }
+
+  PeerHooks MakePeerHooks() {
+    PeerHooks hooks;
+    hooks.leaving = [this](const std::string& target) {
+      gateway_.Post(TargetLeaving{target});
+    };
+    hooks.crash_fingerprint = [this](uint64_t fingerprint) {
+      gateway_.Post(CrashFingerprintLearnt{
+          fingerprint, BootClock::now() + kFingerprintLifetime});
+    };
+    hooks.draining = [this](const std::string& target, bool draining) {
+      gateway_.Post(TargetDraining{target, draining});
+    };
+    hooks.drained = [this](const std::string& target) {
+      control_.TryPost(TargetDrained{target});
+    };
+    hooks.watcher = [this](bool watcher) {
+      if (watch_thread_ != nullptr) {
+        watch_thread_->SetActive(watcher);
+      }
+    };
+    hooks.in_flight = [this](std::vector<std::string> targets,
+                             std::function<void(std::vector<int>)> answer) {
+      gateway_.QueryInFlight(targets, std::move(answer));
+    };
+    return hooks;
+  }
+
   BookingServiceOptions MakeBookingOptions() const {
     BookingServiceOptions options;
     options.writer = incarnation_;
@@ -135,6 +219,17 @@
     hooks.record_outcome = [this](const RecordOutcome& outcome) {
       bookings_.Record(outcome);
     };
+    hooks.announce = [this](const AnnounceToPeers& action) {
+      if (!action.leaving_target.empty()) {
+        peers_.NoteLeaving(action.leaving_target);
+      } else {
+        peers_.NoteFingerprint(action.fingerprint);
+      }
+    };
+    hooks.load_reported = [this](const std::string& target,
+                                 const TargetLoad& load) {
+      control_.ApplyLoad(target, load);
+    };
     hooks.status = [this] {
       return "{\"instance\":\"" + settings_.id() +
              "\",\"configuration_version\":" +
@@ -157,6 +252,8 @@
   ConfigurationThread configuration_;
   TimerService timers_;
   BookingService bookings_;
+  ControlThread control_;
+  PeerThread peers_;
   std::unique_ptr<InstanceListThread> list_thread_;
   std::unique_ptr<LogWatchThread> watch_thread_;
 };
--- a/src/serving/serving_core.cc
+++ b/src/serving/serving_core.cc
@@ -126,6 +126,10 @@
   std::visit(EventHandler{ctx}, event);
 }
 
+int ServingCore::InFlight(std::string_view target) const {
+  return impl_->state().router.InFlight(target);
+}
+
 size_t ServingCore::open_exchanges() const {
   return impl_->state().exchanges.size();
 }
--- a/tools/standin/engine_standin.cc
+++ b/tools/standin/engine_standin.cc
@@ -293,6 +293,10 @@
     }
     stats_.highest_fencing = std::max(stats_.highest_fencing, fencing);
     ++stats_.orders_applied;
+    if (body.at("kind").as_string() == "fence") {
+      request.reply(status_codes::OK, value::object());
+      return;
+    }
     if (body.has_field("role")) {
       ParseRole(body.at("role").as_string(), &role_);
     }
@@ -328,6 +332,7 @@
         value::number(static_cast<int64_t>(sequences_.size()));
     load["free_cache_blocks"] = value::number(100000);
     load["sequence"] = value::number(++load_sequence_);
+    load["changing"] = value::boolean(BootClock::now() < changing_until_);
     return load;
   }
 
