--- a/include/endiveyard/membership/peer_digest.h
+++ b/include/endiveyard/membership/peer_digest.h
@@ -15,6 +15,7 @@
 inline constexpr size_t kMaxDigestLeaving = 64;
 inline constexpr size_t kMaxDigestFingerprints = 32;
 inline constexpr size_t kMaxDigestLoads = 1024;
+inline constexpr size_t kMaxDigestDraining = 64;
 
 // Half a second, the unit of the age of a load.
 inline constexpr Duration kLoadAgeUnit = std::chrono::milliseconds(500);
@@ -93,14 +94,16 @@
   // ignores them.
   uint32_t load_list = 0;
   std::vector<QuantisedLoad> loads;
+  std::vector<std::string> draining;  // targets that the sender drains
+  std::vector<std::string> drained;   // draining targets idle at the sender
   bool wants_snapshot = false;
   uint64_t snapshot_version = 0;  // 0: no snapshot
   std::string snapshot;
 
   auto Tied() const {
     return std::tie(sender, incarnation, sequence, version, edits, leaving,
-                    fingerprints, load_list, loads, wants_snapshot,
-                    snapshot_version, snapshot);
+                    fingerprints, load_list, loads, draining, drained,
+                    wants_snapshot, snapshot_version, snapshot);
   }
   friend bool operator==(const PeerDigest& a, const PeerDigest& b) {
     return a.Tied() == b.Tied();
