Refuse an instance list that is not an object

Cause: a JSON array passed as an object without fields, so that a malformed list replaced the current one by an empty one. Conclusion: fixed.

--- a/src/object_api/instance_list_json.cc
+++ b/src/object_api/instance_list_json.cc
@@ -110,6 +110,10 @@
 absl::StatusOr<InstanceList> ParseInstanceList(const std::string& json) {
   try {
     const value body = value::parse(json);
+    // Without this, an array would pass as an object without fields.
+    if (!body.is_object()) {
+      throw web::json::json_exception("not an object");
+    }
     InstanceList list;
     if (body.has_field("targets")) {
       for (const value& it : body.at("targets").as_array()) {
--- a/tools/standin/object_api_standin.cc
+++ b/tools/standin/object_api_standin.cc
@@ -624,6 +624,9 @@
   // {"clear": bool, "faults": [{fault, call, key_prefix, skip, count,
   // delay_ms, retry_after_ms}]}; rows are added behind the present ones.
   void SetFaults(const value& body) {
+    if (!body.is_object()) {
+      throw web::json::json_exception("not an object");
+    }
     std::vector<FaultRule> rules;
     if (body.has_field("faults")) {
       for (const value& it : body.at("faults").as_array()) {
