Give the slow-write case more time to send

Cause: with a bound of 20 ms the call could end before its request was sent on a loaded machine, and the late effect that the case waits for never came. Change: bound 1 s, delay 2.5 s; the checks are the same. Conclusion: the verdict no longer depends on 20 ms.

--- a/tests/object_api/object_api_contract_test.cc
+++ b/tests/object_api/object_api_contract_test.cc
@@ -284,10 +284,11 @@
   FaultRule rule;
   rule.fault = ObjectFault::kSlow;
   rule.call = ObjectCall::kPut;
-  rule.delay = std::chrono::milliseconds(400);
+  // Long enough for the request to be sent on a loaded machine.
+  rule.delay = std::chrono::milliseconds(2500);
   subject->AddFault(rule);
   const WriteResult put =
-      subject->api().PutIf("slow", "v", 0, std::chrono::milliseconds(20));
+      subject->api().PutIf("slow", "v", 0, std::chrono::seconds(1));
   BOOST_TEST((put.outcome == WriteOutcome::kOutcomeUnknown));
   // Waits for the late effect itself and not for a length of time.
   const auto late = subject->api().Watch("slow", 0, kLongTimeout);
