--- a/tests/authority/interleaving_model.cc
+++ b/tests/authority/interleaving_model.cc
@@ -462,6 +462,7 @@
     if (!message.order_id.empty()) {
       result_.orders_refused += refused ? 1 : 0;
       result_.orders_applied += refused ? 0 : 1;
+      result_.successor_orders += !refused && message.holder != 0 ? 1 : 0;
     }
     if (!refused && !message.order_id.empty()) {
       if (message.fencing < world->cleared) {
@@ -518,7 +519,8 @@
     const bool holds = HoldsLease(holder.lease, now);
     const bool own =
         holds && holder.shard.known && OwnsShard(holder.record, holder.lease);
-    if (!holder.shard.known || (!own && holder.shard.read_at < now)) {
+    if (!holder.shard.known || ((!own || !holder.record.former.empty()) &&
+                                holder.shard.read_at < now)) {
       Send(world, index, StartRead(holder.next_call++, &holder.shard));
     } else if (own) {
       StepOwner(world, index);
--- a/tests/authority/interleaving_model.h
+++ b/tests/authority/interleaving_model.h
@@ -36,7 +36,8 @@
 struct Exploration {
   size_t states = 0;
   bool complete = false;
-  size_t orders_applied = 0;  // transitions in which an order took effect
+  size_t orders_applied = 0;    // transitions in which an order took effect
+  size_t successor_orders = 0;  // of those, by others than the first owner
   size_t orders_refused = 0;
   size_t takeovers = 0;
   std::set<std::string> violations;
--- a/tests/authority/interleaving_test.cc
+++ b/tests/authority/interleaving_test.cc
@@ -35,7 +35,7 @@
   ModelOptions options = Model(2, true, 3);
   options.pauses = 1;
   add("2 holders, checking target, pause", options, 100000);
-  options = Model(2, false, 4);
+  options = Model(2, false, 5);
   options.pauses = 1;
   add("2 holders, ignoring target, pause", options, 80000);
   options = Model(2, true, 4);
@@ -92,8 +92,9 @@
     states += result.states;
     std::cout << cases[i].name << ": states " << result.states << ", takeovers "
               << result.takeovers << ", orders applied "
-              << result.orders_applied << ", refused " << result.orders_refused
-              << "\n";
+              << result.orders_applied << " (by successors "
+              << result.successor_orders << "), refused "
+              << result.orders_refused << "\n";
     for (const std::string& it : result.trace) {
       std::cout << "  " << it << "\n";
     }
@@ -102,6 +103,10 @@
     BOOST_TEST(result.states >= cases[i].min_states, cases[i].name);
     BOOST_TEST(result.takeovers > 0U, cases[i].name);
     BOOST_TEST(result.orders_applied > 0U, cases[i].name);
+    // The horizon has to reach an order of the holder that took over.
+    if (cases[i].options.holders == 2) {
+      BOOST_TEST(result.successor_orders > 0U, cases[i].name);
+    }
   }
   std::cout << "states visited in total: " << states << "\n";
   BOOST_TEST(states >= 1000000U);
