control: keep a target in doubt out of service when the lease lapses

At a lapse every target without an unanswered order was readmitted, also one whose order had an unknown outcome and which may be in the middle of a change. Now only targets without an open order, with one that was never sent, or with one that was confirmed return to work.

TargetInDoubtIsNotReadmittedInOutage failed before the change. DrainedTargetIsReadmittedInOutage covers the opposite case. All of ctest passes.

--- a/src/control/control_core.cc
+++ b/src/control/control_core.cc
@@ -395,12 +395,18 @@
       shard.cell.known = false;
       for (const std::string& id : shard.targets) {
         Target& target = targets_[id];
+        // A target with an order in doubt may be in the middle of a change.
+        const OpenOrder* open = FindOrder(shard.record, id);
+        const bool unchanged =
+            open == nullptr || target.journaled == open->order_id ||
+            (target.sent == open->order_id && target.answered &&
+             target.outcome == OrderOutcome::kApplied);
         target.journaled.clear();
         target.phase = Phase::kUnread;
         target.reserved = false;
         target.state_read = false;
         target.settling = false;
-        if (target.answered) {
+        if (unchanged) {
           Announce(false, &target);
         }
       }
--- a/tests/control/fault_table_test.cc
+++ b/tests/control/fault_table_test.cc
@@ -291,4 +291,39 @@
   BOOST_TEST((harness.engines["t1"].load.role == Role::kPrefill));
 }
 
+// Guards against new work for a target that may be in the middle of a change
+// when the lease lapses.
+BOOST_AUTO_TEST_CASE(TargetInDoubtIsNotReadmittedInOutage) {
+  ControlHarness harness;
+  AddWorld(true, &harness);
+  harness.RunFor(60 * kSecond);
+  harness.engines["t1"].crash_on_order = true;
+  harness.Plan("t1", Role::kPrefill, "m");
+  harness.RunFor(10 * kSecond);
+  BOOST_REQUIRE(harness.HasLine("t1 answers"));
+  harness.api_down = true;
+  harness.RunFor(60 * kSecond);
+  BOOST_TEST(!harness.HasLine("readmits t1"));
+  harness.engines["t1"].crashed = false;
+  harness.api_down = false;
+  harness.RunFor(60 * kSecond);
+  BOOST_TEST(harness.HasLine("readmits t1"));
+}
+
+// Guards against a drained target that stays idle for a whole outage although
+// no order was sent to it.
+BOOST_AUTO_TEST_CASE(DrainedTargetIsReadmittedInOutage) {
+  ControlHarness harness;
+  harness.drained_at_once = false;
+  AddWorld(true, &harness);
+  harness.RunFor(60 * kSecond);
+  harness.Plan("t1", Role::kPrefill, "m");
+  harness.RunFor(10 * kSecond);
+  BOOST_REQUIRE(harness.HasLine("drains t1"));
+  harness.api_down = true;
+  harness.RunFor(20 * kSecond);
+  BOOST_TEST(harness.HasLine("readmits t1"));
+  BOOST_TEST(harness.engines["t1"].applied == 0);
+}
+
 }  // namespace endiveyard
