Use fixed neighbours and tell who is live

Cause: random calls at 370 instances reach a peer seldom, so nearly every call would pay a TLS handshake of several kilobytes, and half-open connections could fill the listener. Instances outside the fan-out were taken for lost, which made too many of them watchers.

Change: above 8 peers, calls go to neighbours at fixed distances on a ring of hashed names; neighbours that do not answer are replaced and probed now and then. Digests in a failure domain say who is live. The listener closes connections without an exchange for 60 s and survives failures to accept; the client notices closed connections before the next exchange.

Conclusion: each failure domain has exactly two watchers, and digests stay within 8192 bytes/s.

--- a/include/endiveyard/membership/membership_state.h
+++ b/include/endiveyard/membership/membership_state.h
@@ -20,11 +20,16 @@
   uint64_t incarnation = 1;
   uint64_t seed = 1;
   size_t full_mesh_limit = 8;  // peers; above, the fan-out is bounded
-  size_t domain_fan_out = 2;
-  size_t remote_fan_out = 1;
+  size_t domain_fan_out = 2;   // calls a second in the failure domain
+  size_t remote_fan_out = 1;   // and in others
+  // Calls go to a fixed set of neighbours, as each new connection costs a TLS
+  // handshake of several kilobytes.
+  size_t domain_neighbours = 4;
+  size_t remote_neighbours = 2;
   // Sent and received together, averaged over one second.
   size_t bytes_per_second = 8192;
-  // A peer that sent nothing for this long is not live.
+  // A peer that was not heard, by this instance or by another of its failure
+  // domain, for this long is not live.
   Duration live_bound = std::chrono::seconds(20);
   Duration leaving_lifetime = std::chrono::minutes(10);
   Duration fingerprint_lifetime = std::chrono::minutes(10);
@@ -50,6 +55,8 @@
   uint64_t version = 0;
   bool wants_snapshot = false;
   std::optional<TimePoint> heard;  // last accepted digest
+  std::optional<TimePoint> alive;  // the same, also as told by others
+  uint32_t unanswered = 0;         // calls since the peer was last heard
 };
 
 struct TargetLoadView {
@@ -63,6 +70,8 @@
   std::map<std::string, PeerRecord> peers;
   std::map<std::string, TimePoint> leaving;    // target to expiry
   std::map<uint64_t, TimePoint> fingerprints;  // value to expiry
+  std::vector<std::string> domain_instances;   // sorted, with the own one
+  uint32_t live_list = 0;                      // digest of domain_instances
   std::vector<std::string> domain_targets;     // sorted ids
   uint32_t load_list = 0;                      // digest of domain_targets
   std::map<uint16_t, TargetLoadView> loads;
@@ -119,8 +128,10 @@
               MembershipState* state);
 
 // Peers to exchange with in this round; called once a second. All peers up to
-// the limit of the full mesh; otherwise a seeded choice in the failure domain
-// and in others. Refills the byte budget. O(peers).
+// the limit of the full mesh; otherwise a seeded choice among the neighbours
+// in the failure domain and in others. Peers that do not answer are replaced
+// as neighbours, and called again now and then. Refills the byte budget.
+// O(peers).
 std::vector<PeerInfo> NextExchanges(const MembershipOptions& options,
                                     TimePoint now,
                                     MembershipState* state);
@@ -142,12 +153,13 @@
                            TimePoint now,
                            MembershipState* state);
 
-// Peers heard within the bound, sorted by name.
+// Peers alive within the bound, sorted by name. Complete in the failure
+// domain; in others only direct peers are known.
 std::vector<std::string> LivePeers(const MembershipOptions& options,
                                    TimePoint now,
                                    const MembershipState& state);
 
-// Versions reported by live peers, with the own one.
+// Versions that live peers reported to this instance, with the own one.
 std::map<std::string, uint64_t> ReportedVersions(
     const MembershipOptions& options,
     uint64_t own_version,
--- a/include/endiveyard/membership/peer_digest.h
+++ b/include/endiveyard/membership/peer_digest.h
@@ -15,6 +15,7 @@
 inline constexpr size_t kMaxDigestLeaving = 64;
 inline constexpr size_t kMaxDigestFingerprints = 32;
 inline constexpr size_t kMaxDigestLoads = 1024;
+inline constexpr size_t kMaxDigestLive = 1024;
 
 // Half a second, the unit of the age of a load.
 inline constexpr Duration kLoadAgeUnit = std::chrono::milliseconds(500);
@@ -75,6 +76,17 @@
 uint32_t PackLoad(const QuantisedLoad& load);
 QuantisedLoad UnpackLoad(uint32_t packed);
 
+// When an instance of the failure domain was last known to be alive; packs
+// into 2 bytes like a load.
+struct LiveAge {
+  uint16_t instance = 0;  // position in the sorted names of the domain
+  uint8_t age = 0;        // half seconds, 0 to 63
+
+  friend bool operator==(const LiveAge& a, const LiveAge& b) {
+    return a.instance == b.instance && a.age == b.age;
+  }
+};
+
 // Logarithmic code of a number of tokens; the error is at most 5 %.
 uint8_t QuantiseTokens(int64_t tokens);
 int64_t ExpandTokens(uint8_t code);
@@ -93,14 +105,18 @@
   // ignores them.
   uint32_t load_list = 0;
   std::vector<QuantisedLoad> loads;
+  // Instances of the failure domain that were alive, with the identity of the
+  // list of names.
+  uint32_t live_list = 0;
+  std::vector<LiveAge> live;
   bool wants_snapshot = false;
   uint64_t snapshot_version = 0;  // 0: no snapshot
   std::string snapshot;
 
   auto Tied() const {
     return std::tie(sender, incarnation, sequence, version, edits, leaving,
-                    fingerprints, load_list, loads, wants_snapshot,
-                    snapshot_version, snapshot);
+                    fingerprints, load_list, loads, live_list, live,
+                    wants_snapshot, snapshot_version, snapshot);
   }
   friend bool operator==(const PeerDigest& a, const PeerDigest& b) {
     return a.Tied() == b.Tied();
--- a/src/membership/membership_state.cc
+++ b/src/membership/membership_state.cc
@@ -12,6 +12,12 @@
 // headers of an exchange; the last two are estimates.
 constexpr int64_t kExchangeOverheadBytes = 600;
 constexpr size_t kWatchersPerDomain = 2;
+
+// Calls without an answer after which another neighbour is taken.
+constexpr uint32_t kMaxUnanswered = 3;
+// One round in this many calls a peer that does not answer.
+constexpr uint64_t kProbeRounds = 16;
+
 // Digests without entries are sent even in debt, so it is bounded.
 constexpr int64_t kMaxDebtRounds = 4;
 
@@ -36,10 +42,56 @@
   return inserted;
 }
 
+// Identifies a list, so that two instances know whether they mean the same
+// positions.
+uint32_t ListIdentity(const std::vector<std::string>& names) {
+  uint64_t digest = 0;
+  for (const std::string& it : names) {
+    digest = CombineDigests(digest, Digest64(it));
+  }
+  return static_cast<uint32_t>(digest);
+}
+
+// Age in half seconds, rounded up so that nothing gets younger on its way.
+int64_t AgeOf(TimePoint at, TimePoint now) {
+  return (now - at + kLoadAgeUnit - Duration(1)) / kLoadAgeUnit;
+}
+
 bool IsLive(const MembershipOptions& options,
             const PeerRecord& peer,
             TimePoint now) {
-  return peer.heard && now - *peer.heard < options.live_bound;
+  return peer.alive && now - *peer.alive < options.live_bound;
+}
+
+// Takes for each distance the first peer of the ring from there on that
+// answers, is not taken and is outside `excluded_domain`. Peers that do not
+// answer are taken only if there are no others. `nullptr` marks the own place.
+std::vector<std::pair<uint64_t, PeerRecord*>> Neighbours(
+    std::vector<std::pair<uint64_t, PeerRecord*>>* ring,
+    const std::vector<size_t>& distances,
+    std::string_view excluded_domain) {
+  std::sort(ring->begin(), ring->end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  size_t own = 0;
+  while ((*ring)[own].second != nullptr) {
+    ++own;
+  }
+  std::vector<std::pair<uint64_t, PeerRecord*>> group;
+  for (size_t distance : distances) {
+    const size_t before = group.size();
+    for (const bool silent : {false, true}) {
+      for (size_t i = 0; i < ring->size() && group.size() == before; ++i) {
+        const auto& place = (*ring)[(own + distance + i) % ring->size()];
+        if (place.second != nullptr &&
+            (place.second->unanswered >= kMaxUnanswered) == silent &&
+            place.second->info.failure_domain != excluded_domain &&
+            std::find(group.begin(), group.end(), place) == group.end()) {
+          group.push_back(place);
+        }
+      }
+    }
+  }
+  return group;
 }
 
 }  // namespace
@@ -61,6 +113,16 @@
     next[it.instance] = std::move(record);
   }
   state->peers = std::move(next);
+  state->domain_instances = {options.instance};
+  for (const auto& [name, peer] : state->peers) {
+    if (peer.info.failure_domain == options.failure_domain) {
+      state->domain_instances.push_back(name);
+    }
+  }
+  std::sort(state->domain_instances.begin(), state->domain_instances.end());
+  state->domain_instances.resize(
+      std::min(state->domain_instances.size(), kMaxDigestLive));
+  state->live_list = ListIdentity(state->domain_instances);
 }
 
 void SetDomainTargets(std::vector<std::string> targets,
@@ -85,7 +147,7 @@
   }
   state->loads = std::move(loads);
   state->domain_targets = std::move(targets);
-  state->load_list = static_cast<uint32_t>(digest);
+  state->load_list = ListIdentity(state->domain_targets);
   state->load_cursor = 0;
 }
 
@@ -141,26 +203,66 @@
     }
     return chosen;
   }
-  std::vector<std::pair<uint64_t, const PeerRecord*>> own;
-  std::vector<std::pair<uint64_t, const PeerRecord*>> remote;
-  for (const auto& [name, peer] : state->peers) {
-    auto& group =
-        peer.info.failure_domain == options.failure_domain ? own : remote;
-    group.emplace_back(Draw(options, state->rounds, name), &peer);
+  using Group = std::vector<std::pair<uint64_t, PeerRecord*>>;
+  // Every instance sorts the same names into the same ring, and takes its
+  // neighbours at the same distances. So each is called as often as it calls.
+  std::vector<std::pair<uint64_t, PeerRecord*>> ring = {
+      {Digest64(options.instance), nullptr}};
+  std::vector<std::pair<uint64_t, PeerRecord*>> domain_ring = ring;
+  Group silent;
+  for (auto& [name, peer] : state->peers) {
+    ring.emplace_back(Digest64(name), &peer);
+    if (peer.info.failure_domain == options.failure_domain) {
+      domain_ring.push_back(ring.back());
+    }
+    if (peer.unanswered >= kMaxUnanswered) {
+      silent.emplace_back(Draw(options, state->rounds, name), &peer);
+    }
+  }
+  const size_t domain_peers = domain_ring.size() - 1;
+  const size_t domain_calls = std::min(options.domain_fan_out, domain_peers);
+  // Few in their failure domain, instances use their calls in others.
+  const size_t remote_calls =
+      options.remote_fan_out + options.domain_fan_out - domain_calls;
+  std::vector<size_t> domain_distances;
+  for (size_t i = 0; i < std::min(options.domain_neighbours, domain_peers);
+       ++i) {
+    domain_distances.push_back(size_t{1} << i);
   }
-  const auto take = [&chosen](auto* group, size_t count) {
+  std::vector<size_t> remote_distances;
+  const size_t remote_count =
+      std::min(std::max(options.remote_neighbours, remote_calls),
+               state->peers.size() - domain_peers);
+  for (size_t i = 0; i < remote_count; ++i) {
+    remote_distances.push_back(ring.size() * (i + 1) / (remote_count + 1) + 1);
+  }
+  Group own = Neighbours(&domain_ring, domain_distances, "");
+  Group remote = Neighbours(&ring, remote_distances, options.failure_domain);
+  // Keeps the `count` entries with the lowest draws.
+  const auto keep = [](Group* group, size_t count) {
     count = std::min(count, group->size());
     std::partial_sort(
-        group->begin(), group->begin() + static_cast<long>(count), group->end(),
+        group->begin(), group->begin() + static_cast<ptrdiff_t>(count),
+        group->end(),
         [](const auto& a, const auto& b) { return a.first < b.first; });
-    for (size_t i = 0; i < count; ++i) {
-      chosen.push_back((*group)[i].second->info);
-    }
+    group->resize(count);
   };
-  take(&own, options.domain_fan_out);
-  // Alone in its failure domain, an instance uses its whole fan-out outside.
-  take(&remote,
-       options.remote_fan_out + (options.domain_fan_out - chosen.size()));
+  for (const auto& [group, calls] :
+       {std::pair(&own, domain_calls), std::pair(&remote, remote_calls)}) {
+    for (auto& [draw, peer] : *group) {
+      draw = Draw(options, state->rounds, peer->info.instance);
+    }
+    keep(group, calls);
+  }
+  // After a partition has healed, each side finds the other by these calls.
+  const bool is_probe = (state->rounds + options.seed) % kProbeRounds == 0;
+  keep(&silent, is_probe ? 1 : 0);
+  for (const Group* group : {&own, &remote, &silent}) {
+    for (const auto& [draw, peer] : *group) {
+      ++peer->unanswered;
+      chosen.push_back(peer->info);
+    }
+  }
   return chosen;
 }
 
@@ -179,7 +281,8 @@
   const auto it = state->peers.find(std::string(peer));
   const PeerRecord* record = it == state->peers.end() ? nullptr : &it->second;
   // Rare entries may use up the budget. Loads fill every digest, so they get
-  // an equal share of each exchange and direction.
+  // an equal share of each exchange and direction; an eighth is left over,
+  // which pays off the debt of rare entries.
   const size_t exchanges =
       state->peers.size() <= options.full_mesh_limit
           ? std::max<size_t>(state->peers.size(), 1)
@@ -188,7 +291,8 @@
       kExchangeOverheadBytes / 2 + static_cast<int64_t>(DigestBytes(digest));
   int64_t left = state->bytes_left - fixed;
   int64_t load_share =
-      static_cast<int64_t>(options.bytes_per_second / exchanges / 2) - fixed;
+      static_cast<int64_t>(options.bytes_per_second * 7 / 8 / exchanges / 2) -
+      fixed;
   for (const auto& [value, expiry] : state->fingerprints) {
     if (digest.fingerprints.size() == kMaxDigestFingerprints || left < 16) {
       break;
@@ -237,6 +341,24 @@
   }
   const bool same_domain = record != nullptr && record->info.failure_domain ==
                                                     options.failure_domain;
+  if (same_domain) {
+    digest.live_list = state->live_list;
+    for (size_t i = 0; i < state->domain_instances.size() && left >= 2; ++i) {
+      const auto known = state->peers.find(state->domain_instances[i]);
+      LiveAge entry;
+      entry.instance = static_cast<uint16_t>(i);
+      if (known != state->peers.end()) {
+        if (!known->second.alive ||
+            AgeOf(*known->second.alive, now) > kMaxLoadAge) {
+          continue;
+        }
+        entry.age = static_cast<uint8_t>(AgeOf(*known->second.alive, now));
+      }
+      digest.live.push_back(entry);
+      left -= 2;
+      load_share -= 2;
+    }
+  }
   load_share = std::min(left, load_share);
   if (same_domain && !state->loads.empty()) {
     // Continues where the last digest stopped, so that every load is sent in
@@ -249,9 +371,7 @@
       if (load == state->loads.end()) {
         load = state->loads.begin();
       }
-      // Rounded up, so that no load gets younger on its way.
-      const auto age =
-          (now - load->second.at + kLoadAgeUnit - Duration(1)) / kLoadAgeUnit;
+      const int64_t age = AgeOf(load->second.at, now);
       if (age > kMaxLoadAge) {
         ++load;
         continue;
@@ -300,6 +420,23 @@
   peer.version = digest.version;
   peer.wants_snapshot = digest.wants_snapshot;
   peer.heard = now;
+  peer.alive = now;
+  peer.unanswered = 0;
+  if (digest.live_list == state->live_list &&
+      peer.info.failure_domain == options.failure_domain) {
+    for (const LiveAge& entry : digest.live) {
+      if (entry.instance >= state->domain_instances.size()) {
+        continue;
+      }
+      const auto known =
+          state->peers.find(state->domain_instances[entry.instance]);
+      const TimePoint at = now - entry.age * kLoadAgeUnit;
+      if (known != state->peers.end() &&
+          (!known->second.alive || *known->second.alive < at)) {
+        known->second.alive = at;
+      }
+    }
+  }
   for (const DigestLeaving& entry : digest.leaving) {
     const Duration remaining =
         std::min(entry.remaining, options.leaving_lifetime);
@@ -376,7 +513,7 @@
   size_t lower = 0;
   for (const auto& [name, peer] : state.peers) {
     const bool counts = IsLive(options, peer, now) ||
-                        (!peer.heard && now - started < options.live_bound);
+                        (!peer.alive && now - started < options.live_bound);
     if (peer.info.failure_domain == options.failure_domain && counts &&
         rank(name) < own) {
       ++lower;
--- a/src/membership/peer_digest.cc
+++ b/src/membership/peer_digest.cc
@@ -8,11 +8,13 @@
 
 // 255 steps of 4.7 % reach 100,000 tokens and more.
 constexpr double kTokenStep = 1.047;
-constexpr size_t kFixedBytes = 160;
+// Segment table, root pointer, and the data and pointers of the struct.
+constexpr size_t kFixedBytes = 112;
 constexpr size_t kEditBytes = 48;
 constexpr size_t kLeavingBytes = 24;
 constexpr size_t kFingerprintBytes = 16;
 constexpr size_t kLoadBytes = 4;
+constexpr size_t kLiveBytes = 2;
 constexpr size_t kMaxSnapshotBytes = 1'000'000;
 constexpr size_t kMaxDeltaBytes = 64 << 10;
 
@@ -62,7 +64,8 @@
   if (digest.edits.size() > kMaxDigestEdits ||
       digest.leaving.size() > kMaxDigestLeaving ||
       digest.fingerprints.size() > kMaxDigestFingerprints ||
-      digest.loads.size() > kMaxDigestLoads) {
+      digest.loads.size() > kMaxDigestLoads ||
+      digest.live.size() > kMaxDigestLive) {
     return "a list is too long";
   }
   for (const DigestEdit& it : digest.edits) {
@@ -94,6 +97,7 @@
   }
   return bytes + digest.fingerprints.size() * kFingerprintBytes +
          RoundToWord(digest.loads.size() * kLoadBytes) +
+         RoundToWord(digest.live.size() * kLiveBytes) +
          RoundToWord(digest.snapshot.size());
 }
 
--- a/src/peer/digest_codec.cc
+++ b/src/peer/digest_codec.cc
@@ -72,6 +72,14 @@
       loads.set(i, PackLoad(digest.loads[i]));
     }
   }
+  message.setLiveList(digest.live_list);
+  if (!digest.live.empty()) {
+    auto live = message.initLive(static_cast<uint32_t>(digest.live.size()));
+    for (uint32_t i = 0; i < live.size(); ++i) {
+      live.set(i, static_cast<uint16_t>(digest.live[i].instance << 6 |
+                                        digest.live[i].age));
+    }
+  }
   if (digest.snapshot_version > 0) {
     auto snapshot = message.initSnapshot();
     snapshot.setVersion(digest.snapshot_version);
@@ -113,6 +121,14 @@
   for (uint32_t i = 0; i < BoundedSize(loads, kMaxDigestLoads); ++i) {
     digest.loads.push_back(UnpackLoad(loads[i]));
   }
+  digest.live_list = message.getLiveList();
+  const auto live = message.getLive();
+  for (uint32_t i = 0; i < BoundedSize(live, kMaxDigestLive); ++i) {
+    LiveAge age;
+    age.instance = static_cast<uint16_t>(live[i] >> 6);
+    age.age = live[i] & kMaxLoadAge;
+    digest.live.push_back(age);
+  }
   if (message.hasSnapshot()) {
     digest.snapshot_version = message.getSnapshot().getVersion();
     digest.snapshot = ToString(message.getSnapshot().getText());
--- a/src/peer/peer_client.cc
+++ b/src/peer/peer_client.cc
@@ -18,6 +18,9 @@
 namespace endiveyard {
 namespace {
 
+// Instances are replaced over time; 370 are in use at once.
+constexpr size_t kMaxPeers = 1024;
+
 // An open connection to one peer.
 struct Connection {
   explicit Connection(kj::Own<kj::AsyncIoStream> connected)
@@ -44,6 +47,7 @@
 struct Peer {
   std::string address;
   kj::Own<Connection> connection;
+  uint64_t serial = 0;  // of the connection
   bool busy = false;
   uint32_t failures = 0;
   uint64_t draws = 0;
@@ -76,6 +80,7 @@
                 const std::string& address,
                 const PeerDigest& digest,
                 PeerClient::Callback callback) {
+    BoundPeers();
     Peer& peer = peers_[name];
     if (peer.address != address) {
       if (peer.busy) {
@@ -148,6 +153,11 @@
                 KJ_EXCEPTION(FAILED, "the certificate has another name"));
           }
           peer->connection = kj::heap<Connection>(kj::mv(connected.stream));
+          const uint64_t serial = peer->serial = ++last_serial_;
+          // The peer closes connections that it did not hear on for a while;
+          // the next exchange then connects again and does not fail.
+          tasks_->add(peer->connection->network.onDisconnect().then(
+              [this, name, serial]() { Drop(name, serial); }));
         });
   }
 
@@ -183,6 +193,24 @@
             draw % static_cast<uint64_t>(std::max<int64_t>(bound.count(), 1))));
   }
 
+  // Closes the connection `serial` of a peer, unless an exchange uses it.
+  void Drop(const std::string& name, uint64_t serial) {
+    const auto it = peers_.find(name);
+    if (it != peers_.end() && it->second.serial == serial && !it->second.busy) {
+      it->second.connection = nullptr;
+    }
+  }
+
+  // Forgets peers that have no exchange open once there are too many.
+  void BoundPeers() {
+    if (peers_.size() < kMaxPeers) {
+      return;
+    }
+    for (auto it = peers_.begin(); it != peers_.end();) {
+      it = it->second.busy ? std::next(it) : peers_.erase(it);
+    }
+  }
+
   void Finish(uint64_t id, absl::StatusOr<PeerDigest> result) {
     const auto it = callbacks_.find(id);
     PeerClient::Callback callback = std::move(it->second);
@@ -199,6 +227,7 @@
   std::map<std::string, Peer> peers_;
   std::map<uint64_t, PeerClient::Callback> callbacks_;
   uint64_t last_id_ = 0;
+  uint64_t last_serial_ = 0;
   std::unique_ptr<kj::TaskSet> tasks_;
 };
 
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -71,16 +71,28 @@
   AtomicCounters& counters_;
 };
 
+// A connection without an exchange for this long is closed, as its peer may be
+// gone without a sign. Neighbours exchange every few seconds.
+constexpr int kIdleTimeoutSeconds = 60;
+
+// Delay after a failure to accept, such as a lack of file descriptors.
+constexpr int kAcceptRetryMillis = 100;
+
 // The capability that one connection gets.
 class PeerService final : public rpc::Peer::Server {
  public:
   // `name`: common name of the connection's certificate; empty if plain.
   PeerService(std::string name,
               const PeerServer::Handler& handler,
-              AtomicCounters* counters)
-      : name_(std::move(name)), handler_(handler), counters_(*counters) {}
+              AtomicCounters* counters,
+              uint64_t* calls)
+      : name_(std::move(name)),
+        handler_(handler),
+        counters_(*counters),
+        calls_(*calls) {}
 
   kj::Promise<void> exchange(ExchangeContext context) override {
+    ++calls_;
     PeerDigest digest;
     const auto exception = kj::runCatchingExceptions(
         [&]() { digest = ReadDigest(context.getParams().getDigest()); });
@@ -112,20 +124,27 @@
   const std::string name_;
   const PeerServer::Handler& handler_;
   AtomicCounters& counters_;
+  uint64_t& calls_;
 };
 
 // One accepted connection.
 struct Connection {
   Connection(kj::Own<kj::AsyncIoStream> accepted,
-             capnp::Capability::Client service,
+             std::string name,
+             const PeerServer::Handler& handler,
              AtomicCounters* counters)
       : stream(kj::mv(accepted)),
         messages(*stream, counters),
         network(messages,
                 capnp::rpc::twoparty::Side::SERVER,
                 PeerReaderOptions()),
-        rpc(capnp::makeRpcServer(network, kj::mv(service))) {}
+        rpc(capnp::makeRpcServer(network,
+                                 kj::heap<PeerService>(std::move(name),
+                                                       handler,
+                                                       counters,
+                                                       &calls))) {}
 
+  uint64_t calls = 0;
   kj::Own<kj::AsyncIoStream> stream;
   CountingMessageStream messages;
   capnp::TwoPartyVatNetwork network;
@@ -140,7 +159,10 @@
            const std::optional<PeerTlsTexts>& tls,
            const PeerServer::Handler& handler,
            AtomicCounters* counters)
-      : handler_(handler), counters_(*counters), tasks_(*this) {
+      : handler_(handler),
+        counters_(*counters),
+        timer_(io.provider->getTimer()),
+        tasks_(*this) {
     if (tls) {
       tls_ = MakeTlsContext(*tls, io.provider->getTimer(),
                             kAcceptTimeoutSeconds * kj::SECONDS);
@@ -167,6 +189,10 @@
             ++counters_.refused_connections;
           }
           return Accept();
+        },
+        [this](kj::Exception&&) {
+          return timer_.afterDelay(kAcceptRetryMillis * kj::MILLISECONDS)
+              .then([this]() { return Accept(); });
         });
   }
 
@@ -191,22 +217,30 @@
   }
 
   kj::Promise<void> Talk(kj::Own<kj::AsyncIoStream> stream, std::string name) {
-    auto connection = kj::heap<Connection>(
-        kj::mv(stream),
-        kj::heap<PeerService>(std::move(name), handler_, &counters_),
-        &counters_);
-    auto closed = connection->network.onDisconnect();
+    auto connection = kj::heap<Connection>(kj::mv(stream), std::move(name),
+                                           handler_, &counters_);
+    auto closed = connection->network.onDisconnect().exclusiveJoin(
+        UntilIdle(connection.get(), 0));
     return closed.attach(kj::mv(connection));
   }
 
-  // Only the accept loop can fail here; it then ends, and peers see this
-  // instance as not live.
-  void taskFailed(kj::Exception&& /*exception*/) override {
-    ++counters_.refused_connections;
+  // Resolves once no exchange was made since the call count `seen`.
+  kj::Promise<void> UntilIdle(Connection* connection, uint64_t seen) {
+    return timer_.afterDelay(kIdleTimeoutSeconds * kj::SECONDS)
+        .then([this, connection, seen]() -> kj::Promise<void> {
+          if (connection->calls == seen) {
+            return kj::READY_NOW;
+          }
+          return UntilIdle(connection, connection->calls);
+        });
   }
 
+  // Every task handles its own failures.
+  void taskFailed(kj::Exception&& /*exception*/) override {}
+
   const PeerServer::Handler& handler_;
   AtomicCounters& counters_;
+  kj::Timer& timer_;
   size_t connections_ = 0;
   kj::Own<kj::TlsContext> tls_;
   kj::Own<kj::ConnectionReceiver> receiver_;
--- a/tests/membership/membership_state_test.cc
+++ b/tests/membership/membership_state_test.cc
@@ -137,6 +137,27 @@
   BOOST_TEST((UnpackLoad(PackLoad(load)) == load));
 }
 
+// Guards against an instance that is taken for lost because it is no
+// neighbour: others of the failure domain tell that it is alive, and a relayed
+// age never makes it live longer.
+BOOST_AUTO_TEST_CASE(OthersTellWhoIsLive) {
+  MembershipState state;
+  ApplyPeerList(Options("a"), {{"a", "", "d"}, {"b", "", "d"}, {"c", "", "d"}},
+                &state);
+  PeerDigest digest = DigestFromB(1, 1);
+  digest.live_list = state.live_list;
+  digest.live = {{1, 0}, {2, 20}, {7, 0}};
+  ReceiveDigest(Options("a"), digest, AtSeconds(100), &state);
+  const std::vector<std::string> both = {"b", "c"};
+  BOOST_TEST(LivePeers(Options("a"), AtSeconds(109), state) == both);
+  NextExchanges(Options("a"), AtSeconds(104), &state);
+  const PeerDigest sent =
+      ComposeDigest(Options("a"), "b", {}, AtSeconds(104), &state);
+  const std::vector<LiveAge> ages = {{0, 0}, {1, 8}, {2, 28}};
+  BOOST_TEST((sent.live == ages));
+  BOOST_TEST(LivePeers(Options("a"), AtSeconds(110), state).size() == 1);
+}
+
 // Guards against a failure domain without a watcher, and against more than
 // two, when instances come and go.
 BOOST_AUTO_TEST_CASE(TwoLiveInstancesWatch) {
--- a/tests/membership/spread_test.cc
+++ b/tests/membership/spread_test.cc
@@ -67,6 +67,53 @@
     return rounds;
   }
 
+  // Fewest and most watchers of a failure domain.
+  std::pair<size_t, size_t> WatchersByDomain() const {
+    std::map<std::string, size_t> watchers;
+    for (size_t i = 0; i < states_.size(); ++i) {
+      watchers[options_[i].failure_domain] +=
+          IsWatcher(options_[i], TimePoint(),
+                    TimePointFromMicros(round_ * 1'000'000), states_[i])
+              ? 1
+              : 0;
+    }
+    size_t least = states_.size();
+    size_t most = 0;
+    for (const auto& [domain, count] : watchers) {
+      least = std::min(least, count);
+      most = std::max(most, count);
+    }
+    return {least, most};
+  }
+
+  // Gives every instance the loads of 800 targets, and returns the most bytes
+  // a second that an instance sent and received in `rounds`.
+  size_t MostBytesPerSecond(int rounds) {
+    std::vector<std::string> targets;
+    targets.reserve(800);
+    for (int i = 0; i < 800; ++i) {
+      targets.push_back("target-" + std::to_string(i));
+    }
+    for (MembershipState& it : states_) {
+      SetDomainTargets(targets, &it);
+    }
+    bytes_.clear();
+    for (int i = 0; i < rounds; ++i) {
+      const TimePoint now = TimePointFromMicros(round_ * 1'000'000);
+      for (MembershipState& it : states_) {
+        for (const std::string& target : targets) {
+          NoteLoad(target, 100, 5, now, &it);
+        }
+      }
+      Round([](int, size_t, size_t) { return false; });
+    }
+    size_t most = 0;
+    for (const auto& [instance, bytes] : bytes_) {
+      most = std::max(most, bytes / static_cast<size_t>(rounds));
+    }
+    return most;
+  }
+
   size_t Reached(uint64_t n) const {
     return static_cast<size_t>(
         std::count_if(versions_.begin(), versions_.end(),
@@ -94,6 +141,10 @@
     if (lost(round_, i, j)) {
       return false;
     }
+    // Half of an exchange's framing, which the budget counts as well.
+    const size_t bytes = DigestBytes(digest) + 300;
+    bytes_[i] += bytes;
+    bytes_[j] += bytes;
     const DigestEffect effect =
         ReceiveDigest(options_[j], digest, now, &states_[j]);
     BOOST_REQUIRE(effect.accepted);
@@ -110,6 +161,7 @@
   std::vector<MembershipOptions> options_;
   std::vector<MembershipState> states_;
   std::vector<uint64_t> versions_;
+  std::map<size_t, size_t> bytes_;
 };
 
 bool NeverLost(int /*round*/, size_t /*i*/, size_t /*j*/) {
@@ -149,6 +201,9 @@
         worst =
             std::max(worst, fleet.RoundsToSpread(n, Watchers(count), 60, lost));
       }
+      const std::pair<size_t, size_t> watchers = fleet.WatchersByDomain();
+      BOOST_TEST(watchers.first == 2);
+      BOOST_TEST(watchers.second == 2);
       Fleet single(count);
       for (int i = 0; i < 30; ++i) {
         single.Round(lost);
@@ -163,6 +218,17 @@
   }
 }
 
+// Guards against digests that take more than the target of 8 KB/s, with as
+// many loads as the target size has in a failure domain.
+BOOST_AUTO_TEST_CASE(DigestsStayWithinTheByteBudget) {
+  for (size_t count : {2, 8, 32, 370}) {
+    Fleet fleet(count);
+    BOOST_TEST_CONTEXT(count << " instances") {
+      BOOST_TEST(fleet.MostBytesPerSecond(10) <= 8192);
+    }
+  }
+}
+
 // Guards against a version that stays unknown behind a partition after it
 // heals, and against one that crosses it.
 BOOST_AUTO_TEST_CASE(VersionCrossesAHealedPartition) {
--- a/tests/peer/peer_exchange_test.cc
+++ b/tests/peer/peer_exchange_test.cc
@@ -27,6 +27,8 @@
   digest.leaving = {{"citac-3", std::chrono::seconds(60)}};
   digest.fingerprints = {{0xfeed, std::chrono::seconds(9)}};
   digest.load_list = 5;
+  digest.live_list = 6;
+  digest.live = {{3, 4}, {1023, 63}};
   digest.loads = {{1, 2, 3, 4}, {1023, 255, 255, 63}};
   return digest;
 }
