--- a/include/endiveyard/membership/peer_digest.h
+++ b/include/endiveyard/membership/peer_digest.h
@@ -16,6 +16,7 @@
 inline constexpr size_t kMaxDigestFingerprints = 32;
 inline constexpr size_t kMaxDigestLoads = 1024;
 inline constexpr size_t kMaxDigestDraining = 64;
+inline constexpr size_t kMaxDigestLive = 1024;
 
 // Half a second, the unit of the age of a load.
 inline constexpr Duration kLoadAgeUnit = std::chrono::milliseconds(500);
@@ -76,6 +77,17 @@
 uint32_t PackLoad(const QuantisedLoad& load);
 QuantisedLoad UnpackLoad(uint32_t packed);
 
+// When an instance of the failure domain was last known to be alive; packs
+// into 2 bytes like a load.
+struct LiveAge {
+  uint16_t instance = 0;  // position in the sorted names of the domain
+  uint8_t age = 0;        // half seconds, 0 to 63
+
+  friend bool operator==(const LiveAge& a, const LiveAge& b) {
+    return a.instance == b.instance && a.age == b.age;
+  }
+};
+
 // Logarithmic code of a number of tokens; the error is at most 5 %.
 uint8_t QuantiseTokens(int64_t tokens);
 int64_t ExpandTokens(uint8_t code);
@@ -96,6 +108,10 @@
   std::vector<QuantisedLoad> loads;
   std::vector<std::string> draining;  // targets that the sender drains
   std::vector<std::string> drained;   // draining targets idle at the sender
+  // Instances of the failure domain that were alive, with the identity of the
+  // list of names.
+  uint32_t live_list = 0;
+  std::vector<LiveAge> live;
   bool wants_snapshot = false;
   uint64_t snapshot_version = 0;  // 0: no snapshot
   std::string snapshot;
@@ -103,7 +119,8 @@
   auto Tied() const {
     return std::tie(sender, incarnation, sequence, version, edits, leaving,
                     fingerprints, load_list, loads, draining, drained,
-                    wants_snapshot, snapshot_version, snapshot);
+                    live_list, live, wants_snapshot, snapshot_version,
+                    snapshot);
   }
   friend bool operator==(const PeerDigest& a, const PeerDigest& b) {
     return a.Tied() == b.Tied();
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -18,6 +18,7 @@
 #include "endiveyard/telemetry/metrics.h"
 #include "instance/configuration_thread.h"
 #include "instance/control_thread.h"
+#include "instance/instance_status.h"
 #include "instance/peer_thread.h"
 #include "instance/platform_threads.h"
 
@@ -231,10 +232,14 @@
       control_.ApplyLoad(target, load);
     };
     hooks.status = [this] {
-      return "{\"instance\":\"" + settings_.id() +
-             "\",\"configuration_version\":" +
-             std::to_string(configuration_.version()) + ",\"open_exchanges\":" +
-             std::to_string(gateway_.open_exchanges()) + "}";
+      InstanceStatus status;
+      status.instance = settings_.id();
+      status.configuration_version = configuration_.version();
+      status.live_peers = peers_.live_peers();
+      status.holds_lease = control_.holds_lease();
+      status.owned_shards = control_.owned_shards();
+      status.open_exchanges = gateway_.open_exchanges();
+      return FormatInstanceStatus(status);
     };
     return hooks;
   }
--- a/src/membership/peer_digest.cc
+++ b/src/membership/peer_digest.cc
@@ -8,11 +8,14 @@
 
 // 255 steps of 4.7 % reach 100,000 tokens and more.
 constexpr double kTokenStep = 1.047;
-constexpr size_t kFixedBytes = 160;
+// Segment table, root pointer, and the data and pointers of the struct.
+constexpr size_t kFixedBytes = 112;
 constexpr size_t kEditBytes = 48;
 constexpr size_t kLeavingBytes = 24;
+constexpr size_t kNameBytes = 8;  // pointer to a text
 constexpr size_t kFingerprintBytes = 16;
 constexpr size_t kLoadBytes = 4;
+constexpr size_t kLiveBytes = 2;
 constexpr size_t kMaxSnapshotBytes = 1'000'000;
 constexpr size_t kMaxDeltaBytes = 64 << 10;
 
@@ -62,7 +65,10 @@
   if (digest.edits.size() > kMaxDigestEdits ||
       digest.leaving.size() > kMaxDigestLeaving ||
       digest.fingerprints.size() > kMaxDigestFingerprints ||
-      digest.loads.size() > kMaxDigestLoads) {
+      digest.loads.size() > kMaxDigestLoads ||
+      digest.live.size() > kMaxDigestLive ||
+      digest.draining.size() > kMaxDigestDraining ||
+      digest.drained.size() > kMaxDigestDraining) {
     return "a list is too long";
   }
   for (const DigestEdit& it : digest.edits) {
@@ -77,6 +83,10 @@
       return "a target's name is empty or too long";
     }
   }
+  if (std::any_of(digest.draining.begin(), digest.draining.end(), bad_name) ||
+      std::any_of(digest.drained.begin(), digest.drained.end(), bad_name)) {
+    return "a target's name is empty or too long";
+  }
   if (digest.snapshot.size() > kMaxSnapshotBytes) {
     return "the snapshot is too large";
   }
@@ -92,8 +102,14 @@
   for (const DigestLeaving& it : digest.leaving) {
     bytes += kLeavingBytes + RoundToWord(it.target.size());
   }
+  for (const auto* names : {&digest.draining, &digest.drained}) {
+    for (const std::string& it : *names) {
+      bytes += kNameBytes + RoundToWord(it.size() + 1);
+    }
+  }
   return bytes + digest.fingerprints.size() * kFingerprintBytes +
          RoundToWord(digest.loads.size() * kLoadBytes) +
+         RoundToWord(digest.live.size() * kLiveBytes) +
          RoundToWord(digest.snapshot.size());
 }
 
--- a/src/peer/digest_codec.cc
+++ b/src/peer/digest_codec.cc
@@ -31,6 +31,21 @@
   return std::min<uint32_t>(list.size(), static_cast<uint32_t>(bound) + 1);
 }
 
+void WriteNames(const std::vector<std::string>& names,
+                capnp::List<capnp::Text>::Builder list) {
+  for (uint32_t i = 0; i < list.size(); ++i) {
+    list.set(i, names[i]);
+  }
+}
+
+std::vector<std::string> ReadNames(capnp::List<capnp::Text>::Reader list) {
+  std::vector<std::string> names;
+  for (uint32_t i = 0; i < BoundedSize(list, kMaxDigestDraining); ++i) {
+    names.push_back(ToName(list[i]));
+  }
+  return names;
+}
+
 }  // namespace
 
 void WriteDigest(const PeerDigest& digest, rpc::Digest::Builder message) {
@@ -72,6 +87,24 @@
       loads.set(i, PackLoad(digest.loads[i]));
     }
   }
+  message.setLiveList(digest.live_list);
+  if (!digest.live.empty()) {
+    auto live = message.initLive(static_cast<uint32_t>(digest.live.size()));
+    for (uint32_t i = 0; i < live.size(); ++i) {
+      live.set(i, static_cast<uint16_t>(digest.live[i].instance << 6 |
+                                        digest.live[i].age));
+    }
+  }
+  if (!digest.draining.empty()) {
+    WriteNames(
+        digest.draining,
+        message.initDraining(static_cast<uint32_t>(digest.draining.size())));
+  }
+  if (!digest.drained.empty()) {
+    WriteNames(
+        digest.drained,
+        message.initDrained(static_cast<uint32_t>(digest.drained.size())));
+  }
   if (digest.snapshot_version > 0) {
     auto snapshot = message.initSnapshot();
     snapshot.setVersion(digest.snapshot_version);
@@ -113,6 +146,16 @@
   for (uint32_t i = 0; i < BoundedSize(loads, kMaxDigestLoads); ++i) {
     digest.loads.push_back(UnpackLoad(loads[i]));
   }
+  digest.live_list = message.getLiveList();
+  const auto live = message.getLive();
+  for (uint32_t i = 0; i < BoundedSize(live, kMaxDigestLive); ++i) {
+    LiveAge age;
+    age.instance = static_cast<uint16_t>(live[i] >> 6);
+    age.age = live[i] & kMaxLoadAge;
+    digest.live.push_back(age);
+  }
+  digest.draining = ReadNames(message.getDraining());
+  digest.drained = ReadNames(message.getDrained());
   if (message.hasSnapshot()) {
     digest.snapshot_version = message.getSnapshot().getVersion();
     digest.snapshot = ToString(message.getSnapshot().getText());
