Do not wait for stream writes under the stand-in's lock

Cause: with 100 streams the engine stand-in stopped for good. It waited for a write task while holding its mutex; the task needs a pool thread, and all pool threads waited for the mutex. Change: the stand-in does not wait, the bytes are copied at the call. The load generator gives up on a server that does not answer.

--- a/src/cli/load_generator.cc
+++ b/src/cli/load_generator.cc
@@ -87,7 +87,12 @@
          ++n) {
       {
         std::unique_lock<std::mutex> lock(mutex_);
-        changed_.wait(lock, [&] { return open_ < options_.concurrency; });
+        const bool ready = changed_.wait_for(
+            lock, std::chrono::milliseconds(options_.deadline_ms),
+            [&] { return open_ < options_.concurrency; });
+        if (!ready) {
+          return;  // the server does not answer any more
+        }
       }
       Send();
     }
--- a/src/gateway/caller_exchange.cc
+++ b/src/gateway/caller_exchange.cc
@@ -21,11 +21,11 @@
 
 }  // namespace
 
-CallerExchange::CallerExchange(web::http::http_request http,
+CallerExchange::CallerExchange(const web::http::http_request& http,
                                ServingRequest request,
                                OpenReplies open_replies,
                                std::function<void()> on_gone)
-    : http_(std::move(http)),
+    : http_(http),
       request_(std::move(request)),
       open_replies_(std::move(open_replies)),
       on_gone_(std::move(on_gone)),
--- a/src/gateway/caller_exchange.h
+++ b/src/gateway/caller_exchange.h
@@ -24,7 +24,7 @@
  public:
   // `on_gone` is called from a pool thread when the caller's connection
   // breaks before the answer is written.
-  CallerExchange(web::http::http_request http,
+  CallerExchange(const web::http::http_request& http,
                  ServingRequest request,
                  OpenReplies open_replies,
                  std::function<void()> on_gone);
--- a/src/gateway/target_poller.cc
+++ b/src/gateway/target_poller.cc
@@ -92,7 +92,7 @@
     const uint64_t since = target.next_cache_event;
     client->request(methods::GET, "/v1/load")
         .then([](http_response response) { return response.extract_json(); })
-        .then([self, id, client, since](value body) {
+        .then([self, id, client, since](const value& body) {
           self->report_(LoadReported{id, ParseTargetLoad(body)});
           return client->request(
               methods::GET, "/v1/cache_events?since=" + std::to_string(since));
--- a/src/instance/control_thread.cc
+++ b/src/instance/control_thread.cc
@@ -234,20 +234,22 @@
   logger_->Log(kLogOrderSent, action.target + " " +
                                   std::string(RoleName(action.plan.role)) +
                                   " fencing " + std::to_string(action.fencing));
-  SendTargetOrder(action, [this, shared = shared_](OrderAnswered answered) {
-    shared->Push([this, answered] {
-      if (answered.outcome == OrderOutcome::kStale) {
-        logger_->Log(kLogOrderRefusedStale, answered.target);
-      }
-      Step(answered);
-    });
-  });
+  SendTargetOrder(action,
+                  [this, shared = shared_](const OrderAnswered& answered) {
+                    shared->Push([this, answered] {
+                      if (answered.outcome == OrderOutcome::kStale) {
+                        logger_->Log(kLogOrderRefusedStale, answered.target);
+                      }
+                      Step(answered);
+                    });
+                  });
 }
 
 void ControlThread::Carry(const ReadTargetState& action) {
-  ReadTargetLoad(action, [this, shared = shared_](TargetStateRead state) {
-    shared->Push([this, state] { Step(state); });
-  });
+  ReadTargetLoad(action,
+                 [this, shared = shared_](const TargetStateRead& state) {
+                   shared->Push([this, state] { Step(state); });
+                 });
 }
 
 void ControlThread::Carry(const AnnounceDraining& action) {
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -199,7 +199,7 @@
         watch_thread_->SetActive(watcher);
       }
     };
-    hooks.in_flight = [this](std::vector<std::string> targets,
+    hooks.in_flight = [this](const std::vector<std::string>& targets,
                              std::function<void(std::vector<int>)> answer) {
       gateway_.QueryInFlight(targets, std::move(answer));
     };
--- a/tools/standin/engine_standin.cc
+++ b/tools/standin/engine_standin.cc
@@ -196,7 +196,8 @@
         body.has_field("stream") && body.at("stream").as_bool();
     const int max_tokens =
         body.has_field("max_tokens") ? body.at("max_tokens").as_integer() : 16;
-    std::string request_id = "local";
+    // Callers that are not instances name no id; it still has to be unique.
+    std::string request_id = "local" + std::to_string(++local_requests_);
     std::string attempt = "1";
     if (body.has_field("endiveyard")) {
       const value& extension = body.at("endiveyard");
@@ -478,11 +479,12 @@
     WriteText(sequence, "data: " + event.serialize() + "\n\n");
   }
 
+  // Does not wait for the tasks: the bytes are copied at the call, and a wait
+  // needs a pool thread while all of them may wait for mutex_.
   static void WriteText(Sequence& sequence, const std::string& text) {
-    sequence.buf
-        .putn_nocopy(reinterpret_cast<const uint8_t*>(text.data()), text.size())
-        .wait();
-    sequence.buf.sync().wait();
+    sequence.buf.putn_nocopy(reinterpret_cast<const uint8_t*>(text.data()),
+                             text.size());
+    sequence.buf.sync();
   }
 
   void CrashLocked() {
@@ -511,6 +513,7 @@
   }
 
   const EngineOptions options_;
+  std::atomic<uint64_t> local_requests_{0};
   mutable std::mutex mutex_;
   std::condition_variable changed_;
   bool stopping_ = false;
--- a/tools/standin/service_standin.cc
+++ b/tools/standin/service_standin.cc
@@ -119,7 +119,7 @@
     concurrency::streams::producer_consumer_buffer<uint8_t> buf;
     http_response response(status_codes::OK);
     response.set_body(buf.create_istream(), kDeclaredBytes);
-    buf.putc('{').wait();
+    buf.putc('{');
     buf.close(std::ios_base::out);
     request.reply(response).then([](pplx::task<void> task) {
       try {
