Handle a token event with fewer tasks of the pool

Cause: one token an event cost 203 us of processor time (4,920 tokens/s for each core, 100 streams), against 0.5 us in the serving core. Each read and each write went through two further tasks of the library's pool. Change: bytes are read in place with acquire() and written with alloc() and commit().

--- a/src/gateway/caller_exchange.cc
+++ b/src/gateway/caller_exchange.cc
@@ -1,5 +1,6 @@
 #include "gateway/caller_exchange.h"
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -92,7 +93,13 @@
     response.headers().add("Cache-Control", "no-cache");
     Reply(response);
   }
-  buf_.putn_nocopy(reinterpret_cast<const uint8_t*>(text.data()), text.size());
+  // alloc() and commit() run in place; putn() would cost tasks of the pool.
+  uint8_t* block = buf_.alloc(text.size());
+  if (block == nullptr) {
+    return;  // the caller has left
+  }
+  std::copy(text.begin(), text.end(), block);
+  buf_.commit(text.size());
   buf_.sync();
 }
 
--- a/src/gateway/engine_client.cc
+++ b/src/gateway/engine_client.cc
@@ -68,7 +68,6 @@
   std::unique_ptr<http_client> client;
   pplx::cancellation_token_source cancellation;
   concurrency::streams::streambuf<uint8_t> buf;
-  std::vector<uint8_t> bytes;
   SseParser parser;
   bool complete = false;
   AttemptCompleted completed;
@@ -191,34 +190,35 @@
           self->End(attempt);
           return;
         }
-        attempt->bytes.resize(std::max<size_t>(attempt->buf.in_avail(), 1));
-        self->ReadAvailable(attempt);
+        if (self->TakeAvailable(attempt)) {
+          self->ReadNext(attempt);
+        }
       } catch (const std::exception& error) {
         self->Fail(attempt, AttemptFailure::kConnectionLost, error.what());
       }
     });
   }
 
-  void ReadAvailable(const std::shared_ptr<Attempt>& attempt) {
-    auto self = shared_from_this();
-    attempt->buf.getn(attempt->bytes.data(), attempt->bytes.size())
-        .then([self, attempt](pplx::task<size_t> task) {
-          try {
-            const size_t n = task.get();
-            if (self->TakeBytes(attempt, n)) {
-              self->ReadNext(attempt);
-            }
-          } catch (const std::exception& error) {
-            self->Fail(attempt, AttemptFailure::kConnectionLost, error.what());
-          }
-        });
+  // Reads in place: another asynchronous read would cost two tasks of the
+  // pool for each event. Returns false once the attempt has ended.
+  bool TakeAvailable(const std::shared_ptr<Attempt>& attempt) {
+    uint8_t* data = nullptr;
+    size_t n = 0;
+    while (attempt->buf.acquire(data, n) && n > 0) {
+      const bool more = TakeBytes(
+          attempt, std::string_view(reinterpret_cast<const char*>(data), n));
+      attempt->buf.release(data, n);
+      if (!more) {
+        return false;
+      }
+    }
+    return true;
   }
 
   // Returns false once the attempt has ended.
-  bool TakeBytes(const std::shared_ptr<Attempt>& attempt, size_t n) {
+  bool TakeBytes(const std::shared_ptr<Attempt>& attempt,
+                 std::string_view bytes) {
     std::vector<std::string> payloads;
-    const std::string_view bytes(
-        reinterpret_cast<const char*>(attempt->bytes.data()), n);
     if (!attempt->parser.Feed(bytes, &payloads)) {
       Fail(attempt, AttemptFailure::kMalformed, "event too long");
       return false;
