--- /dev/null
+++ b/src/gateway/attempt_table.h
@@ -0,0 +1,65 @@
+#ifndef ENDIVEYARD_SRC_GATEWAY_ATTEMPT_TABLE_H_
+#define ENDIVEYARD_SRC_GATEWAY_ATTEMPT_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+
+#include "endiveyard/serving/serving_messages.h"
+
+namespace endiveyard {
+
+// Attempts under way, by exchange and number. Whoever removes an attempt
+// reports its end, so that it ends once. `T` has a member `cancellation`.
+// Safe from any thread.
+template <typename T>
+class AttemptTable {
+ public:
+  void Add(const StartAttempt& start, std::shared_ptr<T> attempt) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    attempts_[{start.exchange, start.attempt}] = std::move(attempt);
+  }
+
+  // Returns nullptr when the attempt has ended already.
+  std::shared_ptr<T> Remove(ExchangeId exchange, int attempt) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    const auto it = attempts_.find({exchange, attempt});
+    if (it == attempts_.end()) {
+      return nullptr;
+    }
+    auto removed = std::move(it->second);
+    attempts_.erase(it);
+    return removed;
+  }
+
+  // Closes the connections of all attempts and forgets them.
+  void CancelAll() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& [key, attempt] : attempts_) {
+      attempt->cancellation.cancel();
+    }
+    attempts_.clear();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::map<std::pair<ExchangeId, int>, std::shared_ptr<T>> attempts_;
+};
+
+// Builds the report of a failed attempt.
+inline AttemptFailed MakeAttemptFailed(const StartAttempt& start,
+                                       AttemptFailure failure,
+                                       const std::string& detail) {
+  AttemptFailed failed;
+  failed.exchange = start.exchange;
+  failed.attempt = start.attempt;
+  failed.failure = failure;
+  failed.detail = detail;
+  return failed;
+}
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SRC_GATEWAY_ATTEMPT_TABLE_H_
--- a/src/gateway/engine_client.cc
+++ b/src/gateway/engine_client.cc
@@ -4,11 +4,10 @@
 #include <cpprest/json.h>
 
 #include <exception>
-#include <map>
-#include <mutex>
 #include <utility>
 #include <vector>
 
+#include "gateway/attempt_table.h"
 #include "gateway/callback_gate.h"
 #include "gateway/client_failure.h"
 #include "gateway/engine_event.h"
@@ -87,10 +86,7 @@
     attempt->completed.attempt = request.start.attempt;
     attempt->client =
         std::make_unique<http_client>("http://" + request.start.address);
-    {
-      std::lock_guard<std::mutex> lock(mutex_);
-      attempts_[Key(request.start.exchange, request.start.attempt)] = attempt;
-    }
+    attempts_.Add(request.start, attempt);
     http_request http(methods::POST);
     http.set_request_uri(request.chat ? "/v1/chat/completions"
                                       : "/v1/completions");
@@ -108,7 +104,8 @@
   }
 
   void Cancel(const CancelAttempt& action) {
-    std::shared_ptr<Attempt> attempt = Remove(action.exchange, action.attempt);
+    std::shared_ptr<Attempt> attempt =
+        attempts_.Remove(action.exchange, action.attempt);
     if (attempt != nullptr) {
       attempt->cancellation.cancel();
     }
@@ -130,29 +127,10 @@
 
   void Stop() {
     report_.Close();
-    std::lock_guard<std::mutex> lock(mutex_);
-    for (auto& [key, attempt] : attempts_) {
-      attempt->cancellation.cancel();
-    }
-    attempts_.clear();
+    attempts_.CancelAll();
   }
 
  private:
-  static std::pair<ExchangeId, int> Key(ExchangeId exchange, int attempt) {
-    return {exchange, attempt};
-  }
-
-  std::shared_ptr<Attempt> Remove(ExchangeId exchange, int attempt) {
-    std::lock_guard<std::mutex> lock(mutex_);
-    const auto it = attempts_.find(Key(exchange, attempt));
-    if (it == attempts_.end()) {
-      return nullptr;
-    }
-    auto removed = it->second;
-    attempts_.erase(it);
-    return removed;
-  }
-
   void TakeHead(const std::shared_ptr<Attempt>& attempt,
                 const http_response& response) {
     const int status = response.status_code();
@@ -289,7 +267,8 @@
            "stream ended without a finish reason");
       return;
     }
-    if (Remove(attempt->start.exchange, attempt->start.attempt) != nullptr) {
+    if (attempts_.Remove(attempt->start.exchange, attempt->start.attempt) !=
+        nullptr) {
       report_(attempt->completed);
     }
   }
@@ -298,14 +277,11 @@
             AttemptFailure failure,
             const std::string& detail,
             bool leaving = false) {
-    if (Remove(attempt->start.exchange, attempt->start.attempt) == nullptr) {
+    if (attempts_.Remove(attempt->start.exchange, attempt->start.attempt) ==
+        nullptr) {
       return;
     }
-    AttemptFailed failed;
-    failed.exchange = attempt->start.exchange;
-    failed.attempt = attempt->start.attempt;
-    failed.failure = failure;
-    failed.detail = detail;
+    AttemptFailed failed = MakeAttemptFailed(attempt->start, failure, detail);
     failed.target_leaving = leaving;
     // Closes the connection of a stream that cannot be used any more.
     attempt->cancellation.cancel();
@@ -313,8 +289,7 @@
   }
 
   CallbackGate<ServingEvent> report_;
-  std::mutex mutex_;
-  std::map<std::pair<ExchangeId, int>, std::shared_ptr<Attempt>> attempts_;
+  AttemptTable<Attempt> attempts_;
 };
 
 EngineClient::EngineClient(Report report)
--- a/src/gateway/plain_service_client.cc
+++ b/src/gateway/plain_service_client.cc
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <utility>
 
+#include "gateway/attempt_table.h"
 #include "gateway/callback_gate.h"
 #include "gateway/client_failure.h"
 
@@ -62,10 +63,7 @@
         request.start.own_connection
             ? std::make_shared<http_client>("http://" + request.start.address)
             : PooledClient(request.start.address);
-    {
-      std::lock_guard<std::mutex> lock(mutex_);
-      attempts_[{request.start.exchange, request.start.attempt}] = attempt;
-    }
+    attempts_.Add(request.start, attempt);
     auto self = shared_from_this();
     attempt->client
         ->request(BuildRequest(request), attempt->cancellation.get_token())
@@ -80,7 +78,7 @@
   }
 
   void Cancel(const CancelAttempt& action) {
-    const auto attempt = Remove(action.exchange, action.attempt);
+    const auto attempt = attempts_.Remove(action.exchange, action.attempt);
     if (attempt != nullptr) {
       attempt->cancellation.cancel();
     }
@@ -88,11 +86,7 @@
 
   void Stop() {
     report_.Close();
-    std::lock_guard<std::mutex> lock(mutex_);
-    for (auto& [key, attempt] : attempts_) {
-      attempt->cancellation.cancel();
-    }
-    attempts_.clear();
+    attempts_.CancelAll();
   }
 
  private:
@@ -105,17 +99,6 @@
     return client;
   }
 
-  std::shared_ptr<Attempt> Remove(ExchangeId exchange, int attempt) {
-    std::lock_guard<std::mutex> lock(mutex_);
-    const auto it = attempts_.find({exchange, attempt});
-    if (it == attempts_.end()) {
-      return nullptr;
-    }
-    auto removed = it->second;
-    attempts_.erase(it);
-    return removed;
-  }
-
   void TakeHead(const std::shared_ptr<Attempt>& attempt,
                 const http_response& response) {
     if (!HasKnownEnd(response)) {
@@ -144,7 +127,8 @@
 
   void Finish(const std::shared_ptr<Attempt>& attempt,
               const std::vector<unsigned char>& body) {
-    if (Remove(attempt->start.exchange, attempt->start.attempt) == nullptr) {
+    if (attempts_.Remove(attempt->start.exchange, attempt->start.attempt) ==
+        nullptr) {
       return;
     }
     PlainAnswered answered;
@@ -159,21 +143,18 @@
   void Fail(const std::shared_ptr<Attempt>& attempt,
             AttemptFailure failure,
             const std::string& detail) {
-    if (Remove(attempt->start.exchange, attempt->start.attempt) == nullptr) {
+    if (attempts_.Remove(attempt->start.exchange, attempt->start.attempt) ==
+        nullptr) {
       return;
     }
-    AttemptFailed failed;
-    failed.exchange = attempt->start.exchange;
-    failed.attempt = attempt->start.attempt;
-    failed.failure = failure;
-    failed.detail = detail;
+    AttemptFailed failed = MakeAttemptFailed(attempt->start, failure, detail);
     report_(failed);
   }
 
   CallbackGate<ServingEvent> report_;
   std::mutex mutex_;
   std::map<std::string, std::shared_ptr<http_client>> clients_;
-  std::map<std::pair<ExchangeId, int>, std::shared_ptr<Attempt>> attempts_;
+  AttemptTable<Attempt> attempts_;
 };
 
 PlainServiceClient::PlainServiceClient(Report report)
