--- a/include/endiveyard/object_api/fake_object_api.h
+++ b/include/endiveyard/object_api/fake_object_api.h
@@ -45,14 +45,14 @@
   void Advance(Duration step);
   TimePoint now() const;
   // Calls received, faulty ones included; kAny = all.
-  uint64_t calls(ObjectCall call) const;
+  uint64_t calls(ObjectCallKind call) const;
   // Writes that took effect on `key`.
   uint64_t writes(const std::string& key) const;
 
  private:
   // Decides the fault of a call and counts it; advances time when slow.
-  FaultRule Begin(ObjectCall call, const std::string& key);
-  WriteResult Write(ObjectCall call,
+  FaultRule Begin(ObjectCallKind call, const std::string& key);
+  WriteResult Write(ObjectCallKind call,
                     const std::string& key,
                     Duration timeout,
                     const std::function<WriteResult()>& effect);
--- a/include/endiveyard/object_api/fault_table.h
+++ b/include/endiveyard/object_api/fault_table.h
@@ -10,7 +10,15 @@
 
 namespace endiveyard {
 
-enum class ObjectCall { kAny, kGet, kList, kPut, kDelete, kWatch, kInstances };
+enum class ObjectCallKind {
+  kAny,
+  kGet,
+  kList,
+  kPut,
+  kDelete,
+  kWatch,
+  kInstances
+};
 
 enum class ObjectFault {
   kNone,
@@ -25,7 +33,7 @@
 // One row: which calls fail, and how.
 struct FaultRule {
   ObjectFault fault = ObjectFault::kNone;
-  ObjectCall call = ObjectCall::kAny;
+  ObjectCallKind call = ObjectCallKind::kAny;
   std::string key_prefix;  // compared with the key or prefix of the call
   uint64_t skip = 0;       // matching calls that pass first
   uint64_t count = 1;      // calls that fail then; 0 = all
@@ -41,7 +49,7 @@
   void Clear() { rows_.clear(); }
 
   // Counts the call against each row that matches it. O(rows).
-  FaultRule Next(ObjectCall call, std::string_view key);
+  FaultRule Next(ObjectCallKind call, std::string_view key);
 
  private:
   struct Row {
@@ -51,9 +59,9 @@
   std::vector<Row> rows_;
 };
 
-std::string_view ObjectCallName(ObjectCall call);
+std::string_view ObjectCallName(ObjectCallKind call);
 std::string_view ObjectFaultName(ObjectFault fault);
-bool ParseObjectCall(std::string_view name, ObjectCall* call);
+bool ParseObjectCall(std::string_view name, ObjectCallKind* call);
 bool ParseObjectFault(std::string_view name, ObjectFault* fault);
 
 }  // namespace endiveyard
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -140,6 +140,7 @@
       listener_->support([this](http_request http) { Receive(http); });
       listener_->open().wait();
     } catch (const std::exception& error) {
+      listener_.reset();  // a listener that is not open cannot be closed
       return MakeError(
           ErrorKind::kInvalidSettings,
           "callers.listen: cannot listen on " + url + ": " + error.what());
--- a/src/object_api/fake_object_api.cc
+++ b/src/object_api/fake_object_api.cc
@@ -31,8 +31,8 @@
 FakeObjectApi::FakeObjectApi(TimePoint start, size_t history_limit)
     : now_(start), store_(history_limit) {}
 
-FaultRule FakeObjectApi::Begin(ObjectCall call, const std::string& key) {
-  ++calls_[static_cast<size_t>(ObjectCall::kAny)];
+FaultRule FakeObjectApi::Begin(ObjectCallKind call, const std::string& key) {
+  ++calls_[static_cast<size_t>(ObjectCallKind::kAny)];
   ++calls_[static_cast<size_t>(call)];
   FaultRule rule = faults_.Next(call, key);
   if (rule.fault == ObjectFault::kSlow) {
@@ -45,7 +45,8 @@
     const std::string& key,
     Duration timeout) {
   std::lock_guard<std::mutex> lock(mutex_);
-  const absl::Status status = ReadStatus(Begin(ObjectCall::kGet, key), timeout);
+  const absl::Status status =
+      ReadStatus(Begin(ObjectCallKind::kGet, key), timeout);
   if (!status.ok()) {
     return status;
   }
@@ -57,14 +58,14 @@
                                                Duration timeout) {
   std::lock_guard<std::mutex> lock(mutex_);
   const absl::Status status =
-      ReadStatus(Begin(ObjectCall::kList, prefix), timeout);
+      ReadStatus(Begin(ObjectCallKind::kList, prefix), timeout);
   if (!status.ok()) {
     return status;
   }
   return store_.List(prefix);
 }
 
-WriteResult FakeObjectApi::Write(ObjectCall call,
+WriteResult FakeObjectApi::Write(ObjectCallKind call,
                                  const std::string& key,
                                  Duration timeout,
                                  const std::function<WriteResult()>& effect) {
@@ -101,7 +102,7 @@
                                  uint64_t if_version,
                                  Duration timeout) {
   std::lock_guard<std::mutex> lock(mutex_);
-  return Write(ObjectCall::kPut, key, timeout,
+  return Write(ObjectCallKind::kPut, key, timeout,
                [&] { return store_.PutIf(key, value, if_version); });
 }
 
@@ -109,7 +110,7 @@
                                   uint64_t if_version,
                                   Duration timeout) {
   std::lock_guard<std::mutex> lock(mutex_);
-  return Write(ObjectCall::kDelete, key, timeout,
+  return Write(ObjectCallKind::kDelete, key, timeout,
                [&] { return store_.Delete(key, if_version); });
 }
 
@@ -117,7 +118,7 @@
                                                  uint64_t since,
                                                  Duration wait) {
   std::lock_guard<std::mutex> lock(mutex_);
-  const FaultRule rule = Begin(ObjectCall::kWatch, prefix);
+  const FaultRule rule = Begin(ObjectCallKind::kWatch, prefix);
   const absl::Status status = ReadStatus(rule, wait);
   if (!status.ok()) {
     return status;
@@ -134,7 +135,7 @@
 absl::StatusOr<InstanceList> FakeObjectApi::ListInstances(Duration timeout) {
   std::lock_guard<std::mutex> lock(mutex_);
   const absl::Status status =
-      ReadStatus(Begin(ObjectCall::kInstances, ""), timeout);
+      ReadStatus(Begin(ObjectCallKind::kInstances, ""), timeout);
   if (!status.ok()) {
     return status;
   }
@@ -171,7 +172,7 @@
   return now_;
 }
 
-uint64_t FakeObjectApi::calls(ObjectCall call) const {
+uint64_t FakeObjectApi::calls(ObjectCallKind call) const {
   std::lock_guard<std::mutex> lock(mutex_);
   return calls_[static_cast<size_t>(call)];
 }
--- a/src/object_api/fault_table.cc
+++ b/src/object_api/fault_table.cc
@@ -5,14 +5,14 @@
 namespace endiveyard {
 namespace {
 
-constexpr std::pair<ObjectCall, std::string_view> kCallNames[] = {
-    {ObjectCall::kAny, "any"},
-    {ObjectCall::kGet, "get"},
-    {ObjectCall::kList, "list"},
-    {ObjectCall::kPut, "put"},
-    {ObjectCall::kDelete, "delete"},
-    {ObjectCall::kWatch, "watch"},
-    {ObjectCall::kInstances, "instances"},
+constexpr std::pair<ObjectCallKind, std::string_view> kCallNames[] = {
+    {ObjectCallKind::kAny, "any"},
+    {ObjectCallKind::kGet, "get"},
+    {ObjectCallKind::kList, "list"},
+    {ObjectCallKind::kPut, "put"},
+    {ObjectCallKind::kDelete, "delete"},
+    {ObjectCallKind::kWatch, "watch"},
+    {ObjectCallKind::kInstances, "instances"},
 };
 
 constexpr std::pair<ObjectFault, std::string_view> kFaultNames[] = {
@@ -31,11 +31,11 @@
   rows_.push_back({std::move(rule), 0});
 }
 
-FaultRule FaultTable::Next(ObjectCall call, std::string_view key) {
+FaultRule FaultTable::Next(ObjectCallKind call, std::string_view key) {
   FaultRule chosen;
   for (Row& it : rows_) {
     const FaultRule& rule = it.rule;
-    if ((rule.call != ObjectCall::kAny && rule.call != call) ||
+    if ((rule.call != ObjectCallKind::kAny && rule.call != call) ||
         key.substr(0, rule.key_prefix.size()) != rule.key_prefix) {
       continue;
     }
@@ -49,7 +49,7 @@
   return chosen;
 }
 
-std::string_view ObjectCallName(ObjectCall call) {
+std::string_view ObjectCallName(ObjectCallKind call) {
   return kCallNames[static_cast<size_t>(call)].second;
 }
 
@@ -57,7 +57,7 @@
   return kFaultNames[static_cast<size_t>(fault)].second;
 }
 
-bool ParseObjectCall(std::string_view name, ObjectCall* call) {
+bool ParseObjectCall(std::string_view name, ObjectCallKind* call) {
   for (const auto& it : kCallNames) {
     if (it.second == name) {
       *call = it.first;
--- a/tests/bookings/booking_shard_test.cc
+++ b/tests/bookings/booking_shard_test.cc
@@ -278,13 +278,13 @@
   FakeObjectApi api;
   Instance a(&api, "a.1");
   a.Commit("k0");
-  const uint64_t before = api.calls(ObjectCall::kPut);
+  const uint64_t before = api.calls(ObjectCallKind::kPut);
   for (int n = 1; n <= 20; ++n) {
     BOOST_TEST(a.Commit("k" + std::to_string(n)) == nullptr);
   }
-  BOOST_TEST(api.calls(ObjectCall::kPut) == before);
+  BOOST_TEST(api.calls(ObjectCallKind::kPut) == before);
   a.Pass(std::chrono::milliseconds(50));
-  BOOST_TEST(api.calls(ObjectCall::kPut) == before + 1);
+  BOOST_TEST(api.calls(ObjectCallKind::kPut) == before + 1);
   BOOST_TEST(a.resolved.size() == 21u);
 }
 
--- a/tests/object_api/object_api_contract_test.cc
+++ b/tests/object_api/object_api_contract_test.cc
@@ -27,7 +27,7 @@
   virtual void AddFault(const FaultRule& rule) = 0;
   virtual void ClearFaults() = 0;
   virtual void SetInstances(const InstanceList& list) = 0;
-  virtual uint64_t calls(ObjectCall call) = 0;
+  virtual uint64_t calls(ObjectCallKind call) = 0;
 };
 
 class FakeSubject : public Subject {
@@ -38,7 +38,7 @@
   void SetInstances(const InstanceList& list) override {
     fake_.SetInstances(list);
   }
-  uint64_t calls(ObjectCall call) override { return fake_.calls(call); }
+  uint64_t calls(ObjectCallKind call) override { return fake_.calls(call); }
 
  private:
   FakeObjectApi fake_;
@@ -57,7 +57,7 @@
   void SetInstances(const InstanceList& list) override {
     standin_.SetInstances(list);
   }
-  uint64_t calls(ObjectCall call) override {
+  uint64_t calls(ObjectCallKind call) override {
     return standin_.stats().calls[std::string(ObjectCallName(call))];
   }
 
@@ -103,14 +103,14 @@
   auto subject = MakeSubject(name);
   FaultRule rule;
   rule.fault = it.fault;
-  rule.call = ObjectCall::kPut;
+  rule.call = ObjectCallKind::kPut;
   rule.retry_after = std::chrono::seconds(3);
   // Leaves a connection that a pooling client would use and send on again.
   subject->api().PutIf("warm", "v", 0, kLongTimeout);
   subject->AddFault(rule);
   const WriteResult put = subject->api().PutIf("a/1", "v", 0, kLongTimeout);
   BOOST_TEST((put.outcome == it.outcome));
-  BOOST_TEST(subject->calls(ObjectCall::kPut) == 2u);
+  BOOST_TEST(subject->calls(ObjectCallKind::kPut) == 2u);
   if (it.outcome == WriteOutcome::kRateLimited) {
     BOOST_TEST((put.retry_after == std::chrono::seconds(3)));
   }
@@ -130,13 +130,13 @@
   auto subject = MakeSubject(name);
   FaultRule rule;
   rule.fault = it.fault;
-  rule.call = ObjectCall::kDelete;
+  rule.call = ObjectCallKind::kDelete;
   subject->AddFault(rule);
   const WriteResult put = subject->api().PutIf("a/1", "v", 0, kLongTimeout);
   const WriteResult gone =
       subject->api().Delete("a/1", put.version, kLongTimeout);
   BOOST_TEST((gone.outcome == it.outcome));
-  BOOST_TEST(subject->calls(ObjectCall::kDelete) == 1u);
+  BOOST_TEST(subject->calls(ObjectCallKind::kDelete) == 1u);
   const auto stored = subject->api().Get("a/1", kLongTimeout);
   BOOST_REQUIRE(stored.ok());
   BOOST_TEST(stored->has_value() != it.effect);
@@ -238,7 +238,7 @@
   BOOST_TEST((!idle->gap && idle->events.empty()));
   FaultRule rule;
   rule.fault = ObjectFault::kWatchGap;
-  rule.call = ObjectCall::kWatch;
+  rule.call = ObjectCallKind::kWatch;
   subject->AddFault(rule);
   const auto gap = api.Watch("w/", watch->revision, kLongTimeout);
   BOOST_REQUIRE(gap.ok());
@@ -283,7 +283,7 @@
   auto subject = MakeSubject(name);
   FaultRule rule;
   rule.fault = ObjectFault::kSlow;
-  rule.call = ObjectCall::kPut;
+  rule.call = ObjectCallKind::kPut;
   // Long enough for the request to be sent on a loaded machine.
   rule.delay = std::chrono::milliseconds(2500);
   subject->AddFault(rule);
@@ -294,7 +294,7 @@
   const auto late = subject->api().Watch("slow", 0, kLongTimeout);
   BOOST_REQUIRE(late.ok());
   BOOST_TEST(late->events.size() == 1u);
-  BOOST_TEST(subject->calls(ObjectCall::kPut) == 1u);
+  BOOST_TEST(subject->calls(ObjectCallKind::kPut) == 1u);
 }
 
 // Guards against a refused connection that is reported as unknown: bookings
--- a/tools/standin/object_api_standin.cc
+++ b/tools/standin/object_api_standin.cc
@@ -169,7 +169,7 @@
 
 // One call of the object API, decoded from the request.
 struct Call {
-  ObjectCall kind = ObjectCall::kAny;
+  ObjectCallKind kind = ObjectCallKind::kAny;
   std::string key;
   std::string body;
   std::optional<uint64_t> if_version;
@@ -183,13 +183,13 @@
   const auto prefix = target.query.find("prefix");
   if (target.path == kObjectsPath && request.method() == http::verb::get &&
       prefix != target.query.end()) {
-    call.kind = ObjectCall::kList;
+    call.kind = ObjectCallKind::kList;
     call.key = prefix->second;
     return call;
   }
   if (target.path == "/v1/watch" && request.method() == http::verb::get &&
       prefix != target.query.end()) {
-    call.kind = ObjectCall::kWatch;
+    call.kind = ObjectCallKind::kWatch;
     call.key = prefix->second;
     call.since = NumberOf(target, "since").value_or(0);
     call.wait = std::min<std::chrono::milliseconds>(
@@ -198,7 +198,7 @@
     return call;
   }
   if (target.path == "/v1/instances" && request.method() == http::verb::get) {
-    call.kind = ObjectCall::kInstances;
+    call.kind = ObjectCallKind::kInstances;
     return call;
   }
   if (target.path.rfind(objects, 0) != 0) {
@@ -209,13 +209,13 @@
   call.if_version = NumberOf(target, "if_version");
   switch (request.method()) {
     case http::verb::get:
-      call.kind = ObjectCall::kGet;
+      call.kind = ObjectCallKind::kGet;
       return call;
     case http::verb::put:
-      call.kind = ObjectCall::kPut;
+      call.kind = ObjectCallKind::kPut;
       return call;
     case http::verb::delete_:
-      call.kind = ObjectCall::kDelete;
+      call.kind = ObjectCallKind::kDelete;
       return call;
     default:
       return std::nullopt;
@@ -440,8 +440,8 @@
     {
       std::lock_guard<std::mutex> lock(mutex_);
       ++stats_.calls[std::string(ObjectCallName(call->kind))];
-      const bool is_write =
-          call->kind == ObjectCall::kPut || call->kind == ObjectCall::kDelete;
+      const bool is_write = call->kind == ObjectCallKind::kPut ||
+                            call->kind == ObjectCallKind::kDelete;
       if (!(is_write ? writes_ : reads_)
                .Admit(std::chrono::steady_clock::now())) {
         ++stats_.rate_limited;
@@ -483,7 +483,7 @@
       default:
         break;
     }
-    if (call.kind == ObjectCall::kWatch) {
+    if (call.kind == ObjectCallKind::kWatch) {
       StartWatch(call, rule, done);
       return;
     }
@@ -496,14 +496,14 @@
   Answer Apply(const Call& call) {
     std::lock_guard<std::mutex> lock(mutex_);
     switch (call.kind) {
-      case ObjectCall::kGet: {
+      case ObjectCallKind::kGet: {
         const StoredObject* object = store_.Get(call.key);
         if (object == nullptr) {
           return {404, "{\"error\":\"not found\"}", 0, false};
         }
         return {200, FormatObject(*object).serialize(), 0, false};
       }
-      case ObjectCall::kList: {
+      case ObjectCallKind::kList: {
         const ObjectList list = store_.List(call.key);
         std::vector<value> items;
         items.reserve(list.items.size());
@@ -515,13 +515,13 @@
         body["items"] = value::array(std::move(items));
         return {200, body.serialize(), 0, false};
       }
-      case ObjectCall::kPut:
-      case ObjectCall::kDelete: {
+      case ObjectCallKind::kPut:
+      case ObjectCallKind::kDelete: {
         if (!call.if_version) {
           return {400, "{\"error\":\"if_version is required\"}", 0, false};
         }
         const WriteResult result =
-            call.kind == ObjectCall::kPut
+            call.kind == ObjectCallKind::kPut
                 ? store_.PutIf(call.key, call.body, *call.if_version)
                 : store_.Delete(call.key, *call.if_version);
         stats_.applied += result.outcome == WriteOutcome::kApplied ? 1 : 0;
