--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <stdexcept>
 
+#include "../support/loopback_port.h"
 #include "endiveyard/base/digest.h"
 #include "endiveyard/fleet/configuration_text.h"
 
@@ -44,25 +45,6 @@
 idempotent = true
 )";
 
-uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t n = sizeof(address);
-  if (fd < 0 ||
-      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
-      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) != 0) {
-    throw std::runtime_error("no free port");
-  }
-  close(fd);
-  return ntohs(address.sin_port);
-}
-
-std::string Loopback(uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
 }  // namespace
 
 struct GatewayFixture::Shared {
--- a/tests/instance/instance_test.cc
+++ b/tests/instance/instance_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "../peer/test_certificates.h"
+#include "../support/loopback_port.h"
 #include "endiveyard/base/digest.h"
 #include "endiveyard/fleet/configuration_delta.h"
 #include "endiveyard/fleet/configuration_text.h"
@@ -41,24 +42,6 @@
 idempotent = false
 )";
 
-uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t n = sizeof(address);
-  BOOST_REQUIRE(
-      bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-  BOOST_REQUIRE(getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n) ==
-                0);
-  close(fd);
-  return ntohs(address.sin_port);
-}
-
-std::string Loopback(uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
 // Object API with an accepted configuration and one plain service.
 class Platform {
  public:
