Run on the users' platform: relay, placement, registry mirror and adapter

Add the data path on Boost.Beast (src/relay), the decisions that it asks (src/placement), the mirror of the platform's store (src/registry) and the adapter (platform/), started by 'endiveyard front' from deploy/system.toml.

--- /dev/null
+++ b/include/endiveyard/placement/placer.h
@@ -0,0 +1,96 @@
+#ifndef ENDIVEYARD_PLACEMENT_PLACER_H_
+#define ENDIVEYARD_PLACEMENT_PLACER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "endiveyard/base/time_point.h"
+#include "endiveyard/placement/replica_load.h"
+#include "endiveyard/placement/replica_view.h"
+#include "endiveyard/placement/service_map.h"
+
+namespace endiveyard {
+
+// Where this instance stands and which region each failure domain is in.
+struct Location {
+  std::string zone;
+  std::map<std::string, std::string> region_of_zone;
+};
+
+// What a placement is asked for.
+struct PlacementQuery {
+  std::string service;
+  std::optional<PromptShape> prompt;  // absent for plain services
+  std::set<std::string> excluded;     // ids of replicas that already failed it
+  Duration time_left{};
+  bool may_read_apart = true;  // false after a read apart failed
+};
+
+// Where a request goes. `expected` is the time until the first output.
+struct Placement {
+  std::optional<Replica> prefill;  // reads the prompt first
+  Replica target;                  // runs the request
+  Duration expected{};
+  double prefill_uncached = 0;  // tokens that `prefill` has to read
+  double target_uncached = 0;   // tokens that `target` has to read
+};
+
+// Why no placement was made, with the time after which trying again pays.
+struct PlacementRefusal {
+  enum class Reason { kNoReplica, kTooLate };
+  Reason reason = Reason::kNoReplica;
+  Duration retry_after{};
+  Duration expected{};
+};
+
+struct PlacementResult {
+  std::optional<Placement> placement;
+  PlacementRefusal refusal;  // meaningful without a placement
+};
+
+// Chooses replicas by the time until the first output, estimated from the
+// loads. Not thread-safe. A choice takes O(replicas of the service).
+class Placer {
+ public:
+  explicit Placer(Location location);
+
+  PlacementResult Choose(const ReplicaView& view,
+                         const PlacementQuery& query,
+                         TimePoint now);
+
+  // Load of a replica incarnation, created on first use. A replica that
+  // started again begins with an empty one.
+  ReplicaLoad& LoadOf(const Replica& replica);
+
+  // Forgets replicas that are no longer registered.
+  void Retain(const ReplicaView& view);
+
+  // Learns the speed at which engines read prompts.
+  void ObservePrefill(double tokens, Duration elapsed);
+  double prefill_tokens_per_ms() const { return prefill_tokens_per_ms_; }
+
+ private:
+  struct KnownLoad {
+    int64_t started_unix_ms = 0;
+    ReplicaLoad load;
+  };
+  struct Candidate;
+
+  double DistanceMs(const Replica& replica) const;
+  std::vector<Candidate> Candidates(const std::vector<const Replica*>& replicas,
+                                    const PlacementQuery& query,
+                                    double tokens_per_ms,
+                                    TimePoint now);
+
+  Location location_;
+  std::map<std::string, KnownLoad> loads_;
+  double prefill_tokens_per_ms_;
+  double mean_uncached_ = 0;
+};
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_PLACEMENT_PLACER_H_
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -16,6 +16,7 @@
 };
 
 constexpr CommandEntry kCommands[] = {
+    {"front", "run an instance on the users' platform", RunFrontCommand},
     {"serve", "run an instance", RunServeCommand},
     {"check", "check instance settings and fleet configuration files",
      RunCheckCommand},
--- /dev/null
+++ b/src/placement/placer.cc
@@ -0,0 +1,237 @@
+#include "endiveyard/placement/placer.h"
+
+#include <algorithm>
+
+#include "endiveyard/base/digest.h"
+
+namespace endiveyard {
+namespace {
+
+// Reading speed of a prefill engine until it is learnt, from the sheets of
+// both deployments (92.1 tokens/ms).
+constexpr double kInitialPrefillTokensPerMs = 90;
+// A decode engine reads a prompt at half the speed of a prefill engine.
+constexpr double kDecodeReadShare = 0.5;
+// The learnt speed falls by this share per sample that shows a lower one, so
+// that waiting behind others is not taken for a slow engine at once.
+constexpr double kSpeedDecay = 0.002;
+// Shorter samples are dominated by the round trip.
+constexpr Duration kMinSpeedSample = std::chrono::milliseconds(15);
+
+// Extra cost of a replica that is farther away, beside its delay: bytes
+// between failure domains and regions are billed.
+constexpr double kOtherZoneMs = 4;
+constexpr double kOtherRegionMs = 40;
+
+// Time that a request in a batch adds to the first token of a new one.
+constexpr double kMsPerRunningRequest = 1.5;
+// Requests beyond the slots wait for one to end.
+constexpr double kMsPerWaitingRequest = 60;
+// Cost of a call that is wasted on a replica that fails part of its calls.
+constexpr double kFailedCallMs = 1500;
+// Cost of a replica that is in the pause after failures. It is still used
+// when nothing else is left.
+constexpr double kAvoidedMs = 5000;
+
+// A prompt is read apart when that is not slower by more than this. Reading
+// on a decode engine also slows the streams that it runs.
+constexpr double kReadApartGainMs = 10;
+// Shorter prompts are not worth the second call and the transfer.
+constexpr double kMinReadApartTokens = 1500;
+// Slow-down of the streams of a decode engine by a prompt that it reads,
+// counted as part of the reading time.
+constexpr double kInterferenceShare = 1.0;
+
+// Retry-After when no replica is registered: entries come back within about
+// two seconds of the registry's return.
+constexpr Duration kNoReplicaRetryAfter = std::chrono::milliseconds(700);
+
+Duration FromMs(double ms) {
+  return Duration(static_cast<int64_t>(ms * 1000));
+}
+
+// Returns the replica that all instances take as the home of `key`.
+const Replica* HomeOf(const std::vector<const Replica*>& replicas,
+                      uint64_t key) {
+  const Replica* home = nullptr;
+  uint64_t best = 0;
+  for (const Replica* it : replicas) {
+    const uint64_t weight = Digest64(it->id, key);
+    if (home == nullptr || weight > best) {
+      home = it;
+      best = weight;
+    }
+  }
+  return home;
+}
+
+}  // namespace
+
+struct Placer::Candidate {
+  const Replica* replica = nullptr;
+  double uncached = 0;
+  double wait_ms = 0;  // until the prompt is read
+  double cost_ms = 0;  // wait and everything else that counts
+
+  bool operator<(const Candidate& other) const {
+    return cost_ms < other.cost_ms;
+  }
+};
+
+Placer::Placer(Location location)
+    : location_(std::move(location)),
+      prefill_tokens_per_ms_(kInitialPrefillTokensPerMs) {}
+
+ReplicaLoad& Placer::LoadOf(const Replica& replica) {
+  KnownLoad& known = loads_[replica.id];
+  if (known.started_unix_ms != replica.started_unix_ms) {
+    known = {replica.started_unix_ms, ReplicaLoad()};
+  }
+  return known.load;
+}
+
+void Placer::Retain(const ReplicaView& view) {
+  for (auto it = loads_.begin(); it != loads_.end();) {
+    const bool idle = it->second.load.own_calls() == 0;
+    it = idle && view.Find(it->first) == nullptr ? loads_.erase(it)
+                                                 : std::next(it);
+  }
+}
+
+void Placer::ObservePrefill(double tokens, Duration elapsed) {
+  if (elapsed < kMinSpeedSample) {
+    return;
+  }
+  const double sample = tokens * 1000 / static_cast<double>(elapsed.count());
+  if (sample > prefill_tokens_per_ms_) {
+    prefill_tokens_per_ms_ = std::min(sample, 2 * prefill_tokens_per_ms_);
+  } else {
+    prefill_tokens_per_ms_ += (sample - prefill_tokens_per_ms_) * kSpeedDecay;
+  }
+}
+
+double Placer::DistanceMs(const Replica& replica) const {
+  if (replica.zone == location_.zone) {
+    return 0;
+  }
+  const auto here = location_.region_of_zone.find(location_.zone);
+  const auto there = location_.region_of_zone.find(replica.zone);
+  const bool same_region = here != location_.region_of_zone.end() &&
+                           there != location_.region_of_zone.end() &&
+                           here->second == there->second;
+  return same_region ? kOtherZoneMs : kOtherRegionMs;
+}
+
+std::vector<Placer::Candidate> Placer::Candidates(
+    const std::vector<const Replica*>& replicas,
+    const PlacementQuery& query,
+    double tokens_per_ms,
+    TimePoint now) {
+  const Replica* home = nullptr;
+  if (query.prompt) {
+    if (const uint64_t key = SharedPrefixKey(*query.prompt); key != 0) {
+      home = HomeOf(replicas, key);
+    }
+  }
+  std::vector<Candidate> candidates;
+  for (const Replica* it : replicas) {
+    if (query.excluded.count(it->id) > 0) {
+      continue;
+    }
+    const ReplicaLoad& load = LoadOf(*it);
+    Candidate candidate;
+    candidate.replica = it;
+    if (query.prompt) {
+      candidate.uncached = load.UncachedTokens(*query.prompt, it == home, now);
+      candidate.wait_ms =
+          (load.QueuedTokens(mean_uncached_, now) + candidate.uncached) /
+          tokens_per_ms;
+    }
+    const double requests = load.Requests(now);
+    const double over_slots =
+        it->slots > 0 ? std::max(0.0, requests - it->slots) : 0;
+    candidate.wait_ms +=
+        requests * kMsPerRunningRequest + over_slots * kMsPerWaitingRequest;
+    candidate.cost_ms = candidate.wait_ms + DistanceMs(*it) +
+                        load.FailureShare(now) * kFailedCallMs +
+                        (load.Avoided(now) ? kAvoidedMs : 0);
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+PlacementResult Placer::Choose(const ReplicaView& view,
+                               const PlacementQuery& query,
+                               TimePoint now) {
+  std::vector<const Replica*> prefill;
+  std::vector<const Replica*> running;
+  for (const Replica* it : view.Usable(query.service)) {
+    (it->stage == Stage::kPrefill ? prefill : running).push_back(it);
+  }
+  const double read_speed =
+      prefill_tokens_per_ms_ * (prefill.empty() ? 1 : kDecodeReadShare);
+  std::vector<Candidate> direct = Candidates(running, query, read_speed, now);
+  PlacementResult result;
+  if (direct.empty()) {
+    result.refusal = {PlacementRefusal::Reason::kNoReplica,
+                      kNoReplicaRetryAfter, Duration(0)};
+    return result;
+  }
+  const Candidate& best_direct =
+      *std::min_element(direct.begin(), direct.end());
+  Placement placement;
+  placement.target = *best_direct.replica;
+  placement.target_uncached = best_direct.uncached;
+  double expected_ms = best_direct.wait_ms;
+
+  const bool read_apart = query.prompt && query.may_read_apart &&
+                          query.prompt->prompt_tokens >= kMinReadApartTokens;
+  std::vector<Candidate> readers;
+  if (read_apart) {
+    readers = Candidates(prefill, query, prefill_tokens_per_ms_, now);
+  }
+  if (!readers.empty()) {
+    const Candidate& reader = *std::min_element(readers.begin(), readers.end());
+    // The engine that runs it afterwards is chosen by its load, and near the
+    // reader, since the KV cache crosses the links between them.
+    const Candidate* runner = nullptr;
+    double runner_ms = 0;
+    for (const Candidate& it : direct) {
+      const double own_read_ms = it.uncached / read_speed;
+      const double away_ms =
+          it.replica->zone == reader.replica->zone ? 0 : kOtherRegionMs / 2;
+      const double ms = it.cost_ms - own_read_ms + away_ms;
+      if (runner == nullptr || ms < runner_ms) {
+        runner = &it;
+        runner_ms = ms;
+      }
+    }
+    const double apart_ms = reader.cost_ms + runner_ms;
+    const double direct_ms = best_direct.cost_ms + kInterferenceShare *
+                                                       best_direct.uncached /
+                                                       read_speed;
+    if (apart_ms + kReadApartGainMs < direct_ms) {
+      placement.prefill = *reader.replica;
+      placement.prefill_uncached = reader.uncached;
+      placement.target = *runner->replica;
+      placement.target_uncached = 0;
+      expected_ms = reader.wait_ms + std::max(0.0, runner_ms);
+    }
+  }
+  if (query.prompt) {
+    constexpr double kMeanWeight = 0.05;
+    const double uncached = placement.prefill ? placement.prefill_uncached
+                                              : placement.target_uncached;
+    mean_uncached_ += (uncached - mean_uncached_) * kMeanWeight;
+  }
+  placement.expected = FromMs(expected_ms);
+  if (placement.expected >= query.time_left) {
+    result.refusal = {PlacementRefusal::Reason::kTooLate,
+                      placement.expected - query.time_left, placement.expected};
+    return result;
+  }
+  result.placement = placement;
+  return result;
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/placement/replica_view.cc
@@ -0,0 +1,103 @@
+#include "endiveyard/placement/replica_view.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace endiveyard {
+
+bool Replica::operator==(const Replica& other) const {
+  return std::tie(id, service, ip, port, zone, slots, draining, stage,
+                  started_unix_ms) ==
+         std::tie(other.id, other.service, other.ip, other.port, other.zone,
+                  other.slots, other.draining, other.stage,
+                  other.started_unix_ms);
+}
+
+std::string AddressOf(const Replica& replica) {
+  return replica.ip + ":" + std::to_string(replica.port);
+}
+
+void ReplicaView::Reset(const std::vector<Replica>& replicas, TimePoint now) {
+  std::set<std::string> listed;
+  for (const Replica& it : replicas) {
+    listed.insert(it.id);
+    Put(it);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : replicas_) {
+    if (listed.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    Remove(id, now);
+  }
+}
+
+void ReplicaView::Put(const Replica& replica) {
+  replicas_[replica.id] = {replica, std::nullopt};
+}
+
+void ReplicaView::Remove(const std::string& id, TimePoint now) {
+  const auto it = replicas_.find(id);
+  if (it == replicas_.end()) {
+    return;
+  }
+  const bool outage_lately =
+      registry_away_ || (last_failure_ && now - *last_failure_ < kOutageMemory);
+  // A replica that said it is draining leaves for good.
+  if (!outage_lately || it->second.replica.draining) {
+    replicas_.erase(it);
+  } else if (!it->second.missing_since) {
+    it->second.missing_since = now;
+  }
+}
+
+void ReplicaView::RegistryFailed(TimePoint now) {
+  registry_away_ = true;
+  last_failure_ = now;
+}
+
+void ReplicaView::RegistryAnswered(TimePoint now) {
+  if (registry_away_) {
+    registry_away_ = false;
+    returned_ = now;
+  }
+}
+
+std::vector<std::string> ReplicaView::Expire(TimePoint now) {
+  std::vector<std::string> expired;
+  if (registry_away_) {
+    return expired;
+  }
+  for (auto it = replicas_.begin(); it != replicas_.end();) {
+    const auto& missing = it->second.missing_since;
+    if (missing && now - std::max(*missing, returned_.value_or(*missing)) >=
+                       kLapsedEntryGrace) {
+      expired.push_back(it->first);
+      it = replicas_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return expired;
+}
+
+const Replica* ReplicaView::Find(std::string_view id) const {
+  const auto it = replicas_.find(id);
+  return it == replicas_.end() ? nullptr : &it->second.replica;
+}
+
+std::vector<const Replica*> ReplicaView::Usable(
+    std::string_view service) const {
+  std::vector<const Replica*> usable;
+  for (const auto& [id, entry] : replicas_) {
+    if (entry.replica.service == service && !entry.replica.draining) {
+      usable.push_back(&entry.replica);
+    }
+  }
+  return usable;
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/placement/service_map.cc
@@ -0,0 +1,105 @@
+#include "endiveyard/placement/service_map.h"
+
+#include <cctype>
+#include <tuple>
+
+namespace endiveyard {
+namespace {
+
+std::string LowerCaseWithoutPort(std::string_view host) {
+  std::string name;
+  for (const char c : host.substr(0, host.find(':'))) {
+    name.push_back(
+        static_cast<char>(std::tolower(static_cast<unsigned char>(c))));
+  }
+  return name;
+}
+
+bool StartsWith(std::string_view text, std::string_view prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
+auto Tie(const Route& it) {
+  return std::tie(it.name, it.host, it.path_prefix, it.kind, it.timeout,
+                  it.target_latency, it.target_gap, it.priority,
+                  it.max_attempts, it.session_affinity, it.resumable,
+                  it.services);
+}
+
+}  // namespace
+
+bool ServiceShare::operator==(const ServiceShare& other) const {
+  return service == other.service && weight == other.weight;
+}
+
+bool Route::operator==(const Route& other) const {
+  return Tie(*this) == Tie(other);
+}
+
+bool EngineTraits::operator==(const EngineTraits& other) const {
+  return std::tie(slots, kv_tokens, kv_bytes, link_mbps, handle_ttl) ==
+         std::tie(other.slots, other.kv_tokens, other.kv_bytes, other.link_mbps,
+                  other.handle_ttl);
+}
+
+bool Service::operator==(const Service& other) const {
+  return std::tie(name, max_connections, engine) ==
+         std::tie(other.name, other.max_connections, other.engine);
+}
+
+bool CallerLimits::operator==(const CallerLimits& other) const {
+  return std::tie(max_header_bytes, max_body_bytes, header_timeout,
+                  idle_timeout) ==
+         std::tie(other.max_header_bytes, other.max_body_bytes,
+                  other.header_timeout, other.idle_timeout);
+}
+
+bool ServiceMap::operator==(const ServiceMap& other) const {
+  return std::tie(version, routes, services, limits) ==
+         std::tie(other.version, other.routes, other.services, other.limits);
+}
+
+const Route* FindRoute(const ServiceMap& map,
+                       std::string_view host,
+                       std::string_view path) {
+  const std::string name = LowerCaseWithoutPort(host);
+  const Route* best = nullptr;
+  for (const Route& it : map.routes) {
+    if (it.host == name && StartsWith(path, it.path_prefix) &&
+        (best == nullptr || it.path_prefix.size() > best->path_prefix.size())) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+const std::string& PickService(const Route& route, double point) {
+  double total = 0;
+  for (const ServiceShare& it : route.services) {
+    total += it.weight;
+  }
+  double left = point * total;
+  for (const ServiceShare& it : route.services) {
+    left -= it.weight;
+    if (left < 0) {
+      return it.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+const Service* FindService(const ServiceMap& map, std::string_view name) {
+  for (const Service& it : map.services) {
+    if (it.name == name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+bool MayRunAgain(const Route& route) {
+  return route.kind == RouteKind::kSafe ||
+         (route.kind == RouteKind::kStreaming && route.resumable);
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/relay/caller_connection.cc
@@ -0,0 +1,402 @@
+#include "relay/caller_connection.h"
+
+#include <algorithm>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "endiveyard/telemetry/log_event_numbers.h"
+#include "relay/header_rules.h"
+#include "relay/relay_exchange.h"
+#include "relay/socket_options.h"
+
+namespace endiveyard {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr size_t kReadBytes = 8192;
+// Bytes that a caller may send ahead of the answer to its last request.
+constexpr size_t kMaxAheadBytes = 65536;
+
+CallerLimits LimitsOf(const RelayCore& core) {
+  return core.beliefs.services ? core.beliefs.services->limits : CallerLimits();
+}
+
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Payload Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+// Framing that the parser would let through although another reader may see
+// other borders of the body.
+bool HasDoubtfulFraming(const HeaderList& headers) {
+  int encodings = 0;
+  int lengths = 0;
+  bool only_chunked = true;
+  for (const auto& [name, value] : headers) {
+    if (EqualIgnoringCase(name, "transfer-encoding")) {
+      ++encodings;
+      only_chunked = only_chunked && EqualIgnoringCase(value, "chunked");
+    } else if (EqualIgnoringCase(name, "content-length")) {
+      ++lengths;
+    }
+  }
+  return encodings > 1 || lengths > 1 || (encodings > 0 && lengths > 0) ||
+         (encodings > 0 && !only_chunked);
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(std::shared_ptr<RelayCore> core,
+                                   asio::ip::tcp::socket socket)
+    : core_(std::move(core)),
+      socket_(std::move(socket)),
+      read_timer_(core_->io) {
+  ++core_->open_connections;
+}
+
+CallerConnection::~CallerConnection() {
+  --core_->open_connections;
+  core_->body_bytes -= body_bytes_;
+}
+
+void CallerConnection::Start() {
+  SetLivenessOptions(socket_, core_->options.target_client.peer_timeout * 2);
+  ArmReadTimer();
+  Read();
+}
+
+void CallerConnection::Read() {
+  if (reading_ || closed_ || buffer_.size() >= kMaxAheadBytes) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](error_code ec, size_t n) {
+                            self->OnRead(ec, n);
+                          });
+}
+
+void CallerConnection::OnRead(error_code ec, size_t n) {
+  reading_ = false;
+  if (closed_) {
+    return;
+  }
+  if (ec) {
+    // The caller has left; what is being done for it is of no use any more.
+    if (exchange_) {
+      const std::shared_ptr<RelayExchange> exchange = std::move(exchange_);
+      exchange->CallerLeft();
+    }
+    Close();
+    return;
+  }
+  buffer_.commit(n);
+  if (!exchange_ && !close_when_written_) {
+    ParseBuffered();
+  }
+  Read();
+}
+
+void CallerConnection::ParseBuffered() {
+  while (buffer_.size() > 0 && !exchange_ && !closed_) {
+    const CallerLimits limits = LimitsOf(*core_);
+    if (!parser_) {
+      parser_.emplace();
+      parser_->eager(true);
+      parser_->header_limit(limits.max_header_bytes);
+      parser_->body_limit(limits.max_body_bytes);
+    }
+    if (!saw_request_bytes_) {
+      saw_request_bytes_ = true;
+      ArmReadTimer();
+    }
+    error_code ec;
+    const size_t n = parser_->put(buffer_.data(), ec);
+    buffer_.consume(n);
+    if (ec == http::error::need_more) {
+      ec = {};
+      if (n == 0 && !parser_->is_done()) {
+        return;
+      }
+    }
+    if (ec) {
+      HandleParseError(ec);
+      return;
+    }
+    if (parser_->is_done()) {
+      HandleRequest();
+    } else if (n == 0) {
+      return;
+    }
+  }
+}
+
+void CallerConnection::HandleParseError(error_code ec) {
+  JsonFields fields;
+  fields.Text("detail", ec.message());
+  core_->log.Log(kLogRequestMalformed, fields, BootClock::now());
+  if (ec == http::error::body_limit) {
+    RefuseAndClose(413, "body_too_large");
+  } else if (ec == http::error::header_limit) {
+    RefuseAndClose(431, "headers_too_large");
+  } else {
+    RefuseAndClose(400, "bad_request");
+  }
+}
+
+void CallerConnection::HandleRequest() {
+  ++timer_generation_;
+  read_timer_.cancel();
+  saw_request_bytes_ = false;
+  auto message = parser_->release();
+  parser_.reset();
+  CallerRequest request;
+  request.received = BootClock::now();
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& it : message) {
+    request.headers.emplace_back(std::string(it.name_string()),
+                                 std::string(it.value()));
+  }
+  if (HasDoubtfulFraming(request.headers)) {
+    RefuseAndClose(400, "doubtful_framing");
+    return;
+  }
+  keep_alive_ = message.keep_alive();
+  method_ = request.method;
+  if (!message.body().empty()) {
+    request.body =
+        std::make_shared<const std::string>(std::move(message.body()));
+    body_bytes_ = request.body->size();
+    core_->body_bytes += body_bytes_;
+  }
+  exchange_ = std::make_shared<RelayExchange>(core_, shared_from_this(),
+                                              std::move(request));
+  const std::shared_ptr<RelayExchange> exchange = exchange_;
+  exchange->Start();
+}
+
+void CallerConnection::RefuseAndClose(int status, std::string_view reason) {
+  keep_alive_ = false;
+  const std::string body = "{\"error\":\"" + std::string(reason) + "\"}";
+  CallerAnswerHead head;
+  head.status = status;
+  head.length = body.size();
+  head.headers = {{"Content-Type", "application/json"}};
+  SendHead(head);
+  SendBody(body);
+  Finish();
+}
+
+void CallerConnection::ArmReadTimer() {
+  const CallerLimits limits = LimitsOf(*core_);
+  const Duration limit =
+      saw_request_bytes_ ? std::max(limits.header_timeout, limits.idle_timeout)
+                         : limits.idle_timeout;
+  const uint64_t generation = ++timer_generation_;
+  const Duration header_limit = limits.header_timeout;
+  read_timer_.expires_after(saw_request_bytes_ ? header_limit : limit);
+  read_timer_.async_wait(
+      [self = shared_from_this(), generation, limit](error_code ec) {
+        if (ec || self->closed_ || generation != self->timer_generation_ ||
+            self->exchange_) {
+          return;
+        }
+        if (!self->saw_request_bytes_) {
+          self->Close();
+        } else if (self->parser_ && self->parser_->is_header_done()) {
+          // The head came in time; the body may take the idle timeout.
+          self->read_timer_.expires_after(limit);
+          self->read_timer_.async_wait([self, generation](error_code body_ec) {
+            if (!body_ec && !self->closed_ &&
+                generation == self->timer_generation_ && !self->exchange_) {
+              self->RefuseAndClose(408, "request_timeout");
+            }
+          });
+        } else {
+          self->RefuseAndClose(408, "request_timeout");
+        }
+      });
+}
+
+void CallerConnection::SendHead(const CallerAnswerHead& head) {
+  if (closed_) {
+    return;
+  }
+  if (core_->draining) {
+    keep_alive_ = false;
+  }
+  has_answer_body_ =
+      method_ != "HEAD" && head.status != 204 && head.status != 304;
+  chunked_answer_ = !head.length && has_answer_body_;
+  std::string text =
+      "HTTP/1.1 " + std::to_string(head.status) + " " +
+      (head.reason.empty() ? std::string(ReasonOf(head.status)) : head.reason) +
+      "\r\n";
+  for (const auto& [name, value] : head.headers) {
+    text += name + ": " + value + "\r\n";
+  }
+  if (chunked_answer_) {
+    text += "Transfer-Encoding: chunked\r\n";
+  } else if (head.length && head.status != 204 && head.status != 304) {
+    text += "Content-Length: " + std::to_string(*head.length) + "\r\n";
+  }
+  if (!keep_alive_) {
+    text += "Connection: close\r\n";
+  }
+  Write(text + "\r\n");
+}
+
+void CallerConnection::SendBody(std::string_view bytes) {
+  if (closed_ || bytes.empty() || !has_answer_body_) {
+    return;
+  }
+  if (!chunked_answer_) {
+    Write(std::string(bytes));
+    return;
+  }
+  char size[20];
+  const int n = std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  std::string chunk(size, static_cast<size_t>(n));
+  chunk.append(bytes);
+  chunk += "\r\n";
+  Write(std::move(chunk));
+}
+
+void CallerConnection::Finish() {
+  if (closed_) {
+    return;
+  }
+  if (chunked_answer_) {
+    Write("0\r\n\r\n");
+  }
+  chunked_answer_ = false;
+  exchange_.reset();
+  on_drained_ = nullptr;
+  core_->body_bytes -= body_bytes_;
+  body_bytes_ = 0;
+  if (!keep_alive_) {
+    close_when_written_ = true;
+    if (!writing_) {
+      Close();
+    }
+    return;
+  }
+  ArmReadTimer();
+  // Requests that arrived meanwhile are parsed from the event loop, so that a
+  // long sequence of them does not nest.
+  if (buffer_.size() > 0) {
+    asio::post(core_->io, [self = shared_from_this()] {
+      if (!self->exchange_ && !self->closed_) {
+        self->ParseBuffered();
+        self->Read();
+      }
+    });
+  } else {
+    Read();
+  }
+}
+
+void CallerConnection::Abort() {
+  exchange_.reset();
+  if (closed_) {
+    return;
+  }
+  if (writing_) {
+    // What was written stays valid; the missing end shows the break.
+    close_when_written_ = true;
+    return;
+  }
+  Close();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!exchange_ && !saw_request_bytes_ && buffer_.size() == 0 && !writing_) {
+    Close();
+  }
+}
+
+void CallerConnection::Write(std::string bytes) {
+  unsent_bytes_ += bytes.size();
+  writes_.push_back(std::move(bytes));
+  if (!writing_) {
+    writing_ = true;
+    // Pieces that are made in one turn of the event loop go out together.
+    asio::post(core_->io, [self = shared_from_this()] { self->WriteNext(); });
+  }
+}
+
+void CallerConnection::WriteNext() {
+  if (closed_) {
+    return;
+  }
+  auto batch = std::make_shared<std::string>();
+  for (std::string& it : writes_) {
+    batch->append(it);
+  }
+  writes_.clear();
+  asio::async_write(
+      socket_, asio::buffer(*batch),
+      [self = shared_from_this(), batch](error_code ec, size_t n) {
+        if (self->closed_) {
+          return;
+        }
+        self->unsent_bytes_ -= std::min(n, self->unsent_bytes_);
+        if (ec) {
+          if (self->exchange_) {
+            const std::shared_ptr<RelayExchange> exchange =
+                std::move(self->exchange_);
+            exchange->CallerLeft();
+          }
+          self->Close();
+          return;
+        }
+        if (!self->writes_.empty()) {
+          self->WriteNext();
+          return;
+        }
+        self->writing_ = false;
+        if (self->close_when_written_) {
+          self->Close();
+        } else if (self->on_drained_) {
+          self->on_drained_();
+        }
+      });
+}
+
+void CallerConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  ++timer_generation_;
+  read_timer_.cancel();
+  on_drained_ = nullptr;
+  error_code ec;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+  socket_.close(ec);
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/relay/caller_connection.h
@@ -0,0 +1,106 @@
+#ifndef ENDIVEYARD_SRC_RELAY_CALLER_CONNECTION_H_
+#define ENDIVEYARD_SRC_RELAY_CALLER_CONNECTION_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include "relay/relay_core.h"
+
+namespace endiveyard {
+
+class RelayExchange;
+
+// A whole request of a caller.
+struct CallerRequest {
+  std::string method;
+  std::string target;  // raw path and query
+  HeaderList headers;
+  std::shared_ptr<const std::string> body;
+  TimePoint received{};
+};
+
+// Status line, headers and framing of an answer to a caller.
+struct CallerAnswerHead {
+  int status = 200;
+  std::string reason;
+  HeaderList headers;
+  // Length of the body; without it the body is sent in chunks.
+  std::optional<size_t> length;
+};
+
+// A connection of a caller. It reads all the time, so that the caller's leaving
+// is noticed while a request is served.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+ public:
+  CallerConnection(std::shared_ptr<RelayCore> core,
+                   boost::asio::ip::tcp::socket socket);
+  ~CallerConnection();
+
+  void Start();
+
+  // The answer to the request in progress: one head, then the body, then
+  // Finish(), or Abort() to end it visibly incomplete.
+  void SendHead(const CallerAnswerHead& head);
+  void SendBody(std::string_view bytes);
+  void Finish();
+  void Abort();
+
+  // Bytes that the caller has not taken yet.
+  size_t unsent_bytes() const { return unsent_bytes_; }
+  // Called when `unsent_bytes` has fallen to zero.
+  void set_on_drained(std::function<void()> on_drained) {
+    on_drained_ = std::move(on_drained);
+  }
+
+  // Closes the connection unless a request is in progress.
+  void CloseIfIdle();
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnRead(boost::system::error_code ec, size_t n);
+  void ParseBuffered();
+  void HandleParseError(boost::system::error_code ec);
+  void HandleRequest();
+  void RefuseAndClose(int status, std::string_view reason);
+  void ArmReadTimer();
+  void Write(std::string bytes);
+  void WriteNext();
+  void Close();
+
+  std::shared_ptr<RelayCore> core_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer read_timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::shared_ptr<RelayExchange> exchange_;
+  std::deque<std::string> writes_;
+  std::function<void()> on_drained_;
+  std::string method_;
+  size_t unsent_bytes_ = 0;
+  size_t body_bytes_ = 0;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool keep_alive_ = true;
+  bool chunked_answer_ = false;
+  bool has_answer_body_ = true;
+  bool close_when_written_ = false;
+  bool closed_ = false;
+  bool saw_request_bytes_ = false;
+  uint64_t timer_generation_ = 0;
+};
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SRC_RELAY_CALLER_CONNECTION_H_
--- /dev/null
+++ b/src/relay/header_rules.cc
@@ -0,0 +1,115 @@
+#include "relay/header_rules.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+#include <vector>
+
+namespace endiveyard {
+namespace {
+
+constexpr std::array<std::string_view, 11> kConnectionHeaders = {
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect"};
+
+char Lower(char c) {
+  return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+std::string_view Trimmed(std::string_view text) {
+  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+std::vector<std::string_view> Split(std::string_view text) {
+  std::vector<std::string_view> parts;
+  while (!text.empty()) {
+    const size_t comma = text.find(',');
+    parts.push_back(Trimmed(text.substr(0, comma)));
+    text = comma == std::string_view::npos ? std::string_view()
+                                           : text.substr(comma + 1);
+  }
+  return parts;
+}
+
+}  // namespace
+
+bool EqualIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         std::equal(a.begin(), a.end(), b.begin(),
+                    [](char x, char y) { return Lower(x) == Lower(y); });
+}
+
+std::optional<std::string_view> FindHeader(const HeaderList& headers,
+                                           std::string_view name) {
+  for (const auto& [key, value] : headers) {
+    if (EqualIgnoringCase(key, name)) {
+      return value;
+    }
+  }
+  return std::nullopt;
+}
+
+HeaderList WithoutConnectionHeaders(const HeaderList& headers) {
+  std::vector<std::string_view> named;
+  for (const auto& [key, value] : headers) {
+    if (EqualIgnoringCase(key, "connection")) {
+      for (const std::string_view it : Split(value)) {
+        named.push_back(it);
+      }
+    }
+  }
+  HeaderList kept;
+  for (const auto& it : headers) {
+    const auto matches = [&it](std::string_view name) {
+      return EqualIgnoringCase(name, it.first);
+    };
+    if (std::none_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                     matches) &&
+        std::none_of(named.begin(), named.end(), matches)) {
+      kept.push_back(it);
+    }
+  }
+  return kept;
+}
+
+bool MethodHasBody(std::string_view method) {
+  return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+std::optional<Duration> KeepAliveTimeout(const HeaderList& headers) {
+  const auto value = FindHeader(headers, "keep-alive");
+  if (!value) {
+    return std::nullopt;
+  }
+  constexpr std::string_view kTimeout = "timeout=";
+  for (const std::string_view it : Split(*value)) {
+    if (EqualIgnoringCase(it.substr(0, kTimeout.size()), kTimeout)) {
+      const std::string_view digits = it.substr(kTimeout.size());
+      int64_t seconds = 0;
+      const auto parsed = std::from_chars(
+          digits.data(), digits.data() + digits.size(), seconds);
+      if (parsed.ec == std::errc() && seconds >= 0) {
+        return std::chrono::seconds(seconds);
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/src/relay/socket_options.h
@@ -0,0 +1,18 @@
+#ifndef ENDIVEYARD_SRC_RELAY_SOCKET_OPTIONS_H_
+#define ENDIVEYARD_SRC_RELAY_SOCKET_OPTIONS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "endiveyard/base/time_point.h"
+
+namespace endiveyard {
+
+// Sets TCP_NODELAY, keep-alive probes and TCP_USER_TIMEOUT, so that a peer that
+// went silent is noticed within about `peer_timeout`. Options that the system
+// refuses are left at their default.
+void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
+                        Duration peer_timeout);
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SRC_RELAY_SOCKET_OPTIONS_H_
--- /dev/null
+++ b/src/relay/target_call.cc
@@ -0,0 +1,508 @@
+#include "endiveyard/relay/target_call.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <limits>
+#include <map>
+#include <optional>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "relay/header_rules.h"
+#include "relay/socket_options.h"
+
+namespace endiveyard {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr uint32_t kMaxAnswerHeaderBytes = 65536;
+constexpr size_t kReadBytes = 16384;
+// Bounds the answers of earlier requests that are skipped on one connection.
+constexpr int kMaxSkippedAnswers = 2;
+
+struct Connection {
+  explicit Connection(asio::io_context& io) : socket(io) {}
+
+  tcp::socket socket;
+  beast::flat_buffer buffer;
+  std::string address;
+  TimePoint idle_since{};
+  Duration idle_limit{};
+  bool used = false;
+};
+
+// A readable idle connection was closed by the peer or carries bytes that
+// belong to no request.
+bool IsQuiet(tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t n =
+      recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+class TargetClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& io, const WireProtocol& protocol, Options options)
+      : io_(io), protocol_(protocol), options_(options) {}
+
+  std::unique_ptr<Connection> TakeIdle(const std::string& address) {
+    const auto it = idle_.find(address);
+    if (it == idle_.end()) {
+      return nullptr;
+    }
+    const TimePoint now = BootClock::now();
+    while (!it->second.empty()) {
+      // The newest is the least likely to be closed by the target.
+      std::unique_ptr<Connection> connection = std::move(it->second.back());
+      it->second.pop_back();
+      --idle_count_;
+      if (now - connection->idle_since < connection->idle_limit &&
+          IsQuiet(connection->socket)) {
+        return connection;
+      }
+    }
+    idle_.erase(it);
+    return nullptr;
+  }
+
+  void PutIdle(std::unique_ptr<Connection> connection) {
+    connection->idle_since = BootClock::now();
+    Trim(connection->idle_since);
+    if (idle_count_ >= options_.max_idle_connections) {
+      return;
+    }
+    ++idle_count_;
+    idle_[connection->address].push_back(std::move(connection));
+  }
+
+  void DropIdle(std::string_view address) {
+    const auto it = idle_.find(std::string(address));
+    if (it != idle_.end()) {
+      idle_count_ -= it->second.size();
+      idle_.erase(it);
+    }
+  }
+
+  asio::io_context& io() { return io_; }
+  const WireProtocol& protocol() const { return protocol_; }
+  const Options& options() const { return options_; }
+  void CountOpened() { ++opened_; }
+  uint64_t opened() const { return opened_; }
+  size_t idle_count() const { return idle_count_; }
+
+ private:
+  // Closes connections that are past their idle limit.
+  void Trim(TimePoint now) {
+    for (auto& [address, connections] : idle_) {
+      while (!connections.empty() && now - connections.front()->idle_since >=
+                                         connections.front()->idle_limit) {
+        connections.pop_front();
+        --idle_count_;
+      }
+    }
+  }
+
+  asio::io_context& io_;
+  const WireProtocol& protocol_;
+  const Options options_;
+  std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle_;
+  size_t idle_count_ = 0;
+  uint64_t opened_ = 0;
+};
+
+// Carries one request over one connection.
+class HttpTargetCall : public TargetCall,
+                       public std::enable_shared_from_this<HttpTargetCall> {
+ public:
+  HttpTargetCall(asio::io_context& io,
+                 const WireProtocol& protocol,
+                 const TargetClientOptions& options,
+                 TargetRequest request,
+                 TargetCallHandlers handlers)
+      : io_(io),
+        protocol_(protocol),
+        options_(options),
+        request_(std::move(request)),
+        handlers_(std::move(handlers)),
+        timer_(io) {}
+
+  // Gives the connection back for reuse.
+  std::function<void(std::unique_ptr<Connection>)> on_reusable;
+  std::function<void()> on_opened;
+
+  void StartOn(std::unique_ptr<Connection> connection) {
+    connection_ = std::move(connection);
+    WriteRequest();
+  }
+
+  void StartNew() {
+    connection_ = std::make_unique<Connection>(io_);
+    connection_->address = request_.ip + ":" + std::to_string(request_.port);
+    connection_->idle_limit = options_.max_idle;
+    error_code ec;
+    const asio::ip::address address = asio::ip::make_address(request_.ip, ec);
+    if (!ec) {
+      connection_->socket.open(address.is_v6() ? tcp::v6() : tcp::v4(), ec);
+    }
+    if (ec) {
+      asio::post(io_, [self = shared_from_this(), ec] {
+        self->End(CallEnd::kNotSent, ec.message());
+      });
+      return;
+    }
+    SetLivenessOptions(connection_->socket, options_.peer_timeout);
+    timer_.expires_after(options_.connect_timeout);
+    timer_.async_wait([self = shared_from_this()](error_code timer_ec) {
+      if (!timer_ec && !self->connected_) {
+        self->End(CallEnd::kNotSent, "connect timeout");
+      }
+    });
+    connection_->socket.async_connect(
+        tcp::endpoint(address, request_.port),
+        [self = shared_from_this()](error_code connect_ec) {
+          if (self->ended_) {
+            return;
+          }
+          self->connected_ = true;
+          self->timer_.cancel();
+          if (connect_ec) {
+            self->End(CallEnd::kNotSent, connect_ec.message());
+            return;
+          }
+          self->on_opened();
+          self->WriteRequest();
+        });
+  }
+
+  void Cancel() override {
+    ended_ = true;
+    CloseConnection();
+    handlers_ = {};
+  }
+
+  void Pause() override { paused_ = true; }
+
+  void Resume() override {
+    if (paused_) {
+      paused_ = false;
+      if (read_waiting_ && !ended_) {
+        read_waiting_ = false;
+        ReadBody();
+      }
+    }
+  }
+
+ private:
+  void WriteRequest() {
+    head_ = request_.method + " " + request_.path + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : request_.headers) {
+      head_ += name + ": " + value + "\r\n";
+    }
+    const size_t body_size = request_.body ? request_.body->size() : 0;
+    if (body_size > 0 || MethodHasBody(request_.method)) {
+      head_ += "Content-Length: " + std::to_string(body_size) + "\r\n";
+    }
+    head_ += "\r\n";
+    std::vector<asio::const_buffer> buffers = {asio::buffer(head_)};
+    if (body_size > 0) {
+      buffers.push_back(asio::buffer(*request_.body));
+    }
+    sent_ = true;
+    asio::async_write(connection_->socket, buffers,
+                      [self = shared_from_this()](error_code ec, size_t) {
+                        // A write that fails is reported by the read, which may
+                        // still find an early answer.
+                        self->written_ = !ec;
+                      });
+    ReadHead();
+  }
+
+  void ReadHead() {
+    if (ParseHead()) {
+      return;
+    }
+    auto self = shared_from_this();
+    connection_->socket.async_read_some(
+        connection_->buffer.prepare(kReadBytes),
+        [self](error_code ec, size_t n) {
+          if (self->ended_) {
+            return;
+          }
+          if (ec) {
+            self->End(self->connection_->buffer.size() > 0 ? CallEnd::kBadAnswer
+                                                           : CallEnd::kNoAnswer,
+                      ec.message());
+            return;
+          }
+          self->connection_->buffer.commit(n);
+          self->ReadHead();
+        });
+  }
+
+  // Returns true when the head is there or the call has ended.
+  bool ParseHead() {
+    if (connection_->buffer.size() == 0) {
+      return false;
+    }
+    if (!parser_) {
+      parser_.emplace();
+      parser_->header_limit(kMaxAnswerHeaderBytes);
+      // An absent limit compares as the smallest in Boost 1.74.
+      parser_->body_limit(std::numeric_limits<uint64_t>::max());
+      if (request_.method == "HEAD") {
+        parser_->skip(true);
+      }
+    }
+    error_code ec;
+    const size_t n = parser_->put(connection_->buffer.data(), ec);
+    connection_->buffer.consume(n);
+    if (ec == http::error::need_more) {
+      return false;
+    }
+    if (ec && ec != http::error::need_buffer) {
+      End(CallEnd::kBadAnswer, ec.message());
+      return true;
+    }
+    if (!parser_->is_header_done()) {
+      return false;
+    }
+    return HandleHead();
+  }
+
+  bool HandleHead() {
+    const auto& message = parser_->get();
+    if (message.result_int() >= 100 && message.result_int() < 200) {
+      parser_.reset();
+      return ParseHead();
+    }
+    answer_head_.status = static_cast<int>(message.result_int());
+    answer_head_.reason = std::string(message.reason());
+    answer_head_.headers.clear();
+    for (const auto& it : message) {
+      answer_head_.headers.emplace_back(std::string(it.name_string()),
+                                        std::string(it.value()));
+    }
+    skipping_ = false;
+    if (!request_.request_id.empty()) {
+      const AnswerFacts facts =
+          protocol_.DecodeAnswer(answer_head_.status, answer_head_.headers);
+      if (facts.request_id && *facts.request_id != request_.request_id) {
+        if (++skipped_ > kMaxSkippedAnswers || parser_->need_eof()) {
+          End(CallEnd::kBadAnswer, "answer to another request");
+          return true;
+        }
+        skipping_ = true;
+      }
+    }
+    if (!skipping_) {
+      head_delivered_ = true;
+      auto self = shared_from_this();
+      if (!handlers_.on_head(answer_head_)) {
+        if (!ended_) {
+          Cancel();
+        }
+        return true;
+      }
+      if (ended_) {
+        return true;
+      }
+    }
+    ReadBody();
+    return true;
+  }
+
+  void ReadBody() {
+    while (!ended_) {
+      if (parser_->is_done()) {
+        FinishAnswer();
+        return;
+      }
+      if (paused_) {
+        read_waiting_ = true;
+        return;
+      }
+      if (connection_->buffer.size() > 0) {
+        if (!ParseBody()) {
+          return;
+        }
+        if (made_progress_) {
+          continue;
+        }
+      }
+      break;
+    }
+    if (ended_) {
+      return;
+    }
+    auto self = shared_from_this();
+    connection_->socket.async_read_some(
+        connection_->buffer.prepare(kReadBytes),
+        [self](error_code ec, size_t n) {
+          if (self->ended_) {
+            return;
+          }
+          if (ec == asio::error::eof && self->parser_->need_eof()) {
+            error_code eof_ec;
+            self->parser_->put_eof(eof_ec);
+            self->FinishAnswer();
+            return;
+          }
+          if (ec) {
+            self->End(CallEnd::kTruncated, ec.message());
+            return;
+          }
+          self->connection_->buffer.commit(n);
+          self->ReadBody();
+        });
+  }
+
+  // Parses what is buffered; returns false when the call has ended.
+  bool ParseBody() {
+    auto& body = parser_->get().body();
+    body.data = chunk_.data();
+    body.size = chunk_.size();
+    body.more = true;
+    error_code ec;
+    const size_t n = parser_->put(connection_->buffer.data(), ec);
+    connection_->buffer.consume(n);
+    const size_t produced = chunk_.size() - body.size;
+    made_progress_ = n > 0 || produced > 0;
+    if (ec && ec != http::error::need_buffer && ec != http::error::need_more) {
+      End(CallEnd::kTruncated, ec.message());
+      return false;
+    }
+    if (produced > 0 && !skipping_) {
+      auto self = shared_from_this();
+      handlers_.on_body(std::string_view(chunk_.data(), produced));
+    }
+    return !ended_;
+  }
+
+  void FinishAnswer() {
+    if (skipping_) {
+      surplus_ = true;
+      parser_.reset();
+      ReadHead();
+      return;
+    }
+    // Bytes beyond the answer belong to no request, and a body that was not
+    // read whole would be continued by the next request.
+    const bool reusable = !surplus_ && written_ && parser_->keep_alive() &&
+                          connection_->buffer.size() == 0 &&
+                          !parser_->need_eof();
+    if (reusable) {
+      connection_->used = true;
+      if (const auto limit = KeepAliveTimeout(answer_head_.headers)) {
+        // Half of the target's own timeout, so that its close does not cross
+        // a request.
+        connection_->idle_limit = std::min(options_.max_idle, *limit / 2);
+      }
+      parser_.reset();
+      on_reusable(std::move(connection_));
+    }
+    End(CallEnd::kComplete, "");
+  }
+
+  void End(CallEnd end, std::string_view detail) {
+    if (ended_) {
+      return;
+    }
+    ended_ = true;
+    timer_.cancel();
+    CloseConnection();
+    const auto on_end = std::move(handlers_.on_end);
+    handlers_ = {};
+    if (on_end) {
+      on_end(end, detail);
+    }
+  }
+
+  void CloseConnection() {
+    timer_.cancel();
+    if (connection_) {
+      error_code ec;
+      connection_->socket.close(ec);
+    }
+  }
+
+  asio::io_context& io_;
+  const WireProtocol& protocol_;
+  const TargetClientOptions& options_;
+  TargetRequest request_;
+  TargetCallHandlers handlers_;
+  asio::steady_timer timer_;
+  std::unique_ptr<Connection> connection_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+  TargetAnswerHead answer_head_;
+  std::string head_;
+  std::array<char, kReadBytes> chunk_{};
+  int skipped_ = 0;
+  bool connected_ = false;
+  bool sent_ = false;
+  bool written_ = false;
+  bool skipping_ = false;
+  bool surplus_ = false;
+  bool head_delivered_ = false;
+  bool made_progress_ = false;
+  bool paused_ = false;
+  bool read_waiting_ = false;
+  bool ended_ = false;
+};
+
+TargetClient::TargetClient(asio::io_context& io,
+                           const WireProtocol& protocol,
+                           Options options)
+    : impl_(std::make_shared<Impl>(io, protocol, options)) {}
+
+TargetClient::~TargetClient() = default;
+
+std::shared_ptr<TargetCall> TargetClient::Start(TargetRequest request,
+                                                TargetCallHandlers handlers) {
+  const std::string address = request.ip + ":" + std::to_string(request.port);
+  std::unique_ptr<Connection> idle;
+  if (request.may_reuse_connection) {
+    idle = impl_->TakeIdle(address);
+  }
+  auto call = std::make_shared<HttpTargetCall>(
+      impl_->io(), impl_->protocol(), impl_->options(), std::move(request),
+      std::move(handlers));
+  call->on_reusable = [impl = impl_](std::unique_ptr<Connection> connection) {
+    impl->PutIdle(std::move(connection));
+  };
+  call->on_opened = [impl = impl_] { impl->CountOpened(); };
+  if (idle) {
+    call->StartOn(std::move(idle));
+  } else {
+    call->StartNew();
+  }
+  return call;
+}
+
+void TargetClient::DropIdle(std::string_view address) {
+  impl_->DropIdle(address);
+}
+
+uint64_t TargetClient::connections_opened() const {
+  return impl_->opened();
+}
+
+size_t TargetClient::idle_connections() const {
+  return impl_->idle_count();
+}
+
+}  // namespace endiveyard
