Place prompts by what all instances have at the replicas

Cause: with only their own calls and the replicas' last reports, the instances queued prompts behind each other; prefill calls took 209 to 800 ms (p50, by size) where the reading itself takes 20 to 200 ms.

--- /dev/null
+++ b/include/endiveyard/load_exchange/load_report.h
@@ -0,0 +1,33 @@
+#ifndef ENDIVEYARD_LOAD_EXCHANGE_LOAD_REPORT_H_
+#define ENDIVEYARD_LOAD_EXCHANGE_LOAD_REPORT_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "endiveyard/placement/peer_loads.h"
+
+namespace endiveyard {
+
+// What one instance tells the others, in one datagram.
+struct LoadReport {
+  uint32_t sender = 0;  // IPv4 address
+  uint64_t sequence = 0;
+  uint32_t region = 0;  // digest of the region's name
+  std::vector<ReplicaWork> work;
+  std::vector<uint32_t> peers;  // IPv4 addresses
+
+  bool operator==(const LoadReport& other) const;
+};
+
+// Encodes as packed Cap'n Proto.
+std::string EncodeLoadReport(const LoadReport& report);
+
+// Returns nothing for bytes that are no report. Any bytes are safe.
+std::optional<LoadReport> DecodeLoadReport(std::string_view bytes);
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_LOAD_EXCHANGE_LOAD_REPORT_H_
--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
+#include "endiveyard/placement/peer_loads.h"
 #include "endiveyard/placement/replica_load.h"
 #include "endiveyard/placement/replica_view.h"
 #include "endiveyard/placement/service_map.h"
@@ -65,6 +66,12 @@
   // started again begins with an empty one.
   ReplicaLoad& LoadOf(const Replica& replica);
 
+  // Work of this instance, for the reports to the others.
+  std::vector<ReplicaWork> OwnWork() const;
+  // Reports of the others. While peers are heard, they replace the estimate
+  // from the loads that replicas report.
+  PeerLoads& peer_loads() { return peer_loads_; }
+
   // Forgets replicas that are no longer registered.
   void Retain(const ReplicaView& view);
 
@@ -83,12 +90,16 @@
   std::vector<Candidate> Candidates(const std::vector<const Replica*>& replicas,
                                     const PlacementQuery& query,
                                     double tokens_per_ms,
+                                    double mean_uncached,
                                     TimePoint now);
 
   Location location_;
   std::map<std::string, KnownLoad> loads_;
+  PeerLoads peer_loads_;
   double prefill_tokens_per_ms_;
-  double mean_uncached_ = 0;
+  // Mean prompt tokens that a call leaves to read, by who reads them.
+  double mean_uncached_apart_ = 0;
+  double mean_uncached_direct_ = 0;
 };
 
 }  // namespace endiveyard
--- a/include/endiveyard/placement/replica_load.h
+++ b/include/endiveyard/placement/replica_load.h
@@ -72,6 +72,7 @@
   // Requests at the replica, of this instance and, by the last report, others.
   double Requests(TimePoint now) const;
   int own_calls() const { return own_calls_; }
+  double own_unread_tokens() const { return own_unread_tokens_; }
 
   // True until the replica may be tried again after failures.
   bool Avoided(TimePoint now) const { return now < avoid_until_; }
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -64,6 +65,11 @@
   // Tells that replicas changed. Idle connections to `left` are closed.
   void ReplicasChanged();
 
+  // Work of this instance at the replicas, and where the work of the other
+  // instances is put for the placements.
+  std::vector<ReplicaWork> OwnWork() const;
+  PeerLoads* peer_loads();
+
   // Answers from now on close their connection; idle connections are closed
   // after `linger`, when callers have had time to learn of it.
   void StartDraining(Duration linger);
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "endiveyard/base/digest.h"
+#include "endiveyard/load_exchange/load_exchange.h"
 #include "endiveyard/registry/registry_mirror.h"
 #include "endiveyard/relay/admin_listener.h"
 #include "endiveyard/relay/relay.h"
@@ -62,6 +63,18 @@
   return options;
 }
 
+LoadExchangeOptions MakeExchangeOptions(
+    const platform::ProcessSettings& settings) {
+  LoadExchangeOptions options;
+  options.ip = settings.own_ip;
+  const auto& regions = settings.location.region_of_zone;
+  const auto it = regions.find(settings.location.zone);
+  options.region = it == regions.end() ? settings.location.zone : it->second;
+  options.port = settings.peer_port;
+  options.seeds = settings.seed_ips;
+  return options;
+}
+
 }  // namespace
 
 class FrontInstance::Impl {
@@ -81,6 +94,11 @@
         metrics_listener_(
             io_,
             [this](std::string_view path) { return Admin(path); }),
+        load_exchange_(
+            io_,
+            MakeExchangeOptions(settings_),
+            [this] { return relay_.OwnWork(); },
+            relay_.peer_loads()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         housekeeping_timer_(io_) {}
 
@@ -102,6 +120,13 @@
         LogText(kLogListenFailed, "detail", std::string(status.message()));
       }
     }
+    if (settings_.peer_port != 0) {
+      // Without the others' reports, placements go by the replicas' own.
+      const absl::Status status = load_exchange_.Start();
+      if (!status.ok()) {
+        LogText(kLogListenFailed, "detail", std::string(status.message()));
+      }
+    }
     JsonFields fields;
     fields.Text("zone", settings_.location.zone)
         .Text("callers", settings_.callers.ip + ":" +
@@ -355,6 +380,7 @@
   Relay relay_;
   AdminListener readiness_;
   AdminListener metrics_listener_;
+  LoadExchange load_exchange_;
   asio::signal_set signals_;
   asio::steady_timer housekeeping_timer_;
   std::unique_ptr<RegistryMirror> replica_mirror_;
--- /dev/null
+++ b/src/load_exchange/load_report.cc
@@ -0,0 +1,77 @@
+#include "endiveyard/load_exchange/load_report.h"
+
+#include <tuple>
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+#include "load_exchange/generated/load_report.capnp.h"
+
+namespace endiveyard {
+namespace {
+
+// Bounds what a foreign datagram can make the decoder do: 8 KiB in words.
+constexpr uint64_t kMaxWords = 1024;
+
+}  // namespace
+
+bool LoadReport::operator==(const LoadReport& other) const {
+  return std::tie(sender, sequence, region, work, peers) ==
+         std::tie(other.sender, other.sequence, other.region, other.work,
+                  other.peers);
+}
+
+std::string EncodeLoadReport(const LoadReport& report) {
+  capnp::MallocMessageBuilder message;
+  auto root = message.initRoot<wire::LoadReport>();
+  root.setSender(report.sender);
+  root.setSequence(report.sequence);
+  root.setRegion(report.region);
+  auto work = root.initWork(static_cast<unsigned>(report.work.size()));
+  for (unsigned n = 0; n < work.size(); ++n) {
+    work[n].setReplicaKey(report.work[n].replica_key);
+    work[n].setCalls(report.work[n].calls);
+    work[n].setUnreadTokens(report.work[n].unread_tokens);
+  }
+  auto peers = root.initPeers(static_cast<unsigned>(report.peers.size()));
+  for (unsigned n = 0; n < peers.size(); ++n) {
+    peers.set(n, report.peers[n]);
+  }
+  kj::VectorOutputStream out;
+  capnp::writePackedMessage(out, message);
+  const auto bytes = out.getArray();
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
+
+std::optional<LoadReport> DecodeLoadReport(std::string_view bytes) {
+  std::optional<LoadReport> decoded;
+  // Cap'n Proto reports malformed input by exceptions.
+  const auto failure = kj::runCatchingExceptions([&] {
+    kj::ArrayInputStream in(kj::arrayPtr(
+        reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()));
+    capnp::ReaderOptions options;
+    options.traversalLimitInWords = kMaxWords;
+    capnp::PackedMessageReader message(in, options);
+    const auto root = message.getRoot<wire::LoadReport>();
+    LoadReport report;
+    report.sender = root.getSender();
+    report.sequence = root.getSequence();
+    report.region = root.getRegion();
+    for (const auto it : root.getWork()) {
+      report.work.push_back(
+          {it.getReplicaKey(), it.getCalls(), it.getUnreadTokens()});
+    }
+    for (const uint32_t it : root.getPeers()) {
+      report.peers.push_back(it);
+    }
+    decoded = std::move(report);
+  });
+  if (failure != nullptr) {
+    return std::nullopt;
+  }
+  return decoded;
+}
+
+}  // namespace endiveyard
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -20,11 +20,11 @@
 
 // Extra cost of a replica that is farther away, beside its delay: bytes
 // between failure domains and regions are billed.
-constexpr double kOtherZoneMs = 4;
-constexpr double kOtherRegionMs = 40;
+constexpr double kOtherZoneMs = 3;
+constexpr double kOtherRegionMs = 20;
 
 // Time that a request in a batch adds to the first token of a new one.
-constexpr double kMsPerRunningRequest = 1.5;
+constexpr double kMsPerRunningRequest = 5;
 // Requests beyond the slots wait for one to end.
 constexpr double kMsPerWaitingRequest = 60;
 // Cost of a call that is wasted on a replica that fails part of its calls.
@@ -33,14 +33,17 @@
 // when nothing else is left.
 constexpr double kAvoidedMs = 5000;
 
-// A prompt is read apart when that is not slower by more than this. Reading
-// on a decode engine also slows the streams that it runs.
-constexpr double kReadApartGainMs = 10;
+// Reading on a decode engine takes capacity from all streams that it runs, so
+// the prefill engines are preferred until they are slower by this much.
+constexpr double kReadApartPreferenceMs = 500;
 // Shorter prompts are not worth the second call and the transfer.
 constexpr double kMinReadApartTokens = 1500;
-// Slow-down of the streams of a decode engine by a prompt that it reads,
-// counted as part of the reading time.
-constexpr double kInterferenceShare = 1.0;
+// A prompt that a decode engine reads holds up each stream that it runs. Each
+// counts this share of the reading time.
+constexpr double kInterferencePerStream = 0.1;
+// Shared parts that some engine holds and another reads again cost capacity of
+// the whole fleet, and a price, beside the time of this request.
+constexpr double kReadAgainMsPerToken = 0.25;
 
 // Retry-After when no replica is registered: entries come back within about
 // two seconds of the registry's return.
@@ -50,6 +53,13 @@
   return Duration(static_cast<int64_t>(ms * 1000));
 }
 
+// Returns how many of the tokens to read belong to shared parts.
+double ReadAgainTokens(const PromptShape& prompt, double uncached) {
+  const double own =
+      prompt.parts.empty() ? prompt.prompt_tokens : prompt.parts.back().tokens;
+  return std::max(0.0, uncached - own);
+}
+
 // Returns the replica that all instances take as the home of `key`.
 const Replica* HomeOf(const std::vector<const Replica*>& replicas,
                       uint64_t key) {
@@ -72,6 +82,7 @@
   double uncached = 0;
   double wait_ms = 0;  // until the prompt is read
   double cost_ms = 0;  // wait and everything else that counts
+  double requests = 0;
 
   bool operator<(const Candidate& other) const {
     return cost_ms < other.cost_ms;
@@ -98,6 +109,18 @@
   }
 }
 
+std::vector<ReplicaWork> Placer::OwnWork() const {
+  std::vector<ReplicaWork> work;
+  for (const auto& [id, known] : loads_) {
+    if (known.load.own_calls() > 0) {
+      work.push_back({ReplicaKey(id),
+                      static_cast<uint32_t>(known.load.own_calls()),
+                      static_cast<uint32_t>(known.load.own_unread_tokens())});
+    }
+  }
+  return work;
+}
+
 void Placer::ObservePrefill(double tokens, Duration elapsed) {
   if (elapsed < kMinSpeedSample) {
     return;
@@ -126,6 +149,7 @@
     const std::vector<const Replica*>& replicas,
     const PlacementQuery& query,
     double tokens_per_ms,
+    double mean_uncached,
     TimePoint now) {
   const Replica* home = nullptr;
   if (query.prompt) {
@@ -133,28 +157,37 @@
       home = HomeOf(replicas, key);
     }
   }
+  const bool peers_heard = peer_loads_.LivePeers(now) > 0;
   std::vector<Candidate> candidates;
   for (const Replica* it : replicas) {
     if (query.excluded.count(it->id) > 0) {
       continue;
     }
     const ReplicaLoad& load = LoadOf(*it);
+    const uint64_t key = ReplicaKey(it->id);
     Candidate candidate;
     candidate.replica = it;
     if (query.prompt) {
       candidate.uncached = load.UncachedTokens(*query.prompt, it == home, now);
-      candidate.wait_ms =
-          (load.QueuedTokens(mean_uncached_, now) + candidate.uncached) /
+      const double queue_ms =
+          (peers_heard
+               ? load.own_unread_tokens() + peer_loads_.UnreadTokens(key, now)
+               : load.QueuedTokens(mean_uncached, now)) /
           tokens_per_ms;
+      candidate.wait_ms = queue_ms + candidate.uncached / tokens_per_ms;
+      candidate.cost_ms = ReadAgainTokens(*query.prompt, candidate.uncached) *
+                          kReadAgainMsPerToken;
     }
-    const double requests = load.Requests(now);
+    const double requests = peers_heard
+                                ? load.own_calls() + peer_loads_.Calls(key, now)
+                                : load.Requests(now);
     const double over_slots =
         it->slots > 0 ? std::max(0.0, requests - it->slots) : 0;
     candidate.wait_ms +=
         requests * kMsPerRunningRequest + over_slots * kMsPerWaitingRequest;
-    candidate.cost_ms = candidate.wait_ms + DistanceMs(*it) +
-                        load.FailureShare(now) * kFailedCallMs +
-                        (load.Avoided(now) ? kAvoidedMs : 0);
+    candidate.cost_ms += candidate.wait_ms + DistanceMs(*it) +
+                         load.FailureShare(now) * kFailedCallMs +
+                         (load.Avoided(now) ? kAvoidedMs : 0);
     candidates.push_back(candidate);
   }
   return candidates;
@@ -170,7 +203,8 @@
   }
   const double read_speed =
       prefill_tokens_per_ms_ * (prefill.empty() ? 1 : kDecodeReadShare);
-  std::vector<Candidate> direct = Candidates(running, query, read_speed, now);
+  std::vector<Candidate> direct =
+      Candidates(running, query, read_speed, mean_uncached_direct_, now);
   PlacementResult result;
   if (direct.empty()) {
     result.refusal = {PlacementRefusal::Reason::kNoReplica,
@@ -188,7 +222,8 @@
                           query.prompt->prompt_tokens >= kMinReadApartTokens;
   std::vector<Candidate> readers;
   if (read_apart) {
-    readers = Candidates(prefill, query, prefill_tokens_per_ms_, now);
+    readers = Candidates(prefill, query, prefill_tokens_per_ms_,
+                         mean_uncached_apart_, now);
   }
   if (!readers.empty()) {
     const Candidate& reader = *std::min_element(readers.begin(), readers.end());
@@ -207,10 +242,10 @@
       }
     }
     const double apart_ms = reader.cost_ms + runner_ms;
-    const double direct_ms = best_direct.cost_ms + kInterferenceShare *
-                                                       best_direct.uncached /
-                                                       read_speed;
-    if (apart_ms + kReadApartGainMs < direct_ms) {
+    const double direct_ms =
+        best_direct.cost_ms + kInterferencePerStream * best_direct.requests *
+                                  best_direct.uncached / read_speed;
+    if (apart_ms < direct_ms + kReadApartPreferenceMs) {
       placement.prefill = *reader.replica;
       placement.prefill_uncached = reader.uncached;
       placement.target = *runner->replica;
@@ -220,9 +255,12 @@
   }
   if (query.prompt) {
     constexpr double kMeanWeight = 0.05;
-    const double uncached = placement.prefill ? placement.prefill_uncached
-                                              : placement.target_uncached;
-    mean_uncached_ += (uncached - mean_uncached_) * kMeanWeight;
+    double& mean =
+        placement.prefill ? mean_uncached_apart_ : mean_uncached_direct_;
+    mean += ((placement.prefill ? placement.prefill_uncached
+                                : placement.target_uncached) -
+             mean) *
+            kMeanWeight;
   }
   placement.expected = FromMs(expected_ms);
   if (placement.expected >= query.time_left) {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -154,6 +154,14 @@
   impl_->core().placer.Retain(impl_->core().beliefs.replicas);
 }
 
+std::vector<ReplicaWork> Relay::OwnWork() const {
+  return impl_->core().placer.OwnWork();
+}
+
+PeerLoads* Relay::peer_loads() {
+  return &impl_->core().placer.peer_loads();
+}
+
 void Relay::StartDraining(Duration linger) {
   impl_->StartDraining(linger);
 }
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -257,15 +257,26 @@
   CallResult result = CallResult::kFailed;
   if (kv) {
     result = CallResult::kAnswered;
-    core_->placer.ObservePrefill(
-        ended.unread_tokens,
-        std::chrono::duration_cast<Duration>(now - ended.sent));
+    const auto took = std::chrono::duration_cast<Duration>(now - ended.sent);
+    core_->placer.ObservePrefill(ended.unread_tokens, took);
   } else if (ended.facts.not_run) {
     result = CallResult::kRejected;
   } else if (end == CallEnd::kNotSent) {
     result = CallResult::kUnreachable;
   }
   CloseActiveCall(result);
+  JsonFields fields;
+  fields.Text("request", facts_.request_id)
+      .Text("replica", ended.replica.id)
+      .Text("call", "prefill")
+      .Integer("status", ended.status)
+      .Millis("took_ms", std::chrono::duration_cast<Duration>(now - ended.sent))
+      .Integer("uncached", static_cast<int64_t>(ended.unread_tokens))
+      .Text("outcome", kv ? "prompt_read" : "prompt_not_read")
+      .Integer("running", ended.facts.load ? ended.facts.load->running : -1)
+      .Integer("waiting", ended.facts.load ? ended.facts.load->waiting : -1)
+      .Text("detail", detail);
+  core_->log.Log(kLogCallEnded, fields, now);
   if (kv) {
     kv_ = kv;
     kv_holder_ = ended.replica;
@@ -278,14 +289,6 @@
     ++arrivals_;
   }
   excluded_.insert(ended.replica.id);
-  JsonFields fields;
-  fields.Text("request", facts_.request_id)
-      .Text("replica", ended.replica.id)
-      .Text("call", "prefill")
-      .Integer("status", ended.status)
-      .Millis("took_ms", std::chrono::duration_cast<Duration>(now - ended.sent))
-      .Text("detail", detail);
-  core_->log.Log(kLogCallEnded, fields, now);
   if (end != CallEnd::kNotSent) {
     may_read_apart_ = false;
   }
