Refuse long requests once the linger after SIGTERM is over

The listener is closed after the linger, and requests whose timeout reaches beyond the end are refused as not run.

--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -70,9 +70,11 @@
   std::vector<ReplicaWork> OwnWork() const;
   PeerLoads* peer_loads();
 
-  // Answers from now on close their connection; idle connections are closed
-  // after `linger`, when callers have had time to learn of it.
-  void StartDraining(Duration linger);
+  // Answers from now on close their connection. After `linger`, when the
+  // entry of the platform sends no new callers, the listener and idle
+  // connections are closed, and requests that may last beyond `end` are
+  // refused as not run.
+  void StartDraining(Duration linger, TimePoint end);
   size_t open_exchanges() const;
   size_t open_connections() const;
   uint64_t target_connections_opened() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -38,8 +38,9 @@
 // After SIGTERM, connections stay open this long: the platform asks for
 // readiness every second and takes an instance out after two misses.
 constexpr Duration kDrainLinger = std::chrono::milliseconds(2600);
-// Idle time before the end of the grace in which the process leaves.
-constexpr Duration kGraceReserve = std::chrono::milliseconds(300);
+// The process leaves this long before the end of the grace, when it would be
+// killed.
+constexpr Duration kGraceReserve = std::chrono::milliseconds(500);
 // Share of the descriptors for callers; targets need the rest.
 constexpr double kCallerDescriptorShare = 0.66;
 // Descriptors of the platform's bound that are reserved for files.
@@ -350,7 +351,9 @@
         fields.Integer("signal", number)
             .Integer("open", static_cast<int64_t>(relay_.open_exchanges()));
         log_.Log(kLogInstanceShutdown, fields, *drain_started_);
-        relay_.StartDraining(kDrainLinger);
+        relay_.StartDraining(kDrainLinger, *drain_started_ +
+                                                settings_.shutdown_grace -
+                                                kGraceReserve);
       }
       WaitForSignal();
     });
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -45,11 +45,16 @@
     return acceptor_.local_endpoint(ec).port();
   }
 
-  void StartDraining(Duration linger) {
+  void StartDraining(Duration linger, TimePoint end) {
     core_->draining = true;
+    core_->drain_end = end;
     drain_timer_.expires_after(linger);
     drain_timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (!ec) {
+        self->core_->refuses_long = true;
+        error_code close_ec;
+        self->acceptor_.close(close_ec);
+        self->accept_timer_.cancel();
         self->CloseIdleConnections();
       }
     });
@@ -65,7 +70,7 @@
     }
     acceptor_.async_accept([self = shared_from_this()](error_code ec,
                                                        tcp::socket socket) {
-      if (ec == asio::error::operation_aborted) {
+      if (!self->acceptor_.is_open()) {
         return;
       }
       if (ec) {
@@ -162,8 +167,8 @@
   return &impl_->core().placer.peer_loads();
 }
 
-void Relay::StartDraining(Duration linger) {
-  impl_->StartDraining(linger);
+void Relay::StartDraining(Duration linger, TimePoint end) {
+  impl_->StartDraining(linger, end);
 }
 
 size_t Relay::open_exchanges() const {
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -35,7 +35,8 @@
   RepeatBudget budget;
   TargetClient targets;
   bool draining = false;
-  bool close_idle = false;  // draining long enough to close idle connections
+  bool refuses_long = false;  // draining, and the linger is over
+  TimePoint drain_end{};
   size_t open_exchanges = 0;
   size_t open_connections = 0;
   size_t body_bytes = 0;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -89,6 +89,12 @@
     return;
   }
   deadline_ = std::min(deadline_, request_.received + route_->timeout);
+  if (core_->refuses_long &&
+      request_.received + route_->timeout > core_->drain_end) {
+    // It could be cut by the end of this process. Others take it at once.
+    Refuse(503, "shutting_down", kMinRetryAfter);
+    return;
+  }
   service_ = PickService(*route_, Point(facts_.request_id));
   core_->budget.CountRequest(service_, request_.received);
   forwarded_ = WithoutConnectionHeaders(request_.headers);
