--- a/include/endiveyard/placement/replica_view.h
+++ b/include/endiveyard/placement/replica_view.h
@@ -38,8 +38,8 @@
 // return; the platform's pages promise "about two seconds".
 inline constexpr Duration kLapsedEntryGrace = std::chrono::seconds(2);
 
-// Failed registry calls mark a removal as a possible lapse for this long. The
-// registry may still be working off the removals of the outage.
+// A removal that is learnt this long after the registry's return may still be
+// a lapse of the outage.
 inline constexpr Duration kOutageMemory = std::chrono::seconds(3);
 
 // Replicas that may receive work, learnt from a registry that may be away.
@@ -53,7 +53,7 @@
   void Remove(const std::string& id, TimePoint now);
 
   // Tells that a registry call failed, or that one succeeded.
-  void RegistryFailed(TimePoint now);
+  void RegistryFailed();
   void RegistryAnswered(TimePoint now);
 
   // Removes the lapsed entries whose grace is over. Returns their ids.
@@ -75,7 +75,6 @@
 
   std::map<std::string, Entry, std::less<>> replicas_;
   bool registry_away_ = false;
-  std::optional<TimePoint> last_failure_;
   std::optional<TimePoint> returned_;
 };
 
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -49,7 +49,7 @@
 class Relay {
  public:
   Relay(boost::asio::io_context& io,
-        RelayOptions options,
+        const RelayOptions& options,
         const WireProtocol& protocol,
         RelayBeliefs* beliefs,
         JsonLog* log,
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -167,9 +167,8 @@
   MirrorHandlers BaseHandlers() {
     MirrorHandlers handlers;
     handlers.on_failure = [this](const absl::Status& status) {
-      const TimePoint now = BootClock::now();
       metrics_.CountObjectApiCall("failed");
-      beliefs_.replicas.RegistryFailed(now);
+      beliefs_.replicas.RegistryFailed();
       // A history that is gone is no sign of an outage.
       if (!registry_lost_ && !absl::IsOutOfRange(status)) {
         registry_lost_ = true;
@@ -351,9 +350,9 @@
         fields.Integer("signal", number)
             .Integer("open", static_cast<int64_t>(relay_.open_exchanges()));
         log_.Log(kLogInstanceShutdown, fields, *drain_started_);
-        relay_.StartDraining(kDrainLinger, *drain_started_ +
-                                                settings_.shutdown_grace -
-                                                kGraceReserve);
+        relay_.StartDraining(
+            kDrainLinger,
+            *drain_started_ + settings_.shutdown_grace - kGraceReserve);
       }
       WaitForSignal();
     });
--- a/src/placement/replica_view.cc
+++ b/src/placement/replica_view.cc
@@ -45,7 +45,7 @@
     return;
   }
   const bool outage_lately =
-      registry_away_ || (last_failure_ && now - *last_failure_ < kOutageMemory);
+      registry_away_ || (returned_ && now - *returned_ < kOutageMemory);
   // A replica that said it is draining leaves for good.
   if (!outage_lately || it->second.replica.draining) {
     replicas_.erase(it);
@@ -54,9 +54,8 @@
   }
 }
 
-void ReplicaView::RegistryFailed(TimePoint now) {
+void ReplicaView::RegistryFailed() {
   registry_away_ = true;
-  last_failure_ = now;
 }
 
 void ReplicaView::RegistryAnswered(TimePoint now) {
--- a/src/relay/admin_listener.cc
+++ b/src/relay/admin_listener.cc
@@ -78,7 +78,7 @@
         handler_(std::make_shared<Handler>(std::move(handler))) {}
 
   absl::Status Listen(const std::string& ip, uint16_t port) {
-    const absl::Status status = OpenAcceptor(acceptor_, ip, port);
+    absl::Status status = OpenAcceptor(acceptor_, ip, port);
     if (status.ok()) {
       Accept();
     }
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -256,7 +256,7 @@
       (head.reason.empty() ? std::string(ReasonOf(head.status)) : head.reason) +
       "\r\n";
   for (const auto& [name, value] : head.headers) {
-    text += name + ": " + value + "\r\n";
+    AppendHeader(&text, name, value);
   }
   if (chunked_answer_) {
     text += "Transfer-Encoding: chunked\r\n";
--- a/src/relay/header_rules.cc
+++ b/src/relay/header_rules.cc
@@ -88,6 +88,15 @@
   return kept;
 }
 
+void AppendHeader(std::string* head,
+                  std::string_view name,
+                  std::string_view value) {
+  head->append(name);
+  head->append(": ");
+  head->append(value);
+  head->append("\r\n");
+}
+
 bool MethodHasBody(std::string_view method) {
   return method == "POST" || method == "PUT" || method == "PATCH";
 }
--- a/src/relay/header_rules.h
+++ b/src/relay/header_rules.h
@@ -2,6 +2,7 @@
 #define ENDIVEYARD_SRC_RELAY_HEADER_RULES_H_
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "endiveyard/base/time_point.h"
@@ -19,6 +20,11 @@
 // standard ones, those that Connection names, and the framing of the body.
 HeaderList WithoutConnectionHeaders(const HeaderList& headers);
 
+// Appends one header line to the head of a message.
+void AppendHeader(std::string* head,
+                  std::string_view name,
+                  std::string_view value);
+
 // True when a request of this method is sent with a length even without body.
 bool MethodHasBody(std::string_view method);
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -31,7 +31,7 @@
         drain_timer_(core_->io) {}
 
   absl::Status Listen() {
-    const absl::Status status =
+    absl::Status status =
         OpenAcceptor(acceptor_, core_->options.ip, core_->options.port);
     if (!status.ok()) {
       return status;
@@ -133,7 +133,7 @@
 };
 
 Relay::Relay(asio::io_context& io,
-             RelayOptions options,
+             const RelayOptions& options,
              const WireProtocol& protocol,
              RelayBeliefs* beliefs,
              JsonLog* log,
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -198,7 +198,7 @@
   ReplicaLoad& load = core_->placer.LoadOf(*placement.prefill);
   load.CallSent(placement.prefill_uncached);
   load.NoteCached(*facts_.prompt, now);
-  active_.emplace();
+  active_ = ActiveCall();
   active_->replica = *placement.prefill;
   active_->unread_tokens = placement.prefill_uncached;
   active_->sent = active_->last_bytes = now;
@@ -323,7 +323,7 @@
   }
   ReplicaLoad& load = core_->placer.LoadOf(placement.target);
   load.CallSent(placement.target_uncached);
-  active_.emplace();
+  active_ = ActiveCall();
   active_->replica = placement.target;
   active_->unread_tokens = placement.target_uncached;
   active_->sent = active_->last_bytes = now;
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -211,7 +211,7 @@
   void WriteRequest() {
     head_ = request_.method + " " + request_.path + " HTTP/1.1\r\n";
     for (const auto& [name, value] : request_.headers) {
-      head_ += name + ": " + value + "\r\n";
+      AppendHeader(&head_, name, value);
     }
     const size_t body_size = request_.body ? request_.body->size() : 0;
     if (body_size > 0 || MethodHasBody(request_.method)) {
--- /dev/null
+++ b/tests/placement/peer_loads_test.cc
@@ -0,0 +1,43 @@
+#include "endiveyard/placement/peer_loads.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace endiveyard {
+namespace {
+
+TimePoint At(int64_t millis) {
+  return TimePointFromMicros(millis * 1000);
+}
+
+}  // namespace
+
+// Guards against a late datagram that replaces a newer report.
+BOOST_AUTO_TEST_CASE(OlderReportsAreIgnored) {
+  PeerLoads loads;
+  loads.Update(1, 5, {{9, 2, 100}}, At(10000));
+  loads.Update(1, 4, {{9, 7, 900}}, At(10001));
+  BOOST_TEST(loads.Calls(9, At(10001)) == 2);
+}
+
+// Guards against a peer that restarted and whose count begins anew being
+// ignored for good.
+BOOST_AUTO_TEST_CASE(ARestartedPeerIsHeardAgain) {
+  PeerLoads loads;
+  loads.Update(1, 500, {{9, 2, 100}}, At(10000));
+  loads.Update(1, 1, {{9, 3, 100}}, At(12000));
+  BOOST_TEST(loads.Calls(9, At(12000)) == 3);
+}
+
+// Guards against work of a dead peer that counts for good.
+BOOST_AUTO_TEST_CASE(ReportsOfASilentPeerLapse) {
+  PeerLoads loads;
+  loads.Update(1, 1, {{9, 4, 1000}}, At(10000));
+  loads.Update(2, 1, {{9, 1, 500}}, At(10000));
+  BOOST_TEST(loads.UnreadTokens(9, At(10300)) == 1500);
+  BOOST_TEST(loads.UnreadTokens(9, At(10800)) < 1500);
+  BOOST_TEST(loads.UnreadTokens(9, At(11300)) == 0);
+  BOOST_TEST(loads.LivePeers(At(10300)) == 2u);
+  BOOST_TEST(loads.LivePeers(At(11300)) == 0u);
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/tests/placement/placer_test.cc
@@ -0,0 +1,194 @@
+#include "endiveyard/placement/placer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace endiveyard {
+namespace {
+
+TimePoint At(int64_t millis) {
+  return TimePointFromMicros(millis * 1000);
+}
+
+Replica MakeReplica(const std::string& id,
+                    Stage stage,
+                    const std::string& zone = "here") {
+  Replica replica;
+  replica.id = id;
+  replica.service = "lm";
+  replica.zone = zone;
+  replica.stage = stage;
+  replica.slots = 64;
+  return replica;
+}
+
+ReplicaView FourEngines() {
+  ReplicaView view;
+  view.Reset(
+      {MakeReplica("p1", Stage::kPrefill), MakeReplica("p2", Stage::kPrefill),
+       MakeReplica("d1", Stage::kDecode), MakeReplica("d2", Stage::kDecode)},
+      At(0));
+  return view;
+}
+
+// A prompt with the shared document `document` and an own part.
+PromptShape MakePrompt(uint64_t document,
+                       double shared_tokens,
+                       double own_tokens,
+                       uint64_t own_id = 1000) {
+  PromptShape prompt;
+  prompt.prompt_tokens = shared_tokens + own_tokens;
+  prompt.parts = {{document, shared_tokens}, {own_id, own_tokens}};
+  return prompt;
+}
+
+PlacementQuery MakeQuery(const PromptShape& prompt) {
+  PlacementQuery query;
+  query.service = "lm";
+  query.prompt = prompt;
+  query.time_left = std::chrono::seconds(10);
+  return query;
+}
+
+Placer MakePlacer() {
+  return Placer({"here", {{"here", "r1"}, {"near", "r1"}, {"far", "r2"}}});
+}
+
+}  // namespace
+
+// Pattern: long shared documents asked for through all instances. Guards
+// against instances that send the same document to different engines, each of
+// which reads it again.
+BOOST_AUTO_TEST_CASE(InstancesAgreeOnTheHomeOfADocument) {
+  const ReplicaView view = FourEngines();
+  std::map<std::string, int> homes;
+  for (uint64_t document = 1; document <= 200; ++document) {
+    Placer first = MakePlacer();
+    Placer second = MakePlacer();
+    const auto query = MakeQuery(MakePrompt(document, 5000, 6000));
+    const auto a = first.Choose(view, query, At(0));
+    const auto b = second.Choose(view, query, At(5000));
+    BOOST_REQUIRE(a.placement && b.placement);
+    BOOST_REQUIRE(a.placement->prefill && b.placement->prefill);
+    BOOST_TEST(a.placement->prefill->id == b.placement->prefill->id);
+    ++homes[a.placement->prefill->id];
+  }
+  BOOST_TEST(homes["p1"] > 70);
+  BOOST_TEST(homes["p2"] > 70);
+}
+
+// Pattern: one document becomes hot. Guards against a home that is queued
+// behind for longer than reading the document elsewhere takes.
+BOOST_AUTO_TEST_CASE(AnOverloadedHomeIsLeft) {
+  const ReplicaView view = FourEngines();
+  Placer placer = MakePlacer();
+  const auto query = MakeQuery(MakePrompt(7, 5000, 6000));
+  const auto home = placer.Choose(view, query, At(0)).placement->prefill;
+  BOOST_REQUIRE(home);
+  placer.LoadOf(*home).CallSent(400000);
+  const auto other = placer.Choose(view, query, At(0)).placement->prefill;
+  BOOST_TEST((!other || other->id != home->id));
+}
+
+// Pattern: the other instances have filled a prefill engine. Guards against
+// instances that queue behind each other because they count their own calls
+// only.
+BOOST_AUTO_TEST_CASE(WorkOfPeersCounts) {
+  const ReplicaView view = FourEngines();
+  Placer placer = MakePlacer();
+  const auto query = MakeQuery(MakePrompt(7, 5000, 6000));
+  const auto home = placer.Choose(view, query, At(0)).placement->prefill;
+  placer.peer_loads().Update(1, 1, {{ReplicaKey(home->id), 9, 400000}}, At(0));
+  const auto other = placer.Choose(view, query, At(10)).placement->prefill;
+  BOOST_TEST((!other || other->id != home->id));
+  // The report lapses when its sender falls silent.
+  const auto later = placer.Choose(view, query, At(2000)).placement->prefill;
+  BOOST_TEST(later->id == home->id);
+}
+
+// Pattern: short tags between long documents. Guards against a second call and
+// a transfer for prompts that are read in a few milliseconds.
+BOOST_AUTO_TEST_CASE(ShortPromptsAreReadWhereTheyRun) {
+  const ReplicaView view = FourEngines();
+  Placer placer = MakePlacer();
+  const auto result =
+      placer.Choose(view, MakeQuery(MakePrompt(7, 200, 600)), At(0));
+  BOOST_REQUIRE(result.placement);
+  BOOST_TEST(!result.placement->prefill);
+  BOOST_TEST((result.placement->target.stage == Stage::kDecode));
+}
+
+// Guards against service that stops when all prefill engines have left.
+BOOST_AUTO_TEST_CASE(DecodeEnginesReadWhenNoPrefillEngineIsLeft) {
+  ReplicaView view;
+  view.Reset({MakeReplica("d1", Stage::kDecode)}, At(0));
+  Placer placer = MakePlacer();
+  const auto result =
+      placer.Choose(view, MakeQuery(MakePrompt(7, 5000, 6000)), At(0));
+  BOOST_REQUIRE(result.placement);
+  BOOST_TEST(!result.placement->prefill);
+}
+
+// Pattern: a replica that fails part of its requests with a good health check.
+// Guards against sending it its full share.
+BOOST_AUTO_TEST_CASE(FailingReplicasAreAvoided) {
+  ReplicaView view;
+  view.Reset({MakeReplica("a", Stage::kWhole), MakeReplica("b", Stage::kWhole)},
+             At(0));
+  Placer placer = MakePlacer();
+  PlacementQuery query;
+  query.service = "lm";
+  query.time_left = std::chrono::seconds(1);
+  for (int n = 0; n < 4; ++n) {
+    placer.LoadOf(*view.Find("a"))
+        .CallEnded(n % 2 == 0 ? CallResult::kFailed : CallResult::kAnswered,
+                   At(n));
+  }
+  BOOST_TEST(placer.Choose(view, query, At(10)).placement->target.id == "b");
+  // The only replica that is left is used, whatever it did before.
+  query.excluded.insert("b");
+  BOOST_TEST(placer.Choose(view, query, At(10)).placement->target.id == "a");
+}
+
+// Guards against a replica that restarted under its old id and is charged with
+// the failures and the cached parts of its former life.
+BOOST_AUTO_TEST_CASE(AReplicaBornAgainStartsAfresh) {
+  Placer placer = MakePlacer();
+  Replica replica = MakeReplica("a", Stage::kDecode);
+  replica.started_unix_ms = 1;
+  placer.LoadOf(replica).CallSent(5000);
+  replica.started_unix_ms = 2;
+  BOOST_TEST(placer.LoadOf(replica).own_calls() == 0);
+}
+
+// Guards against requests that wait for an answer that cannot come in time.
+BOOST_AUTO_TEST_CASE(ARequestThatCannotBeServedIsRefusedAtOnce) {
+  const ReplicaView view = FourEngines();
+  Placer placer = MakePlacer();
+  for (const char* id : {"p1", "p2", "d1", "d2"}) {
+    placer.LoadOf(*view.Find(id)).CallSent(3000000);
+  }
+  const auto result =
+      placer.Choose(view, MakeQuery(MakePrompt(7, 5000, 6000)), At(0));
+  BOOST_TEST(!result.placement);
+  BOOST_TEST((result.refusal.reason == PlacementRefusal::Reason::kTooLate));
+  BOOST_TEST((result.refusal.retry_after > Duration(0)));
+}
+
+// Guards against traffic between regions that nothing is gained by.
+BOOST_AUTO_TEST_CASE(NearReplicasArePreferred) {
+  ReplicaView view;
+  view.Reset({MakeReplica("a", Stage::kWhole, "far"),
+              MakeReplica("b", Stage::kWhole, "near"),
+              MakeReplica("c", Stage::kWhole, "here")},
+             At(0));
+  Placer placer = MakePlacer();
+  PlacementQuery query;
+  query.service = "lm";
+  query.time_left = std::chrono::seconds(1);
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement->target.id == "c");
+  query.excluded.insert("c");
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement->target.id == "b");
+}
+
+}  // namespace endiveyard
--- /dev/null
+++ b/tests/platform/engine_protocol_test.cc
@@ -0,0 +1,112 @@
+#include "platform/engine_protocol.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace endiveyard::platform {
+namespace {
+
+std::string Value(const HeaderList& headers, const std::string& name) {
+  std::string found;
+  for (const auto& [key, value] : headers) {
+    if (key == name) {
+      BOOST_TEST(found.empty(), "twice: " << name);
+      found = value;
+    }
+  }
+  return found;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(RequestsAreRead) {
+  const EngineProtocol protocol;
+  const RequestFacts facts = protocol.DecodeRequest(
+      {{"endiveyard-request-id", "9c41"},
+       {"Endiveyard-Deadline-Ms", "1500"},
+       {"Endiveyard-Token-Count", "1460,80"},
+       {"Endiveyard-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+       {"Last-Event-Id", "12"}});
+  BOOST_TEST(facts.request_id == "9c41");
+  BOOST_TEST((*facts.time_left == Duration(std::chrono::milliseconds(1500))));
+  BOOST_REQUIRE(facts.prompt);
+  BOOST_TEST(facts.prompt->prompt_tokens == 1460);
+  BOOST_TEST(facts.prompt->max_output_tokens == 80);
+  BOOST_REQUIRE_EQUAL(facts.prompt->parts.size(), 3u);
+  BOOST_TEST(facts.prompt->parts[0].id == 0x5c1e07a2u);
+  BOOST_TEST(facts.prompt->parts[2].tokens == 250);
+  BOOST_TEST(*facts.last_event_id == 12);
+  const RequestFacts empty = protocol.DecodeRequest({});
+  BOOST_TEST(!empty.prompt);
+  BOOST_TEST(!empty.time_left);
+}
+
+// Guards against a target that runs what a caller smuggles in under the
+// system's own headers.
+BOOST_AUTO_TEST_CASE(SystemHeadersOfCallersAreDropped) {
+  const EngineProtocol protocol;
+  CallHeaders call;
+  call.expected_replica = "i-1";
+  call.time_left = std::chrono::milliseconds(900);
+  call.priority = 2;
+  const HeaderList encoded =
+      protocol.EncodeCall({{"Host", "h"},
+                           {"Endiveyard-Request-Id", "9c41"},
+                           {"Endiveyard-Model", "m"},
+                           {"ENDIVEYARD-KV-SOURCE", "10.0.0.1:1/x"},
+                           {"Endiveyard-Kv-Hold", "x"},
+                           {"Endiveyard-Kv-Backup", "10.0.0.1:1"},
+                           {"Endiveyard-Pin-Ms", "4000"},
+                           {"Endiveyard-Stage", "prefill"},
+                           {"Endiveyard-Expect-Version", "3"},
+                           {"Endiveyard-Expect-Instance", "i-9"},
+                           {"Endiveyard-Request-Priority", "0"},
+                           {"Endiveyard-Deadline-Ms", "99999"},
+                           {"Kv-Fetch", "10.0.0.1:1"}},
+                          call);
+  BOOST_TEST(Value(encoded, "Host") == "h");
+  BOOST_TEST(Value(encoded, "Endiveyard-Request-Id") == "9c41");
+  BOOST_TEST(Value(encoded, "Endiveyard-Model") == "m");
+  BOOST_TEST(Value(encoded, "Endiveyard-Deadline-Ms") == "900");
+  BOOST_TEST(Value(encoded, "Endiveyard-Expect-Instance") == "i-1");
+  BOOST_TEST(Value(encoded, "Endiveyard-Request-Priority") == "2");
+  BOOST_TEST(encoded.size() == 6u);
+}
+
+// Guards against a refusal that is taken for a run, and the reverse.
+BOOST_AUTO_TEST_CASE(AnswersAreClassified) {
+  const EngineProtocol protocol;
+  BOOST_TEST(
+      protocol.DecodeAnswer(503, {{"Endiveyard-Not-Executed", "1"}}).not_run);
+  BOOST_TEST(protocol.DecodeAnswer(421, {}).not_run);
+  BOOST_TEST(!protocol.DecodeAnswer(503, {}).not_run);
+  BOOST_TEST(!protocol.DecodeAnswer(200, {}).signed_by_target);
+  const AnswerFacts facts = protocol.DecodeAnswer(
+      200, {{"Endiveyard-Response-Signature", "3e1b"},
+            {"Endiveyard-Replica-Load", "3,1,8"},
+            {"Content-Type", "text/event-stream; charset=utf-8"}});
+  BOOST_TEST(facts.signed_by_target);
+  BOOST_TEST(facts.event_stream);
+  BOOST_TEST((*facts.load == ReportedLoad{3, 1, 8}));
+  BOOST_TEST(
+      protocol.DecodeAnswer(200, {{"Content-Encoding", "gzip"}}).encoded);
+  BOOST_TEST(!protocol.DecodeAnswer(200, {{"Endiveyard-Replica-Load", "x"}})
+                  .load.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(HandlesAreReadAndFreed) {
+  const EngineProtocol protocol;
+  const auto kv = protocol.DecodeKvHandle(
+      R"({"kv_handle":"3fa09c41b7d5","tokens":1460,"version":1})");
+  BOOST_REQUIRE(kv);
+  BOOST_TEST(kv->handle == "3fa09c41b7d5");
+  BOOST_TEST(!protocol.DecodeKvHandle("{}"));
+  BOOST_TEST(!protocol.DecodeKvHandle("{\"kv_handle\":7}"));
+  BOOST_TEST(!protocol.DecodeKvHandle("<html>"));
+  BOOST_TEST(protocol.ReleaseKvCall("3f").second == "/kv-handle/3f");
+  BOOST_TEST(
+      protocol.RetryAfterHeader(std::chrono::milliseconds(1250)).second ==
+      "1.25");
+}
+
+}  // namespace endiveyard::platform
--- /dev/null
+++ b/tests/platform/object_decoding_test.cc
@@ -0,0 +1,125 @@
+#include "platform/object_decoding.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace endiveyard::platform {
+namespace {
+
+constexpr const char* kRegistration =
+    R"({"service":"lm","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":64,"state":"ready","cold_remaining_ms":0,"stage":"decode",)"
+    R"("sequence":4,"born":1789048673062})";
+
+std::string Replaced(std::string text,
+                     const std::string& from,
+                     const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(RegistrationsAreRead) {
+  const auto replica = DecodeReplica("i-1", kRegistration);
+  BOOST_REQUIRE(replica.ok());
+  BOOST_TEST(replica->id == "i-1");
+  BOOST_TEST(replica->ip == "10.0.0.9");
+  BOOST_TEST(replica->port == 8080);
+  BOOST_TEST((replica->stage == Stage::kDecode));
+  BOOST_TEST(replica->started_unix_ms == 1789048673062);
+  BOOST_TEST(!replica->draining);
+  const auto leaving = DecodeReplica(
+      "i-1", Replaced(kRegistration, "\"ready\"", "\"draining\""));
+  BOOST_REQUIRE(leaving.ok());
+  BOOST_TEST(leaving->draining);
+}
+
+// Guards against entries of other writers that become a target: each field is
+// missing, of another type, or has a value that is not known.
+BOOST_AUTO_TEST_CASE(ForeignRegistrationsAreRefused) {
+  const std::pair<const char*, const char*> changes[] = {
+      {"\"service\":\"lm\"", "\"service\":7"},
+      {"\"service\":\"lm\",", ""},
+      {"\"10.0.0.9:8080\"", "\"10.0.0.9\""},
+      {"\"10.0.0.9:8080\"", "\"10.0.0.9:port\""},
+      {"\"10.0.0.9:8080\"", "null"},
+      {"\"zone\":\"z\"", "\"zone\":{}"},
+      {"\"slots\":64", "\"slots\":\"64\""},
+      {"\"ready\"", "\"gone\""},
+      {"\"ready\"", "true"},
+      {"\"decode\"", "\"other\""},
+  };
+  for (const auto& [from, to] : changes) {
+    BOOST_TEST(!DecodeReplica("i-1", Replaced(kRegistration, from, to)).ok(),
+               to);
+  }
+  for (const char* bytes : {"", "{", "[]", "\xff\xfe", "\"text\"", "null"}) {
+    BOOST_TEST(!DecodeReplica("i-1", bytes).ok(), bytes);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationsAreRead) {
+  const auto map = DecodeServiceMap(
+      R"({"version":7,"routes":[)"
+      R"({"name":"r1","host":"A.example","path_prefix":"/p/","kind":"streaming",)"
+      R"("timeout_ms":8000,"target_latency_ms":800,"priority":1,"service":"lm",)"
+      R"("max_attempts":2,"session_affinity":true,"resumable":true,)"
+      R"("target_gap_ms":300},)"
+      R"({"name":"r2","host":"b.example","path_prefix":"/q/","kind":"novel",)"
+      R"("timeout_ms":1,"traffic_split":[{"service":"lm","weight":90},)"
+      R"({"service":"x","weight":10}]}],)"
+      R"("services":[{"name":"lm","max_connections":370,"engine":)"
+      R"({"slots":64,"kv_tokens":540532,"handle_ttl_s":5.0}},{"name":"x"}],)"
+      R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
+      R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+  BOOST_REQUIRE(map.ok());
+  BOOST_TEST(map->version == 7);
+  BOOST_REQUIRE_EQUAL(map->routes.size(), 2u);
+  BOOST_TEST(map->routes[0].host == "a.example");
+  BOOST_TEST((map->routes[0].kind == RouteKind::kStreaming));
+  BOOST_TEST(map->routes[0].resumable);
+  BOOST_TEST((map->routes[0].timeout == Duration(std::chrono::seconds(8))));
+  // A kind that is not known may not be repeated.
+  BOOST_TEST((map->routes[1].kind == RouteKind::kUnsafe));
+  BOOST_TEST(map->routes[1].services.size() == 2u);
+  BOOST_TEST(FindService(*map, "lm")->engine->slots == 64);
+  BOOST_TEST(!FindService(*map, "x")->engine.has_value());
+  BOOST_TEST((map->limits.idle_timeout == Duration(std::chrono::seconds(15))));
+}
+
+// Guards against half a configuration being put in force.
+BOOST_AUTO_TEST_CASE(MalformedConfigurationsAreRefused) {
+  for (
+      const char* text :
+      {"", "{}", R"({"version":1})", R"({"routes":[]})",
+       R"({"version":"1","routes":[]})",
+       R"({"version":1,"routes":[{"host":"h"}]})",
+       R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"safe"}]})"}) {
+    BOOST_TEST(!DecodeServiceMap(text).ok(), text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PagesAndChangesAreRead) {
+  const auto page = DecodeListPage(
+      R"({"items":[{"metadata":{"name":"a","revision":3,"deleting":false},)"
+      R"("spec":{"x":1}},{"metadata":{"name":"b","deleting":true},"spec":{}},)"
+      R"({"spec":{}}],"has_more":true,"current_rev":530})");
+  BOOST_REQUIRE(page.ok());
+  BOOST_TEST(page->more);
+  BOOST_TEST(page->list.revision == 530);
+  BOOST_REQUIRE_EQUAL(page->list.items.size(), 2u);
+  BOOST_TEST(page->list.items[0].spec == R"({"x":1})");
+  BOOST_TEST(page->list.items[1].deleted);
+  const auto changes = DecodeChanges(
+      R"({"events":[{"deleted":true,"object":{"metadata":{"name":"a"}}}],)"
+      R"("current_rev":533})");
+  BOOST_REQUIRE(changes.ok());
+  BOOST_TEST(changes->changes[0].deleted);
+  BOOST_TEST(changes->revision == 533);
+  for (const char* text : {"", "{}", "[]", R"({"items":{}})"}) {
+    BOOST_TEST(!DecodeListPage(text).ok());
+    BOOST_TEST(!DecodeChanges(text).ok());
+  }
+}
+
+}  // namespace endiveyard::platform
--- /dev/null
+++ b/tests/platform/process_settings_test.cc
@@ -0,0 +1,63 @@
+#include "platform/process_settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace endiveyard::platform {
+namespace {
+
+constexpr const char* kSettings =
+    "node=front-x-1\nip=10.1.0.38\nzone=x\nzones.x=r1\nzones.y=r2\n"
+    "listen.front=10.1.0.38:8149\nlisten.ready_address=10.1.0.38:8141\n"
+    "internal_port_range=7380,7395\nseeds=10.1.0.38:8144,10.2.0.40:8144\n"
+    "platform.address=10.200.1.7:8142\nbounds.grace_s=8\n"
+    "bounds.retry_budget_ratio=0.2\nbounds.retry_slack=56\n"
+    "bounds.retry_window_s=10\nlimits.memory_mb=260\nlimits.max_fds=4100\n"
+    "a.new.field=17\n";
+
+std::string Without(const std::string& line_start) {
+  std::string text = kSettings;
+  const size_t begin = text.find(line_start);
+  text.erase(begin, text.find('\n', begin) + 1 - begin);
+  return text;
+}
+
+}  // namespace
+
+// Guards against settings that are read into the wrong field.
+BOOST_AUTO_TEST_CASE(SettingsAreRead) {
+  const auto settings = ParseProcessSettings(kSettings);
+  BOOST_REQUIRE(settings.ok());
+  BOOST_TEST(settings->instance == "front-x-1");
+  BOOST_TEST(settings->location.zone == "x");
+  BOOST_TEST(settings->location.region_of_zone.at("y") == "r2");
+  BOOST_TEST((settings->callers == Address{"10.1.0.38", 8149}));
+  BOOST_TEST((settings->readiness == Address{"10.1.0.38", 8141}));
+  BOOST_TEST((settings->store == Address{"10.200.1.7", 8142}));
+  BOOST_TEST(settings->peer_port == 7380);
+  BOOST_REQUIRE_EQUAL(settings->seed_ips.size(), 2u);
+  BOOST_TEST(settings->seed_ips[1] == "10.2.0.40");
+  BOOST_TEST(settings->repeat_bound.slack == 56);
+  BOOST_TEST((settings->shutdown_grace == Duration(std::chrono::seconds(8))));
+  BOOST_TEST(settings->max_descriptors == 4100u);
+}
+
+// Guards against an instance that starts without what it needs, and against
+// errors that do not name the key.
+BOOST_AUTO_TEST_CASE(MissingAndMalformedSettingsAreNamed) {
+  for (const std::string key : {"node", "ip", "zone", "listen.front",
+                                "listen.ready_address", "platform.address"}) {
+    const auto settings = ParseProcessSettings(Without(key + "="));
+    BOOST_REQUIRE(!settings.ok());
+    BOOST_TEST(std::string(settings.status().message()).find(key) !=
+               std::string::npos);
+  }
+  BOOST_TEST(!ParseProcessSettings(Without("listen.front=") +
+                                   "listen.front=nonsense\n")
+                  .ok());
+  BOOST_TEST(!ParseProcessSettings(Without("bounds.retry_slack") +
+                                   "bounds.retry_slack=many\n")
+                  .ok());
+}
+
+}  // namespace endiveyard::platform
--- /dev/null
+++ b/tests/platform/relay_fixture.cc
@@ -0,0 +1,227 @@
+#include "relay_fixture.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <future>
+#include <stdexcept>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+namespace endiveyard {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr const char* kLoopback = "127.0.0.1";
+
+size_t BodyLength(const std::string& head) {
+  const std::string name = "Content-Length: ";
+  const size_t at = head.find(name);
+  return at == std::string::npos
+             ? 0
+             : std::strtoul(head.c_str() + at + name.size(), nullptr, 10);
+}
+
+}  // namespace
+
+TestConnection::TestConnection(tcp::socket socket)
+    : socket_(std::move(socket)) {
+  const timeval timeout{10, 0};
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout,
+             sizeof timeout);
+}
+
+void TestConnection::Send(const std::string& bytes) {
+  asio::write(socket_, asio::buffer(bytes));
+}
+
+std::string TestConnection::ReadUntil(const std::string& end) {
+  while (buffer_.find(end) == std::string::npos) {
+    char buf[4096];
+    const ssize_t n = recv(socket_.native_handle(), buf, sizeof buf, 0);
+    if (n <= 0) {
+      throw std::runtime_error("closed or silent before '" + end +
+                               "', after: " + buffer_);
+    }
+    buffer_.append(buf, static_cast<size_t>(n));
+  }
+  const size_t size = buffer_.find(end) + end.size();
+  std::string read = buffer_.substr(0, size);
+  buffer_.erase(0, size);
+  return read;
+}
+
+std::string TestConnection::ReadMessage() {
+  std::string message = ReadUntil("\r\n\r\n");
+  if (message.find("Transfer-Encoding: chunked") != std::string::npos) {
+    return message + ReadUntil("0\r\n\r\n");
+  }
+  const size_t length = BodyLength(message);
+  while (buffer_.size() < length) {
+    char buf[4096];
+    const ssize_t n = recv(socket_.native_handle(), buf, sizeof buf, 0);
+    if (n <= 0) {
+      throw std::runtime_error("closed or silent within a body");
+    }
+    buffer_.append(buf, static_cast<size_t>(n));
+  }
+  message += buffer_.substr(0, length);
+  buffer_.erase(0, length);
+  return message;
+}
+
+std::string TestConnection::ReadToClose() {
+  while (true) {
+    char buf[4096];
+    const ssize_t n = recv(socket_.native_handle(), buf, sizeof buf, 0);
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      throw std::runtime_error("not closed; read: " + buffer_);
+    }
+    if (n <= 0) {
+      return std::move(buffer_);
+    }
+    buffer_.append(buf, static_cast<size_t>(n));
+  }
+}
+
+void TestConnection::Close() {
+  boost::system::error_code ec;
+  socket_.shutdown(tcp::socket::shutdown_both, ec);
+  socket_.close(ec);
+}
+
+void TestConnection::Reset() {
+  boost::system::error_code ec;
+  socket_.set_option(asio::socket_base::linger(true, 0), ec);
+  socket_.close(ec);
+}
+
+TestTarget::TestTarget(asio::io_context& io)
+    : io_(io),
+      acceptor_(io, tcp::endpoint(asio::ip::make_address(kLoopback), 0)) {}
+
+TestConnection TestTarget::Accept() {
+  pollfd waiting{acceptor_.native_handle(), POLLIN, 0};
+  if (poll(&waiting, 1, 10000) != 1) {
+    throw std::runtime_error("no connection to the target");
+  }
+  tcp::socket socket(io_);
+  acceptor_.accept(socket);
+  return TestConnection(std::move(socket));
+}
+
+uint16_t TestTarget::port() const {
+  return acceptor_.local_endpoint().port();
+}
+
+RelayFixture::RelayFixture()
+    : first_(test_io_),
+      second_(test_io_),
+      work_(asio::make_work_guard(io_)),
+      log_fd_(open("/dev/null", O_WRONLY | O_CLOEXEC)) {
+  JsonLogOptions log_options;
+  log_options.fd = log_fd_;
+  log_ = std::make_unique<JsonLog>("test", log_options);
+
+  auto map = std::make_shared<ServiceMap>();
+  map->version = 1;
+  for (const auto& [name, kind, resumable] :
+       {std::tuple("safe", RouteKind::kSafe, false),
+        std::tuple("unsafe", RouteKind::kUnsafe, false),
+        std::tuple("stream", RouteKind::kStreaming, true),
+        std::tuple("once", RouteKind::kStreaming, false)}) {
+    Route route;
+    route.name = name;
+    route.host = "h";
+    route.path_prefix = "/" + route.name + "/";
+    route.kind = kind;
+    route.resumable = resumable;
+    route.timeout = std::chrono::seconds(8);
+    route.max_attempts = 2;
+    route.services = {{"svc", 1}};
+    map->routes.push_back(route);
+  }
+  beliefs_.services = map;
+  beliefs_.services_current = true;
+  beliefs_.replicas.Reset(
+      {MakeReplica("t1", first_.port()), MakeReplica("t2", second_.port())},
+      BootClock::now());
+  RelayOptions options;
+  options.ip = kLoopback;
+  options.location.zone = "z";
+  options.repeat_bound.slack = 640;
+  relay_ = std::make_unique<Relay>(io_, options, protocol_, &beliefs_,
+                                   log_.get(), &metrics_);
+  if (!relay_->Listen().ok()) {
+    throw std::runtime_error("cannot listen on loopback");
+  }
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+RelayFixture::~RelayFixture() {
+  io_.stop();
+  thread_.join();
+  close(log_fd_);
+}
+
+Replica RelayFixture::MakeReplica(const std::string& id, uint16_t port) const {
+  Replica replica;
+  replica.id = id;
+  replica.service = "svc";
+  replica.ip = kLoopback;
+  replica.port = port;
+  // The first is nearer, so that it is asked first.
+  replica.zone = id == "t1" ? "z" : "far";
+  replica.slots = 8;
+  return replica;
+}
+
+TestConnection RelayFixture::Connect() {
+  tcp::socket socket(test_io_);
+  socket.connect(
+      tcp::endpoint(asio::ip::make_address(kLoopback), relay_->port()));
+  return TestConnection(std::move(socket));
+}
+
+void RelayFixture::Change(const std::function<void(RelayBeliefs&)>& change) {
+  std::promise<void> done;
+  asio::post(io_, [&] {
+    change(beliefs_);
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void RelayFixture::UseOneTarget() {
+  Change([this](RelayBeliefs& beliefs) {
+    beliefs.replicas.Reset({MakeReplica("t1", first_.port())},
+                           BootClock::now());
+  });
+}
+
+std::string RequestHead(const std::string& method,
+                        const std::string& path,
+                        const std::string& id,
+                        const std::string& more_headers) {
+  return method + " " + path + " HTTP/1.1\r\nHost: h\r\n" +
+         "Endiveyard-Request-Id: " + id +
+         "\r\nEndiveyard-Deadline-Ms: 7000\r\n" + more_headers + "\r\n";
+}
+
+std::string SignedAnswer(const std::string& id,
+                         const std::string& body,
+                         const std::string& status) {
+  return "HTTP/1.1 " + status + "\r\nEndiveyard-Request-Id: " + id +
+         "\r\nEndiveyard-Response-Signature: sig-" + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+}  // namespace endiveyard
