--- a/include/endiveyard/placement/replica_load.h
+++ b/include/endiveyard/placement/replica_load.h
@@ -25,6 +25,7 @@
 struct PromptShape {
   double prompt_tokens = 0;
   double max_output_tokens = 0;
+  double expected_output_tokens = 0;
   std::vector<PromptPart> parts;
 
   bool operator==(const PromptShape& other) const;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -164,6 +164,10 @@
       .Integer("uncached", static_cast<int64_t>(
                                placement.prefill ? placement.prefill_uncached
                                                  : placement.target_uncached))
+      .Integer("output",
+               facts_.prompt
+                   ? static_cast<int64_t>(facts_.prompt->expected_output_tokens)
+                   : 0)
       .Millis("expected_ms", placement.expected)
       .Millis("left_ms", query.time_left)
       .Integer("map_version", services_->version);
