Queue short prompts first within a rank; refuse what callers will not wait for

Cause: prompts of 20,000 tokens and more held up short ones at the prefill engines, and callers left streams that had no event after 3.2 s; the learnt reading speed fell with every call that waited.

Calls carry three times the route's rank plus a class by unread tokens; streams whose first event is expected after the callers' patience are refused at once; the speed follows the upper tenth of the samples.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -52,6 +52,11 @@
   PlacementRefusal refusal;  // meaningful without a placement
 };
 
+// Priority of a call in the queue of an engine, 0 to 9 with 0 first. The rank
+// of the route goes first; within it, short prompts go before long ones, which
+// shortens the mean wait where lengths differ as widely as those of documents.
+int QueuePriority(int route_rank, double unread_tokens);
+
 // Chooses replicas by the time until the first output, estimated from the
 // loads. Not thread-safe. A choice takes O(replicas of the service).
 class Placer {
@@ -97,6 +102,7 @@
   std::map<std::string, KnownLoad> loads_;
   PeerLoads peer_loads_;
   double prefill_tokens_per_ms_;
+  Duration shortest_prefill_{};  // what a call takes beside the reading
   // Mean prompt tokens that a call leaves to read, by who reads them.
   double mean_uncached_apart_ = 0;
   double mean_uncached_direct_ = 0;
--- a/include/endiveyard/placement/service_map.h
+++ b/include/endiveyard/placement/service_map.h
@@ -93,6 +93,12 @@
 // Returns the service, or nullptr when the map does not describe it.
 const Service* FindService(const ServiceMap& map, std::string_view name);
 
+// Longest wait for the first event of a stream before callers leave: two
+// seconds, four times the target latency or eight times the longest pause,
+// whichever is longest (documented behaviour of the callers). Other requests
+// are waited for until the timeout.
+Duration CallerPatience(const Route& route);
+
 // True when more than one target may run a request of the route.
 bool MayRunAgain(const Route& route);
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -12,11 +12,19 @@
 constexpr double kInitialPrefillTokensPerMs = 90;
 // A decode engine reads a prompt at half the speed of a prefill engine.
 constexpr double kDecodeReadShare = 0.5;
-// The learnt speed falls by this share per sample that shows a lower one, so
-// that waiting behind others is not taken for a slow engine at once.
-constexpr double kSpeedDecay = 0.002;
-// Shorter samples are dominated by the round trip.
-constexpr Duration kMinSpeedSample = std::chrono::milliseconds(15);
+// Prompts that are shorter tell little of the speed beside what a call takes
+// in any case.
+constexpr double kMinSpeedSampleTokens = 4000;
+// The learnt speed follows the samples' upper tenth, since most of them waited
+// behind others: a higher sample raises it nine times as much as a lower one
+// lowers it.
+constexpr double kSpeedRise = 0.045;
+constexpr double kSpeedFall = 0.005;
+
+// Lengths, in tokens to read, above which a prompt counts as medium and long.
+// Half and a tenth of the prompts of the sheets' long documents are above.
+constexpr double kMediumPromptTokens = 4000;
+constexpr double kLongPromptTokens = 10000;
 
 // Extra cost of a replica that is farther away, beside its delay: bytes
 // between failure domains and regions are billed.
@@ -89,6 +97,15 @@
   }
 };
 
+int QueuePriority(int route_rank, double unread_tokens) {
+  constexpr int kClasses = 3;
+  constexpr int kLowest = 9;
+  const int size_class = unread_tokens < kMediumPromptTokens ? 0
+                         : unread_tokens < kLongPromptTokens ? 1
+                                                             : 2;
+  return std::clamp(kClasses * route_rank + size_class, 0, kLowest);
+}
+
 Placer::Placer(Location location)
     : location_(std::move(location)),
       prefill_tokens_per_ms_(kInitialPrefillTokensPerMs) {}
@@ -122,15 +139,16 @@
 }
 
 void Placer::ObservePrefill(double tokens, Duration elapsed) {
-  if (elapsed < kMinSpeedSample) {
-    return;
+  if (shortest_prefill_ == Duration(0) || elapsed < shortest_prefill_) {
+    shortest_prefill_ = elapsed;
   }
-  const double sample = tokens * 1000 / static_cast<double>(elapsed.count());
-  if (sample > prefill_tokens_per_ms_) {
-    prefill_tokens_per_ms_ = std::min(sample, 2 * prefill_tokens_per_ms_);
-  } else {
-    prefill_tokens_per_ms_ += (sample - prefill_tokens_per_ms_) * kSpeedDecay;
+  const Duration reading = elapsed - shortest_prefill_;
+  if (tokens < kMinSpeedSampleTokens || reading <= Duration(0)) {
+    return;
   }
+  const double sample = tokens * 1000 / static_cast<double>(reading.count());
+  prefill_tokens_per_ms_ *=
+      sample > prefill_tokens_per_ms_ ? 1 + kSpeedRise : 1 - kSpeedFall;
 }
 
 double Placer::DistanceMs(const Replica& replica) const {
--- a/src/placement/replica_load.cc
+++ b/src/placement/replica_load.cc
@@ -37,9 +37,9 @@
 
 bool PromptShape::operator==(const PromptShape& other) const {
   return std::tie(prompt_tokens, max_output_tokens, expected_output_tokens,
-                  parts) ==
-         std::tie(other.prompt_tokens, other.max_output_tokens,
-                  other.expected_output_tokens, other.parts);
+                  parts) == std::tie(other.prompt_tokens,
+                                     other.max_output_tokens,
+                                     other.expected_output_tokens, other.parts);
 }
 
 bool ReportedLoad::operator==(const ReportedLoad& other) const {
--- a/src/placement/service_map.cc
+++ b/src/placement/service_map.cc
@@ -1,5 +1,6 @@
 #include "endiveyard/placement/service_map.h"
 
+#include <algorithm>
 #include <cctype>
 #include <tuple>
 
@@ -97,6 +98,17 @@
   return nullptr;
 }
 
+Duration CallerPatience(const Route& route) {
+  if (route.kind != RouteKind::kStreaming) {
+    return route.timeout;
+  }
+  constexpr Duration kShortest = std::chrono::seconds(2);
+  constexpr int kTargetLatencies = 4;
+  constexpr int kPauses = 8;
+  return std::max({kShortest, kTargetLatencies * route.target_latency,
+                   kPauses * route.target_gap.value_or(Duration(0))});
+}
+
 bool MayRunAgain(const Route& route) {
   return route.kind == RouteKind::kSafe ||
          (route.kind == RouteKind::kStreaming && route.resumable);
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -134,6 +134,12 @@
   query.prompt = facts_.prompt;
   query.excluded = excluded_;
   query.time_left = TimeLeft();
+  if (!answer_begun_) {
+    const auto waited =
+        std::chrono::duration_cast<Duration>(now - request_.received);
+    query.time_left =
+        std::min(query.time_left, CallerPatience(*route_) - waited);
+  }
   query.may_read_apart = may_read_apart_;
   PlacementResult result =
       core_->placer.Choose(core_->beliefs.replicas, query, now);
@@ -184,7 +190,8 @@
   headers.expected_replica = replica.id;
   headers.time_left =
       std::max(Duration(std::chrono::milliseconds(1)), TimeLeft());
-  headers.priority = std::clamp(route_->priority, 0, 9);
+  headers.priority =
+      QueuePriority(route_->priority, active_ ? active_->unread_tokens : 0);
   headers.last_event_id = facts_.last_event_id;
   return headers;
 }
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -175,6 +175,30 @@
   BOOST_TEST((result.refusal.retry_after > Duration(0)));
 }
 
+// Pattern: a few very long documents among many short prompts. Guards against
+// short prompts that wait for long ones, and against ranks that are crossed.
+BOOST_AUTO_TEST_CASE(ShortPromptsGoFirstWithinTheirRank) {
+  BOOST_TEST(QueuePriority(0, 900) == 0);
+  BOOST_TEST(QueuePriority(1, 900) < QueuePriority(1, 6000));
+  BOOST_TEST(QueuePriority(1, 6000) < QueuePriority(1, 30000));
+  BOOST_TEST(QueuePriority(0, 30000) < QueuePriority(1, 0));
+  BOOST_TEST(QueuePriority(7, 30000) == 9);
+}
+
+// Guards against a speed that is learnt from waiting: most calls queue behind
+// others, and those that do not tell the engines' speed.
+BOOST_AUTO_TEST_CASE(TheReadingSpeedIsLearntFromUndelayedCalls) {
+  Placer placer = MakePlacer();
+  placer.ObservePrefill(100, std::chrono::milliseconds(80));
+  for (int n = 0; n < 2000; ++n) {
+    // The engines read 50 tokens/ms; two of three calls wait 400 ms.
+    const int64_t waited_ms = n % 3 == 0 ? 0 : 400;
+    placer.ObservePrefill(5000, std::chrono::milliseconds(180 + waited_ms));
+  }
+  BOOST_TEST(placer.prefill_tokens_per_ms() > 40);
+  BOOST_TEST(placer.prefill_tokens_per_ms() < 60);
+}
+
 // Guards against traffic between regions that nothing is gained by.
 BOOST_AUTO_TEST_CASE(NearReplicasArePreferred) {
   ReplicaView view;
--- a/tests/placement/service_map_test.cc
+++ b/tests/placement/service_map_test.cc
@@ -54,6 +54,22 @@
   BOOST_TEST(PickService(route, 0.9999) == "b");
 }
 
+// Guards against streams that are read for callers who have left by then.
+BOOST_AUTO_TEST_CASE(PatienceIsTheLongestOfItsBounds) {
+  Route route = MakeRoute("h", "/");
+  route.timeout = std::chrono::seconds(10);
+  route.kind = RouteKind::kStreaming;
+  route.target_latency = std::chrono::milliseconds(100);
+  BOOST_TEST((CallerPatience(route) == Duration(std::chrono::seconds(2))));
+  route.target_latency = std::chrono::milliseconds(800);
+  BOOST_TEST(
+      (CallerPatience(route) == Duration(std::chrono::milliseconds(3200))));
+  route.target_gap = std::chrono::milliseconds(500);
+  BOOST_TEST((CallerPatience(route) == Duration(std::chrono::seconds(4))));
+  route.kind = RouteKind::kSafe;
+  BOOST_TEST((CallerPatience(route) == route.timeout));
+}
+
 // Guards against streams that are repeated although they cannot be resumed.
 BOOST_AUTO_TEST_CASE(OnlySafeAndResumableRoutesRunAgain) {
   Route route = MakeRoute("h", "/");
