Pause before the next watch after a change

Cause: on the grown deployments each change of a replica's entry returned the watch of each of 72 instances, and calls to the store were the largest price.

--- a/include/endiveyard/placement/peer_loads.h
+++ b/include/endiveyard/placement/peer_loads.h
@@ -26,10 +26,10 @@
 uint64_t ReplicaKey(std::string_view replica_id);
 
 // Reports of peers count in full up to this age: several reporting intervals,
-// since datagrams are lost now and then.
-inline constexpr Duration kPeerReportFresh = std::chrono::milliseconds(400);
+// since datagrams are lost now and then, and one interval of a large fleet.
+inline constexpr Duration kPeerReportFresh = std::chrono::milliseconds(600);
 // Older reports lose weight and are dropped at this age.
-inline constexpr Duration kPeerReportLifetime = std::chrono::milliseconds(1200);
+inline constexpr Duration kPeerReportLifetime = std::chrono::milliseconds(1500);
 
 // The work of all other instances, by replica. Not thread-safe.
 class PeerLoads {
--- a/include/endiveyard/registry/registry_mirror.h
+++ b/include/endiveyard/registry/registry_mirror.h
@@ -32,7 +32,8 @@
   explicit MirrorPolicy(uint64_t seed) : seed_(seed) {}
 
   MirrorAction Start() const { return {}; }
-  MirrorAction AfterSuccess(int64_t revision);
+  // `changed` tells whether the call brought changes.
+  MirrorAction AfterSuccess(int64_t revision, bool changed);
   MirrorAction AfterFailure(const absl::Status& status);
 
  private:
--- a/src/registry/registry_mirror.cc
+++ b/src/registry/registry_mirror.cc
@@ -15,11 +15,17 @@
 constexpr Duration kLongestPause = std::chrono::milliseconds(800);
 constexpr int kMaxDoublings = 4;
 
+// Changes come in series when targets are replaced, and each call of each
+// instance is paid. A pause after a change collects the next ones; it is short
+// beside the 2.5 s within which a change has to be followed.
+constexpr Duration kChangePause = std::chrono::milliseconds(400);
+
 }  // namespace
 
-MirrorAction MirrorPolicy::AfterSuccess(int64_t revision) {
+MirrorAction MirrorPolicy::AfterSuccess(int64_t revision, bool changed) {
   failures_ = 0;
-  return {MirrorAction::Kind::kWatch, Duration(0), revision};
+  return {MirrorAction::Kind::kWatch, changed ? kChangePause : Duration(0),
+          revision};
 }
 
 MirrorAction MirrorPolicy::AfterFailure(const absl::Status& status) {
@@ -83,7 +89,7 @@
       }
       self->handlers_.on_success();
       self->handlers_.on_list(*list);
-      self->Do(self->policy_.AfterSuccess(list->revision));
+      self->Do(self->policy_.AfterSuccess(list->revision, false));
     });
   }
 
@@ -103,7 +109,8 @@
                      for (const RegistryObject& it : changes->changes) {
                        self->handlers_.on_change(it);
                      }
-                     self->Do(self->policy_.AfterSuccess(changes->revision));
+                     self->Do(self->policy_.AfterSuccess(
+                         changes->revision, !changes->changes.empty()));
                    });
   }
 
--- a/tests/registry/registry_mirror_test.cc
+++ b/tests/registry/registry_mirror_test.cc
@@ -66,6 +66,10 @@
 BOOST_FIXTURE_TEST_CASE(WatchesContinueFromTheLastRevision, Fixture) {
   source.list_done(RegistryList{{{"a", "{}", false}}, 10});
   source.watch_done(RegistryChanges{{{"b", "{}", false}, {"a", "", true}}, 12});
+  // Guards against a call for each change of a series: the next watch waits.
+  BOOST_TEST(source.calls.size() == 2u);
+  BOOST_REQUIRE_EQUAL(delays.size(), 1u);
+  scheduled();
   const std::vector<std::string> calls = {"list things", "watch things 10",
                                           "watch things 12"};
   BOOST_TEST(source.calls == calls, boost::test_tools::per_element());
@@ -110,7 +114,7 @@
   BOOST_TEST(differ);
   BOOST_TEST((last >= Duration(std::chrono::milliseconds(400))));
   // One success forgets the failures.
-  first.AfterSuccess(3);
+  first.AfterSuccess(3, false);
   BOOST_TEST((first.AfterFailure(down).delay <=
               Duration(std::chrono::milliseconds(50))));
 }
