--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -22,6 +22,7 @@
                     boost::program_options::variables_map* values,
                     int* exit_code);
 
+int RunExplainLogCommand(const Arguments& arguments);
 int RunFrontCommand(const Arguments& arguments);
 int RunServeCommand(const Arguments& arguments);
 int RunCheckCommand(const Arguments& arguments);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -22,6 +22,8 @@
      RunCheckCommand},
     {"explain", "show how an instance would route a request",
      RunExplainCommand},
+    {"explain-log", "print the log lines of one request in order",
+     RunExplainLogCommand},
     {"bench", "send load and report latency, goodput and errors",
      RunBenchCommand},
     {"config", "get, diff, apply or list fleet configurations",
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -149,6 +149,7 @@
   if (!result.placement) {
     const bool late =
         result.refusal.reason == PlacementRefusal::Reason::kTooLate;
+    expected_first_ = result.refusal.expected;
     if (answer_begun_) {
       caller_->Abort();
       End("broken_no_target", 0);
--- /dev/null
+++ b/src/telemetry/request_story.cc
@@ -0,0 +1,25 @@
+#include "endiveyard/telemetry/request_story.h"
+
+#include <cstdlib>
+
+namespace endiveyard {
+
+void CollectRequestLines(std::istream& log,
+                         const std::string& id,
+                         std::vector<StoryLine>* story) {
+  const std::string wanted = "\"request\":\"" + id + "\"";
+  const std::string time_field = "\"unix_ms\":";
+  for (std::string line; std::getline(log, line);) {
+    const size_t begin = line.find('{');
+    const size_t time = line.find(time_field);
+    if (begin == std::string::npos || time == std::string::npos ||
+        line.find(wanted) == std::string::npos) {
+      continue;
+    }
+    story->push_back(
+        {std::strtoll(line.c_str() + time + time_field.size(), nullptr, 10),
+         line.substr(begin)});
+  }
+}
+
+}  // namespace endiveyard
