--- a/src/cli/front_command.cc
+++ b/src/cli/front_command.cc
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <iostream>
 
 #include "cli/command.h"
@@ -34,7 +35,10 @@
     std::cerr << "endiveyard: " << status.message() << "\n";
     return kExitFailed;
   }
-  return kExitOk;
+  // Open requests are finished and nothing has to last. The exit handlers of
+  // linked libraries wait for threads, which held the process until it was
+  // killed at the end of its grace.
+  std::_Exit(kExitOk);
 }
 
 }  // namespace endiveyard
