--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -62,7 +62,7 @@
   absl::Status Listen();
   uint16_t port() const;
 
-  // Tells that replicas changed. Idle connections to `left` are closed.
+  // Forgets the loads of replicas that are no longer registered.
   void ReplicasChanged();
 
   // Work of this instance at the replicas, and where the work of the other
@@ -77,7 +77,6 @@
   void StartDraining(Duration linger, TimePoint end);
   size_t open_exchanges() const;
   size_t open_connections() const;
-  uint64_t target_connections_opened() const;
   void set_repeat_bound(RepeatBound bound);
 
  private:
--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -22,9 +22,6 @@
   std::string path;  // raw, as the caller sent it
   HeaderList headers;
   std::shared_ptr<const std::string> body;  // may be null
-  // Whether a connection that was used before may carry it. A request on such
-  // a connection can be lost without a trace of whether it was read.
-  bool may_reuse_connection = true;
   // When set, an answer with another value of this id belongs to an earlier
   // request of the connection and is skipped.
   std::string request_id;
@@ -93,12 +90,6 @@
   std::shared_ptr<TargetCall> Start(TargetRequest request,
                                     TargetCallHandlers handlers);
 
-  // Closes idle connections to an address whose replica has left.
-  void DropIdle(std::string_view address);
-
-  uint64_t connections_opened() const;
-  size_t idle_connections() const;
-
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -31,7 +31,6 @@
   bool signed_by_target = false;
   bool not_run = false;  // the target did not run the request
   bool encoded = false;  // the body is not the target's own
-  bool event_stream = false;
   std::optional<ReportedLoad> load;
 };
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -179,10 +179,6 @@
   return impl_->core().open_connections;
 }
 
-uint64_t Relay::target_connections_opened() const {
-  return impl_->core().targets.connections_opened();
-}
-
 void Relay::set_repeat_bound(RepeatBound bound) {
   impl_->core().budget.set_bound(bound);
 }
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -20,8 +20,8 @@
 // Answers to the call that only reads a prompt are small.
 constexpr size_t kMaxPromptAnswerBytes = 65536;
 
-// A caller that names no deadline waits as long as the route's timeout.
-// Placements of one request, refused ones included.
+// Placements of one request, refused ones included. More than the attempts of
+// any route, since targets that take no connection cost no attempt.
 constexpr int kMaxPlacements = 8;
 
 // How often silence of a target is looked at.
@@ -65,8 +65,9 @@
 void RelayExchange::Start() {
   facts_ = core_->protocol.DecodeRequest(request_.headers);
   services_ = core_->beliefs.services;
+  // A caller that names no deadline is kept waiting for the route's timeout.
   deadline_ = request_.received +
-              facts_.time_left.value_or(Duration(std::chrono::seconds(30)));
+              facts_.time_left.value_or(Duration(std::chrono::hours(1)));
   if (!services_) {
     Refuse(503, "no_configuration", kNotReadyRetryAfter);
     return;
@@ -356,9 +357,6 @@
   request.headers = core_->protocol.EncodeCall(forwarded_, headers);
   request.body = request_.body;
   request.request_id = facts_.request_id;
-  // A request that may not be repeated must not be lost with a connection that
-  // the target has just closed.
-  request.may_reuse_connection = true;
 
   TargetCallHandlers handlers;
   const std::weak_ptr<RelayExchange> weak = weak_from_this();
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -41,11 +41,10 @@
   std::string address;
   TimePoint idle_since{};
   Duration idle_limit{};
-  bool used = false;
 };
 
-// A readable idle connection was closed by the peer or carries bytes that
-// belong to no request.
+// Returns false for an idle connection that the peer has closed, or that
+// carries bytes of no request.
 bool IsQuiet(tcp::socket& socket) {
   char byte = 0;
   const ssize_t n =
@@ -90,20 +89,9 @@
     idle_[connection->address].push_back(std::move(connection));
   }
 
-  void DropIdle(std::string_view address) {
-    const auto it = idle_.find(std::string(address));
-    if (it != idle_.end()) {
-      idle_count_ -= it->second.size();
-      idle_.erase(it);
-    }
-  }
-
   asio::io_context& io() { return io_; }
   const WireProtocol& protocol() const { return protocol_; }
   const Options& options() const { return options_; }
-  void CountOpened() { ++opened_; }
-  uint64_t opened() const { return opened_; }
-  size_t idle_count() const { return idle_count_; }
 
  private:
   // Closes connections that are past their idle limit.
@@ -122,7 +110,6 @@
   const Options options_;
   std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle_;
   size_t idle_count_ = 0;
-  uint64_t opened_ = 0;
 };
 
 // Carries one request over one connection.
@@ -143,7 +130,6 @@
 
   // Gives the connection back for reuse.
   std::function<void(std::unique_ptr<Connection>)> on_reusable;
-  std::function<void()> on_opened;
 
   void StartOn(std::unique_ptr<Connection> connection) {
     connection_ = std::move(connection);
@@ -184,7 +170,6 @@
             self->End(CallEnd::kNotSent, connect_ec.message());
             return;
           }
-          self->on_opened();
           self->WriteRequest();
         });
   }
@@ -222,7 +207,6 @@
     if (body_size > 0) {
       buffers.push_back(asio::buffer(*request_.body));
     }
-    sent_ = true;
     asio::async_write(connection_->socket, buffers,
                       [self = shared_from_this()](error_code ec, size_t) {
                         // A write that fails is reported by the read, which may
@@ -310,7 +294,6 @@
       }
     }
     if (!skipping_) {
-      head_delivered_ = true;
       auto self = shared_from_this();
       if (!handlers_.on_head(answer_head_)) {
         if (!ended_) {
@@ -406,7 +389,6 @@
                           connection_->buffer.size() == 0 &&
                           !parser_->need_eof();
     if (reusable) {
-      connection_->used = true;
       if (const auto limit = KeepAliveTimeout(answer_head_.headers)) {
         // Half of the target's own timeout, so that its close does not cross
         // a request.
@@ -453,11 +435,9 @@
   std::array<char, kReadBytes> chunk_{};
   int skipped_ = 0;
   bool connected_ = false;
-  bool sent_ = false;
   bool written_ = false;
   bool skipping_ = false;
   bool surplus_ = false;
-  bool head_delivered_ = false;
   bool made_progress_ = false;
   bool paused_ = false;
   bool read_waiting_ = false;
@@ -474,17 +454,13 @@
 std::shared_ptr<TargetCall> TargetClient::Start(TargetRequest request,
                                                 TargetCallHandlers handlers) {
   const std::string address = request.ip + ":" + std::to_string(request.port);
-  std::unique_ptr<Connection> idle;
-  if (request.may_reuse_connection) {
-    idle = impl_->TakeIdle(address);
-  }
+  std::unique_ptr<Connection> idle = impl_->TakeIdle(address);
   auto call = std::make_shared<HttpTargetCall>(
       impl_->io(), impl_->protocol(), impl_->options(), std::move(request),
       std::move(handlers));
   call->on_reusable = [impl = impl_](std::unique_ptr<Connection> connection) {
     impl->PutIdle(std::move(connection));
   };
-  call->on_opened = [impl = impl_] { impl->CountOpened(); };
   if (idle) {
     call->StartOn(std::move(idle));
   } else {
@@ -493,16 +469,4 @@
   return call;
 }
 
-void TargetClient::DropIdle(std::string_view address) {
-  impl_->DropIdle(address);
-}
-
-uint64_t TargetClient::connections_opened() const {
-  return impl_->opened();
-}
-
-size_t TargetClient::idle_connections() const {
-  return impl_->idle_count();
-}
-
 }  // namespace endiveyard
