Keep long outputs out of full batches

Cause: every request in a batch adds 0.12 ms to each token of the others. The delay now grows with the expected output, both for the choice and for the refusal of what would be too late.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -30,7 +30,8 @@
   bool may_read_apart = true;  // false after a read apart failed
 };
 
-// Where a request goes. `expected` is the time until the first output.
+// Where a request goes. `expected` is the time until the first output, and what
+// the other requests of the batch add until the last.
 struct Placement {
   std::optional<Replica> prefill;  // reads the prompt first
   Replica target;                  // runs the request
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -33,6 +33,10 @@
 
 // Time that a request in a batch adds to the first token of a new one.
 constexpr double kMsPerRunningRequest = 5;
+// Time that a request in a batch adds to each token of the others; 0.121 ms on
+// the sheets of both deployments. A long output is slowed most by a full batch,
+// and is refused where this alone takes longer than its caller waits.
+constexpr double kMsPerRunningRequestAndToken = 0.12;
 // Requests beyond the slots wait for one to end.
 constexpr double kMsPerWaitingRequest = 60;
 // Cost of a call that is wasted on a replica that fails part of its calls.
@@ -201,8 +205,12 @@
                                 : load.Requests(now);
     const double over_slots =
         it->slots > 0 ? std::max(0.0, requests - it->slots) : 0;
+    const double output_tokens =
+        query.prompt ? query.prompt->expected_output_tokens : 0;
     candidate.wait_ms +=
-        requests * kMsPerRunningRequest + over_slots * kMsPerWaitingRequest;
+        requests * (kMsPerRunningRequest +
+                    kMsPerRunningRequestAndToken * output_tokens) +
+        over_slots * kMsPerWaitingRequest;
     candidate.cost_ms += candidate.wait_ms + DistanceMs(*it) +
                          load.FailureShare(now) * kFailedCallMs +
                          (load.Avoided(now) ? kAvoidedMs : 0);
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -175,6 +175,36 @@
   BOOST_TEST((result.refusal.retry_after > Duration(0)));
 }
 
+// Pattern: long outputs while the batches are full. Guards against streams that
+// start at once, are slowed by the others, and miss their deadline midway
+// (trinacria-yard fresh-ed26: of the longest tenth a fifth was served).
+BOOST_AUTO_TEST_CASE(LongOutputsAvoidFullBatches) {
+  ReplicaView view;
+  view.Reset({MakeReplica("d1", Stage::kDecode),
+              MakeReplica("d2", Stage::kDecode, "far")},
+             At(0));
+  PromptShape prompt = MakePrompt(7, 0, 100);
+  PlacementQuery query = MakeQuery(prompt);
+  query.time_left = std::chrono::milliseconds(3200);
+  Placer placer = MakePlacer();
+  for (int n = 0; n < 3; ++n) {
+    placer.LoadOf(*view.Find("d1")).CallSent(0);
+  }
+  // A short answer stays near; a long one goes where the batch is empty.
+  query.prompt->expected_output_tokens = 5;
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement->target.id == "d1");
+  query.prompt->expected_output_tokens = 900;
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement->target.id == "d2");
+  // With both batches full, only the long one is refused.
+  for (int n = 0; n < 40; ++n) {
+    placer.LoadOf(*view.Find("d1")).CallSent(0);
+    placer.LoadOf(*view.Find("d2")).CallSent(0);
+  }
+  BOOST_TEST(!placer.Choose(view, query, At(0)).placement);
+  query.prompt->expected_output_tokens = 50;
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement.has_value());
+}
+
 // Pattern: a few very long documents among many short prompts. Guards against
 // short prompts that wait for long ones, and against ranks that are crossed.
 BOOST_AUTO_TEST_CASE(ShortPromptsGoFirstWithinTheirRank) {
