--- a/src/cli/front_command.cc
+++ b/src/cli/front_command.cc
@@ -35,9 +35,9 @@
     std::cerr << "endiveyard: " << status.message() << "\n";
     return kExitFailed;
   }
-  // Open requests are finished and nothing has to last. The exit handlers of
-  // linked libraries wait for threads, which held the process until it was
-  // killed at the end of its grace.
+  // Open requests are finished and nothing has to last. With an orderly end,
+  // the process stayed until it was killed at the end of its grace; whether our
+  // destructors or exit handlers of libraries held it is not known.
   std::_Exit(kExitOk);
 }
 
