Copy cached prompt parts between engines; share which engine caches what

A shared part was taken as cached at its home engine only, and for 30 s, though an engine under load replaces its whole cache in 6 to 10 s.

Change: CacheView records which engine has read which part, tells the others with the load reports, and counts a part as evicted by the tokens that were added after its last use. An engine that lacks parts copies them from one that has them.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -1,7 +1,6 @@
 #ifndef ENDIVEYARD_LOAD_EXCHANGE_LOAD_EXCHANGE_H_
 #define ENDIVEYARD_LOAD_EXCHANGE_LOAD_EXCHANGE_H_
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -9,7 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "absl/status/status.h"
-#include "endiveyard/load_exchange/load_report.h"
+#include "endiveyard/placement/placer.h"
 
 namespace endiveyard {
 
@@ -20,16 +19,15 @@
   std::vector<std::string> seeds;  // IP addresses
 };
 
-// Tells the other instances by UDP what this one has at the replicas, and
-// collects their reports. A lost or forged report distorts estimates only.
-// Single-threaded.
+// Tells the other instances by UDP what this one has at the replicas and which
+// prompt parts it knows in their caches, and collects their reports. A lost or
+// forged report distorts estimates only. Single-threaded.
 class LoadExchange {
  public:
-  // `own_work` is asked before each report.
+  // `placer` is asked before each report and told of each one received.
   LoadExchange(boost::asio::io_context& io,
                LoadExchangeOptions options,
-               std::function<std::vector<ReplicaWork>()> own_work,
-               PeerLoads* peer_loads);
+               Placer* placer);
   ~LoadExchange();
   LoadExchange(const LoadExchange&) = delete;
   LoadExchange& operator=(const LoadExchange&) = delete;
--- a/include/endiveyard/load_exchange/load_report.h
+++ b/include/endiveyard/load_exchange/load_report.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "endiveyard/placement/cache_view.h"
 #include "endiveyard/placement/peer_loads.h"
 
 namespace endiveyard {
@@ -17,6 +18,7 @@
   uint64_t sequence = 0;
   uint32_t region = 0;  // digest of the region's name
   std::vector<ReplicaWork> work;
+  std::vector<CacheNote> cached;
   std::vector<uint32_t> peers;  // IPv4 addresses
 
   bool operator==(const LoadReport& other) const;
--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
+#include "endiveyard/placement/cache_view.h"
 #include "endiveyard/placement/peer_loads.h"
+#include "endiveyard/placement/prompt_shape.h"
 #include "endiveyard/placement/replica_load.h"
 #include "endiveyard/placement/replica_view.h"
 #include "endiveyard/placement/service_map.h"
@@ -38,6 +40,9 @@
   Duration expected{};
   double prefill_uncached = 0;  // tokens that `prefill` has to read
   double target_uncached = 0;   // tokens that `target` has to read
+  // Engine from which whoever reads the prompt first copies cached parts.
+  std::optional<Replica> cache_source;
+  double copied = 0;  // tokens that are expected to be copied
 };
 
 // Why no placement was made, with the time after which trying again pays.
@@ -78,6 +83,9 @@
   // from the loads that replicas report.
   PeerLoads& peer_loads() { return peer_loads_; }
 
+  // Which engine holds which prompt parts, from own calls and the others.
+  CacheView& cache_view() { return cache_view_; }
+
   // Forgets replicas that are no longer registered.
   void Retain(const ReplicaView& view);
 
@@ -91,10 +99,26 @@
     ReplicaLoad load;
   };
   struct Candidate;
+  // An engine that holds leading parts of the prompt, `tokens` in all.
+  struct CacheSource {
+    const Replica* replica = nullptr;
+    double tokens = 0;
+  };
+
+  enum class Distance { kSameZone, kSameRegion, kOtherRegion };
 
+  Distance DistanceBetween(const std::string& from,
+                           const std::string& to) const;
   double DistanceMs(const Replica& replica) const;
+  double CopyMsPerToken(const Replica& from, const Replica& to) const;
+  // The engine of each failure domain that holds most of the prompt.
+  std::vector<CacheSource> CacheSources(
+      const std::vector<const Replica*>& replicas,
+      const PromptShape& prompt,
+      TimePoint now);
   std::vector<Candidate> Candidates(const std::vector<const Replica*>& replicas,
                                     const PlacementQuery& query,
+                                    const std::vector<CacheSource>& sources,
                                     double tokens_per_ms,
                                     double mean_uncached,
                                     TimePoint now);
@@ -102,6 +126,7 @@
   Location location_;
   std::map<std::string, KnownLoad> loads_;
   PeerLoads peer_loads_;
+  CacheView cache_view_;
   double prefill_tokens_per_ms_;
   Duration shortest_prefill_{};  // what a call takes beside the reading
   // Mean prompt tokens that a call leaves to read, by who reads them.
--- a/include/endiveyard/placement/replica_load.h
+++ b/include/endiveyard/placement/replica_load.h
@@ -1,40 +1,12 @@
 #ifndef ENDIVEYARD_PLACEMENT_REPLICA_LOAD_H_
 #define ENDIVEYARD_PLACEMENT_REPLICA_LOAD_H_
 
-#include <cstdint>
-#include <map>
 #include <optional>
-#include <string>
-#include <unordered_map>
-#include <vector>
 
 #include "endiveyard/base/time_point.h"
-#include "endiveyard/placement/replica_view.h"
 
 namespace endiveyard {
 
-// One part of a prompt. Parts are shared between requests, except the last.
-struct PromptPart {
-  uint64_t id = 0;
-  double tokens = 0;
-
-  bool operator==(const PromptPart& other) const;
-};
-
-// The prompt of a request for an engine.
-struct PromptShape {
-  double prompt_tokens = 0;
-  double max_output_tokens = 0;
-  double expected_output_tokens = 0;
-  std::vector<PromptPart> parts;
-
-  bool operator==(const PromptShape& other) const;
-};
-
-// Returns the id that requests with the same shared parts have in common: that
-// of the last part but one; 0 when the prompt has fewer than two parts.
-uint64_t SharedPrefixKey(const PromptShape& prompt);
-
 // Load that a replica reports with its answers.
 struct ReportedLoad {
   int running = 0;
@@ -48,22 +20,14 @@
 enum class CallResult { kAnswered, kFailed, kRejected, kUnreachable };
 
 // What this instance knows of the load of one replica incarnation: its own
-// calls in flight, the last report, recent failures, and the prompt parts that
-// its own calls left in the cache.
+// calls in flight, the last report and recent failures.
 class ReplicaLoad {
  public:
-  // Tokens of `prompt` that the replica has to read, by this view. A replica
-  // with `assumed_home` is taken to hold the shared parts.
-  double UncachedTokens(const PromptShape& prompt,
-                        bool assumed_home,
-                        TimePoint now) const;
-
   // Records that a call with `uncached` prompt tokens was sent / that its
   // prompt has been read / that it ended.
   void CallSent(double uncached);
   void PromptRead(double uncached);
   void CallEnded(CallResult result, TimePoint now);
-  void NoteCached(const PromptShape& prompt, TimePoint now);
   void Report(const ReportedLoad& load, TimePoint now);
 
   // Prompt tokens ahead of a new call: those of this instance, and an estimate
@@ -92,7 +56,6 @@
   TimePoint counted_at_{};
   int consecutive_failures_ = 0;
   TimePoint avoid_until_{};
-  std::unordered_map<uint64_t, TimePoint> cached_parts_;
 };
 
 }  // namespace endiveyard
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -65,10 +65,8 @@
   // Forgets the loads of replicas that are no longer registered.
   void ReplicasChanged();
 
-  // Work of this instance at the replicas, and where the work of the other
-  // instances is put for the placements.
-  std::vector<ReplicaWork> OwnWork() const;
-  PeerLoads* peer_loads();
+  // What the placements go by, for the exchange with the other instances.
+  Placer* placer();
 
   // Answers from now on close their connection. After `linger`, when the
   // entry of the platform sends no new callers, the listener and idle
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
+#include "endiveyard/placement/prompt_shape.h"
 #include "endiveyard/placement/replica_load.h"
 #include "endiveyard/placement/replica_view.h"
 
@@ -50,7 +51,8 @@
   Duration time_left{};
   int priority = 0;  // 0 is the most urgent
   bool read_prompt_only = false;
-  std::string kv_source;  // "IP:PORT/HANDLE", or empty
+  std::string kv_source;     // "IP:PORT/HANDLE", or empty
+  std::string cache_source;  // "IP:PORT" of an engine to copy from, or empty
   std::optional<int64_t> last_event_id;
 };
 
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -95,11 +95,7 @@
         metrics_listener_(
             io_,
             [this](std::string_view path) { return Admin(path); }),
-        load_exchange_(
-            io_,
-            MakeExchangeOptions(settings_),
-            [this] { return relay_.OwnWork(); },
-            relay_.peer_loads()),
+        load_exchange_(io_, MakeExchangeOptions(settings_), relay_.placer()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         housekeeping_timer_(io_) {}
 
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "endiveyard/base/digest.h"
+#include "endiveyard/load_exchange/load_report.h"
 #include "endiveyard/load_exchange/peer_directory.h"
 
 namespace endiveyard {
@@ -18,6 +19,8 @@
 
 // Largest report that is read; with 16 bytes a replica it covers 500.
 constexpr size_t kMaxDatagram = 8192;
+// Bounds a report; the rest follows in the next ones.
+constexpr size_t kMaxPartsPerReport = 48;
 // An instance without work tells so at this interval, so that it stays known.
 constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
 
@@ -31,13 +34,9 @@
 
 class LoadExchange::Impl : public std::enable_shared_from_this<Impl> {
  public:
-  Impl(asio::io_context& io,
-       LoadExchangeOptions options,
-       std::function<std::vector<ReplicaWork>()> own_work,
-       PeerLoads* peer_loads)
+  Impl(asio::io_context& io, LoadExchangeOptions options, Placer* placer)
       : options_(std::move(options)),
-        own_work_(std::move(own_work)),
-        peer_loads_(*peer_loads),
+        placer_(*placer),
         socket_(io),
         timer_(io),
         own_address_(ParseIp(options_.ip)),
@@ -105,7 +104,11 @@
     }
     const TimePoint now = BootClock::now();
     directory_.Heard(report->sender, report->region, report->peers, now);
-    peer_loads_.Update(report->sender, report->sequence, report->work, now);
+    placer_.peer_loads().Update(report->sender, report->sequence, report->work,
+                                now);
+    for (const CacheNote& it : report->cached) {
+      placer_.cache_view().NoteTold(it, now);
+    }
   }
 
   void Report() {
@@ -114,7 +117,8 @@
     report.sender = own_address_;
     report.sequence = ++sequence_;
     report.region = region_;
-    report.work = own_work_();
+    report.work = placer_.OwnWork();
+    report.cached = placer_.cache_view().TakeNews(kMaxPartsPerReport);
     const bool name_peers = now - named_at_ >= kProbeInterval;
     if (name_peers) {
       named_at_ = now;
@@ -123,8 +127,8 @@
     size_t recipients = 0;
     size_t bytes = 0;
     // The last report of work that has ended is sent once more, empty.
-    if (!report.work.empty() || had_work_ || name_peers ||
-        now - reported_at_ >= kIdleReportInterval) {
+    if (!report.work.empty() || !report.cached.empty() || had_work_ ||
+        name_peers || now - reported_at_ >= kIdleReportInterval) {
       had_work_ = !report.work.empty();
       reported_at_ = now;
       const std::string datagram = EncodeLoadReport(report);
@@ -137,7 +141,7 @@
                         udp::endpoint(asio::ip::address_v4(it), options_.port),
                         0, ec);
       }
-      peer_loads_.Expire(now);
+      placer_.peer_loads().Expire(now);
     }
     timer_.expires_after(PeerDirectory::ReportInterval(recipients, bytes));
     timer_.async_wait([self = shared_from_this()](error_code ec) {
@@ -148,8 +152,7 @@
   }
 
   const LoadExchangeOptions options_;
-  std::function<std::vector<ReplicaWork>()> own_work_;
-  PeerLoads& peer_loads_;
+  Placer& placer_;
   udp::socket socket_;
   asio::steady_timer timer_;
   const uint32_t own_address_;
@@ -165,12 +168,8 @@
 
 LoadExchange::LoadExchange(asio::io_context& io,
                            LoadExchangeOptions options,
-                           std::function<std::vector<ReplicaWork>()> own_work,
-                           PeerLoads* peer_loads)
-    : impl_(std::make_shared<Impl>(io,
-                                   std::move(options),
-                                   std::move(own_work),
-                                   peer_loads)) {}
+                           Placer* placer)
+    : impl_(std::make_shared<Impl>(io, std::move(options), placer)) {}
 
 LoadExchange::~LoadExchange() {
   impl_->Stop();
--- a/src/load_exchange/load_report.cc
+++ b/src/load_exchange/load_report.cc
@@ -18,9 +18,9 @@
 }  // namespace
 
 bool LoadReport::operator==(const LoadReport& other) const {
-  return std::tie(sender, sequence, region, work, peers) ==
+  return std::tie(sender, sequence, region, work, cached, peers) ==
          std::tie(other.sender, other.sequence, other.region, other.work,
-                  other.peers);
+                  other.cached, other.peers);
 }
 
 std::string EncodeLoadReport(const LoadReport& report) {
@@ -35,6 +35,16 @@
     work[n].setCalls(report.work[n].calls);
     work[n].setUnreadTokens(report.work[n].unread_tokens);
   }
+  auto cached = root.initCached(static_cast<unsigned>(report.cached.size()));
+  for (unsigned n = 0; n < cached.size(); ++n) {
+    cached[n].setEngineKey(report.cached[n].engine_key);
+    cached[n].setAddedTokens(report.cached[n].added_tokens);
+    const std::vector<uint64_t>& ids = report.cached[n].parts;
+    auto parts = cached[n].initParts(static_cast<unsigned>(ids.size()));
+    for (unsigned k = 0; k < parts.size(); ++k) {
+      parts.set(k, ids[k]);
+    }
+  }
   auto peers = root.initPeers(static_cast<unsigned>(report.peers.size()));
   for (unsigned n = 0; n < peers.size(); ++n) {
     peers.set(n, report.peers[n]);
@@ -63,6 +73,15 @@
       report.work.push_back(
           {it.getReplicaKey(), it.getCalls(), it.getUnreadTokens()});
     }
+    for (const auto it : root.getCached()) {
+      CacheNote note;
+      note.engine_key = it.getEngineKey();
+      note.added_tokens = it.getAddedTokens();
+      for (const uint64_t part : it.getParts()) {
+        note.parts.push_back(part);
+      }
+      report.cached.push_back(std::move(note));
+    }
     for (const uint32_t it : root.getPeers()) {
       report.peers.push_back(it);
     }
--- /dev/null
+++ b/src/placement/cache_view.cc
@@ -0,0 +1,177 @@
+#include "endiveyard/placement/cache_view.h"
+
+#include <algorithm>
+
+#include "endiveyard/base/digest.h"
+
+namespace endiveyard {
+namespace {
+
+// Tokens of cached parts that an engine keeps beside its running requests: the
+// smallest memory of the sheets (480,000) less 64 requests of 1,500 tokens.
+constexpr double kCacheTokens = 380000;
+// Parts that were not used for this long are forgotten, whatever was added.
+constexpr Duration kPartLifetime = std::chrono::seconds(60);
+// Parts in use are told again when this share of a cache was added since, for
+// instances that started meanwhile and for lost datagrams.
+constexpr double kTellAgainTokens = kCacheTokens / 4;
+// Bounds the memory of one engine's view; the oldest entries go first.
+constexpr size_t kMaxPartsPerEngine = 4096;
+
+// Bounds what forged reports can add: more engines than the largest fleet has
+// (12,000 replicas).
+constexpr size_t kMaxEngines = 20000;
+
+}  // namespace
+
+bool CacheView::Engine::Holds(const Part& part, TimePoint now) const {
+  return added - part.added_at_use < kCacheTokens &&
+         now - part.used < kPartLifetime;
+}
+
+uint64_t EngineKey(const Replica& engine) {
+  return Digest64(engine.id, static_cast<uint64_t>(engine.started_unix_ms));
+}
+
+void CacheView::NoteSent(uint64_t engine_key,
+                         const PromptShape& prompt,
+                         TimePoint now) {
+  Engine& engine = engines_[engine_key];
+  const double added = prompt.prompt_tokens -
+                       HeldTokens(engine_key, prompt, now) +
+                       prompt.expected_output_tokens;
+  engine.added += added;
+  engine.untold += added;
+  Note(engine_key, prompt, false, now);
+}
+
+void CacheView::NoteRead(uint64_t engine_key,
+                         const PromptShape& prompt,
+                         TimePoint now) {
+  Note(engine_key, prompt, true, now);
+}
+
+void CacheView::Note(uint64_t engine_key,
+                     const PromptShape& prompt,
+                     bool read,
+                     TimePoint now) {
+  Engine& engine = engines_[engine_key];
+  auto& parts = engine.parts;
+  for (size_t n = 0; n < prompt.parts.size(); ++n) {
+    Part& part = parts[prompt.parts[n].id];
+    if (!engine.Holds(part, now)) {
+      part = Part();
+    }
+    part.used = now;
+    part.added_at_use = engine.added;
+    part.read = part.read || read;
+    part.shared = n + 1 < prompt.parts.size();
+  }
+  if (parts.size() > kMaxPartsPerEngine) {
+    for (auto it = parts.begin(); it != parts.end();) {
+      it = now - it->second.used >= kPartLifetime / 2 ? parts.erase(it)
+                                                      : std::next(it);
+    }
+  }
+}
+
+void CacheView::NoteTold(const CacheNote& note, TimePoint now) {
+  if (engines_.size() >= kMaxEngines && engines_.count(note.engine_key) == 0) {
+    return;
+  }
+  Engine& engine = engines_[note.engine_key];
+  engine.added += note.added_tokens;
+  auto& parts = engine.parts;
+  for (const uint64_t it : note.parts) {
+    if (parts.size() >= kMaxPartsPerEngine && parts.count(it) == 0) {
+      return;
+    }
+    Part& part = parts[it];
+    part.used = now;
+    part.added_at_use = engine.added;
+    part.added_when_told = engine.added;
+    part.read = true;
+    part.shared = true;
+  }
+}
+
+template <typename Accept>
+double CacheView::LeadingTokens(uint64_t engine_key,
+                                const PromptShape& prompt,
+                                const Accept& accept) const {
+  const auto engine = engines_.find(engine_key);
+  if (engine == engines_.end()) {
+    return 0;
+  }
+  double tokens = 0;
+  for (const PromptPart& it : prompt.parts) {
+    const auto part = engine->second.parts.find(it.id);
+    if (part == engine->second.parts.end() ||
+        !accept(engine->second, part->second)) {
+      break;
+    }
+    tokens += it.tokens;
+  }
+  return std::min(tokens, std::max(0.0, prompt.prompt_tokens - 1));
+}
+
+double CacheView::HeldTokens(uint64_t engine_key,
+                             const PromptShape& prompt,
+                             TimePoint now) const {
+  return LeadingTokens(engine_key, prompt,
+                       [now](const Engine& engine, const Part& part) {
+                         return engine.Holds(part, now);
+                       });
+}
+
+double CacheView::CopyableTokens(uint64_t engine_key,
+                                 const PromptShape& prompt,
+                                 TimePoint now) const {
+  return LeadingTokens(engine_key, prompt,
+                       [now](const Engine& engine, const Part& part) {
+                         return part.read && engine.Holds(part, now);
+                       });
+}
+
+std::vector<CacheNote> CacheView::TakeNews(size_t max_parts) {
+  std::vector<CacheNote> news;
+  size_t n = 0;
+  for (auto& [engine_key, engine] : engines_) {
+    CacheNote note;
+    note.engine_key = engine_key;
+    note.added_tokens = static_cast<uint32_t>(engine.untold);
+    engine.untold = 0;
+    for (auto& [id, part] : engine.parts) {
+      const bool told =
+          part.added_when_told &&
+          part.added_at_use - *part.added_when_told < kTellAgainTokens;
+      if (n < max_parts && part.read && part.shared && !told) {
+        note.parts.push_back(id);
+        part.added_when_told = engine.added;
+        ++n;
+      }
+    }
+    if (note.added_tokens > 0 || !note.parts.empty()) {
+      news.push_back(std::move(note));
+    }
+  }
+  return news;
+}
+
+void CacheView::Retain(const std::vector<uint64_t>& engine_keys) {
+  for (auto it = engines_.begin(); it != engines_.end();) {
+    it = std::binary_search(engine_keys.begin(), engine_keys.end(), it->first)
+             ? std::next(it)
+             : engines_.erase(it);
+  }
+}
+
+size_t CacheView::size() const {
+  size_t n = 0;
+  for (const auto& [engine_key, engine] : engines_) {
+    n += engine.parts.size();
+  }
+  return n;
+}
+
+}  // namespace endiveyard
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -57,6 +57,15 @@
 // the whole fleet, and a price, beside the time of this request.
 constexpr double kReadAgainMsPerToken = 0.25;
 
+// Copying a cached token from another engine instead of reading it: the price
+// of the transfer (0.21 for each GB against 0.21 for 1,000 tokens read again,
+// 35 KB a token) and its time on a link, more across domains and regions.
+constexpr double kCopyMsPerToken = 0.01;
+constexpr double kCopyMsPerTokenOtherZone = 0.018;
+constexpr double kCopyMsPerTokenOtherRegion = 0.03;
+// A copy of fewer tokens takes as long to set up as reading them.
+constexpr double kMinCopiedTokens = 200;
+
 // Retry-After when no replica is registered: entries come back within about
 // two seconds of the registry's return.
 constexpr Duration kNoReplicaRetryAfter = std::chrono::milliseconds(700);
@@ -65,11 +74,17 @@
   return Duration(static_cast<int64_t>(ms * 1000));
 }
 
+// Returns the tokens of the parts that other requests have in common.
+double SharedTokens(const PromptShape& prompt) {
+  return prompt.parts.empty()
+             ? 0
+             : std::max(0.0, prompt.prompt_tokens - prompt.parts.back().tokens);
+}
+
 // Returns how many of the tokens to read belong to shared parts.
 double ReadAgainTokens(const PromptShape& prompt, double uncached) {
-  const double own =
-      prompt.parts.empty() ? prompt.prompt_tokens : prompt.parts.back().tokens;
-  return std::max(0.0, uncached - own);
+  return std::max(0.0,
+                  uncached - (prompt.prompt_tokens - SharedTokens(prompt)));
 }
 
 // Returns the replica that all instances take as the home of `key`.
@@ -91,7 +106,9 @@
 
 struct Placer::Candidate {
   const Replica* replica = nullptr;
+  const Replica* cache_source = nullptr;
   double uncached = 0;
+  double copied = 0;   // tokens from `cache_source`
   double wait_ms = 0;  // until the prompt is read
   double cost_ms = 0;  // wait and everything else that counts
   double requests = 0;
@@ -123,11 +140,17 @@
 }
 
 void Placer::Retain(const ReplicaView& view) {
+  std::vector<uint64_t> engine_keys;
   for (auto it = loads_.begin(); it != loads_.end();) {
+    const Replica* replica = view.Find(it->first);
+    if (replica != nullptr) {
+      engine_keys.push_back(EngineKey(*replica));
+    }
     const bool idle = it->second.load.own_calls() == 0;
-    it = idle && view.Find(it->first) == nullptr ? loads_.erase(it)
-                                                 : std::next(it);
+    it = idle && replica == nullptr ? loads_.erase(it) : std::next(it);
   }
+  std::sort(engine_keys.begin(), engine_keys.end());
+  cache_view_.Retain(engine_keys);
 }
 
 std::vector<ReplicaWork> Placer::OwnWork() const {
@@ -155,27 +178,88 @@
       sample > prefill_tokens_per_ms_ ? 1 + kSpeedRise : 1 - kSpeedFall;
 }
 
-double Placer::DistanceMs(const Replica& replica) const {
-  if (replica.zone == location_.zone) {
-    return 0;
+Placer::Distance Placer::DistanceBetween(const std::string& from,
+                                         const std::string& to) const {
+  if (from == to) {
+    return Distance::kSameZone;
   }
-  const auto here = location_.region_of_zone.find(location_.zone);
-  const auto there = location_.region_of_zone.find(replica.zone);
+  const auto here = location_.region_of_zone.find(from);
+  const auto there = location_.region_of_zone.find(to);
   const bool same_region = here != location_.region_of_zone.end() &&
                            there != location_.region_of_zone.end() &&
                            here->second == there->second;
-  return same_region ? kOtherZoneMs : kOtherRegionMs;
+  return same_region ? Distance::kSameRegion : Distance::kOtherRegion;
+}
+
+double Placer::DistanceMs(const Replica& replica) const {
+  switch (DistanceBetween(location_.zone, replica.zone)) {
+    case Distance::kSameZone:
+      return 0;
+    case Distance::kSameRegion:
+      return kOtherZoneMs;
+    case Distance::kOtherRegion:
+      break;
+  }
+  return kOtherRegionMs;
+}
+
+double Placer::CopyMsPerToken(const Replica& from, const Replica& to) const {
+  switch (DistanceBetween(from.zone, to.zone)) {
+    case Distance::kSameZone:
+      return kCopyMsPerToken;
+    case Distance::kSameRegion:
+      return kCopyMsPerTokenOtherZone;
+    case Distance::kOtherRegion:
+      break;
+  }
+  return kCopyMsPerTokenOtherRegion;
+}
+
+std::vector<Placer::CacheSource> Placer::CacheSources(
+    const std::vector<const Replica*>& replicas,
+    const PromptShape& prompt,
+    TimePoint now) {
+  std::map<std::string_view, CacheSource> best;
+  for (const Replica* it : replicas) {
+    const ReplicaLoad& load = LoadOf(*it);
+    if (load.Avoided(now)) {
+      continue;
+    }
+    const double tokens =
+        cache_view_.CopyableTokens(EngineKey(*it), prompt, now);
+    CacheSource& source = best[it->zone];
+    if (tokens >= kMinCopiedTokens && tokens > source.tokens) {
+      source = {it, tokens};
+    }
+  }
+  std::vector<CacheSource> sources;
+  for (const auto& [zone, source] : best) {
+    if (source.replica != nullptr) {
+      sources.push_back(source);
+    }
+  }
+  return sources;
 }
 
 std::vector<Placer::Candidate> Placer::Candidates(
     const std::vector<const Replica*>& replicas,
     const PlacementQuery& query,
+    const std::vector<CacheSource>& sources,
     double tokens_per_ms,
     double mean_uncached,
     TimePoint now) {
+  // Until some engine is known to hold the shared parts, all instances take
+  // the same one as the place where they are.
   const Replica* home = nullptr;
+  double shared_tokens = 0;
   if (query.prompt) {
-    if (const uint64_t key = SharedPrefixKey(*query.prompt); key != 0) {
+    shared_tokens = SharedTokens(*query.prompt);
+    const bool held = std::any_of(sources.begin(), sources.end(),
+                                  [shared_tokens](const CacheSource& it) {
+                                    return it.tokens >= shared_tokens;
+                                  });
+    const uint64_t key = SharedPrefixKey(*query.prompt);
+    if (key != 0 && !held) {
       home = HomeOf(replicas, key);
     }
   }
@@ -190,7 +274,31 @@
     Candidate candidate;
     candidate.replica = it;
     if (query.prompt) {
-      candidate.uncached = load.UncachedTokens(*query.prompt, it == home, now);
+      const double held =
+          cache_view_.HeldTokens(EngineKey(*it), *query.prompt, now);
+      candidate.uncached = std::max(
+          1.0, query.prompt->prompt_tokens -
+                   (it == home ? std::max(held, shared_tokens) : held));
+      double copy_ms = 0;
+      const double local_uncached = candidate.uncached;
+      double best_saved_ms = 0;
+      for (const CacheSource& source : sources) {
+        const double copied =
+            local_uncached - (query.prompt->prompt_tokens - source.tokens);
+        if (source.replica == it || copied < kMinCopiedTokens) {
+          continue;
+        }
+        const double ms = copied * CopyMsPerToken(*source.replica, *it);
+        const double saved_ms =
+            copied * (1 / tokens_per_ms + kReadAgainMsPerToken) - ms;
+        if (saved_ms > best_saved_ms) {
+          best_saved_ms = saved_ms;
+          copy_ms = ms;
+          candidate.cache_source = source.replica;
+          candidate.copied = copied;
+          candidate.uncached = std::max(1.0, local_uncached - copied);
+        }
+      }
       const double queue_ms =
           (peers_heard
                ? load.own_unread_tokens() + peer_loads_.UnreadTokens(key, now)
@@ -198,7 +306,8 @@
           tokens_per_ms;
       candidate.wait_ms = queue_ms + candidate.uncached / tokens_per_ms;
       candidate.cost_ms = ReadAgainTokens(*query.prompt, candidate.uncached) *
-                          kReadAgainMsPerToken;
+                              kReadAgainMsPerToken +
+                          copy_ms;
     }
     const double requests = peers_heard
                                 ? load.own_calls() + peer_loads_.Calls(key, now)
@@ -224,13 +333,18 @@
                                TimePoint now) {
   std::vector<const Replica*> prefill;
   std::vector<const Replica*> running;
-  for (const Replica* it : view.Usable(query.service)) {
+  const std::vector<const Replica*> usable = view.Usable(query.service);
+  for (const Replica* it : usable) {
     (it->stage == Stage::kPrefill ? prefill : running).push_back(it);
   }
   const double read_speed =
       prefill_tokens_per_ms_ * (prefill.empty() ? 1 : kDecodeReadShare);
-  std::vector<Candidate> direct =
-      Candidates(running, query, read_speed, mean_uncached_direct_, now);
+  std::vector<CacheSource> sources;
+  if (query.prompt) {
+    sources = CacheSources(usable, *query.prompt, now);
+  }
+  std::vector<Candidate> direct = Candidates(
+      running, query, sources, read_speed, mean_uncached_direct_, now);
   PlacementResult result;
   if (direct.empty()) {
     result.refusal = {PlacementRefusal::Reason::kNoReplica,
@@ -242,13 +356,14 @@
   Placement placement;
   placement.target = *best_direct.replica;
   placement.target_uncached = best_direct.uncached;
+  const Candidate* reading = &best_direct;
   double expected_ms = best_direct.wait_ms;
 
   const bool read_apart = query.prompt && query.may_read_apart &&
                           query.prompt->prompt_tokens >= kMinReadApartTokens;
   std::vector<Candidate> readers;
   if (read_apart) {
-    readers = Candidates(prefill, query, prefill_tokens_per_ms_,
+    readers = Candidates(prefill, query, sources, prefill_tokens_per_ms_,
                          mean_uncached_apart_, now);
   }
   if (!readers.empty()) {
@@ -276,6 +391,7 @@
       placement.prefill_uncached = reader.uncached;
       placement.target = *runner->replica;
       placement.target_uncached = 0;
+      reading = &reader;
       expected_ms = reader.wait_ms + std::max(0.0, runner_ms);
     }
   }
@@ -288,6 +404,10 @@
              mean) *
             kMeanWeight;
   }
+  if (reading->cache_source != nullptr) {
+    placement.cache_source = *reading->cache_source;
+    placement.copied = reading->copied;
+  }
   placement.expected = FromMs(expected_ms);
   if (placement.expected >= query.time_left) {
     result.refusal = {PlacementRefusal::Reason::kTooLate,
--- /dev/null
+++ b/src/placement/prompt_shape.cc
@@ -0,0 +1,22 @@
+#include "endiveyard/placement/prompt_shape.h"
+
+#include <tuple>
+
+namespace endiveyard {
+
+bool PromptPart::operator==(const PromptPart& other) const {
+  return id == other.id && tokens == other.tokens;
+}
+
+bool PromptShape::operator==(const PromptShape& other) const {
+  return std::tie(prompt_tokens, max_output_tokens, expected_output_tokens,
+                  parts) == std::tie(other.prompt_tokens,
+                                     other.max_output_tokens,
+                                     other.expected_output_tokens, other.parts);
+}
+
+uint64_t SharedPrefixKey(const PromptShape& prompt) {
+  return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
+}
+
+}  // namespace endiveyard
--- a/src/placement/replica_load.cc
+++ b/src/placement/replica_load.cc
@@ -15,11 +15,6 @@
 // of its requests, short enough to forgive one that has recovered.
 constexpr Duration kFailureHalfLife = std::chrono::seconds(3);
 
-// Cached parts that were not used for this long are taken to be evicted.
-constexpr Duration kCachedPartLifetime = std::chrono::seconds(30);
-// Bounds the memory of one replica's view; the oldest entries go first.
-constexpr size_t kMaxCachedParts = 4096;
-
 // Pause after consecutive failures, doubled for each, up to the last.
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(250);
 constexpr int kMaxAvoidanceDoublings = 4;
@@ -31,43 +26,11 @@
 
 }  // namespace
 
-bool PromptPart::operator==(const PromptPart& other) const {
-  return id == other.id && tokens == other.tokens;
-}
-
-bool PromptShape::operator==(const PromptShape& other) const {
-  return std::tie(prompt_tokens, max_output_tokens, expected_output_tokens,
-                  parts) == std::tie(other.prompt_tokens,
-                                     other.max_output_tokens,
-                                     other.expected_output_tokens, other.parts);
-}
-
 bool ReportedLoad::operator==(const ReportedLoad& other) const {
   return std::tie(running, waiting, slots) ==
          std::tie(other.running, other.waiting, other.slots);
 }
 
-uint64_t SharedPrefixKey(const PromptShape& prompt) {
-  return prompt.parts.size() < 2 ? 0 : prompt.parts[prompt.parts.size() - 2].id;
-}
-
-double ReplicaLoad::UncachedTokens(const PromptShape& prompt,
-                                   bool assumed_home,
-                                   TimePoint now) const {
-  double cached = 0;
-  for (size_t n = 0; n < prompt.parts.size(); ++n) {
-    const auto it = cached_parts_.find(prompt.parts[n].id);
-    const bool known =
-        it != cached_parts_.end() && now - it->second < kCachedPartLifetime;
-    const bool shared = n + 1 < prompt.parts.size();
-    if (!known && !(assumed_home && shared)) {
-      break;
-    }
-    cached += prompt.parts[n].tokens;
-  }
-  return std::max(1.0, prompt.prompt_tokens - cached);
-}
-
 void ReplicaLoad::CallSent(double uncached) {
   ++own_calls_;
   own_unread_tokens_ += uncached;
@@ -106,18 +69,6 @@
   }
 }
 
-void ReplicaLoad::NoteCached(const PromptShape& prompt, TimePoint now) {
-  for (const PromptPart& it : prompt.parts) {
-    cached_parts_[it.id] = now;
-  }
-  if (cached_parts_.size() > kMaxCachedParts) {
-    for (auto it = cached_parts_.begin(); it != cached_parts_.end();) {
-      it = now - it->second >= kCachedPartLifetime / 2 ? cached_parts_.erase(it)
-                                                       : std::next(it);
-    }
-  }
-}
-
 void ReplicaLoad::Report(const ReportedLoad& load, TimePoint now) {
   report_ = load;
   own_calls_at_report_ = own_calls_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -159,12 +159,8 @@
   impl_->core().placer.Retain(impl_->core().beliefs.replicas);
 }
 
-std::vector<ReplicaWork> Relay::OwnWork() const {
-  return impl_->core().placer.OwnWork();
-}
-
-PeerLoads* Relay::peer_loads() {
-  return &impl_->core().placer.peer_loads();
+Placer* Relay::placer() {
+  return &impl_->core().placer;
 }
 
 void Relay::StartDraining(Duration linger, TimePoint end) {
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -172,6 +172,9 @@
       .Integer("uncached", static_cast<int64_t>(
                                placement.prefill ? placement.prefill_uncached
                                                  : placement.target_uncached))
+      .Text("cache_source",
+            placement.cache_source ? placement.cache_source->id : "")
+      .Integer("copied", static_cast<int64_t>(placement.copied))
       .Integer("output",
                facts_.prompt
                    ? static_cast<int64_t>(facts_.prompt->expected_output_tokens)
@@ -210,7 +213,8 @@
   const TimePoint now = BootClock::now();
   ReplicaLoad& load = core_->placer.LoadOf(*placement.prefill);
   load.CallSent(placement.prefill_uncached);
-  load.NoteCached(*facts_.prompt, now);
+  core_->placer.cache_view().NoteSent(EngineKey(*placement.prefill),
+                                      *facts_.prompt, now);
   active_ = ActiveCall();
   active_->replica = *placement.prefill;
   active_->unread_tokens = placement.prefill_uncached;
@@ -225,6 +229,9 @@
   CallHeaders headers = MakeCallHeaders(*placement.prefill);
   headers.read_prompt_only = true;
   headers.last_event_id.reset();
+  if (placement.cache_source) {
+    headers.cache_source = AddressOf(*placement.cache_source);
+  }
   request.headers = core_->protocol.EncodeCall(forwarded_, headers);
   request.body = request_.body;
   request.request_id = facts_.request_id;
@@ -276,6 +283,8 @@
   CallResult result = CallResult::kFailed;
   if (kv) {
     result = CallResult::kAnswered;
+    core_->placer.cache_view().NoteRead(EngineKey(ended.replica),
+                                        *facts_.prompt, now);
     const auto took = std::chrono::duration_cast<Duration>(now - ended.sent);
     core_->placer.ObservePrefill(ended.unread_tokens, took);
   } else if (ended.facts.not_run) {
@@ -362,6 +371,10 @@
   }
   ReplicaLoad& load = core_->placer.LoadOf(placement.target);
   load.CallSent(placement.target_uncached);
+  if (facts_.prompt) {
+    core_->placer.cache_view().NoteSent(EngineKey(placement.target),
+                                        *facts_.prompt, now);
+  }
   active_ = ActiveCall();
   active_->replica = placement.target;
   active_->unread_tokens = placement.target_uncached;
@@ -376,6 +389,8 @@
   CallHeaders headers = MakeCallHeaders(placement.target);
   if (kv) {
     headers.kv_source = AddressOf(*kv_holder_) + "/" + kv->handle;
+  } else if (placement.cache_source) {
+    headers.cache_source = AddressOf(*placement.cache_source);
   }
   if (scanner_.last_id()) {
     headers.last_event_id = scanner_.last_id();
@@ -431,8 +446,8 @@
     core_->placer.LoadOf(active_->replica).PromptRead(active_->unread_tokens);
     active_->unread_tokens = 0;
     if (active_->streaming && facts_.prompt) {
-      core_->placer.LoadOf(active_->replica)
-          .NoteCached(*facts_.prompt, active_->last_bytes);
+      core_->placer.cache_view().NoteRead(EngineKey(active_->replica),
+                                          *facts_.prompt, active_->last_bytes);
     }
   }
   if (active_->streaming) {
--- a/tests/load_exchange/load_report_test.cc
+++ b/tests/load_exchange/load_report_test.cc
@@ -11,6 +11,7 @@
   report.sequence = 17;
   report.region = 99;
   report.work = {{1, 2, 3}, {0xffffffffffffffff, 64, 540000}};
+  report.cached = {{5, 12000, {0x5c1e07a2, 7}}, {0xfffffffffffffffe, 0, {9}}};
   report.peers = {0x0a010027, 0x0a020001};
   return report;
 }
--- /dev/null
+++ b/tests/placement/cache_view_test.cc
@@ -0,0 +1,144 @@
+#include "endiveyard/placement/cache_view.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace endiveyard {
+namespace {
+
+constexpr uint64_t kEngine = 11;
+
+TimePoint At(int64_t millis) {
+  return TimePointFromMicros(millis * 1000);
+}
+
+PromptShape MakePrompt(uint64_t document, uint64_t own, double own_tokens) {
+  PromptShape prompt;
+  prompt.prompt_tokens = 5000 + own_tokens;
+  prompt.parts = {{document, 5000}, {own, own_tokens}};
+  return prompt;
+}
+
+}  // namespace
+
+// Guards against copies of parts that the engine has yet to read: it would send
+// nothing, and the prompt is read in full a second time.
+BOOST_AUTO_TEST_CASE(PartsCanBeCopiedOnceTheyAreRead) {
+  CacheView view;
+  const PromptShape prompt = MakePrompt(1, 2, 1000);
+  view.NoteSent(kEngine, prompt, At(0));
+  const PromptShape other = MakePrompt(1, 3, 1000);
+  BOOST_TEST(view.HeldTokens(kEngine, other, At(1)) == 5000);
+  BOOST_TEST(view.CopyableTokens(kEngine, other, At(1)) == 0);
+  view.NoteRead(kEngine, prompt, At(100));
+  BOOST_TEST(view.CopyableTokens(kEngine, other, At(101)) == 5000);
+  // One token at least is left to read, also of a prompt that came before.
+  BOOST_TEST(view.CopyableTokens(kEngine, prompt, At(101)) == 5999);
+  BOOST_TEST(view.HeldTokens(kEngine + 1, other, At(101)) == 0);
+}
+
+// Pattern: engines under load read a whole cache of prompts in a few seconds.
+// Guards against a view that keeps evicted parts for a fixed time: 14% of the
+// shared tokens of a played day were read again where they were taken as held.
+BOOST_AUTO_TEST_CASE(PartsAreEvictedByWhatWasAddedSinceTheirUse) {
+  CacheView view;
+  const PromptShape unused = MakePrompt(1, 2, 1000);
+  const PromptShape used = MakePrompt(3, 4, 1000);
+  view.NoteRead(kEngine, unused, At(0));
+  view.NoteRead(kEngine, used, At(0));
+  for (uint64_t n = 0; n < 40; ++n) {
+    view.NoteSent(kEngine, MakePrompt(100 + n, 200 + n, 5000),
+                  At(static_cast<int64_t>(n)));
+    view.NoteRead(kEngine, used, At(static_cast<int64_t>(n)));
+  }
+  BOOST_TEST(view.CopyableTokens(kEngine, unused, At(40)) == 0);
+  BOOST_TEST(view.CopyableTokens(kEngine, used, At(40)) == 5999);
+}
+
+// Pattern: many instances fill the same engine, each with a small share.
+// Guards against counting the own share only.
+BOOST_AUTO_TEST_CASE(TokensAddedByOthersEvictToo) {
+  CacheView view;
+  const PromptShape prompt = MakePrompt(1, 2, 1000);
+  view.NoteRead(kEngine, prompt, At(0));
+  view.NoteTold({kEngine, 200000, {}}, At(10));
+  BOOST_TEST(view.CopyableTokens(kEngine, prompt, At(10)) > 0);
+  view.NoteTold({kEngine, 200000, {}}, At(20));
+  BOOST_TEST(view.CopyableTokens(kEngine, prompt, At(20)) == 0);
+}
+
+// Guards against reports that grow with the number of requests: a part is told
+// once, by one instance, until a good part of the cache was replaced.
+BOOST_AUTO_TEST_CASE(NewsIsToldOnce) {
+  CacheView view;
+  const PromptShape prompt = MakePrompt(1, 2, 1000);
+  view.NoteSent(kEngine, prompt, At(0));
+  auto news = view.TakeNews(10);
+  BOOST_REQUIRE(news.size() == 1u);
+  BOOST_TEST(news[0].parts.empty());
+  BOOST_TEST(news[0].added_tokens == 6000u);
+
+  view.NoteRead(kEngine, prompt, At(100));
+  news = view.TakeNews(10);
+  BOOST_REQUIRE(news.size() == 1u);
+  // The own part of a request is of no use to the others.
+  BOOST_TEST((news[0] == CacheNote{kEngine, 0, {1}}));
+
+  view.NoteRead(kEngine, MakePrompt(1, 3, 1000), At(200));
+  BOOST_TEST(view.TakeNews(10).empty());
+
+  CacheView peer;
+  peer.NoteTold({kEngine, 6000, {1}}, At(150));
+  peer.NoteRead(kEngine, MakePrompt(1, 3, 1000), At(200));
+  BOOST_TEST(peer.TakeNews(10).empty());
+  peer.NoteTold({kEngine, 200000, {}}, At(300));
+  peer.NoteRead(kEngine, MakePrompt(1, 3, 1000), At(400));
+  BOOST_TEST(peer.TakeNews(10).size() == 1u);
+}
+
+// Guards against a report that no datagram holds.
+BOOST_AUTO_TEST_CASE(NewsIsBounded) {
+  CacheView view;
+  for (uint64_t n = 1; n <= 100; ++n) {
+    view.NoteRead(kEngine, MakePrompt(n, 1000 + n, 10), At(0));
+  }
+  const auto first = view.TakeNews(30);
+  BOOST_REQUIRE(first.size() == 1u);
+  BOOST_TEST(first[0].parts.size() == 30u);
+  size_t rest = 0;
+  for (const CacheNote& it : view.TakeNews(1000)) {
+    rest += it.parts.size();
+  }
+  BOOST_TEST(rest == 70u);
+}
+
+// Guards against forged reports that grow the view without bound.
+BOOST_AUTO_TEST_CASE(ToldPartsAreBounded) {
+  CacheView view;
+  for (uint64_t n = 0; n < 10000; ++n) {
+    view.NoteTold({kEngine, 0, {n}}, At(0));
+  }
+  BOOST_TEST(view.size() <= 4096u);
+  for (uint64_t n = 0; n < 100000; ++n) {
+    view.NoteTold({n, 0, {1}}, At(0));
+  }
+  BOOST_TEST(view.size() <= 24096u);
+}
+
+// Guards against taking an engine that started again for what it was.
+BOOST_AUTO_TEST_CASE(ARestartIsAnotherEngine) {
+  Replica engine;
+  engine.id = "e1";
+  engine.started_unix_ms = 1000;
+  const uint64_t before = EngineKey(engine);
+  engine.started_unix_ms = 2000;
+  const uint64_t after = EngineKey(engine);
+  BOOST_TEST(before != after);
+  CacheView view;
+  const PromptShape prompt = MakePrompt(1, 2, 1000);
+  view.NoteRead(before, prompt, At(0));
+  BOOST_TEST(view.HeldTokens(after, prompt, At(1)) == 0);
+  view.Retain({after});
+  BOOST_TEST(view.HeldTokens(before, prompt, At(1)) == 0);
+}
+
+}  // namespace endiveyard
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -106,6 +106,49 @@
   BOOST_TEST(later->id == home->id);
 }
 
+// Pattern: one document becomes hot and its engine is busy. Guards against
+// reading its shared part again where it can be copied from the engine that
+// holds it.
+BOOST_AUTO_TEST_CASE(SharedPartsAreCopiedFromABusyEngine) {
+  const ReplicaView view = FourEngines();
+  Placer placer = MakePlacer();
+  const auto query = MakeQuery(MakePrompt(7, 5000, 6000));
+  const auto home = placer.Choose(view, query, At(0)).placement->prefill;
+  BOOST_REQUIRE(home);
+  placer.cache_view().NoteRead(EngineKey(*home), MakePrompt(7, 5000, 10, 2),
+                               At(0));
+  placer.LoadOf(*home).CallSent(40000);
+  const auto placed = placer.Choose(view, query, At(0)).placement;
+  BOOST_REQUIRE(placed);
+  BOOST_REQUIRE(placed->prefill);
+  BOOST_TEST(placed->prefill->id != home->id);
+  BOOST_REQUIRE(placed->cache_source);
+  BOOST_TEST(placed->cache_source->id == home->id);
+  BOOST_TEST(placed->copied == 5000);
+  BOOST_TEST(placed->prefill_uncached == 6000);
+}
+
+// Guards against copies from an engine that answers nothing, and from one that
+// was only sent the prompt.
+BOOST_AUTO_TEST_CASE(NothingIsCopiedFromFailingOrUnreadEngines) {
+  const ReplicaView view = FourEngines();
+  Placer placer = MakePlacer();
+  const auto query = MakeQuery(MakePrompt(7, 5000, 6000));
+  const auto home = placer.Choose(view, query, At(0)).placement->prefill;
+  BOOST_REQUIRE(home);
+  const uint64_t key = EngineKey(*home);
+  placer.cache_view().NoteSent(key, MakePrompt(7, 5000, 10, 2), At(0));
+  placer.LoadOf(*home).CallSent(400000);
+  auto placed = placer.Choose(view, query, At(0)).placement;
+  BOOST_REQUIRE(placed);
+  BOOST_TEST(!placed->cache_source);
+  placer.cache_view().NoteRead(key, MakePrompt(7, 5000, 10, 2), At(0));
+  placer.LoadOf(*home).CallEnded(CallResult::kUnreachable, At(0));
+  placed = placer.Choose(view, query, At(0)).placement;
+  BOOST_REQUIRE(placed);
+  BOOST_TEST(!placed->cache_source);
+}
+
 // Pattern: short tags between long documents. Guards against a second call and
 // a transfer for prompts that are read in a few milliseconds.
 BOOST_AUTO_TEST_CASE(ShortPromptsAreReadWhereTheyRun) {
--- a/tests/platform/engine_protocol_test.cc
+++ b/tests/platform/engine_protocol_test.cc
@@ -73,6 +73,17 @@
   BOOST_TEST(encoded.size() == 6u);
 }
 
+// Guards against a copy that is not asked for, or asked of a caller's choice.
+BOOST_AUTO_TEST_CASE(CachedPartsAreCopiedFromTheNamedEngine) {
+  const EngineProtocol protocol;
+  CallHeaders call;
+  call.expected_replica = "i-1";
+  call.cache_source = "10.1.64.9:8080";
+  const HeaderList encoded =
+      protocol.EncodeCall({{"Kv-Fetch", "10.0.0.1:1"}}, call);
+  BOOST_TEST(Value(encoded, "Kv-Fetch") == "10.1.64.9:8080");
+}
+
 // Guards against a refusal that is taken for a run, and the reverse.
 BOOST_AUTO_TEST_CASE(AnswersAreClassified) {
   const EngineProtocol protocol;
