Choose reader and runner together; tell the first output from the last

Cause: the cost of a run after a read elsewhere held the price of reading shared parts again, which does not occur there, and 10 ms for a transfer to another region that is priced three times. Readers were charged for the output of the batch, which they do not produce. All of an output was counted against the caller's patience for the first token: requests with 600 tokens and more were refused in moderate load.

Change: pairs of reader and runner with the transfer by length and distance; the first output is held against the patience, the last one against the deadline.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -28,12 +28,12 @@
   std::string service;
   std::optional<PromptShape> prompt;  // absent for plain services
   std::set<std::string> excluded;     // ids of replicas that already failed it
-  Duration time_left{};
-  bool may_read_apart = true;  // false after a read apart failed
+  Duration time_left{};               // until the deadline
+  Duration first_output_left{};  // that the caller waits for the first output
+  bool may_read_apart = true;    // false after a read apart failed
 };
 
-// Where a request goes. `expected` is the time until the first output, and what
-// the other requests of the batch add until the last.
+// Where a request goes. `expected` is the time until the first output.
 struct Placement {
   std::optional<Replica> prefill;  // reads the prompt first
   Replica target;                  // runs the request
@@ -116,6 +116,21 @@
       const std::vector<const Replica*>& replicas,
       const PromptShape& prompt,
       TimePoint now);
+  struct ApartChoice {
+    const Candidate* reader = nullptr;
+    const Candidate* runner = nullptr;
+    double cost_ms = 0;
+  };
+  // The cheapest pair of engines to read a prompt and to run it afterwards. The
+  // KV cache crosses the links between them.
+  std::optional<ApartChoice> BestApart(const std::vector<Candidate>& readers,
+                                       const std::vector<Candidate>& runners,
+                                       double prompt_tokens) const;
+  // Chooses where the candidate copies cached parts from, if that pays.
+  void CopyFromBestSource(const PromptShape& prompt,
+                          const std::vector<CacheSource>& sources,
+                          double tokens_per_ms,
+                          Candidate* candidate) const;
   std::vector<Candidate> Candidates(const std::vector<const Replica*>& replicas,
                                     const PlacementQuery& query,
                                     const std::vector<CacheSource>& sources,
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -37,6 +37,8 @@
 // the sheets of both deployments. A long output is slowed most by a full batch,
 // and is refused where this alone takes longer than its caller waits.
 constexpr double kMsPerRunningRequestAndToken = 0.12;
+// Time of an output token in an empty batch, from the same sheets.
+constexpr double kMsPerOutputToken = 3.03;
 // Requests beyond the slots wait for one to end.
 constexpr double kMsPerWaitingRequest = 60;
 // Cost of a call that is wasted on a replica that fails part of its calls.
@@ -108,13 +110,20 @@
   const Replica* replica = nullptr;
   const Replica* cache_source = nullptr;
   double uncached = 0;
-  double copied = 0;   // tokens from `cache_source`
-  double wait_ms = 0;  // until the prompt is read
-  double cost_ms = 0;  // wait and everything else that counts
+  double copied = 0;     // tokens from `cache_source`
+  double queue_ms = 0;   // reading the prompts ahead
+  double read_ms = 0;    // reading this prompt
+  double batch_ms = 0;   // delay of the first token by the batch
+  double decode_ms = 0;  // what the batch adds to the output tokens
+  double cache_ms = 0;   // cost of copying and of reading shared parts again
+  double detour_ms = 0;  // cost of distance and of likely failure
   double requests = 0;
 
-  bool operator<(const Candidate& other) const {
-    return cost_ms < other.cost_ms;
+  double FirstOutputMs() const { return queue_ms + read_ms + batch_ms; }
+  double ReadCostMs() const { return FirstOutputMs() + cache_ms + detour_ms; }
+  // Of a run whose prompt was read elsewhere.
+  double RunCostMs() const {
+    return queue_ms + batch_ms + decode_ms + detour_ms;
   }
 };
 
@@ -279,55 +288,86 @@
       candidate.uncached = std::max(
           1.0, query.prompt->prompt_tokens -
                    (it == home ? std::max(held, shared_tokens) : held));
-      double copy_ms = 0;
-      const double local_uncached = candidate.uncached;
-      double best_saved_ms = 0;
-      for (const CacheSource& source : sources) {
-        const double copied =
-            local_uncached - (query.prompt->prompt_tokens - source.tokens);
-        if (source.replica == it || copied < kMinCopiedTokens) {
-          continue;
-        }
-        const double ms = copied * CopyMsPerToken(*source.replica, *it);
-        const double saved_ms =
-            copied * (1 / tokens_per_ms + kReadAgainMsPerToken) - ms;
-        if (saved_ms > best_saved_ms) {
-          best_saved_ms = saved_ms;
-          copy_ms = ms;
-          candidate.cache_source = source.replica;
-          candidate.copied = copied;
-          candidate.uncached = std::max(1.0, local_uncached - copied);
-        }
-      }
-      const double queue_ms =
+      CopyFromBestSource(*query.prompt, sources, tokens_per_ms, &candidate);
+      candidate.queue_ms =
           (peers_heard
                ? load.own_unread_tokens() + peer_loads_.UnreadTokens(key, now)
                : load.QueuedTokens(mean_uncached, now)) /
           tokens_per_ms;
-      candidate.wait_ms = queue_ms + candidate.uncached / tokens_per_ms;
-      candidate.cost_ms = ReadAgainTokens(*query.prompt, candidate.uncached) *
-                              kReadAgainMsPerToken +
-                          copy_ms;
+      candidate.read_ms = candidate.uncached / tokens_per_ms;
+      candidate.cache_ms += ReadAgainTokens(*query.prompt, candidate.uncached) *
+                            kReadAgainMsPerToken;
     }
-    const double requests = peers_heard
-                                ? load.own_calls() + peer_loads_.Calls(key, now)
-                                : load.Requests(now);
+    candidate.requests = peers_heard
+                             ? load.own_calls() + peer_loads_.Calls(key, now)
+                             : load.Requests(now);
     const double over_slots =
-        it->slots > 0 ? std::max(0.0, requests - it->slots) : 0;
-    const double output_tokens =
-        query.prompt ? query.prompt->expected_output_tokens : 0;
-    candidate.wait_ms +=
-        requests * (kMsPerRunningRequest +
-                    kMsPerRunningRequestAndToken * output_tokens) +
-        over_slots * kMsPerWaitingRequest;
-    candidate.cost_ms += candidate.wait_ms + DistanceMs(*it) +
-                         load.FailureShare(now) * kFailedCallMs +
-                         (load.Avoided(now) ? kAvoidedMs : 0);
+        it->slots > 0 ? std::max(0.0, candidate.requests - it->slots) : 0;
+    candidate.batch_ms = candidate.requests * kMsPerRunningRequest +
+                         over_slots * kMsPerWaitingRequest;
+    if (query.prompt && it->stage != Stage::kPrefill) {
+      candidate.decode_ms = candidate.requests * kMsPerRunningRequestAndToken *
+                            query.prompt->expected_output_tokens;
+    }
+    candidate.detour_ms = DistanceMs(*it) +
+                          load.FailureShare(now) * kFailedCallMs +
+                          (load.Avoided(now) ? kAvoidedMs : 0);
     candidates.push_back(candidate);
   }
   return candidates;
 }
 
+void Placer::CopyFromBestSource(const PromptShape& prompt,
+                                const std::vector<CacheSource>& sources,
+                                double tokens_per_ms,
+                                Candidate* candidate) const {
+  const double local_uncached = candidate->uncached;
+  double best_saved_ms = 0;
+  for (const CacheSource& it : sources) {
+    const double copied = local_uncached - (prompt.prompt_tokens - it.tokens);
+    if (it.replica == candidate->replica || copied < kMinCopiedTokens) {
+      continue;
+    }
+    const double copy_ms =
+        copied * CopyMsPerToken(*it.replica, *candidate->replica);
+    const double saved_ms =
+        copied * (1 / tokens_per_ms + kReadAgainMsPerToken) - copy_ms;
+    if (saved_ms > best_saved_ms) {
+      best_saved_ms = saved_ms;
+      candidate->cache_source = it.replica;
+      candidate->copied = copied;
+      candidate->uncached = std::max(1.0, local_uncached - copied);
+      candidate->cache_ms = copy_ms;
+    }
+  }
+}
+
+std::optional<Placer::ApartChoice> Placer::BestApart(
+    const std::vector<Candidate>& readers,
+    const std::vector<Candidate>& runners,
+    double prompt_tokens) const {
+  // Only the best reader of each failure domain is combined with the runners.
+  std::map<std::string_view, const Candidate*> best_readers;
+  for (const Candidate& it : readers) {
+    const Candidate*& best = best_readers[it.replica->zone];
+    if (best == nullptr || it.ReadCostMs() < best->ReadCostMs()) {
+      best = &it;
+    }
+  }
+  std::optional<ApartChoice> choice;
+  for (const auto& [zone, reader] : best_readers) {
+    for (const Candidate& runner : runners) {
+      const double cost_ms =
+          reader->ReadCostMs() + runner.RunCostMs() +
+          prompt_tokens * CopyMsPerToken(*reader->replica, *runner.replica);
+      if (!choice || cost_ms < choice->cost_ms) {
+        choice = ApartChoice{reader, &runner, cost_ms};
+      }
+    }
+  }
+  return choice;
+}
+
 PlacementResult Placer::Choose(const ReplicaView& view,
                                const PlacementQuery& query,
                                TimePoint now) {
@@ -345,55 +385,50 @@
   }
   std::vector<Candidate> direct = Candidates(
       running, query, sources, read_speed, mean_uncached_direct_, now);
+  Candidate placed_apart;
   PlacementResult result;
   if (direct.empty()) {
     result.refusal = {PlacementRefusal::Reason::kNoReplica,
                       kNoReplicaRetryAfter, Duration(0)};
     return result;
   }
-  const Candidate& best_direct =
-      *std::min_element(direct.begin(), direct.end());
+  // A prompt that is read on a decode engine holds up the streams there.
+  const auto direct_cost_ms = [](const Candidate& it) {
+    return it.ReadCostMs() + it.decode_ms +
+           kInterferencePerStream * it.requests * it.read_ms;
+  };
+  const Candidate* runner =
+      &*std::min_element(direct.begin(), direct.end(),
+                         [&](const Candidate& a, const Candidate& b) {
+                           return direct_cost_ms(a) < direct_cost_ms(b);
+                         });
+  const Candidate* reader = runner;
+  if (query.prompt && query.may_read_apart &&
+      query.prompt->prompt_tokens >= kMinReadApartTokens) {
+    const std::vector<Candidate> readers =
+        Candidates(prefill, query, sources, prefill_tokens_per_ms_,
+                   mean_uncached_apart_, now);
+    const auto apart = BestApart(readers, direct, query.prompt->prompt_tokens);
+    if (apart &&
+        apart->cost_ms < direct_cost_ms(*runner) + kReadApartPreferenceMs) {
+      placed_apart = *apart->reader;
+      reader = &placed_apart;
+      runner = apart->runner;
+    }
+  }
   Placement placement;
-  placement.target = *best_direct.replica;
-  placement.target_uncached = best_direct.uncached;
-  const Candidate* reading = &best_direct;
-  double expected_ms = best_direct.wait_ms;
-
-  const bool read_apart = query.prompt && query.may_read_apart &&
-                          query.prompt->prompt_tokens >= kMinReadApartTokens;
-  std::vector<Candidate> readers;
-  if (read_apart) {
-    readers = Candidates(prefill, query, sources, prefill_tokens_per_ms_,
-                         mean_uncached_apart_, now);
+  placement.target = *runner->replica;
+  double first_ms = runner->FirstOutputMs();
+  if (reader == runner) {
+    placement.target_uncached = runner->uncached;
+  } else {
+    placement.prefill = *reader->replica;
+    placement.prefill_uncached = reader->uncached;
+    first_ms = reader->FirstOutputMs() + runner->queue_ms + runner->batch_ms;
   }
-  if (!readers.empty()) {
-    const Candidate& reader = *std::min_element(readers.begin(), readers.end());
-    // The engine that runs it afterwards is chosen by its load, and near the
-    // reader, since the KV cache crosses the links between them.
-    const Candidate* runner = nullptr;
-    double runner_ms = 0;
-    for (const Candidate& it : direct) {
-      const double own_read_ms = it.uncached / read_speed;
-      const double away_ms =
-          it.replica->zone == reader.replica->zone ? 0 : kOtherRegionMs / 2;
-      const double ms = it.cost_ms - own_read_ms + away_ms;
-      if (runner == nullptr || ms < runner_ms) {
-        runner = &it;
-        runner_ms = ms;
-      }
-    }
-    const double apart_ms = reader.cost_ms + runner_ms;
-    const double direct_ms =
-        best_direct.cost_ms + kInterferencePerStream * best_direct.requests *
-                                  best_direct.uncached / read_speed;
-    if (apart_ms < direct_ms + kReadApartPreferenceMs) {
-      placement.prefill = *reader.replica;
-      placement.prefill_uncached = reader.uncached;
-      placement.target = *runner->replica;
-      placement.target_uncached = 0;
-      reading = &reader;
-      expected_ms = reader.wait_ms + std::max(0.0, runner_ms);
-    }
+  if (reader->cache_source != nullptr) {
+    placement.cache_source = *reader->cache_source;
+    placement.copied = reader->copied;
   }
   if (query.prompt) {
     constexpr double kMeanWeight = 0.05;
@@ -404,14 +439,17 @@
              mean) *
             kMeanWeight;
   }
-  if (reading->cache_source != nullptr) {
-    placement.cache_source = *reading->cache_source;
-    placement.copied = reading->copied;
-  }
-  placement.expected = FromMs(expected_ms);
-  if (placement.expected >= query.time_left) {
-    result.refusal = {PlacementRefusal::Reason::kTooLate,
-                      placement.expected - query.time_left, placement.expected};
+  placement.expected = FromMs(first_ms);
+  const double output_ms =
+      query.prompt ? query.prompt->expected_output_tokens * kMsPerOutputToken +
+                         runner->decode_ms
+                   : 0;
+  const Duration late =
+      std::max(placement.expected - query.first_output_left,
+               FromMs(first_ms + output_ms) - query.time_left);
+  if (late >= Duration(0)) {
+    result.refusal = {PlacementRefusal::Reason::kTooLate, late,
+                      placement.expected};
     return result;
   }
   result.placement = placement;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -134,11 +134,11 @@
   query.service = service_;
   query.prompt = facts_.prompt;
   query.excluded = excluded_;
-  query.time_left = TimeLeft();
+  query.time_left = query.first_output_left = TimeLeft();
   if (!answer_begun_) {
     const auto waited =
         std::chrono::duration_cast<Duration>(now - request_.received);
-    query.time_left =
+    query.first_output_left =
         std::min(query.time_left, CallerPatience(*route_) - waited);
   }
   query.may_read_apart = may_read_apart_;
@@ -181,6 +181,7 @@
                    : 0)
       .Millis("expected_ms", placement.expected)
       .Millis("left_ms", query.time_left)
+      .Millis("first_left_ms", query.first_output_left)
       .Integer("map_version", services_->version);
   core_->log.Log(kLogRequestPlaced, fields, now);
   if (placement.prefill) {
@@ -338,7 +339,7 @@
   query.service = service_;
   query.prompt = facts_.prompt;
   query.excluded = excluded_;
-  query.time_left = TimeLeft();
+  query.time_left = query.first_output_left = TimeLeft();
   query.may_read_apart = false;
   const PlacementResult result =
       core_->placer.Choose(core_->beliefs.replicas, query, BootClock::now());
