Requests at the start wait for the first lists of the registry

A 404 path was refused as stale until the next housekeeping for the same reason.

Change: requests that come within 500 ms of the start and before the first complete lists wait for them; afterwards they are refused at once as before.

--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -34,6 +34,10 @@
   // Bytes of request bodies that are held at once. A quarter of the memory of
   // the smallest machine (160 MB).
   size_t max_body_bytes_in_flight = 40 << 20;
+  // Requests that come before the first beliefs wait for them until this long
+  // after the start: the lists of the registry take 20 to 100 ms, less than a
+  // caller needs to come back.
+  Duration startup_wait = std::chrono::milliseconds(500);
 };
 
 // What the relay decides by, kept current by its owner.
@@ -42,6 +46,9 @@
   // True while the map is known to be the newest one.
   bool services_current = false;
   ReplicaView replicas;
+  bool replicas_known = false;  // true from the first complete list on
+
+  bool Complete() const { return services != nullptr && replicas_known; }
 };
 
 // Serves callers: reads requests, places them at targets and relays the
@@ -62,8 +69,9 @@
   absl::Status Listen();
   uint16_t port() const;
 
-  // Forgets the loads of replicas that are no longer registered.
-  void ReplicasChanged();
+  // Takes up changed beliefs: forgets the loads of replicas that are no longer
+  // registered, and goes on with requests that came before the first beliefs.
+  void BeliefsChanged();
 
   // What the placements go by, for the exchange with the other instances.
   Placer* placer();
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -145,9 +145,7 @@
     log_.Log(number, fields, BootClock::now());
   }
 
-  bool Ready() const {
-    return !drain_started_ && beliefs_.services != nullptr && replicas_known_;
-  }
+  bool Ready() const { return !drain_started_ && beliefs_.Complete(); }
 
   AdminAnswer Admin(std::string_view path) {
     if (path == protocol_.ReadinessPath()) {
@@ -209,6 +207,7 @@
     configuration.on_success = [this, mark_success] {
       mark_success();
       services_confirmed_ = BootClock::now();
+      beliefs_.services_current = true;
     };
     configuration.on_list = [this](const RegistryList& list) {
       for (const RegistryObject& it : list.items) {
@@ -249,13 +248,13 @@
       }
     }
     beliefs_.replicas.Reset(replicas, BootClock::now());
-    replicas_known_ = true;
+    beliefs_.replicas_known = true;
     JsonFields fields;
     fields.Integer("listed", static_cast<int64_t>(replicas.size()))
         .Integer("in_view", static_cast<int64_t>(beliefs_.replicas.size()))
         .Integer("revision", list.revision);
     log_.Log(kLogReplicaChanged, fields, BootClock::now());
-    relay_.ReplicasChanged();
+    relay_.BeliefsChanged();
   }
 
   void ReplicaChanged(const RegistryObject& object) {
@@ -275,7 +274,7 @@
           .Flag("kept", beliefs_.replicas.Find(object.name) != nullptr);
       log_.Log(kLogReplicaRemoved, fields, now);
     }
-    relay_.ReplicasChanged();
+    relay_.BeliefsChanged();
   }
 
   void ConfigurationChanged(const RegistryObject& object) {
@@ -299,6 +298,7 @@
     log_.Log(kLogServiceMapApplied, fields, BootClock::now());
     metrics_.SetConfigurationVersion(static_cast<double>(map->version));
     beliefs_.services = std::make_shared<const ServiceMap>(*std::move(map));
+    relay_.BeliefsChanged();
   }
 
   void Housekeeping() {
@@ -385,7 +385,6 @@
   std::unique_ptr<RegistryMirror> configuration_mirror_;
   std::optional<TimePoint> services_confirmed_;
   std::optional<TimePoint> drain_started_;
-  bool replicas_known_ = false;
   bool registry_lost_ = false;
 };
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -49,7 +49,7 @@
 
 // Reading on a decode engine takes capacity from all streams that it runs, so
 // the prefill engines are preferred until they are slower by this much.
-constexpr double kReadApartPreferenceMs = 500;
+constexpr double kReadApartPreferenceMs = 250;
 // Shorter prompts are not worth the second call and the transfer.
 constexpr double kMinReadApartTokens = 1500;
 // A prompt that a decode engine reads holds up each stream that it runs. Each
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -8,6 +8,7 @@
 #include "relay/caller_connection.h"
 #include "relay/open_acceptor.h"
 #include "relay/relay_core.h"
+#include "relay/relay_exchange.h"
 
 namespace endiveyard {
 namespace {
@@ -36,6 +37,7 @@
     if (!status.ok()) {
       return status;
     }
+    core_->startup_end = BootClock::now() + core_->options.startup_wait;
     Accept();
     return absl::OkStatus();
   }
@@ -155,8 +157,19 @@
   return impl_->port();
 }
 
-void Relay::ReplicasChanged() {
-  impl_->core().placer.Retain(impl_->core().beliefs.replicas);
+void Relay::BeliefsChanged() {
+  RelayCore& core = impl_->core();
+  core.placer.Retain(core.beliefs.replicas);
+  if (!core.beliefs.Complete()) {
+    return;
+  }
+  std::vector<std::weak_ptr<RelayExchange>> awaiting;
+  awaiting.swap(core.awaiting_beliefs);
+  for (const auto& it : awaiting) {
+    if (const auto exchange = it.lock()) {
+      exchange->BeliefsComplete();
+    }
+  }
 }
 
 Placer* Relay::placer() {
--- a/src/relay/relay_core.h
+++ b/src/relay/relay_core.h
@@ -1,12 +1,17 @@
 #ifndef ENDIVEYARD_SRC_RELAY_RELAY_CORE_H_
 #define ENDIVEYARD_SRC_RELAY_RELAY_CORE_H_
 
+#include <memory>
+#include <vector>
+
 #include <boost/asio/io_context.hpp>
 
 #include "endiveyard/relay/relay.h"
 
 namespace endiveyard {
 
+class RelayExchange;
+
 // What all exchanges and connections of one relay share.
 struct RelayCore {
   RelayCore(boost::asio::io_context& io,
@@ -37,6 +42,8 @@
   bool draining = false;
   bool refuses_long = false;  // draining, and the linger is over
   TimePoint drain_end{};
+  TimePoint startup_end{};  // requests wait this long for the first beliefs
+  std::vector<std::weak_ptr<RelayExchange>> awaiting_beliefs;
   size_t open_exchanges = 0;
   size_t open_connections = 0;
   size_t body_bytes = 0;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -64,6 +64,36 @@
 
 void RelayExchange::Start() {
   facts_ = core_->protocol.DecodeRequest(request_.headers);
+  if (!core_->beliefs.Complete() && BootClock::now() < core_->startup_end) {
+    AwaitBeliefs();
+    return;
+  }
+  Begin();
+}
+
+void RelayExchange::AwaitBeliefs() {
+  phase_ = Phase::kAwaitingBeliefs;
+  core_->awaiting_beliefs.push_back(weak_from_this());
+  watchdog_timer_.expires_after(std::chrono::duration_cast<Duration>(
+      core_->startup_end - BootClock::now()));
+  const std::weak_ptr<RelayExchange> weak = weak_from_this();
+  watchdog_timer_.async_wait([weak](error_code ec) {
+    const auto self = weak.lock();
+    if (!ec && self) {
+      self->BeliefsComplete();
+    }
+  });
+}
+
+void RelayExchange::BeliefsComplete() {
+  if (phase_ == Phase::kAwaitingBeliefs) {
+    watchdog_timer_.cancel();
+    phase_ = Phase::kPlacing;
+    Begin();
+  }
+}
+
+void RelayExchange::Begin() {
   services_ = core_->beliefs.services;
   // A caller that names no deadline is kept waiting for the route's timeout.
   deadline_ = request_.received +
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -27,9 +27,17 @@
   void Start();
   // The caller has closed its connection.
   void CallerLeft();
+  // The routes and replicas that the request waited for are known.
+  void BeliefsComplete();
 
  private:
-  enum class Phase { kPlacing, kReadingPrompt, kRunning, kEnded };
+  enum class Phase {
+    kAwaitingBeliefs,
+    kPlacing,
+    kReadingPrompt,
+    kRunning,
+    kEnded
+  };
 
   // One call to a replica, for its bookkeeping.
   struct ActiveCall {
@@ -46,6 +54,8 @@
     bool begun = false;  // some bytes of the body came
   };
 
+  void AwaitBeliefs();
+  void Begin();
   void Place();
   void ReadPrompt(const Placement& placement);
   void PromptCallEnded(const Placement& placement,
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -244,6 +244,40 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
 }
 
+struct StartingRelayFixture : RelayFixture {
+  StartingRelayFixture() : RelayFixture(std::chrono::hours(1)) {}
+};
+
+// Pattern: all instances start at once and callers are there before the lists
+// of the registry. Guards against refusing what can be served 50 ms later
+// (trinacria-yard scale-1: 110 refusals in the first 100 ms).
+BOOST_FIXTURE_TEST_CASE(RequestsAtTheStartAreServedOnceBeliefsAreThere,
+                        StartingRelayFixture) {
+  std::shared_ptr<const ServiceMap> services;
+  Change([&](RelayBeliefs& beliefs) { services.swap(beliefs.services); });
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection leaver = Connect();
+  leaver.Send(RequestHead("GET", "/safe/x", "r2"));
+  // Both are waiting once the relay counts them.
+  size_t waiting = 0;
+  while (waiting < 2) {
+    Change([&](RelayBeliefs&) { waiting = relay().open_exchanges(); });
+  }
+  leaver.Close();
+  while (waiting > 1) {
+    Change([&](RelayBeliefs&) { waiting = relay().open_exchanges(); });
+  }
+  Change([&](RelayBeliefs& beliefs) { services.swap(beliefs.services); });
+  TellBeliefs();
+  TestConnection target = first().Accept();
+  BOOST_TEST(Contains(target.ReadMessage(), "Request-Id: r1"));
+  target.Send(
+      "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: r1\r\n"
+      "Endiveyard-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok");
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 "));
+}
+
 // Guards against a request that waits although nobody can serve it.
 BOOST_FIXTURE_TEST_CASE(WithoutReplicasTheRefusalIsImmediate, RelayFixture) {
   Change([](RelayBeliefs& beliefs) {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -121,7 +121,7 @@
   return acceptor_.local_endpoint().port();
 }
 
-RelayFixture::RelayFixture()
+RelayFixture::RelayFixture(Duration startup_wait)
     : first_(test_io_),
       second_(test_io_),
       work_(asio::make_work_guard(io_)),
@@ -153,10 +153,12 @@
   beliefs_.replicas.Reset(
       {MakeReplica("t1", first_.port()), MakeReplica("t2", second_.port())},
       BootClock::now());
+  beliefs_.replicas_known = true;
   RelayOptions options;
   options.ip = kLoopback;
   options.location.zone = "z";
   options.repeat_bound.slack = 640;
+  options.startup_wait = startup_wait;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &beliefs_,
                                    log_.get(), &metrics_);
   if (!relay_->Listen().ok()) {
@@ -199,6 +201,10 @@
   done.get_future().wait();
 }
 
+void RelayFixture::TellBeliefs() {
+  Change([this](RelayBeliefs&) { relay_->BeliefsChanged(); });
+}
+
 void RelayFixture::UseOneTarget() {
   Change([this](RelayBeliefs& beliefs) {
     beliefs.replicas.Reset({MakeReplica("t1", first_.port())},
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -53,12 +53,15 @@
 // of the service `svc`, and routes /safe/, /unsafe/ and /stream/ of "h".
 class RelayFixture {
  public:
-  RelayFixture();
+  // By default no request waits for the first beliefs.
+  explicit RelayFixture(Duration startup_wait = Duration(0));
   ~RelayFixture();
 
   TestConnection Connect();
   // Runs `change` on the relay's thread and waits for it.
   void Change(const std::function<void(RelayBeliefs&)>& change);
+  // Lets the relay take up its beliefs as if they came just now.
+  void TellBeliefs();
   // Leaves only the first target registered.
   void UseOneTarget();
 
