One home for the parts of a prompt; totals of added tokens between instances

Cause: with 72 instances an instance often does not know who holds a document. It then took one prefill engine and one decode engine as its home, though only one of them had read it. Notes of added tokens reached the own region only, so engines of a large fleet were taken to evict three times slower than they do.

Change: the homes are engines of the stage that reads prompts of that length; notes carry totals, which survive loss and reach other regions with the probes.

--- a/include/endiveyard/placement/cache_view.h
+++ b/include/endiveyard/placement/cache_view.h
@@ -15,7 +15,7 @@
 // Prompt parts that one engine has in its cache, as instances tell each other.
 struct CacheNote {
   uint64_t engine_key = 0;
-  uint32_t added_tokens = 0;  // put into the cache since the last note
+  uint64_t added_tokens = 0;  // put into the cache by the sender's calls so far
   std::vector<uint64_t> parts;
 
   bool operator==(const CacheNote& other) const {
@@ -39,8 +39,8 @@
   void NoteSent(uint64_t engine_key, const PromptShape& prompt, TimePoint now);
   // The engine has read `prompt`.
   void NoteRead(uint64_t engine_key, const PromptShape& prompt, TimePoint now);
-  // Another instance tells of parts that were read.
-  void NoteTold(const CacheNote& note, TimePoint now);
+  // Another instance, told apart by `sender`, tells of parts that were read.
+  void NoteTold(uint64_t sender, const CacheNote& note, TimePoint now);
 
   // Tokens of the leading parts of `prompt` that the engine holds, or will hold
   // when the calls sent to it have been read.
@@ -71,8 +71,11 @@
     bool shared = false;
   };
   struct Engine {
-    double added = 0;   // tokens put into the cache in all
-    double untold = 0;  // of those by own calls, not told to the others
+    double added = 0;      // tokens put into the cache in all
+    double own_added = 0;  // of those by own calls
+    double own_told = 0;   // `own_added` in the last note
+    // What each sender has added, as in its last note.
+    std::unordered_map<uint64_t, uint64_t> added_by;
     std::unordered_map<uint64_t, Part> parts;
 
     bool Holds(const Part& part, TimePoint now) const;
--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -44,7 +44,8 @@
   double target_uncached = 0;   // tokens that `target` has to read
   // Engine from which whoever reads the prompt first copies cached parts.
   std::optional<Replica> cache_source;
-  double copied = 0;  // tokens that are expected to be copied
+  double copied = 0;      // tokens that are expected to be copied
+  double read_again = 0;  // tokens to read that some engine holds or held
 };
 
 // Why no placement was made, with the time after which trying again pays.
@@ -139,6 +140,7 @@
                                     const std::vector<CacheSource>& sources,
                                     double tokens_per_ms,
                                     double mean_uncached,
+                                    bool assume_home,
                                     TimePoint now);
 
   Location location_;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -107,7 +107,7 @@
     placer_.peer_loads().Update(report->sender, report->sequence, report->work,
                                 now);
     for (const CacheNote& it : report->cached) {
-      placer_.cache_view().NoteTold(it, now);
+      placer_.cache_view().NoteTold(report->sender, it, now);
     }
   }
 
--- a/src/placement/cache_view.cc
+++ b/src/placement/cache_view.cc
@@ -21,6 +21,8 @@
 // Bounds what forged reports can add: more engines than the largest fleet has
 // (12,000 replicas).
 constexpr size_t kMaxEngines = 20000;
+// The same for instances: the largest fleet has 370.
+constexpr size_t kMaxSenders = 1000;
 
 }  // namespace
 
@@ -41,7 +43,7 @@
                        HeldTokens(engine_key, prompt, now) +
                        prompt.expected_output_tokens;
   engine.added += added;
-  engine.untold += added;
+  engine.own_added += added;
   Note(engine_key, prompt, false, now);
 }
 
@@ -75,12 +77,23 @@
   }
 }
 
-void CacheView::NoteTold(const CacheNote& note, TimePoint now) {
+void CacheView::NoteTold(uint64_t sender,
+                         const CacheNote& note,
+                         TimePoint now) {
   if (engines_.size() >= kMaxEngines && engines_.count(note.engine_key) == 0) {
     return;
   }
   Engine& engine = engines_[note.engine_key];
-  engine.added += note.added_tokens;
+  // Notes are lost, and few reach other regions, so they carry totals. A lower
+  // total is that of a sender that started again.
+  if (engine.added_by.size() < kMaxSenders ||
+      engine.added_by.count(sender) > 0) {
+    uint64_t& before = engine.added_by[sender];
+    engine.added += static_cast<double>(note.added_tokens >= before
+                                            ? note.added_tokens - before
+                                            : note.added_tokens);
+    before = note.added_tokens;
+  }
   auto& parts = engine.parts;
   for (const uint64_t it : note.parts) {
     if (parts.size() >= kMaxPartsPerEngine && parts.count(it) == 0) {
@@ -139,8 +152,9 @@
   for (auto& [engine_key, engine] : engines_) {
     CacheNote note;
     note.engine_key = engine_key;
-    note.added_tokens = static_cast<uint32_t>(engine.untold);
-    engine.untold = 0;
+    const bool added = engine.own_added > engine.own_told;
+    note.added_tokens = static_cast<uint64_t>(engine.own_added);
+    engine.own_told = engine.own_added;
     for (auto& [id, part] : engine.parts) {
       const bool told =
           part.added_when_told &&
@@ -151,7 +165,7 @@
         ++n;
       }
     }
-    if (note.added_tokens > 0 || !note.parts.empty()) {
+    if (added || !note.parts.empty()) {
       news.push_back(std::move(note));
     }
   }
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -264,6 +264,7 @@
     const std::vector<CacheSource>& sources,
     double tokens_per_ms,
     double mean_uncached,
+    bool assume_home,
     TimePoint now) {
   // Until some engine is known to hold the shared parts, all instances take
   // the same one as the place where they are.
@@ -276,7 +277,7 @@
                                     return it.tokens >= shared_tokens;
                                   });
     const uint64_t key = SharedPrefixKey(*query.prompt);
-    if (key != 0 && !held) {
+    if (key != 0 && !held && assume_home) {
       home = HomeOf(replicas, key);
     }
   }
@@ -392,8 +393,14 @@
   if (query.prompt) {
     sources = CacheSources(usable, *query.prompt, now);
   }
-  std::vector<Candidate> direct = Candidates(
-      running, query, sources, read_speed, mean_uncached_direct_, now);
+  const bool read_apart = query.prompt && query.may_read_apart &&
+                          query.prompt->prompt_tokens >= kMinReadApartTokens &&
+                          !prefill.empty();
+  // Engines of one stage only are the homes of a prompt's parts: those that
+  // read prompts of its length.
+  std::vector<Candidate> direct =
+      Candidates(running, query, sources, read_speed, mean_uncached_direct_,
+                 !read_apart, now);
   Candidate placed_apart;
   PlacementResult result;
   if (direct.empty()) {
@@ -412,11 +419,10 @@
                            return direct_cost_ms(a) < direct_cost_ms(b);
                          });
   const Candidate* reader = runner;
-  if (query.prompt && query.may_read_apart &&
-      query.prompt->prompt_tokens >= kMinReadApartTokens) {
+  if (read_apart) {
     const std::vector<Candidate> readers =
         Candidates(prefill, query, sources, prefill_tokens_per_ms_,
-                   mean_uncached_apart_, now);
+                   mean_uncached_apart_, true, now);
     const auto apart = BestApart(readers, direct, query.prompt->prompt_tokens);
     if (apart &&
         apart->cost_ms < direct_cost_ms(*runner) + kReadApartPreferenceMs) {
@@ -448,6 +454,9 @@
              mean) *
             kMeanWeight;
   }
+  if (query.prompt) {
+    placement.read_again = ReadAgainTokens(*query.prompt, reader->uncached);
+  }
   placement.expected = FromMs(first_ms);
   placement.expected_end = FromMs(first_ms + kHintedShare * runner->output_ms);
   const Duration late = std::max(placement.expected - query.first_output_left,
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -211,6 +211,7 @@
             placement.cache_source ? placement.cache_source->id : "")
       .Integer("body_bytes", static_cast<int64_t>(BodyBytes()))
       .Integer("copied", static_cast<int64_t>(placement.copied))
+      .Integer("read_again", static_cast<int64_t>(placement.read_again))
       .Integer("output",
                facts_.prompt
                    ? static_cast<int64_t>(facts_.prompt->expected_output_tokens)
