Split the relay exchange; log why a placement was refused; fill the pause histogram

relay_exchange.cc held the placing, the call that reads a prompt, the run and the ends of a request in 890 lines. They are four files now, without a change of what they do. A refusal at placement writes line 905 with the times that decided it; the histogram of the time between events was registered and never filled.

--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -42,6 +42,7 @@
 inline constexpr int kLogCallEnded = 902;
 inline constexpr int kLogRequestFinished = 903;
 inline constexpr int kLogRequestMalformed = 904;
+inline constexpr int kLogPlacementRefused = 905;
 inline constexpr int kLogPeerRejected = 701;
 inline constexpr int kLogPeerUnreachable = 702;
 inline constexpr int kLogObjectApiUnavailable = 801;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -15,8 +15,10 @@
 
 namespace endiveyard {
 
-// The life of one request of a caller: it is placed, sent to targets one after
-// the other as the attempt policy decides, and its answer relayed.
+// The life of one request of a caller: it is placed (relay_exchange.cc), its
+// prompt is read (relay_prompt_call.cc), it runs at targets one after the other
+// as the attempt policy decides, its answer is relayed (relay_run_call.cc), and
+// it ends (relay_exchange_end.cc).
 class RelayExchange : public std::enable_shared_from_this<RelayExchange> {
  public:
   RelayExchange(std::shared_ptr<RelayCore> core,
@@ -85,6 +87,7 @@
   void End(std::string_view outcome, int status);
   CallHeaders MakeCallHeaders(const Replica& replica) const;
   size_t BodyBytes() const;
+  int64_t OutputTokens() const;  // by the caller's estimate
   Duration TimeLeft() const;
   Duration RetryAfterFor(Duration wait) const;
   bool SpendForArrival();
@@ -113,6 +116,7 @@
   bool answer_begun_ = false;
   Duration expected_first_{};
   std::optional<TimePoint> first_output_;
+  std::optional<TimePoint> last_event_sent_;
   std::string last_replica_;
 };
 
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -131,6 +131,9 @@
       {904, kInfo, "request_malformed",
        "Bytes of a caller are no request within the limits.",
        "Check the caller."},
+      {905, kInfo, "placement_refused",
+       "No target can serve a request in time; the line names the times.",
+       "Frequent ones: capacity is short."},
   };
   return kCatalogue;
 }
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -212,6 +212,10 @@
   BOOST_TEST(Contains(rest, "id: 2\ndata: b\n\n"));
   BOOST_TEST(!Contains(rest, "id: 2\nda\n"));
   BOOST_TEST(!Contains(rest, "HTTP/1.1"));
+  // The pause is the callers', across both targets.
+  BOOST_TEST(Contains(metrics().Serialize(),
+                      "endiveyard_token_gap_seconds_count{class=\"stream\","
+                      "house=\"svc\"} 1\n"));
 }
 
 // Guards against a stream that looks complete although its engine was lost,
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -68,6 +68,7 @@
   TestTarget& first() { return first_; }
   TestTarget& second() { return second_; }
   Relay& relay() { return *relay_; }
+  const Metrics& metrics() const { return metrics_; }
 
  private:
   Replica MakeReplica(const std::string& id, uint16_t port) const;
