Keep prompts away from decode engines with many streams

A read was charged a tenth of its time for each stream, whatever their number.

Change: beyond eight streams, an eighth of a batch, the share grows with their number.

--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -63,6 +63,10 @@
 // A prompt that a decode engine reads holds up each stream that it runs. Each
 // counts this share of the reading time.
 constexpr double kInterferencePerStream = 0.1;
+// Beyond this many streams, an eighth of a batch, the delays add up to missed
+// deadlines, and the share
+// grows with their number.
+constexpr double kBusyStreams = 8;
 // Shared parts that some engine holds and another reads again cost capacity of
 // the whole fleet, and a price, beside the time of this request.
 constexpr double kReadAgainMsPerToken = 0.25;
@@ -112,6 +116,13 @@
   return home;
 }
 
+// Returns how many times its own duration a read on a decode engine costs the
+// streams there.
+double InterferenceShare(double streams) {
+  return kInterferencePerStream * streams *
+         std::max(1.0, streams / kBusyStreams);
+}
+
 }  // namespace
 
 struct Placer::Candidate {
@@ -411,7 +422,7 @@
   // A prompt that is read on a decode engine holds up the streams there.
   const auto direct_cost_ms = [](const Candidate& it) {
     return it.ReadCostMs() + it.output_ms +
-           kInterferencePerStream * it.requests * it.read_ms;
+           InterferenceShare(it.requests) * it.read_ms;
   };
   const Candidate* runner =
       &*std::min_element(direct.begin(), direct.end(),
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -294,6 +294,33 @@
   BOOST_TEST(short_prompt.placement->target.id == "d1");
 }
 
+// Pattern: long outputs fill the decode engines while the prefill engines have
+// room. Guards against prompts that are read between the tokens of busy streams
+// (trinacria-yard fresh-2ae0: reading took 40% of the decode engines' time, and
+// of the longest tenth of outputs less than half was served in time).
+BOOST_AUTO_TEST_CASE(PromptsAreKeptAwayFromBusyStreams) {
+  ReplicaView view;
+  view.Reset(
+      {MakeReplica("p1", Stage::kPrefill), MakeReplica("d1", Stage::kDecode)},
+      At(0));
+  Placer placer = MakePlacer();
+  // 50,000 tokens are queued at the prefill engine, half a second.
+  placer.LoadOf(*view.Find("p1")).CallSent(50000);
+  const PlacementQuery query = MakeQuery(MakePrompt(7, 0, 4000));
+  for (int n = 0; n < 4; ++n) {
+    placer.LoadOf(*view.Find("d1")).CallSent(0);
+  }
+  auto placed = placer.Choose(view, query, At(0)).placement;
+  BOOST_REQUIRE(placed);
+  BOOST_TEST(!placed->prefill);
+  for (int n = 0; n < 26; ++n) {
+    placer.LoadOf(*view.Find("d1")).CallSent(0);
+  }
+  placed = placer.Choose(view, query, At(0)).placement;
+  BOOST_REQUIRE(placed);
+  BOOST_TEST(placed->prefill.has_value());
+}
+
 // Pattern: bodies of long prompts between regions, which are billed by the
 // byte. Guards against a body of 12 KB that crosses regions for an engine that
 // is free 40 ms sooner, and against short requests that wait instead.
