--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -64,8 +64,7 @@
 // counts this share of the reading time.
 constexpr double kInterferencePerStream = 0.1;
 // Beyond this many streams, an eighth of a batch, the delays add up to missed
-// deadlines, and the share
-// grows with their number.
+// deadlines, and the share grows with their number.
 constexpr double kBusyStreams = 8;
 // Shared parts that some engine holds and another reads again cost capacity of
 // the whole fleet, and a price, beside the time of this request.
