Take late peer reports, large reports and many own parts for what they are

Found on reading the change, each with a test that failed first: - A report that a newer one had overtaken was dropped for the loads but taken for the caches: its lower total counted as that of a restarted sender, and every part of the engine as evicted. - Notes of the cache made reports of more than about 200 busy engines larger than receivers read and than the decoder's bound; they dropped them whole. - The bound of 4,096 parts an engine held for told parts only; own ones within 30 s grew without limit.

--- a/include/endiveyard/load_exchange/load_report.h
+++ b/include/endiveyard/load_exchange/load_report.h
@@ -12,6 +12,10 @@
 
 namespace endiveyard {
 
+// Largest report that is read: 500 replicas, with work and a note of the cache
+// each, take 34 bytes a replica.
+inline constexpr size_t kMaxReportBytes = 20480;
+
 // What one instance tells the others, in one datagram.
 struct LoadReport {
   uint32_t sender = 0;  // IPv4 address
--- a/include/endiveyard/placement/cache_view.h
+++ b/include/endiveyard/placement/cache_view.h
@@ -79,6 +79,8 @@
     std::unordered_map<uint64_t, Part> parts;
 
     bool Holds(const Part& part, TimePoint now) const;
+    // Forgets the `n` parts that were used least recently.
+    void ForgetOldest(size_t n);
   };
 
   template <typename Accept>
--- a/include/endiveyard/placement/peer_loads.h
+++ b/include/endiveyard/placement/peer_loads.h
@@ -34,8 +34,9 @@
 // The work of all other instances, by replica. Not thread-safe.
 class PeerLoads {
  public:
-  // Replaces the report of `peer` unless `sequence` is older than the last.
-  void Update(uint64_t peer,
+  // Replaces the report of `peer`. Returns false, and changes nothing, if
+  // `sequence` is not newer than that of the last one.
+  bool Update(uint64_t peer,
               uint64_t sequence,
               const std::vector<ReplicaWork>& work,
               TimePoint now);
--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -81,10 +81,17 @@
   // started again begins with an empty one.
   ReplicaLoad& LoadOf(const Replica& replica);
 
+  // Takes up the report of another instance, told apart by `sender`, unless it
+  // is older than the last one.
+  void TakePeerReport(uint64_t sender,
+                      uint64_t sequence,
+                      const std::vector<ReplicaWork>& work,
+                      const std::vector<CacheNote>& cached,
+                      TimePoint now);
   // Work of this instance, for the reports to the others.
   std::vector<ReplicaWork> OwnWork() const;
-  // Reports of the others. While peers are heard, they replace the estimate
-  // from the loads that replicas report.
+  // Loads by the others' reports. While peers are heard, they replace the
+  // estimate from the loads that replicas report.
   PeerLoads& peer_loads() { return peer_loads_; }
 
   // Which engine holds which prompt parts, from own calls and the others.
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -17,8 +17,6 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
-// Largest report that is read; with 16 bytes a replica it covers 500.
-constexpr size_t kMaxDatagram = 8192;
 // Bounds a report; the rest follows in the next ones.
 constexpr size_t kMaxPartsPerReport = 48;
 // An instance without work tells so at this interval, so that it stays known.
@@ -104,11 +102,8 @@
     }
     const TimePoint now = BootClock::now();
     directory_.Heard(report->sender, report->region, report->peers, now);
-    placer_.peer_loads().Update(report->sender, report->sequence, report->work,
-                                now);
-    for (const CacheNote& it : report->cached) {
-      placer_.cache_view().NoteTold(report->sender, it, now);
-    }
+    placer_.TakePeerReport(report->sender, report->sequence, report->work,
+                           report->cached, now);
   }
 
   void Report() {
@@ -159,7 +154,7 @@
   const uint32_t region_;
   PeerDirectory directory_;
   udp::endpoint sender_;
-  std::array<char, kMaxDatagram> received_{};
+  std::array<char, kMaxReportBytes> received_{};
   uint64_t sequence_ = 0;
   TimePoint named_at_{};
   TimePoint reported_at_{};
--- a/src/load_exchange/load_report.cc
+++ b/src/load_exchange/load_report.cc
@@ -12,8 +12,9 @@
 namespace endiveyard {
 namespace {
 
-// Bounds what a foreign datagram can make the decoder do: 8 KiB in words.
-constexpr uint64_t kMaxWords = 1024;
+// Bounds what a foreign datagram can make the decoder do. The largest report
+// has five words a replica when unpacked, 2,500 for 500 replicas.
+constexpr uint64_t kMaxWords = 4096;
 
 }  // namespace
 
--- a/src/placement/cache_view.cc
+++ b/src/placement/cache_view.cc
@@ -31,6 +31,19 @@
          now - part.used < kPartLifetime;
 }
 
+void CacheView::Engine::ForgetOldest(size_t n) {
+  std::vector<std::pair<TimePoint, uint64_t>> by_use;
+  by_use.reserve(parts.size());
+  for (const auto& [id, part] : parts) {
+    by_use.emplace_back(part.used, id);
+  }
+  const auto end = by_use.begin() + static_cast<std::ptrdiff_t>(n);
+  std::nth_element(by_use.begin(), end, by_use.end());
+  for (auto it = by_use.begin(); it != end; ++it) {
+    parts.erase(it->second);
+  }
+}
+
 uint64_t EngineKey(const Replica& engine) {
   return Digest64(engine.id, static_cast<uint64_t>(engine.started_unix_ms));
 }
@@ -70,10 +83,7 @@
     part.shared = n + 1 < prompt.parts.size();
   }
   if (parts.size() > kMaxPartsPerEngine) {
-    for (auto it = parts.begin(); it != parts.end();) {
-      it = now - it->second.used >= kPartLifetime / 2 ? parts.erase(it)
-                                                      : std::next(it);
-    }
+    engine.ForgetOldest(kMaxPartsPerEngine / 4);
   }
 }
 
--- a/src/placement/peer_loads.cc
+++ b/src/placement/peer_loads.cc
@@ -26,7 +26,7 @@
   return Digest64(replica_id);
 }
 
-void PeerLoads::Update(uint64_t peer,
+bool PeerLoads::Update(uint64_t peer,
                        uint64_t sequence,
                        const std::vector<ReplicaWork>& work,
                        TimePoint now) {
@@ -35,7 +35,7 @@
   // A peer that started again counts from one; its old report has lapsed or
   // is replaced once it has.
   if (!lapsed && sequence <= report.sequence) {
-    return;
+    return false;
   }
   report.sequence = sequence;
   report.received = now;
@@ -43,6 +43,7 @@
   for (const ReplicaWork& it : work) {
     report.work[it.replica_key] = it;
   }
+  return true;
 }
 
 double PeerLoads::Calls(uint64_t replica_key, TimePoint now) const {
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -180,6 +180,19 @@
   cache_view_.Retain(engine_keys);
 }
 
+void Placer::TakePeerReport(uint64_t sender,
+                            uint64_t sequence,
+                            const std::vector<ReplicaWork>& work,
+                            const std::vector<CacheNote>& cached,
+                            TimePoint now) {
+  if (!peer_loads_.Update(sender, sequence, work, now)) {
+    return;
+  }
+  for (const CacheNote& it : cached) {
+    cache_view_.NoteTold(sender, it, now);
+  }
+}
+
 std::vector<ReplicaWork> Placer::OwnWork() const {
   std::vector<ReplicaWork> work;
   for (const auto& [id, known] : loads_) {
--- a/tests/load_exchange/load_report_test.cc
+++ b/tests/load_exchange/load_report_test.cc
@@ -25,6 +25,25 @@
   BOOST_TEST((*decoded == MakeReport()));
 }
 
+// Pattern: an instance of a large fleet with work at 500 engines. Guards
+// against a report that its receivers cannot read whole, which they drop.
+BOOST_AUTO_TEST_CASE(ReportsOfLargeFleetsAreRead) {
+  LoadReport report = MakeReport();
+  for (uint64_t n = 0; n < 500; ++n) {
+    const uint64_t key = n * 0x9e3779b97f4a7c15;
+    report.work.push_back({key, 64, 540000});
+    report.cached.push_back({~key, 1000000000, {}});
+  }
+  for (uint64_t n = 0; n < 48; ++n) {
+    report.cached[2].parts.push_back(0x5c1e07a2 + n);
+  }
+  const std::string bytes = EncodeLoadReport(report);
+  BOOST_TEST(bytes.size() <= kMaxReportBytes);
+  const auto decoded = DecodeLoadReport(bytes);
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST((*decoded == report));
+}
+
 // Guards against datagrams of strangers that end the process or are taken for
 // a report: every prefix and every flipped byte.
 BOOST_AUTO_TEST_CASE(AnyBytesAreSafe) {
--- a/tests/placement/cache_view_test.cc
+++ b/tests/placement/cache_view_test.cc
@@ -130,6 +130,24 @@
   BOOST_TEST(view.size() <= 24096u);
 }
 
+// Pattern: thousands of requests with own parts at one engine within seconds.
+// Guards against a view that grows with the requests: only parts unused for 30
+// s were dropped. The parts in use stay.
+BOOST_AUTO_TEST_CASE(OwnPartsAreBounded) {
+  CacheView view;
+  const PromptShape used = MakePrompt(1, 2, 10);
+  for (uint64_t n = 0; n < 20000; ++n) {
+    const auto now = At(static_cast<int64_t>(n / 10));
+    PromptShape prompt;
+    prompt.prompt_tokens = 1;
+    prompt.parts = {{1000 + n, 1}};
+    view.NoteRead(kEngine, prompt, now);
+    view.NoteRead(kEngine, used, now);
+  }
+  BOOST_TEST(view.size() <= 4096u);
+  BOOST_TEST(view.CopyableTokens(kEngine, used, At(2000)) > 0);
+}
+
 // Guards against taking an engine that started again for what it was.
 BOOST_AUTO_TEST_CASE(ARestartIsAnotherEngine) {
   Replica engine;
--- a/tests/placement/peer_loads_test.cc
+++ b/tests/placement/peer_loads_test.cc
@@ -14,8 +14,8 @@
 // Guards against a late datagram that replaces a newer report.
 BOOST_AUTO_TEST_CASE(OlderReportsAreIgnored) {
   PeerLoads loads;
-  loads.Update(1, 5, {{9, 2, 100}}, At(10000));
-  loads.Update(1, 4, {{9, 7, 900}}, At(10001));
+  BOOST_TEST(loads.Update(1, 5, {{9, 2, 100}}, At(10000)));
+  BOOST_TEST(!loads.Update(1, 4, {{9, 7, 900}}, At(10001)));
   BOOST_TEST(loads.Calls(9, At(10001)) == 2);
 }
 
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -98,7 +98,7 @@
   Placer placer = MakePlacer();
   const auto query = MakeQuery(MakePrompt(7, 5000, 6000));
   const auto home = placer.Choose(view, query, At(0)).placement->prefill;
-  placer.peer_loads().Update(1, 1, {{ReplicaKey(home->id), 9, 400000}}, At(0));
+  placer.TakePeerReport(1, 1, {{ReplicaKey(home->id), 9, 400000}}, {}, At(0));
   const auto other = placer.Choose(view, query, At(10)).placement->prefill;
   BOOST_TEST((!other || other->id != home->id));
   // The report lapses when its sender falls silent.
@@ -321,6 +321,21 @@
   BOOST_TEST(placed->prefill.has_value());
 }
 
+// Pattern: datagrams overtake each other. Guards against a late report whose
+// lower total is taken for that of a sender that started again: every part of
+// the engine counted as evicted.
+BOOST_AUTO_TEST_CASE(LatePeerReportsEvictNothing) {
+  constexpr uint64_t kEngineKey = 77;
+  Placer placer = MakePlacer();
+  const PromptShape prompt = MakePrompt(7, 5000, 10);
+  placer.TakePeerReport(1, 5, {}, {{kEngineKey, 900000, {7}}}, At(10000));
+  BOOST_TEST(placer.cache_view().CopyableTokens(kEngineKey, prompt,
+                                                At(10001)) == 5000);
+  placer.TakePeerReport(1, 4, {}, {{kEngineKey, 890000, {}}}, At(10001));
+  BOOST_TEST(placer.cache_view().CopyableTokens(kEngineKey, prompt,
+                                                At(10002)) == 5000);
+}
+
 // Pattern: bodies of long prompts between regions, which are billed by the
 // byte. Guards against a body of 12 KB that crosses regions for an engine that
 // is free 40 ms sooner, and against short requests that wait instead.
