--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -68,7 +68,8 @@
 int QueuePriority(int route_rank, double unread_tokens);
 
 // Chooses replicas by the time until the first output, estimated from the
-// loads. Not thread-safe. A choice takes O(replicas of the service).
+// loads. Not thread-safe. A choice takes O(replicas of the service x failure
+// domains).
 class Placer {
  public:
   explicit Placer(Location location);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -26,8 +26,8 @@
 constexpr double kMediumPromptTokens = 4000;
 constexpr double kLongPromptTokens = 10000;
 
-// Extra cost of a replica that is farther away, beside its delay: bytes
-// between failure domains and regions are billed.
+// Cost of a replica that is farther away: its delay, and headers and answers,
+// which are billed between failure domains and regions.
 constexpr double kOtherZoneMs = 3;
 constexpr double kOtherRegionMs = 20;
 // The body is sent to each engine that reads or runs the request. Prices of the
@@ -39,8 +39,7 @@
 // Time that a request in a batch adds to the first token of a new one.
 constexpr double kMsPerRunningRequest = 5;
 // Time that a request in a batch adds to each token of the others; 0.121 ms on
-// the sheets of both deployments. A long output is slowed most by a full batch,
-// and is refused where this alone takes longer than its caller waits.
+// the sheets of both deployments.
 constexpr double kMsPerRunningRequestAndToken = 0.12;
 // Time of an output token in an empty batch, from the same sheets.
 constexpr double kMsPerOutputToken = 3.03;
@@ -424,7 +423,6 @@
   std::vector<Candidate> direct =
       Candidates(running, query, sources, read_speed, mean_uncached_direct_,
                  !read_apart, now);
-  Candidate placed_apart;
   PlacementResult result;
   if (direct.empty()) {
     result.refusal = {PlacementRefusal::Reason::kNoReplica,
@@ -442,15 +440,14 @@
                            return direct_cost_ms(a) < direct_cost_ms(b);
                          });
   const Candidate* reader = runner;
+  std::vector<Candidate> readers;
   if (read_apart) {
-    const std::vector<Candidate> readers =
-        Candidates(prefill, query, sources, prefill_tokens_per_ms_,
-                   mean_uncached_apart_, true, now);
+    readers = Candidates(prefill, query, sources, prefill_tokens_per_ms_,
+                         mean_uncached_apart_, true, now);
     const auto apart = BestApart(readers, direct, query.prompt->prompt_tokens);
     if (apart &&
         apart->cost_ms < direct_cost_ms(*runner) + kReadApartPreferenceMs) {
-      placed_apart = *apart->reader;
-      reader = &placed_apart;
+      reader = apart->reader;
       runner = apart->runner;
     }
   }
@@ -469,6 +466,7 @@
     placement.copied = reader->copied;
   }
   if (query.prompt) {
+    placement.read_again = ReadAgainTokens(*query.prompt, reader->uncached);
     constexpr double kMeanWeight = 0.05;
     double& mean =
         placement.prefill ? mean_uncached_apart_ : mean_uncached_direct_;
@@ -477,9 +475,6 @@
              mean) *
             kMeanWeight;
   }
-  if (query.prompt) {
-    placement.read_again = ReadAgainTokens(*query.prompt, reader->uncached);
-  }
   placement.expected = FromMs(first_ms);
   placement.expected_end = FromMs(first_ms + kHintedShare * runner->output_ms);
   const Duration late = std::max(placement.expected - query.first_output_left,
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -167,7 +167,7 @@
   awaiting.swap(core.awaiting_beliefs);
   for (const auto& it : awaiting) {
     if (const auto exchange = it.lock()) {
-      exchange->BeliefsComplete();
+      exchange->StopAwaitingBeliefs();
     }
   }
 }
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -15,7 +15,7 @@
 // Placements of one request, refused ones included. More than the attempts of
 // any route, since targets that take no connection cost no attempt.
 constexpr int kMaxPlacements = 8;
-// Shares of callers that come back spread over half the wait again.
+// Callers come back spread over the wait and half of it again.
 constexpr double kRetryAfterSpread = 0.5;
 
 double Point(std::string_view id) {
@@ -58,12 +58,12 @@
   watchdog_timer_.async_wait([weak](error_code ec) {
     const auto self = weak.lock();
     if (!ec && self) {
-      self->BeliefsComplete();
+      self->StopAwaitingBeliefs();
     }
   });
 }
 
-void RelayExchange::BeliefsComplete() {
+void RelayExchange::StopAwaitingBeliefs() {
   if (phase_ == Phase::kAwaitingBeliefs) {
     watchdog_timer_.cancel();
     phase_ = Phase::kPlacing;
@@ -163,17 +163,20 @@
   query.may_read_apart = may_read_apart_;
   PlacementResult result =
       core_->placer.Choose(core_->beliefs.replicas, query, now);
+  std::string_view refusal =
+      result.refusal.reason == PlacementRefusal::Reason::kTooLate
+          ? "too_late"
+          : "no_replica";
   if (++placements_ > kMaxPlacements) {
     result.placement.reset();
+    refusal = "placements_used_up";
   }
   if (!result.placement) {
-    const bool late =
-        result.refusal.reason == PlacementRefusal::Reason::kTooLate;
     expected_first_ = result.refusal.expected;
     JsonFields fields;
     fields.Text("request", facts_.request_id)
         .Text("route", route_->name)
-        .Text("reason", late ? "too_late" : "no_replica")
+        .Text("reason", refusal)
         .Integer("placements", placements_)
         .Integer("prompt", facts_.prompt ? static_cast<int64_t>(
                                                facts_.prompt->prompt_tokens)
@@ -191,8 +194,7 @@
     } else if (maybe_runs_ > 0) {
       Refuse(502, "outcome_unknown", Duration(0));
     } else {
-      Refuse(503, late ? "too_late" : "no_replica",
-             RetryAfterFor(result.refusal.retry_after));
+      Refuse(503, refusal, RetryAfterFor(result.refusal.retry_after));
     }
     return;
   }
@@ -236,6 +238,33 @@
   return headers;
 }
 
+void RelayExchange::BeginCall(const Replica& replica, double uncached) {
+  const TimePoint now = BootClock::now();
+  core_->placer.LoadOf(replica).CallSent(uncached);
+  if (facts_.prompt) {
+    core_->placer.cache_view().NoteSent(EngineKey(replica), *facts_.prompt,
+                                        now);
+  }
+  active_ = ActiveCall();
+  active_->replica = replica;
+  active_->unread_tokens = uncached;
+  active_->sent = active_->last_bytes = now;
+  last_replica_ = replica.id;
+}
+
+void RelayExchange::StartCall(const CallHeaders& headers,
+                              TargetCallHandlers handlers) {
+  TargetRequest request;
+  request.ip = active_->replica.ip;
+  request.port = active_->replica.port;
+  request.method = request_.method;
+  request.path = request_.target;
+  request.headers = core_->protocol.EncodeCall(forwarded_, headers);
+  request.body = request_.body;
+  request.request_id = facts_.request_id;
+  active_->call = core_->targets.Start(std::move(request), std::move(handlers));
+}
+
 bool RelayExchange::SpendForArrival() {
   if (arrivals_ == 0) {
     return true;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -29,8 +29,9 @@
   void Start();
   // The caller has closed its connection.
   void CallerLeft();
-  // The routes and replicas that the request waited for are known.
-  void BeliefsComplete();
+  // Ends the wait for the first routes and replicas, whether they are known or
+  // the time for it is over.
+  void StopAwaitingBeliefs();
 
  private:
   enum class Phase {
@@ -85,6 +86,10 @@
   void CloseActiveCall(CallResult result);
   void ReleaseKv();
   void End(std::string_view outcome, int status);
+  // Books a call to `replica`, which has `uncached` prompt tokens to read.
+  void BeginCall(const Replica& replica, double uncached);
+  // Sends the booked call.
+  void StartCall(const CallHeaders& headers, TargetCallHandlers handlers);
   CallHeaders MakeCallHeaders(const Replica& replica) const;
   size_t BodyBytes() const;
   int64_t OutputTokens() const;  // by the caller's estimate
--- a/src/relay/relay_prompt_call.cc
+++ b/src/relay/relay_prompt_call.cc
@@ -11,32 +11,13 @@
 
 void RelayExchange::ReadPrompt(const Placement& placement) {
   phase_ = Phase::kReadingPrompt;
-  const TimePoint now = BootClock::now();
-  ReplicaLoad& load = core_->placer.LoadOf(*placement.prefill);
-  load.CallSent(placement.prefill_uncached);
-  core_->placer.cache_view().NoteSent(EngineKey(*placement.prefill),
-                                      *facts_.prompt, now);
-  active_ = ActiveCall();
-  active_->replica = *placement.prefill;
-  active_->unread_tokens = placement.prefill_uncached;
-  active_->sent = active_->last_bytes = now;
-  last_replica_ = placement.prefill->id;
-
-  TargetRequest request;
-  request.ip = placement.prefill->ip;
-  request.port = placement.prefill->port;
-  request.method = request_.method;
-  request.path = request_.target;
+  BeginCall(*placement.prefill, placement.prefill_uncached);
   CallHeaders headers = MakeCallHeaders(*placement.prefill);
   headers.read_prompt_only = true;
   headers.last_event_id.reset();
   if (placement.cache_source) {
     headers.cache_source = AddressOf(*placement.cache_source);
   }
-  request.headers = core_->protocol.EncodeCall(forwarded_, headers);
-  request.body = request_.body;
-  request.request_id = facts_.request_id;
-
   TargetCallHandlers handlers;
   const std::weak_ptr<RelayExchange> weak = weak_from_this();
   handlers.on_head = [weak](const TargetAnswerHead& head) {
@@ -61,7 +42,7 @@
       self->PromptCallEnded(placement, end, detail);
     }
   };
-  active_->call = core_->targets.Start(std::move(request), std::move(handlers));
+  StartCall(headers, std::move(handlers));
 }
 
 void RelayExchange::PromptCallEnded(const Placement& placement,
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -19,7 +19,6 @@
 void RelayExchange::Run(const Placement& placement,
                         std::optional<KvHandle> kv) {
   phase_ = Phase::kRunning;
-  const TimePoint now = BootClock::now();
   if (!SpendForArrival()) {
     ReleaseKv();
     if (answer_begun_) {
@@ -32,23 +31,7 @@
     }
     return;
   }
-  ReplicaLoad& load = core_->placer.LoadOf(placement.target);
-  load.CallSent(placement.target_uncached);
-  if (facts_.prompt) {
-    core_->placer.cache_view().NoteSent(EngineKey(placement.target),
-                                        *facts_.prompt, now);
-  }
-  active_ = ActiveCall();
-  active_->replica = placement.target;
-  active_->unread_tokens = placement.target_uncached;
-  active_->sent = active_->last_bytes = now;
-  last_replica_ = placement.target.id;
-
-  TargetRequest request;
-  request.ip = placement.target.ip;
-  request.port = placement.target.port;
-  request.method = request_.method;
-  request.path = request_.target;
+  BeginCall(placement.target, placement.target_uncached);
   CallHeaders headers = MakeCallHeaders(placement.target);
   if (kv) {
     headers.kv_source = AddressOf(*kv_holder_) + "/" + kv->handle;
@@ -58,10 +41,6 @@
   if (scanner_.last_id()) {
     headers.last_event_id = scanner_.last_id();
   }
-  request.headers = core_->protocol.EncodeCall(forwarded_, headers);
-  request.body = request_.body;
-  request.request_id = facts_.request_id;
-
   TargetCallHandlers handlers;
   const std::weak_ptr<RelayExchange> weak = weak_from_this();
   handlers.on_head = [weak](const TargetAnswerHead& head) {
@@ -78,7 +57,7 @@
       self->RunEnded(end, detail);
     }
   };
-  active_->call = core_->targets.Start(std::move(request), std::move(handlers));
+  StartCall(headers, std::move(handlers));
 }
 
 bool RelayExchange::RunHead(const TargetAnswerHead& head) {
--- a/src/relay/retry_after.h
+++ b/src/relay/retry_after.h
@@ -5,7 +5,7 @@
 
 namespace endiveyard {
 
-// Callers that come back sooner meet the same instance state.
+// Shortest wait that is named to callers: a batch of prompts is read meanwhile.
 inline constexpr Duration kMinRetryAfter = std::chrono::milliseconds(250);
 // The lists of the registry, and the next free target, take about this long.
 inline constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
