Log the shared prompt parts of a placement and whether a lost call had begun

Callers saw 502 and broken streams while engines crashed one after the other. The lines 901 and 902 could not tell what the crashing requests have in common: 901 named only the last shared part. 901 has now all shared parts, 902 whether output had started.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -1,6 +1,8 @@
 #include "relay/relay_exchange.h"
 
 #include <algorithm>
+#include <cinttypes>
+#include <cstdio>
 #include <utility>
 
 #include "endiveyard/base/digest.h"
@@ -27,6 +29,18 @@
   return static_cast<double>(Digest64(id)) / kRange;
 }
 
+// Returns the ids of the shared parts of a prompt, as callers send them.
+std::string SharedPartsText(const PromptShape& prompt) {
+  std::string text;
+  for (size_t n = 0; n + 1 < prompt.parts.size(); ++n) {
+    char buf[20];
+    const int size = std::snprintf(buf, sizeof buf, "%s%" PRIx64,
+                                   n > 0 ? "," : "", prompt.parts[n].id);
+    text.append(buf, static_cast<size_t>(size));
+  }
+  return text;
+}
+
 }  // namespace
 
 RelayExchange::RelayExchange(std::shared_ptr<RelayContext> context,
@@ -236,6 +250,7 @@
       .Integer("prefix", query.prompt ? static_cast<int64_t>(
                                             SharedPrefixKey(*query.prompt))
                                       : 0)
+      .Text("parts", query.prompt ? SharedPartsText(*query.prompt) : "")
       .Integer("prompt", query.prompt
                              ? static_cast<int64_t>(query.prompt->prompt_tokens)
                              : 0)
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -300,6 +300,7 @@
         .Integer("status", active_call_ ? active_call_->status : 0)
         .Text("outcome", NameOf(outcome))
         .Text("next", NameOf(step))
+        .Flag("output_started", active_call_ && active_call_->output_started)
         .Integer("may_have_run", possible_runs_)
         .Number("budget_left", context_->retry_budget.Remaining(service_, now))
         .Millis("left_ms", attempt.time_left)
