--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -568,4 +569,46 @@
   BOOST_TEST(Contains(response, "\r\n\r\nok"));
 }
 
+// Guards against requests that crash one target after the other: once several
+// targets were lost by requests with the same part in their prompts, further
+// requests with that part are refused, and those without it are served.
+BOOST_FIXTURE_TEST_CASE(PromptPartsThatCrashTargetsAreRefused,
+                        RelayFixture,
+                        *boost::unit_test::label("known_red")) {
+  const std::string crashing_part = "bad0:20";
+  std::atomic<int> crashes{0};
+  const auto respond = [&](const std::string& request) {
+    const size_t at = request.find("Endiveyard-Request-Id: ");
+    const std::string id = request.substr(at + 23, 2);
+    if (Contains(request, crashing_part)) {
+      ++crashes;
+      return StreamResponseHead(id);
+    }
+    return StreamResponseHead(id) + EncodeChunk("id: 1\ndata: a\n\n") +
+           EncodeChunk("");
+  };
+  const TargetResponder first_responder(&first(), respond);
+  const TargetResponder second_responder(&second(), respond);
+  const auto send = [&](const std::string& id, const std::string& part) {
+    TestConnection caller = Connect();
+    caller.Send(RequestHead("GET", "/stream/" + id, id,
+                            "Endiveyard-Token-Count: 180,20\r\n"
+                            "Endiveyard-Prompt-Prefix: aa:100,dd:50," +
+                                part + id + ":10\r\n"));
+    return caller.ReadMessage();
+  };
+  constexpr int kRequests = 12;
+  std::string last;
+  for (int n = 0; n < kRequests; ++n) {
+    last = send(std::to_string(10 + n), crashing_part + ",");
+    RestartTargets();
+    const std::string sound = send(std::to_string(50 + n), "");
+    BOOST_TEST(Contains(sound, "HTTP/1.1 200 OK\r\n"));
+    BOOST_TEST(Contains(sound, "data: a\n\n"));
+  }
+  // The users' bound is three requests after the fifth crash.
+  BOOST_TEST(crashes <= 8);
+  BOOST_TEST(Contains(last, "HTTP/1.1 503 "));
+}
+
 }  // namespace endiveyard
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -145,9 +145,13 @@
     : io_(io),
       acceptor_(io, tcp::endpoint(asio::ip::make_address(kLoopback), 0)) {}
 
-TestConnection TestTarget::Accept() {
+bool TestTarget::HasConnectionWithin(int ms) {
   pollfd listener{acceptor_.native_handle(), POLLIN, 0};
-  if (poll(&listener, 1, 10000) != 1) {
+  return poll(&listener, 1, ms) == 1;
+}
+
+TestConnection TestTarget::Accept() {
+  if (!HasConnectionWithin(10000)) {
     throw std::runtime_error("target got no connection within 10 s");
   }
   tcp::socket socket(io_);
@@ -159,6 +163,26 @@
   return acceptor_.local_endpoint().port();
 }
 
+TargetResponder::TargetResponder(
+    TestTarget* target,
+    std::function<std::string(const std::string& request)> respond)
+    : thread_([this, target, respond = std::move(respond)] {
+        constexpr int kStopCheckIntervalMs = 20;
+        while (!stopped_) {
+          if (!target->HasConnectionWithin(kStopCheckIntervalMs)) {
+            continue;
+          }
+          TestConnection connection = target->Accept();
+          connection.Send(respond(connection.ReadMessage()));
+          connection.Close();
+        }
+      }) {}
+
+TargetResponder::~TargetResponder() {
+  stopped_ = true;
+  thread_.join();
+}
+
 RelayFixture::RelayFixture(Duration startup_wait)
     : first_(test_io_),
       second_(test_io_),
@@ -221,6 +245,7 @@
   // preferred.
   replica.failure_domain = id == "t1" ? "z" : "far";
   replica.slots = 8;
+  replica.started_unix_ms = target_starts_;
   return replica;
 }
 
@@ -265,6 +290,16 @@
   });
 }
 
+void RelayFixture::RestartTargets() {
+  ++target_starts_;
+  RunOnRelayThread([this](RoutingState& routing_state) {
+    routing_state.replicas.Reset(
+        {MakeReplica("t1", first_.port()), MakeReplica("t2", second_.port())},
+        BootClock::now());
+  });
+  NotifyRoutingStateChanged();
+}
+
 void RelayFixture::ConsumeRetryBudget() {
   // Without ratio and slack, the one retry that an instance may always send is
   // left.
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -1,6 +1,8 @@
 #ifndef ENDIVEYARD_TESTS_PLATFORM_RELAY_FIXTURE_H_
 #define ENDIVEYARD_TESTS_PLATFORM_RELAY_FIXTURE_H_
 
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -51,6 +53,8 @@
   explicit TestTarget(boost::asio::io_context& io);
 
   TestConnection Accept();
+  // Returns true if a connection arrives within `ms`, or waits already.
+  bool HasConnectionWithin(int ms);
   uint16_t port() const;
 
  private:
@@ -58,6 +62,20 @@
   boost::asio::ip::tcp::acceptor acceptor_;
 };
 
+// Responds to all connections of a target on a thread of its own: reads one
+// request, sends what `respond` returns for it, and closes the connection.
+class TargetResponder {
+ public:
+  TargetResponder(
+      TestTarget* target,
+      std::function<std::string(const std::string& request)> respond);
+  ~TargetResponder();
+
+ private:
+  std::atomic<bool> stopped_{false};
+  std::thread thread_;
+};
+
 // A relay on the loopback address with its own thread. The service `svc` has
 // two targets, `t1` and `t2`; the host "h" has the routes /safe/, /unsafe/,
 // /stream/ (resumable) and /once/ (a stream that is not resumable).
@@ -77,6 +95,8 @@
   // Replaces the targets by the prefill engine `p1` at the second address and
   // the decode engines `d1` and `d2`, which share the first address.
   void UseDisaggregatedTargets();
+  // Registers the same targets as restarted processes with the same ids.
+  void RestartTargets();
   // Leaves no retry budget for the service.
   void ConsumeRetryBudget();
 
@@ -88,6 +108,7 @@
  private:
   Replica MakeReplica(const std::string& id, uint16_t port) const;
 
+  int64_t target_starts_ = 0;
   boost::asio::io_context test_io_;
   TestTarget first_;
   TestTarget second_;
