Do not take an unframed stream without any event for a complete one

What callers saw: 200 with an empty body, as if the stream were complete, when a target without length and chunks closed its connection before the first event. Requests that crash engines end like this.

Cause: the end of the connection is the end of such a body, and only a partial event counted as broken off.

Evidence: UnframedStreamsCutOffAreNotComplete failed for the stream without bytes (200, Content-Length 0) and passes now; partial events were recognized before.

Ruled out: treating framed streams alike. Chunks and lengths state the end, and a resumed stream may have nothing left to send.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -35,6 +35,9 @@
   int status = 0;
   std::string reason;
   HeaderList headers;
+  // The body has neither a length nor chunks and ends with the connection, so
+  // that its end does not show whether it is complete.
+  bool ends_with_connection = false;
 };
 
 // How far the HTTP exchange of a call got before it ended.
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -88,6 +88,9 @@
   // Ends the run in progress, whose response cannot be used.
   void AbandonRun(CallOutcome outcome, std::string_view detail);
   CallOutcome OutcomeOf(TransportStatus transport_status) const;
+  // Returns true if the target closed the connection of a response that ends
+  // with it before any output.
+  bool EndedWithoutAnswer() const;
   // Records the speed of the target of a completed run.
   void ObserveCompletedRun(const ActiveCall& call);
   void ContinueAfterCall(CallOutcome outcome, std::string_view detail);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -192,6 +192,11 @@
   ContinueAfterCall(outcome, detail);
 }
 
+bool RelayExchange::EndedWithoutAnswer() const {
+  return active_call_->head.ends_with_connection &&
+         !active_call_->output_started_at;
+}
+
 CallOutcome RelayExchange::OutcomeOf(TransportStatus transport_status) const {
   switch (transport_status) {
     case TransportStatus::kNotSent:
@@ -209,7 +214,8 @@
   if (active_call_->response_metadata.not_run) {
     return CallOutcome::kNotRun;
   }
-  if (active_call_->streaming && sse_splitter_.has_partial_event()) {
+  if (active_call_->streaming &&
+      (sse_splitter_.has_partial_event() || EndedWithoutAnswer())) {
     return CallOutcome::kIncompleteResponse;
   }
   const bool success =
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -308,6 +308,7 @@
       response_head_.headers.emplace_back(std::string(it.name_string()),
                                           std::string(it.value()));
     }
+    response_head_.ends_with_connection = parser_->need_eof();
     skipping_response_ = false;
     if (!request_.request_id.empty()) {
       const ResponseMetadata metadata = protocol_.DecodeResponse(
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -24,6 +24,13 @@
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+// A stream without length or chunks, which ends with its connection.
+std::string UnframedStreamHead(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
+         "\r\nEndiveyard-Response-Signature: sig-" + id +
+         "\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
 std::string PrefillResponse(const std::string& id) {
   const std::string body =
       "{\"kv_handle\":\"h1\",\"tokens\":6000,\"version\":1}";
@@ -461,6 +468,36 @@
   BOOST_TEST(!Contains(rest, "0\r\n\r\n"));
 }
 
+// Guards against a stream that its target broke off, and that reaches the
+// caller as a complete success: without length and chunks, the end of the
+// connection is the only end.
+BOOST_FIXTURE_TEST_CASE(UnframedStreamsCutOffAreNotComplete, RelayFixture) {
+  UseOneTarget();
+  for (const char* sent : {"", "id: 1\n", "id: 1\ndata: a\n\nid: 2\nda"}) {
+    BOOST_TEST_CONTEXT("sent before the end: " << sent) {
+      TestConnection caller = Connect();
+      caller.Send(RequestHead("POST", "/once/x", "r1",
+                              "Content-Length: 0\r\nConnection: close\r\n"));
+      TestConnection target = first().Accept();
+      target.ReadMessage();
+      target.Send(UnframedStreamHead("r1") + sent);
+      target.Close();
+      const std::string response = caller.ReadUntilClose();
+      const bool complete = Contains(response, "HTTP/1.1 200 ") &&
+                            (Contains(response, "Content-Length: 0") ||
+                             Contains(response, "\r\n0\r\n\r\n"));
+      BOOST_TEST(!complete, response);
+    }
+  }
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/once/x", "r2", "Content-Length: 0\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(UnframedStreamHead("r2") + "id: 1\ndata: a\n\n");
+  target.Close();
+  BOOST_TEST(Contains(caller.ReadMessage(), "data: a\n\n"));
+}
+
 // Guards against a 404 for a route that this instance may not have loaded yet,
 // and against routing without a configuration.
 BOOST_FIXTURE_TEST_CASE(UnknownRoutesGet404OnlyFromACurrentServiceMap,
