Count engines that end in an unframed stream as crashed

What callers saw: requests with a prompt part that crashes engines were sent on without end where engines answer without length and chunks.

Cause: the end of the connection of such a stream is a complete exchange for the transport, and the evidence was only taken from exchanges that were cut off.

Evidence: PromptPartsThatCrashTargetsOfUnframedStreamsAreRefused and PromptPartsThatCrashTargetsInAnEventAreRefused failed (24 crashes of 12 requests, none refused) and pass now.

Ruled out: counting complete error responses without length, which come from an engine that works.

--- a/src/relay/relay_crash_evidence.cc
+++ b/src/relay/relay_crash_evidence.cc
@@ -59,10 +59,13 @@
 }
 
 void RelayExchange::RecordLostCall(TransportStatus transport_status) {
-  // Responses that are complete or invalid come from a replica that works.
+  // Responses that are complete or invalid come from a replica that works. A
+  // stream that ends with its connection ends like a complete one.
   const bool connection_lost =
       transport_status == TransportStatus::kNoResponse ||
-      transport_status == TransportStatus::kTruncated;
+      transport_status == TransportStatus::kTruncated ||
+      (active_call_->head.ends_with_connection &&
+       OutcomeOf(transport_status) == CallOutcome::kIncompleteResponse);
   if (!connection_lost || answer_survived_ ||
       active_call_->response_metadata.not_run) {
     return;
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <string>
 
 #include "relay_fixture.h"
@@ -606,10 +607,13 @@
   BOOST_TEST(Contains(response, "\r\n\r\nok"));
 }
 
-// Guards against requests that crash one target after the other: once several
-// targets were lost by requests with the same part in their prompts, further
-// requests with that part are refused, and those without it are served.
-BOOST_FIXTURE_TEST_CASE(PromptPartsThatCrashTargetsAreRefused, RelayFixture) {
+namespace {
+
+// Sends requests with a part on which targets end after `last_bytes`, and sound
+// requests in between.
+void ExpectCrashingPartsAreRefused(
+    RelayFixture* fixture,
+    const std::function<std::string(const std::string& id)>& last_bytes) {
   const std::string crashing_part = "bad0:20";
   std::atomic<int> crashes{0};
   const auto respond = [&](const std::string& request) {
@@ -617,15 +621,15 @@
     const std::string id = request.substr(at + 23, 2);
     if (Contains(request, crashing_part)) {
       ++crashes;
-      return StreamResponseHead(id);
+      return last_bytes(id);
     }
     return StreamResponseHead(id) + EncodeChunk("id: 1\ndata: a\n\n") +
            EncodeChunk("");
   };
-  const TargetResponder first_responder(&first(), respond);
-  const TargetResponder second_responder(&second(), respond);
+  const TargetResponder first_responder(&fixture->first(), respond);
+  const TargetResponder second_responder(&fixture->second(), respond);
   const auto send = [&](const std::string& id, const std::string& part) {
-    TestConnection caller = Connect();
+    TestConnection caller = fixture->Connect();
     caller.Send(RequestHead("GET", "/stream/" + id, id,
                             "Endiveyard-Token-Count: 180,20\r\n"
                             "Endiveyard-Prompt-Prefix: aa:100,dd:50," +
@@ -636,7 +640,7 @@
   std::string last;
   for (int n = 0; n < kRequests; ++n) {
     last = send(std::to_string(10 + n), crashing_part + ",");
-    RestartTargets();
+    fixture->RestartTargets();
     const std::string sound = send(std::to_string(50 + n), "");
     BOOST_TEST(Contains(sound, "HTTP/1.1 200 OK\r\n"));
     BOOST_TEST(Contains(sound, "data: a\n\n"));
@@ -646,4 +650,27 @@
   BOOST_TEST(Contains(last, "HTTP/1.1 503 "));
 }
 
+}  // namespace
+
+// Guards against requests that crash one target after the other: once several
+// targets were lost by requests with the same part in their prompts, further
+// requests with that part are refused, and those without it are served.
+BOOST_FIXTURE_TEST_CASE(PromptPartsThatCrashTargetsAreRefused, RelayFixture) {
+  ExpectCrashingPartsAreRefused(this, StreamResponseHead);
+}
+
+// The same for targets whose streams have neither length nor chunks, where the
+// end of a crashed target looks like the end of the stream.
+BOOST_FIXTURE_TEST_CASE(PromptPartsThatCrashTargetsOfUnframedStreamsAreRefused,
+                        RelayFixture) {
+  ExpectCrashingPartsAreRefused(this, UnframedStreamHead);
+}
+
+BOOST_FIXTURE_TEST_CASE(PromptPartsThatCrashTargetsInAnEventAreRefused,
+                        RelayFixture) {
+  ExpectCrashingPartsAreRefused(this, [](const std::string& id) {
+    return UnframedStreamHead(id) + "id: 1\nda";
+  });
+}
+
 }  // namespace endiveyard
