Log the limits on requests per second that replicas state

The lines could not tell when an instance learned of such a limit, whether it changes, or whether all responses state it. Event 317 names each change. Nothing is decided by it yet.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -16,6 +16,7 @@
 #include "endiveyard/placement/placement_costs.h"
 #include "endiveyard/placement/prompt_shape.h"
 #include "endiveyard/placement/replica_load.h"
+#include "endiveyard/placement/replica_rate_limits.h"
 #include "endiveyard/placement/replica_view.h"
 #include "endiveyard/placement/service_map.h"
 
@@ -146,6 +147,8 @@
 
   CacheView& cache_view() { return cache_view_; }
 
+  ReplicaRateLimits& rate_limits() { return rate_limits_; }
+
   // Removes the state of replicas that are no longer registered, and sets the
   // cache capacities of the engines. `services` may be null.
   void Retain(const ReplicaView& view, const ServiceMap* services);
@@ -264,6 +267,7 @@
   std::map<std::string, IncarnationLoad> loads_;
   PeerLoads peer_loads_;
   CacheView cache_view_;
+  ReplicaRateLimits rate_limits_;
   PlacementPrices prices_;
   std::map<std::string, ServiceState> services_;
 };
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -34,6 +34,8 @@
   bool not_run = false;  // the target states that it did not run the request
   bool has_content_encoding = false;  // the body is not as the target wrote it
   std::optional<ReportedLoad> load;
+  // Limit on the requests per second from all instances together.
+  std::optional<double> requests_per_second;
 };
 
 // Handle of the KV cache of a prompt, which a prefill engine keeps for another
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -36,6 +36,7 @@
 inline constexpr int kLogReplicaEntryInvalid = 314;
 inline constexpr int kLogPeerReportsRejected = 315;
 inline constexpr int kLogCrashingRequestsRefused = 316;
+inline constexpr int kLogReplicaRateLimitChanged = 317;
 inline constexpr int kLogRegistryLost = 803;
 inline constexpr int kLogRegistryRegained = 804;
 inline constexpr int kLogSettingsReloaded = 106;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -91,6 +91,8 @@
   // Returns true if the target closed the connection of a response that ends
   // with it before any output.
   bool EndedWithoutAnswer() const;
+  // Records what the head of the response states about the replica.
+  void RecordResponseHead();
   // Records the speed of the target of a completed run.
   void ObserveCompletedRun(const ActiveCall& call);
   void ContinueAfterCall(CallOutcome outcome, std::string_view detail);
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -30,7 +30,7 @@
     self->active_call_->status = head.status;
     self->active_call_->response_metadata =
         self->context_->protocol.DecodeResponse(head.status, head.headers);
-    self->RecordSignOfLife();
+    self->RecordResponseHead();
     return true;
   };
   handlers.on_body = [weak](std::string_view bytes) {
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -16,6 +16,8 @@
 // Reading from the target pauses while more bytes than this wait for a slow
 // caller.
 constexpr size_t kMaxUnsentBytes = 65536;
+// HTTP status of a response from another replica than the one expected.
+constexpr int kMisdirectedRequest = 421;
 
 }  // namespace
 
@@ -69,7 +71,7 @@
   active_call_->last_progress_at = BootClock::now();
   active_call_->response_metadata =
       context_->protocol.DecodeResponse(head.status, head.headers);
-  RecordSignOfLife();
+  RecordResponseHead();
   if (active_call_->response_metadata.load) {
     context_->placer.LoadOf(active_call_->replica)
         .RecordReport(*active_call_->response_metadata.load,
@@ -82,6 +84,31 @@
   return true;
 }
 
+void RelayExchange::RecordResponseHead() {
+  RecordSignOfLife();
+  const ResponseMetadata& metadata = active_call_->response_metadata;
+  if (active_call_->status == kMisdirectedRequest ||
+      (!metadata.requests_per_second &&
+       (metadata.not_run || active_call_->status >= 500))) {
+    // From another replica at this address, or perhaps not from a replica.
+    return;
+  }
+  const TimePoint now = BootClock::now();
+  ReplicaRateLimits& limits = context_->placer.rate_limits();
+  const uint64_t key = EngineKey(active_call_->replica);
+  const std::optional<double> before = limits.LimitOf(key, now);
+  if (limits.RecordResponse(key, metadata.requests_per_second, now)) {
+    constexpr double kNone = -1;
+    JsonFields fields;
+    fields.Text("replica", active_call_->replica.id)
+        .Number("requests_per_s", metadata.requests_per_second.value_or(kNone))
+        .Number("before", before.value_or(kNone))
+        .Text("request", request_metadata_.request_id)
+        .Integer("status", active_call_->status);
+    context_->log.Log(kLogReplicaRateLimitChanged, fields, now);
+  }
+}
+
 void RelayExchange::RecordOutput() {
   active_call_->last_progress_at = BootClock::now();
   if (active_call_->output_started_at) {
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -75,6 +75,10 @@
        "Requests are refused because those with the same prompt parts crashed "
        "three replicas or more.",
        "Inspect the prompt parts named; the evidence lapses in 10 minutes."},
+      {317, kInfo, "replica_rate_limit_changed",
+       "A replica states another limit on its requests per second, or none any "
+       "more (-1).",
+       "Find out why the replica is short of capacity."},
       {501, kInfo, "lease_acquired", "The instance holds its lease.", "None."},
       {502, kWarn, "lease_lapsed",
        "The lease was not renewed in time; no order is sent.",
