Reproduce: targets get more requests than the limit that they state

Fails on the present code: a target that states 0.01 requests per second gets 40 of 40 requests, and with no other target the next one is sent as well.

--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -673,4 +673,48 @@
   });
 }
 
+// Guards against a target that gets more requests than the limit that it states
+// in its responses.
+BOOST_FIXTURE_TEST_CASE(TargetsGetNoMoreRequestsThanTheyState,
+                        RelayFixture,
+                        *boost::unit_test::label("known_red")) {
+  constexpr int kRequests = 40;
+  // The users' bound for four seconds is one and a half times the limit and
+  // five requests; this limit allows less than one request in the test.
+  constexpr int kMaxRequests = 1 + 5;
+  std::atomic<int> limited_requests{0};
+  const auto response = [](const std::string& request,
+                           const std::string& more_headers) {
+    const size_t at = request.find("Endiveyard-Request-Id: ");
+    return "HTTP/1.1 200 OK\r\n" + more_headers +
+           "Endiveyard-Response-Signature: s\r\nContent-Length: 9\r\n" +
+           request.substr(at, request.find("\r\n", at) - at) +
+           "\r\n\r\ndata: a\n\n";
+  };
+  const TargetResponder limited(&first(), [&](const std::string& request) {
+    ++limited_requests;
+    return response(request, "Server-Limit: 0.01\r\n");
+  });
+  const TargetResponder unlimited(&second(), [&](const std::string& request) {
+    return response(request, "");
+  });
+  for (const char* path : {"/safe/x", "/unsafe/x", "/once/x", "/stream/x"}) {
+    for (int n = 0; n < kRequests / 4; ++n) {
+      TestConnection caller = Connect();
+      caller.Send(RequestHead("GET", path, "r" + std::to_string(n)));
+      BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 "));
+    }
+  }
+  BOOST_TEST(limited_requests >= 1);
+  BOOST_TEST(limited_requests <= kMaxRequests);
+  // Without another target, requests are refused at once, as not run, with the
+  // time after which to come again.
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/unsafe/x", "last"));
+  const std::string refusal = caller.ReadMessage();
+  BOOST_TEST(Contains(refusal, "HTTP/1.1 503 "));
+  BOOST_TEST(Contains(refusal, "Retry-After: "));
+}
+
 }  // namespace endiveyard
