Let requests wait for their turn at replicas that limit their rate

Fix: a request may wait up to a second for its turn. The wait counts as cost, and so does what later requests lose by it, less for large requests. Turns are given back by callers that leave, and replicas are checked again after the wait.

Evidence: RequestsTakeTurnsAtRateLimitedEngines, LargeRequestsWaitLongerForATurn, RequestsWaitForTheirTurn, TurnsAtTargetsThatLeaveAreGivenUp.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -63,6 +63,9 @@
   // Predicted waits of the calls, before they are corrected by measured ones.
   Duration predicted_prefill{};
   Duration predicted_run{};
+  // Time until the first call may be sent, because the rate limit of its
+  // replica leaves no request before.
+  Duration turn_wait{};
   double prefill_uncached = 0;  // prompt tokens that `prefill` has to prefill
   double target_uncached = 0;   // prompt tokens that `target` has to prefill
   // Engine from which the engine that prefills the prompt copies cached parts.
@@ -71,6 +74,7 @@
   // Uncached tokens of shared parts, which another engine may have in its
   // cache.
   double recomputed_tokens = 0;
+  double work_ms = 0;  // time of an engine that the request takes
 };
 
 // Reason why no placement was made, and the time after which to retry. The
@@ -125,6 +129,8 @@
   void RecordPlaced(const PlacementQuery& query,
                     const Placement& placement,
                     TimePoint now);
+  // Records that the first call of `placement` is not sent after all.
+  void RecordNotSent(const Placement& placement, TimePoint now);
 
   // Returns the load of a replica incarnation, created on first use. The load
   // of a restarted replica starts empty.
@@ -226,6 +232,7 @@
     // Moving averages of the uncached prompt tokens per request.
     double mean_uncached_disaggregated = 0;
     double mean_uncached_colocated = 0;
+    double mean_work_ms = 0;
   };
   // What the costs of all candidates of one query depend on.
   struct QueryContext;
@@ -249,9 +256,11 @@
       const QueryContext& context,
       const std::vector<Candidate>& prefill_candidates,
       const std::vector<Candidate>& run_candidates) const;
-  // Returns true if the rate limit of the replica allows a request of this
-  // instance now. Otherwise, adds the time after which it does to `context`.
-  bool IsWithinRateLimit(const Replica& replica, QueryContext* context);
+  // Returns the time until the rate limit of the replica allows another request
+  // of this instance, or nullopt if that is too long. Then, adds it to
+  // `context`.
+  std::optional<Duration> TurnWait(const Replica& replica,
+                                   QueryContext* context);
   // Sets the engine from which the candidate copies cached parts, if copying
   // costs less than prefilling them.
   void ChooseCacheSource(const QueryContext& context,
--- a/include/endiveyard/placement/replica_rate_limits.h
+++ b/include/endiveyard/placement/replica_rate_limits.h
@@ -80,8 +80,11 @@
   std::optional<Duration> WaitFor(uint64_t replica_key,
                                   ReplicaPosition replica,
                                   TimePoint now);
-  // Records that a request was sent to the replica, or is about to be.
+  // Records that a request was sent to the replica, or will be after the time
+  // that WaitFor() returned.
   void RecordSent(uint64_t replica_key, TimePoint now);
+  // Takes back a call of RecordSent().
+  void RecordNotSent(uint64_t replica_key, TimePoint now);
 
   // Applies the report of another instance. `relay` makes what is new part of
   // the own reports.
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -64,6 +64,11 @@
 // Retry-After if this instance has no share of the rate limits of the replicas.
 // Another one, which the caller may reach when it comes again, has.
 constexpr Duration kNoShareRetryAfter = std::chrono::milliseconds(300);
+// Requests wait at most this long for their turn at a rate-limited replica.
+// Longer waits leave callers too little time if the replica fails.
+constexpr Duration kMaxTurnWait = std::chrono::seconds(1);
+// Requests with less work count as this much.
+constexpr double kMinWorkMs = 1;
 
 Duration FromMs(double ms) {
   return Duration(static_cast<int64_t>(ms * 1000));
@@ -118,13 +123,29 @@
   double output_ms = 0;       // of the output tokens
   double cache_cost_ms = 0;   // cost of copying and recomputing shared parts
   double penalty_ms = 0;      // for distance, failures and backoff
+  double turn_wait_ms = 0;    // until the rate limit allows the request
   double requests = 0;
+  double mean_work_ms = 0;  // of the requests to the service
 
+  // After `turn_wait_ms`.
   double FirstOutputMs() const {
     return queue_ms + prefill_ms + batch_delay_ms;
   }
   double PrefillCostMs() const {
-    return FirstOutputMs() + cache_cost_ms + penalty_ms;
+    return FirstOutputMs() + cache_cost_ms + penalty_ms +
+           TurnCostMs(prefill_ms);
+  }
+  // Time of the engine that prefilling and running the request takes: each
+  // stream lengthens all steps.
+  double WorkMs() const {
+    return prefill_ms + kStepSlowdownPerRequest * output_ms;
+  }
+  // Cost of waiting for a turn with `work_ms` of work, and of making later
+  // requests wait. A large request takes no more from a rate limit than a small
+  // one, but relieves other replicas of more work, so that small ones leave
+  // their turns to large ones.
+  double TurnCostMs(double work_ms) const {
+    return turn_wait_ms * (1 + mean_work_ms / std::max(kMinWorkMs, work_ms));
   }
   // Cost of running the request after a prefill on another engine.
   double RunCostMs() const {
@@ -133,8 +154,9 @@
   // Cost of prefilling and running on the same engine. A prefill on a decode
   // engine delays the streams that it runs.
   double ColocatedCostMs() const {
-    return PrefillCostMs() + output_ms +
-           InterferenceFactor(requests, replica->slots) * prefill_ms;
+    return FirstOutputMs() + cache_cost_ms + penalty_ms + output_ms +
+           InterferenceFactor(requests, replica->slots) * prefill_ms +
+           TurnCostMs(WorkMs());
   }
 };
 
@@ -150,6 +172,7 @@
   // Time after which the first of the replicas that are left out because of
   // their rate limit gets another request.
   std::optional<Duration> rate_limit_wait;
+  double mean_work_ms = 0;
 };
 
 int QueuePriority(int route_priority, double prefill_ms) {
@@ -215,13 +238,14 @@
   return RendezvousReplica(available, key);
 }
 
-bool Placer::IsWithinRateLimit(const Replica& replica, QueryContext* context) {
+std::optional<Duration> Placer::TurnWait(const Replica& replica,
+                                         QueryContext* context) {
   if (rate_limits_.empty()) {
-    return true;
+    return Duration(0);
   }
   const uint64_t key = EngineKey(replica);
   if (!rate_limits_.LimitOf(key, context->now)) {
-    return true;
+    return Duration(0);
   }
   const auto& usable = context->usable;
   const auto position = std::lower_bound(
@@ -233,13 +257,13 @@
               key,
               {static_cast<size_t>(position - usable.begin()), usable.size()},
               context->now)
-          .value_or(kNoShareRetryAfter);
-  if (wait <= Duration(0)) {
-    return true;
+          .value_or(kNoShareRetryAfter + kMaxTurnWait);
+  if (wait <= kMaxTurnWait) {
+    return wait;
   }
   context->rate_limit_wait =
-      std::min(context->rate_limit_wait.value_or(wait), wait);
-  return false;
+      std::min(context->rate_limit_wait.value_or(wait), wait - kMaxTurnWait);
+  return std::nullopt;
 }
 
 std::vector<Placer::Candidate> Placer::MakeCandidates(
@@ -253,14 +277,19 @@
   const TimePoint now = context.now;
   std::vector<Candidate> candidates;
   for (const Replica* it : replicas) {
-    if (query.excluded.count(it->id) > 0 ||
-        !IsWithinRateLimit(*it, query_context)) {
+    if (query.excluded.count(it->id) > 0) {
+      continue;
+    }
+    const auto turn_wait = TurnWait(*it, query_context);
+    if (!turn_wait) {
       continue;
     }
     const ReplicaLoad& load = LoadOf(*it);
     const uint64_t key = ReplicaKey(it->id);
     Candidate candidate;
     candidate.replica = it;
+    candidate.turn_wait_ms = static_cast<double>(turn_wait->count()) / 1000;
+    candidate.mean_work_ms = context.mean_work_ms;
     candidate.requests = context.has_live_peers
                              ? load.local_calls() + peer_loads_.Calls(key, now)
                              : load.Requests(now);
@@ -365,6 +394,9 @@
   for (const auto& [failure_domain, prefill_candidate] :
        best_by_failure_domain) {
     for (const Candidate& run_candidate : run_candidates) {
+      if (run_candidate.turn_wait_ms > 0) {
+        continue;
+      }
       const Distance distance =
           DistanceBetween(location_, prefill_candidate->replica->failure_domain,
                           run_candidate.replica->failure_domain);
@@ -400,7 +432,8 @@
                        false,
                        {},
                        {},
-                       {}};
+                       {},
+                       state.mean_work_ms};
   context.plain_call_ms =
       state.plain_call_ms.Quantile(0.5, now).value_or(kInitialPlainCallMs);
   context.has_live_peers = peer_loads_.LivePeers(now) > 0;
@@ -478,6 +511,10 @@
         expected_wait(CallKind::kPrefill, placement.predicted_prefill) +
         expected_wait(CallKind::kRunAfterPrefill, placement.predicted_run);
   }
+  placement.turn_wait = FromMs(prefill_candidate->turn_wait_ms);
+  placement.expected_first_output += placement.turn_wait;
+  placement.work_ms =
+      query.prompt ? run_candidate->WorkMs() : context.plain_call_ms;
   if (prefill_candidate->cache_source != nullptr) {
     placement.cache_source = *prefill_candidate->cache_source;
     placement.copied = prefill_candidate->copied;
--- a/src/placement/placer_measurements.cc
+++ b/src/placement/placer_measurements.cc
@@ -197,6 +197,13 @@
   return state == nullptr ? kInitialEngineProfile : state->profile.Profile(now);
 }
 
+void Placer::RecordNotSent(const Placement& placement, TimePoint now) {
+  rate_limits_.RecordNotSent(EngineKey(placement.target), now);
+  if (placement.prefill) {
+    rate_limits_.RecordNotSent(EngineKey(*placement.prefill), now);
+  }
+}
+
 void Placer::RecordPlaced(const PlacementQuery& query,
                           const Placement& placement,
                           TimePoint now) {
@@ -204,11 +211,12 @@
   if (placement.prefill) {
     rate_limits_.RecordSent(EngineKey(*placement.prefill), now);
   }
+  constexpr double kMeanWeight = 0.05;
+  ServiceState& state = services_[query.service];
+  state.mean_work_ms += (placement.work_ms - state.mean_work_ms) * kMeanWeight;
   if (!query.prompt) {
     return;
   }
-  constexpr double kMeanWeight = 0.05;
-  ServiceState& state = services_[query.service];
   double& mean = placement.prefill ? state.mean_uncached_disaggregated
                                    : state.mean_uncached_colocated;
   mean += ((placement.prefill ? placement.prefill_uncached
--- a/src/placement/replica_rate_limits.cc
+++ b/src/placement/replica_rate_limits.cc
@@ -142,6 +142,13 @@
   }
 }
 
+void ReplicaRateLimits::RecordNotSent(uint64_t replica_key, TimePoint now) {
+  const auto it = limits_.find(replica_key);
+  if (it != limits_.end() && IsInForce(it->second, now)) {
+    it->second.tokens += 1;
+  }
+}
+
 void ReplicaRateLimits::ApplyReport(const RateLimitReport& report,
                                     TimePoint now,
                                     bool relay) {
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -49,6 +49,7 @@
       request_(std::move(request)),
       deadline_timer_(context_->io),
       watchdog_timer_(context_->io),
+      turn_timer_(context_->io),
       response_(UnsentResponse(caller_)) {
   ++context_->open_exchanges;
 }
@@ -258,12 +259,21 @@
       .Integer("output", ExpectedOutputTokens())
       .Millis("predicted_prefill_ms", placement.predicted_prefill)
       .Millis("predicted_run_ms", placement.predicted_run)
+      .Millis("turn_ms", placement.turn_wait)
       .Millis("expected_ms", placement.expected_first_output)
       .Millis("expected_end_ms", placement.expected_completion)
       .Millis("left_ms", query.time_left)
       .Millis("first_left_ms", query.first_output_time_left)
       .Integer("map_version", service_map_->version);
   context_->log.Log(kLogRequestPlaced, fields, now);
+  if (placement.turn_wait > Duration(0)) {
+    AwaitTurn(placement);
+    return;
+  }
+  StartPlacement(placement);
+}
+
+void RelayExchange::StartPlacement(const Placement& placement) {
   if (placement.prefill) {
     StartPrefill(placement);
   } else {
@@ -271,6 +281,45 @@
   }
 }
 
+void RelayExchange::AwaitTurn(const Placement& placement) {
+  phase_ = Phase::kAwaitingTurn;
+  awaited_placement_ = placement;
+  turn_timer_.expires_after(placement.turn_wait);
+  const std::weak_ptr<RelayExchange> weak = weak_from_this();
+  turn_timer_.async_wait([weak](error_code ec) {
+    const auto self = weak.lock();
+    if (!ec && self && self->phase_ == Phase::kAwaitingTurn) {
+      self->OnTurn();
+    }
+  });
+}
+
+void RelayExchange::OnTurn() {
+  const Placement placement = *awaited_placement_;
+  const auto accepts_work = [this](const Replica& placed) {
+    const Replica* current = context_->routing_state.replicas.Find(placed.id);
+    return current != nullptr && AcceptsWork(*current, placed);
+  };
+  if (JudgeByCrashes() == CrashVerdict::kCulprit ||
+      !accepts_work(placement.target) ||
+      (placement.prefill && !accepts_work(*placement.prefill))) {
+    // Also refuses a request that has turned out to crash replicas.
+    EndTurn();
+    Place();
+    return;
+  }
+  awaited_placement_.reset();
+  StartPlacement(placement);
+}
+
+void RelayExchange::EndTurn() {
+  if (awaited_placement_) {
+    context_->placer.RecordNotSent(*awaited_placement_, BootClock::now());
+    awaited_placement_.reset();
+    turn_timer_.cancel();
+  }
+}
+
 CallHeaders RelayExchange::MakeCallHeaders(const Replica& replica) const {
   CallHeaders headers;
   headers.expected_replica_id = replica.id;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -40,6 +40,7 @@
   enum class Phase {
     kAwaitingRoutingState,
     kPlacing,
+    kAwaitingTurn,
     kPrefilling,
     kRunning,
     kEnded
@@ -72,6 +73,12 @@
   void Place();
   // Returns the query for the next placement of the request.
   PlacementQuery MakePlacementQuery(TimePoint now) const;
+  void StartPlacement(const Placement& placement);
+  // Waits until the rate limit of the replica that is called first allows it.
+  void AwaitTurn(const Placement& placement);
+  void OnTurn();
+  // Gives back the turn that is awaited, if any.
+  void EndTurn();
   void StartPrefill(const Placement& placement);
   void OnPrefillEnd(const Placement& placement,
                     TransportStatus transport_status,
@@ -171,8 +178,10 @@
   TimePoint deadline_{};
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer watchdog_timer_;
+  boost::asio::steady_timer turn_timer_;
   Phase phase_ = Phase::kPlacing;
   CallerResponse response_;
+  std::optional<Placement> awaited_placement_;
   std::optional<ActiveCall> active_call_;
   std::optional<KvHandle> kv_handle_;  // not yet used by a run
   std::optional<Replica> kv_holder_;
--- a/src/relay/relay_exchange_end.cc
+++ b/src/relay/relay_exchange_end.cc
@@ -227,6 +227,7 @@
   phase_ = Phase::kEnded;
   deadline_timer_.cancel();
   watchdog_timer_.cancel();
+  EndTurn();
   ReleaseKv();
   const TimePoint now = BootClock::now();
   const Duration total =
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -402,4 +402,63 @@
   BOOST_TEST(placer.Choose(view, query, At(0)).placement->target.id == "b");
 }
 
+// Guards against refusing requests, or overloading other engines with them,
+// when the rate limit of an engine allows them a moment later.
+BOOST_AUTO_TEST_CASE(RequestsTakeTurnsAtRateLimitedEngines) {
+  ReplicaView view;
+  const Replica engine = MakeReplica("w", Stage::kWhole);
+  view.Reset({engine}, At(0));
+  Placer placer = MakePlacer();
+  placer.rate_limits().RecordResponse(EngineKey(engine), 4.0, At(0));
+  const auto query = MakeQuery(MakePrompt(7, 100, 100));
+  // The first turn is after 250 ms, further ones 250 ms later each. Turns that
+  // are further away than a second are refused, with the time until then.
+  for (const int turn_ms : {250, 500, 750, 1000}) {
+    const auto placement = placer.Choose(view, query, At(0)).placement;
+    BOOST_REQUIRE(placement);
+    BOOST_TEST((placement->turn_wait == std::chrono::milliseconds(turn_ms)));
+    BOOST_TEST((placement->expected_first_output >= placement->turn_wait));
+    placer.RecordPlaced(query, *placement, At(0));
+  }
+  const auto refused = placer.Choose(view, query, At(0));
+  BOOST_REQUIRE(!refused.placement);
+  BOOST_TEST(
+      (refused.refusal.reason == PlacementRefusal::Reason::kRateLimited));
+  BOOST_TEST((refused.refusal.retry_after == std::chrono::milliseconds(250)));
+  // A caller that has left gives back its turn.
+  Placement given_back;
+  given_back.target = engine;
+  placer.RecordNotSent(given_back, At(0));
+  const auto next = placer.Choose(view, query, At(0)).placement;
+  BOOST_REQUIRE(next);
+  BOOST_TEST((next->turn_wait == std::chrono::milliseconds(1000)));
+}
+
+// Guards against few turns that are taken by small requests while large ones
+// overload the other engines.
+BOOST_AUTO_TEST_CASE(LargeRequestsWaitLongerForATurn) {
+  ReplicaView view;
+  const Replica limited = MakeReplica("limited", Stage::kWhole);
+  const Replica busy = MakeReplica("unlimited", Stage::kWhole);
+  view.Reset({limited, busy}, At(0));
+  Placer placer = MakePlacer();
+  const auto small = MakeQuery(MakePrompt(7, 10, 500));
+  const auto large = MakeQuery(MakePrompt(8, 10, 9000));
+  for (int n = 0; n < 50; ++n) {
+    placer.RecordPlaced(small, *placer.Choose(view, small, At(0)).placement,
+                        At(0));
+    placer.RecordPlaced(large, *placer.Choose(view, large, At(0)).placement,
+                        At(0));
+  }
+  placer.LoadOf(busy).RecordCallSent(70000);
+  placer.rate_limits().RecordResponse(EngineKey(limited), 2.0, At(0));
+  BOOST_TEST(placer.Choose(view, small, At(0)).placement->target.id ==
+             "unlimited");
+  BOOST_TEST(placer.Choose(view, large, At(0)).placement->target.id ==
+             "limited");
+  // Requests with any amount of work use a turn that is there.
+  BOOST_TEST(placer.Choose(view, small, At(600)).placement->target.id ==
+             "limited");
+}
+
 }  // namespace endiveyard
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -715,4 +715,57 @@
   BOOST_TEST(Contains(refusal, "Retry-After: "));
 }
 
+// Guards against refusing requests that a target takes a moment later, and
+// against sending those whose caller has left in the meantime.
+BOOST_FIXTURE_TEST_CASE(RequestsWaitForTheirTurn, RelayFixture) {
+  UseOneTarget();
+  // A turn each second.
+  const auto respond = [](TestConnection target, const std::string& id) {
+    target.ReadUntil("\r\n\r\n");
+    std::string response = SignedResponse(id, "ok");
+    response.insert(response.find("\r\n") + 2, "Server-Limit: 1\r\n");
+    target.Send(response);
+    target.Close();
+  };
+  TestConnection first_caller = Connect();
+  first_caller.Send(RequestHead("GET", "/unsafe/x", "r1"));
+  respond(first().Accept(), "r1");
+  BOOST_TEST(Contains(first_caller.ReadMessage(), "HTTP/1.1 200 "));
+  TestConnection leaving_caller = Connect();
+  leaving_caller.Send(RequestHead("GET", "/unsafe/x", "r2"));
+  BOOST_TEST(!first().HasConnectionWithin(100));
+  leaving_caller.Close();
+  // Its turn is given back, so that the next request gets it.
+  TestConnection last_caller = Connect();
+  last_caller.Send(RequestHead("GET", "/unsafe/x", "r3"));
+  TestConnection target = first().Accept();
+  const std::string request = target.ReadUntil("\r\n\r\n");
+  BOOST_TEST(Contains(request, "Endiveyard-Request-Id: r3\r\n"));
+  target.Send(SignedResponse("r3", "ok"));
+  BOOST_TEST(Contains(last_caller.ReadMessage(), "HTTP/1.1 200 "));
+  BOOST_TEST(!first().HasConnectionWithin(1200));
+}
+
+// Guards against requests that reach a target which has left while they waited
+// for their turn.
+BOOST_FIXTURE_TEST_CASE(TurnsAtTargetsThatLeaveAreGivenUp, RelayFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  std::string response = SignedResponse("r1", "ok");
+  response.insert(response.find("\r\n") + 2, "Server-Limit: 1\r\n");
+  target.Send(response);
+  target.Close();
+  caller.ReadMessage();
+  caller.Send(RequestHead("GET", "/safe/x", "r2"));
+  BOOST_TEST(!first().HasConnectionWithin(100));
+  RunOnRelayThread([](RoutingState& routing_state) {
+    routing_state.replicas.Reset({}, BootClock::now());
+  });
+  NotifyRoutingStateChanged();
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+}
+
 }  // namespace endiveyard
