Keep a rate limit over a response whose limit cannot be read

What callers saw: nothing; found by reading. A replica whose header is damaged once counted as one without a limit, and got all requests until its next response.

Evidence: ResponseMetadataIsDecoded tells unreadable limits from absent ones.

--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -36,6 +36,8 @@
   std::optional<ReportedLoad> load;
   // Limit on the requests per second from all instances together.
   std::optional<double> requests_per_second;
+  // The response states a limit that cannot be read.
+  bool has_invalid_rate_limit = false;
 };
 
 // Handle of the KV cache of a prompt, which a prefill engine keeps for another
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -88,9 +88,11 @@
   RecordSignOfLife();
   const ResponseMetadata& metadata = active_call_->response_metadata;
   if (active_call_->status == kMisdirectedRequest ||
+      metadata.has_invalid_rate_limit ||
       (!metadata.requests_per_second &&
        (metadata.not_run || active_call_->status >= 500))) {
-    // From another replica at this address, or perhaps not from a replica.
+    // From another replica at this address, or perhaps not from a replica. What
+    // was stated before stays in force.
     return;
   }
   const TimePoint now = BootClock::now();
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -113,6 +113,8 @@
   BOOST_TEST(limit("0").value() == 0);
   for (const char* it : {"", "x", "-1", "4.6/s", "inf", "nan", "1e3"}) {
     BOOST_TEST(!limit(it), it);
+    BOOST_TEST(protocol.DecodeResponse(200, {{"Server-Limit", it}})
+                   .has_invalid_rate_limit);
   }
 }
 
