Count the wait of plain requests for a turn once

What callers saw: nothing yet; found by reading. The wait for a turn was weighed by the mean duration of a call over a work of nothing, so that 100 ms cost as much as 2 s, and plain requests queued behind twenty others instead.

Evidence: PlainRequestsWaitForNearTurns fails with the fault put back.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -74,7 +74,8 @@
   // Uncached tokens of shared parts, which another engine may have in its
   // cache.
   double recomputed_tokens = 0;
-  double work_ms = 0;  // time of an engine that the request takes
+  // Time of an engine that the request takes, 0 at a plain service.
+  double work_ms = 0;
 };
 
 // Reason why no placement was made, and the time after which to retry. The
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "endiveyard/base/digest.h"
+#include "placement/placer_candidate.h"
 
 namespace endiveyard {
 namespace {
@@ -23,8 +24,6 @@
 // The same delays at a plain service, as shares of the duration of a call.
 constexpr double kPlainCallShareOfRunningRequest = 0.25;
 constexpr double kPlainCallShareOfWaitingRequest = 3;
-// Duration of a call to a plain service that has not been measured.
-constexpr double kInitialPlainCallMs = 20;
 
 // Reports of load are some requests old. Replicas that differ by less than this
 // number of requests are chosen at random, since instances that all chose the
@@ -46,15 +45,6 @@
 // For prompts that take less time to prefill, disaggregation does not outweigh
 // the second call and the transfer.
 constexpr double kMinDisaggregatedPrefillMs = 43;
-// A prefill on a decode engine delays each stream that it runs. Each stream
-// adds this share of the prefill time to the cost.
-constexpr double kInterferencePerStream = 0.1;
-// With more streams than this share of the slots, the accumulated delays cause
-// missed deadlines, so the cost grows with the square of their number.
-constexpr double kBusyShareOfSlots = 0.125;
-// Slots of an engine that did not register any.
-constexpr int kDefaultSlots = 64;
-
 // Setting up a copy of fewer tokens takes as long as prefilling them.
 constexpr double kMinCopiedTokens = 200;
 
@@ -67,8 +57,6 @@
 // Requests wait at most this long for their turn at a rate-limited replica.
 // Longer waits leave callers too little time if the replica fails.
 constexpr Duration kMaxTurnWait = std::chrono::seconds(1);
-// Requests with less work count as this much.
-constexpr double kMinWorkMs = 1;
 
 Duration FromMs(double ms) {
   return Duration(static_cast<int64_t>(ms * 1000));
@@ -101,80 +89,8 @@
   return static_cast<double>(Digest64(replica.id, request)) / kRange;
 }
 
-// Returns the delay that a prefill on a decode engine causes to its streams, as
-// a multiple of the prefill time.
-double InterferenceFactor(double streams, int slots) {
-  const double busy_streams =
-      kBusyShareOfSlots * (slots > 0 ? slots : kDefaultSlots);
-  return kInterferencePerStream * streams *
-         std::max(1.0, streams / busy_streams);
-}
-
 }  // namespace
 
-struct Placer::Candidate {
-  const Replica* replica = nullptr;
-  const Replica* cache_source = nullptr;
-  double uncached = 0;
-  double copied = 0;          // tokens from `cache_source`
-  double queue_ms = 0;        // prefilling the prompts queued ahead
-  double prefill_ms = 0;      // prefilling this prompt
-  double batch_delay_ms = 0;  // delay that the batch adds to the first token
-  double output_ms = 0;       // of the output tokens
-  double cache_cost_ms = 0;   // cost of copying and recomputing shared parts
-  double penalty_ms = 0;      // for distance, failures and backoff
-  double turn_wait_ms = 0;    // until the rate limit allows the request
-  double requests = 0;
-  double mean_work_ms = 0;  // of the requests to the service
-
-  // After `turn_wait_ms`.
-  double FirstOutputMs() const {
-    return queue_ms + prefill_ms + batch_delay_ms;
-  }
-  double PrefillCostMs() const {
-    return FirstOutputMs() + cache_cost_ms + penalty_ms +
-           TurnCostMs(prefill_ms);
-  }
-  // Time of the engine that prefilling and running the request takes: each
-  // stream lengthens all steps.
-  double WorkMs() const {
-    return prefill_ms + kStepSlowdownPerRequest * output_ms;
-  }
-  // Cost of waiting for a turn with `work_ms` of work, and of making later
-  // requests wait. A large request takes no more from a rate limit than a small
-  // one, but relieves other replicas of more work, so that small ones leave
-  // their turns to large ones.
-  double TurnCostMs(double work_ms) const {
-    return turn_wait_ms * (1 + mean_work_ms / std::max(kMinWorkMs, work_ms));
-  }
-  // Cost of running the request after a prefill on another engine.
-  double RunCostMs() const {
-    return queue_ms + batch_delay_ms + output_ms + penalty_ms;
-  }
-  // Cost of prefilling and running on the same engine. A prefill on a decode
-  // engine delays the streams that it runs.
-  double ColocatedCostMs() const {
-    return FirstOutputMs() + cache_cost_ms + penalty_ms + output_ms +
-           InterferenceFactor(requests, replica->slots) * prefill_ms +
-           TurnCostMs(WorkMs());
-  }
-};
-
-struct Placer::QueryContext {
-  const PlacementQuery& query;
-  TimePoint now{};
-  PlacementCosts costs;
-  EngineProfile profile;
-  double plain_call_ms = kInitialPlainCallMs;
-  bool has_live_peers = false;
-  std::vector<CacheSource> sources;
-  std::vector<const Replica*> usable;  // of the service, in order of id
-  // Time after which the first of the replicas that are left out because of
-  // their rate limit gets another request.
-  std::optional<Duration> rate_limit_wait;
-  double mean_work_ms = 0;
-};
-
 int QueuePriority(int route_priority, double prefill_ms) {
   constexpr int kSizeClasses = 3;
   constexpr int kLowestPriority = 9;
@@ -513,8 +429,7 @@
   }
   placement.turn_wait = FromMs(prefill_candidate->turn_wait_ms);
   placement.expected_first_output += placement.turn_wait;
-  placement.work_ms =
-      query.prompt ? run_candidate->WorkMs() : context.plain_call_ms;
+  placement.work_ms = run_candidate->WorkMs();
   if (prefill_candidate->cache_source != nullptr) {
     placement.cache_source = *prefill_candidate->cache_source;
     placement.copied = prefill_candidate->copied;
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -461,4 +461,27 @@
              "limited");
 }
 
+// Guards against requests to a plain service that queue behind many others
+// rather than wait a moment for their turn.
+BOOST_AUTO_TEST_CASE(PlainRequestsWaitForNearTurns) {
+  ReplicaView view;
+  Replica limited = MakeReplica("limited", Stage::kWhole);
+  Replica busy = MakeReplica("unlimited", Stage::kWhole);
+  limited.slots = busy.slots = 6;
+  view.Reset({limited, busy}, At(0));
+  Placer placer = MakePlacer();
+  PlacementQuery query = MakeQuery({});
+  query.prompt.reset();
+  for (int n = 0; n < 50; ++n) {
+    placer.RecordPlaced(query, *placer.Choose(view, query, At(0)).placement,
+                        At(0));
+  }
+  for (int n = 0; n < 20; ++n) {
+    placer.LoadOf(busy).RecordCallSent(0);
+  }
+  placer.rate_limits().RecordResponse(EngineKey(limited), 10.0, At(0));
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement->target.id ==
+             "limited");
+}
+
 }  // namespace endiveyard
