Do not make ended instances younger each time they are passed on

What callers saw: nothing by itself. Retry budgets and the shares of the rate limits that replicas state were divided among instances that no longer existed.

Cause: the age of the last sign of life was rounded down in reports and did not count the time on the way, so that it shrank at each hop. Instances that repeat to each other what they heard kept an ended one in view.

Ruled out: the same in the reports of crashes, whose ages are merged to the oldest, and in those of rate limits, which need to be a second more recent.

--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -29,6 +29,10 @@
 constexpr double kWorkShareOfLargeFleet = 1 - kMemberShare - kRegionShare;
 constexpr double kWorkShareOfSmallFleet = 1 - kMemberShare;
 
+// Added to ages that are passed on. Most datagrams take less time, which the
+// receiver does not know.
+constexpr Duration kMaxTransitTime = std::chrono::milliseconds(250);
+
 // IPv4 and UDP headers.
 constexpr size_t kDatagramHeaderBytes = 28;
 
@@ -164,7 +168,8 @@
     const Peer& peer = peers_.at(it);
     members.push_back(
         {it, peer.region,
-         std::chrono::duration_cast<Duration>(now - peer.last_alive)});
+         std::chrono::duration_cast<Duration>(now - peer.last_alive) +
+             kMaxTransitTime});
   }
   return members;
 }
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -81,8 +81,11 @@
   for (const Member& it : members) {
     append(it.address, 4);
     append(it.region, 2);
-    append(static_cast<uint64_t>(
-               std::clamp<int64_t>(it.age / kAgeUnit, 0, kMaxAgeUnits)),
+    // Rounded up, so that an instance does not appear alive for longer each
+    // time that it is passed on.
+    const int64_t units =
+        (it.age + kAgeUnit - Duration(1)).count() / kAgeUnit.count();
+    append(static_cast<uint64_t>(std::clamp<int64_t>(units, 0, kMaxAgeUnits)),
            1);
   }
   return bytes;
--- a/tests/load_exchange/peer_directory_test.cc
+++ b/tests/load_exchange/peer_directory_test.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <random>
 #include <set>
 
+#include "endiveyard/load_exchange/peer_load_report.h"
+
 namespace endiveyard {
 namespace {
 
@@ -120,6 +123,67 @@
   }
 }
 
+// Guards against ended instances that stay in the view of the others because
+// their age loses its fraction, and the time on the way, whenever it is passed
+// on.
+BOOST_AUTO_TEST_CASE(PassedOnAgesDoNotKeepEndedInstancesAlive) {
+  constexpr int64_t kStepMs = 10;
+  constexpr int64_t kDelayMs = 40;
+  constexpr int64_t kEndMs = 100000;
+  struct Datagram {
+    int64_t at_ms = 0;
+    uint32_t to = 0;
+    std::string bytes;
+  };
+  for (const uint32_t instances : {8u, 95u}) {
+    std::vector<PeerDirectory> fleet;
+    for (uint32_t n = 0; n < instances; ++n) {
+      fleet.emplace_back(n + 1, static_cast<uint16_t>(n % 4),
+                         std::vector<uint32_t>{1, 2, 3});
+    }
+    std::deque<Datagram> on_the_way;
+    const auto send = [&](uint32_t from, int64_t ms) {
+      PeerLoadReport report;
+      report.sender = from + 1;
+      report.region = static_cast<uint16_t>(from % 4);
+      report.scope = ReportScope::kMembers;
+      report.members = fleet[from].Members(At(ms));
+      for (const uint32_t it : fleet[from].MemberRecipients(At(ms))) {
+        on_the_way.push_back(
+            {ms + kDelayMs, it - 1, EncodePeerLoadReport(report)});
+      }
+    };
+    uint32_t live = instances;
+    const auto run = [&](int64_t from_ms, int64_t to_ms) {
+      for (int64_t ms = from_ms; ms < to_ms; ms += kStepMs) {
+        while (!on_the_way.empty() && on_the_way.front().at_ms <= ms) {
+          const Datagram datagram = std::move(on_the_way.front());
+          on_the_way.pop_front();
+          const auto report = DecodePeerLoadReport(datagram.bytes);
+          if (datagram.to < live && report) {
+            fleet[datagram.to].RecordReport(report->sender, report->region,
+                                            report->members, At(ms));
+          }
+        }
+        for (uint32_t n = 0; n < live; ++n) {
+          if ((ms + 130 * n) % 1000 == 0) {
+            send(n, ms);
+          }
+        }
+      }
+    };
+    run(kEndMs - 20000, kEndMs);
+    BOOST_TEST(fleet[0].InstanceCount(At(kEndMs)) == instances);
+    --live;
+    const int64_t forgotten_ms =
+        kEndMs + kPeerTimeout.count() / 1000 + kDelayMs;
+    run(kEndMs, forgotten_ms);
+    for (uint32_t n = 0; n < live; ++n) {
+      BOOST_TEST(fleet[n].InstanceCount(At(forgotten_ms)) == live);
+    }
+  }
+}
+
 // Guards against forged reports that fill the memory or add instances of the
 // past or the future.
 BOOST_AUTO_TEST_CASE(ForgedMembersAreBounded) {
