Give the shares of instances that shut down to the others

Cause: an instance that drains gets no requests, but held its share of each limit until it was back, 8 s later. With half of the instances draining, half of all limits was unused.

Fix: an instance says in its reports that it is leaving, once it takes no more connections. Others pass that on, and share what it had one second later. It keeps a quarter of its share for repeats, and takes a quarter after its restart in a large fleet, where some others do not know yet that it is back.

Ruled out: leaving at SIGTERM, as callers still come for 2.6 s; equal shares by rank among those that stay, where all places move at each change.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -43,6 +43,9 @@
 
   // Returns the number of live instances, including this one.
   size_t InstanceCount() const;
+  // Tells the others that this instance takes no more requests from callers, so
+  // that they use its shares of what all instances have together.
+  void SetLeaving();
   // Returns the number of datagrams that were no valid report.
   uint64_t rejected_datagrams() const;
 
--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -43,12 +44,13 @@
                 uint16_t own_region,
                 std::vector<uint32_t> seeds);
 
-  // Records a report of `peer` and the live instances in it. Returns true if
-  // `peer` was not known before.
-  bool RecordReport(uint32_t peer,
-                    uint16_t region,
+  // Records a report of `sender` and the live instances in it. Returns true if
+  // the sender was not known before.
+  bool RecordReport(const Member& sender,
                     const std::vector<Member>& members,
                     TimePoint now);
+  // Records that this instance is leaving.
+  void RecordOwnLeaving(TimePoint now);
 
   // Returns the live peers that exchange their own work with this instance.
   std::vector<uint32_t> Mates(TimePoint now) const;
@@ -65,7 +67,7 @@
   size_t InstanceCount(TimePoint now) const;
 
   // Returns the position of this instance among the live ones, in order of
-  // address.
+  // address. Instances count as leaving once all have had time to learn of it.
   InstancePosition OwnPosition(TimePoint now) const;
 
   // Return the time until the next report after one of `report_bytes` to
@@ -83,6 +85,7 @@
   struct Peer {
     uint16_t region = 0;
     TimePoint last_alive{};
+    std::optional<TimePoint> leaving_since;  // when that was learned
   };
 
   std::vector<uint32_t> LivePeers(TimePoint now) const;
@@ -93,6 +96,7 @@
   const uint16_t own_region_;
   const std::vector<uint32_t> seeds_;
   std::map<uint32_t, Peer> peers_;
+  std::optional<TimePoint> own_leaving_since_;
   // Position in the lists of the members of other regions.
   size_t region_turn_ = 0;
   // When an instance that was not known before was last added.
--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -26,10 +26,11 @@
   uint32_t address = 0;  // IPv4
   uint16_t region = 0;   // digest of the region name
   Duration age{};        // since its last sign of life, in units of 250 ms
+  bool leaving = false;  // shuts down and takes no more requests from callers
 
   bool operator==(const Member& other) const {
     return address == other.address && region == other.region &&
-           age == other.age;
+           age == other.age && leaving == other.leaving;
   }
 };
 
@@ -54,7 +55,8 @@
 struct PeerLoadReport {
   uint32_t sender = 0;  // IPv4 address
   uint64_t sequence = 0;
-  uint16_t region = 0;  // digest of the region name
+  uint16_t region = 0;   // digest of the region name
+  bool leaving = false;  // see Member
   ReportScope scope = ReportScope::kInstance;
   Duration interval{};  // until the next report of this scope, in whole ms
   std::vector<ReplicaWork> work;
--- a/include/endiveyard/placement/replica_rate_limits.h
+++ b/include/endiveyard/placement/replica_rate_limits.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
@@ -30,9 +31,15 @@
 struct InstancePosition {
   size_t index = 0;
   size_t count = 1;
+  // Indexes of instances that are shutting down and get no more requests from
+  // callers, in order. May include `index`.
+  std::vector<size_t> leaving;
+  // This instance has just started, so that others may not count it yet.
+  bool joining = false;
 
   bool operator==(const InstancePosition& other) const {
-    return index == other.index && count == other.count;
+    return index == other.index && count == other.count &&
+           leaving == other.leaving && joining == other.joining;
   }
 };
 
@@ -58,7 +65,9 @@
 // among instances, or, where the shares would be too small, among some of them:
 // its holders, whose positions follow from that of the replica, so that all
 // instances are holders of about as many replicas. Each holder spends its share
-// from a token bucket. No instance has to ask another one.
+// from a token bucket. No instance has to ask another one. The shares of
+// instances that are leaving go to the others, until these know that the
+// instance is back.
 //
 // Instances tell each other the limits; the latest response counts. Not
 // thread-safe.
@@ -73,7 +82,9 @@
   std::optional<double> LimitOf(uint64_t replica_key, TimePoint now) const;
 
   // Sets which share of each limit is that of this instance.
-  void set_instance(InstancePosition position) { instance_ = position; }
+  void set_instance(InstancePosition position) {
+    instance_ = std::move(position);
+  }
 
   // Returns the time until this instance may send a request to the replica: 0
   // for now, nullopt if it holds no share of the limit.
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -357,6 +357,9 @@
         now - *service_map_confirmed_at_ <
             mirror_timing_.watch_timeout + kConfirmationMargin;
     relay_.set_instance_count(load_exchange_.InstanceCount());
+    if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
+      load_exchange_.SetLeaving();
+    }
     LogRejectedDatagrams(now);
     metrics_.SetOpenExchanges(static_cast<double>(relay_.open_exchanges()));
     log_.Flush(now);
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -31,6 +31,8 @@
 // it takes as much of a rate limit as if there were this many.
 constexpr Duration kJoiningTime = std::chrono::seconds(2);
 constexpr size_t kAssumedInstances = 64;
+// In a large fleet, news of an instance reach all others within this time.
+constexpr Duration kSpreadingTime = std::chrono::seconds(10);
 // Interval of reports of work without any change.
 constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
 // Cached parts are told to this many instances of each other region, since
@@ -106,6 +108,11 @@
 
   uint64_t rejected_datagrams() const { return rejected_datagrams_; }
 
+  void SetLeaving() {
+    leaving_ = true;
+    directory_.RecordOwnLeaving(BootClock::now());
+  }
+
   void Stop() {
     error_code ec;
     socket_.close(ec);
@@ -152,8 +159,9 @@
       return;
     }
     const TimePoint now = BootClock::now();
-    const bool added = directory_.RecordReport(report->sender, report->region,
-                                               report->members, now);
+    const bool added = directory_.RecordReport(
+        {report->sender, report->region, Duration(0), report->leaving},
+        report->members, now);
     if (added && report->scope == ReportScope::kMembers &&
         now - last_welcome_ >= kMinWelcomeInterval) {
       // A new instance knows the seeds only.
@@ -239,6 +247,7 @@
     report.sender = own_address_;
     report.sequence = ++sequence_;
     report.region = region_;
+    report.leaving = leaving_;
     report.scope = scope;
     return report;
   }
@@ -273,7 +282,8 @@
     if (has_other_seeds_ && now - started_at_ < kJoiningTime) {
       position.count = std::max(position.count, kAssumedInstances);
     }
-    placer_.rate_limits().set_instance(position);
+    position.joining = IsLargeFleet(now) && now - started_at_ < kSpreadingTime;
+    placer_.rate_limits().set_instance(std::move(position));
   }
 
   // Reports the work of this instance to its mates.
@@ -407,6 +417,7 @@
   udp::endpoint source_;
   std::array<char, kMaxPeerLoadReportBytes> receive_buffer_{};
   const bool has_other_seeds_;
+  bool leaving_ = false;
   TimePoint started_at_{};
   uint64_t sequence_ = 0;
   uint64_t rejected_datagrams_ = 0;
@@ -440,6 +451,10 @@
   return impl_->InstanceCount();
 }
 
+void LoadExchange::SetLeaving() {
+  impl_->SetLeaving();
+}
+
 uint64_t LoadExchange::rejected_datagrams() const {
   return impl_->rejected_datagrams();
 }
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -22,6 +22,10 @@
 // An instance still learns of others for this time after it learned of one.
 constexpr Duration kJoiningTime = std::chrono::seconds(1);
 
+// Time until an instance counts as leaving after this was learned, so that in a
+// small fleet all know it by then.
+constexpr Duration kLeavingNotice = std::chrono::seconds(1);
+
 // Shares of the limit on bytes per second.
 constexpr double kJoiningMemberShare = 0.5;
 constexpr double kMemberShare = 0.15;
@@ -65,35 +69,47 @@
       region_turn_(own_address),
       random_(own_address + 1) {}
 
-bool PeerDirectory::RecordReport(uint32_t peer,
-                                 uint16_t region,
+bool PeerDirectory::RecordReport(const Member& sender,
                                  const std::vector<Member>& members,
                                  TimePoint now) {
   RemoveOld(now);
-  const bool known = peers_.count(peer) > 0;
-  const auto record = [this, now](uint32_t address, uint16_t peer_region,
-                                  TimePoint alive) {
-    if (address == own_address_ ||
-        (peers_.size() >= kMaxPeers && peers_.count(address) == 0)) {
+  const bool known = peers_.count(sender.address) > 0;
+  const auto record = [this, now](const Member& member) {
+    if (member.address == own_address_ ||
+        (peers_.size() >= kMaxPeers && peers_.count(member.address) == 0)) {
       return;
     }
-    Peer& entry = peers_[address];
+    Peer& entry = peers_[member.address];
     if (entry.last_alive == TimePoint()) {
       last_added_ = now;
     }
-    if (alive > entry.last_alive) {
-      entry = {peer_region, alive};
+    const TimePoint alive = now - member.age;
+    if (alive <= entry.last_alive) {
+      return;
+    }
+    entry.region = member.region;
+    entry.last_alive = alive;
+    if (!member.leaving) {
+      entry.leaving_since.reset();
+    } else if (!entry.leaving_since) {
+      entry.leaving_since = now;
     }
   };
-  record(peer, region, now);
+  record(sender);
   for (const Member& it : members) {
     if (it.age >= Duration(0) && it.age < kPeerTimeout) {
-      record(it.address, it.region, now - it.age);
+      record(it);
     }
   }
   return !known;
 }
 
+void PeerDirectory::RecordOwnLeaving(TimePoint now) {
+  if (!own_leaving_since_) {
+    own_leaving_since_ = now;
+  }
+}
+
 bool PeerDirectory::IsLive(const Peer& peer, TimePoint now) const {
   return now - peer.last_alive < kPeerTimeout;
 }
@@ -169,7 +185,8 @@
     members.push_back(
         {it, peer.region,
          std::chrono::duration_cast<Duration>(now - peer.last_alive) +
-             kMaxTransitTime});
+             kMaxTransitTime,
+         peer.leaving_since.has_value()});
   }
   return members;
 }
@@ -194,10 +211,21 @@
 }
 
 InstancePosition PeerDirectory::OwnPosition(TimePoint now) const {
+  std::vector<uint32_t> live = LivePeers(now);
+  live.insert(std::lower_bound(live.begin(), live.end(), own_address_),
+              own_address_);
   InstancePosition position;
-  for (const uint32_t it : LivePeers(now)) {
-    position.index += it < own_address_ ? 1 : 0;
-    ++position.count;
+  position.count = live.size();
+  for (size_t n = 0; n < live.size(); ++n) {
+    const bool is_own = live[n] == own_address_;
+    if (is_own) {
+      position.index = n;
+    }
+    const std::optional<TimePoint> since =
+        is_own ? own_leaving_since_ : peers_.at(live[n]).leaving_since;
+    if (since && now - *since >= kLeavingNotice) {
+      position.leaving.push_back(n);
+    }
   }
   return position;
 }
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -91,7 +91,24 @@
   return bytes;
 }
 
-std::vector<Member> DecodeMembers(capnp::Data::Reader bytes) {
+// Returns a bit for each member that is leaving.
+std::string EncodeLeavingMembers(const std::vector<Member>& members) {
+  std::string bits;
+  for (size_t n = 0; n < members.size(); ++n) {
+    if (members[n].leaving) {
+      bits.resize(n / 8 + 1);
+      bits[n / 8] |= static_cast<char>(1 << n % 8);
+    }
+  }
+  return bits;
+}
+
+capnp::Data::Reader ToData(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+std::vector<Member> DecodeMembers(capnp::Data::Reader bytes,
+                                  capnp::Data::Reader leaving_bits) {
   std::vector<Member> members;
   const auto read = [&bytes](size_t at, size_t size) {
     uint32_t value = 0;
@@ -101,8 +118,11 @@
     return value;
   };
   for (size_t n = 0; n + kMemberBytes <= bytes.size(); n += kMemberBytes) {
+    const size_t index = members.size();
+    const bool leaving = index / 8 < leaving_bits.size() &&
+                         (leaving_bits[index / 8] >> index % 8 & 1) != 0;
     members.push_back({read(n, 4), static_cast<uint16_t>(read(n + 4, 2)),
-                       kAgeUnit * read(n + 6, 1)});
+                       kAgeUnit * read(n + 6, 1), leaving});
   }
   return members;
 }
@@ -205,9 +225,9 @@
 
 bool PeerLoadReport::operator==(const PeerLoadReport& other) const {
   const auto fields = [](const PeerLoadReport& it) {
-    return std::tie(it.sender, it.sequence, it.region, it.scope, it.interval,
-                    it.work, it.cached, it.members, it.profiles, it.crashes,
-                    it.rate_limits);
+    return std::tie(it.sender, it.sequence, it.region, it.leaving, it.scope,
+                    it.interval, it.work, it.cached, it.members, it.profiles,
+                    it.crashes, it.rate_limits);
   };
   return fields(*this) == fields(other);
 }
@@ -218,6 +238,7 @@
   root.setSender(report.sender);
   root.setSequence(report.sequence);
   root.setRegion(report.region);
+  root.setLeaving(report.leaving);
   root.setScope(EncodeScope(report.scope));
   root.setIntervalMs(ToMillis(report.interval));
   auto work = root.initWork(static_cast<unsigned>(report.work.size()));
@@ -243,9 +264,8 @@
       pending.set(k, update.pending_parts[k]);
     }
   }
-  const std::string members = EncodeMembers(report.members);
-  root.setMembers(capnp::Data::Reader(
-      reinterpret_cast<const kj::byte*>(members.data()), members.size()));
+  root.setMembers(ToData(EncodeMembers(report.members)));
+  root.setLeavingMembers(ToData(EncodeLeavingMembers(report.members)));
   EncodeProfiles(report.profiles, root);
   EncodeCrashes(report.crashes, root);
   EncodeRateLimits(report.rate_limits, root);
@@ -294,7 +314,8 @@
       }
       report.cached.push_back(std::move(relayed));
     }
-    report.members = DecodeMembers(root.getMembers());
+    report.leaving = root.getLeaving();
+    report.members = DecodeMembers(root.getMembers(), root.getLeavingMembers());
     for (const auto it : root.getProfiles()) {
       report.profiles.push_back(DecodeProfile(it));
     }
--- a/src/placement/replica_rate_limits.cc
+++ b/src/placement/replica_rate_limits.cc
@@ -18,6 +18,12 @@
 // are not refused where the share is large. At least one request can be saved.
 constexpr Duration kMaxSavedShare = std::chrono::milliseconds(250);
 
+// The part of its share that an instance takes while others may use it as well:
+// when it is leaving, for repeats of the requests that it still works on, and
+// when it has just started. All shares together then stay below one and a
+// quarter times the limit.
+constexpr double kContestedShare = 0.25;
+
 double Seconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -102,12 +108,27 @@
 double ReplicaRateLimits::ShareOf(const Limit& limit,
                                   ReplicaPosition replica) const {
   const double rate = EffectiveRate(*limit.requests_per_second);
-  const size_t holders = HoldersOf(rate, instance_.count);
-  const size_t first = replica.index * instance_.count / replica.count;
-  const size_t offset =
-      (instance_.index + instance_.count - first % instance_.count) %
-      instance_.count;
-  return offset < holders ? rate / static_cast<double>(holders) : 0;
+  const std::vector<size_t>& leaving = instance_.leaving;
+  const bool is_leaving =
+      std::binary_search(leaving.begin(), leaving.end(), instance_.index);
+  // A leaving instance keeps its place among all of them. The others close the
+  // ranks.
+  const size_t gaps = is_leaving ? 0 : leaving.size();
+  const size_t count = instance_.count - gaps;
+  const auto place = [&](size_t index) {
+    return gaps == 0 ? index
+                     : index - static_cast<size_t>(
+                                   std::lower_bound(leaving.begin(),
+                                                    leaving.end(), index) -
+                                   leaving.begin());
+  };
+  const size_t holders = HoldersOf(rate, count);
+  const size_t first =
+      place(replica.index * instance_.count / replica.count) % count;
+  const size_t offset = (place(instance_.index) + count - first) % count;
+  const double share =
+      offset < holders ? rate / static_cast<double>(holders) : 0;
+  return is_leaving || instance_.joining ? share * kContestedShare : share;
 }
 
 std::optional<Duration> ReplicaRateLimits::WaitFor(uint64_t replica_key,
--- a/tests/load_exchange/peer_directory_test.cc
+++ b/tests/load_exchange/peer_directory_test.cc
@@ -29,7 +29,7 @@
   BOOST_TEST(Has(directory.MemberRecipients(At(10000)), 2));
   BOOST_TEST(!Has(directory.MemberRecipients(At(10000)), 1));
   BOOST_TEST(directory.Mates(At(10000)).empty());
-  directory.RecordReport(2, 7, {{1, 7, Duration(0)}, {3, 7, Duration(0)}},
+  directory.RecordReport({2, 7}, {{1, 7, Duration(0)}, {3, 7, Duration(0)}},
                          At(11100));
   const auto mates = directory.Mates(At(11200));
   BOOST_TEST(Has(mates, 2));
@@ -37,14 +37,37 @@
   BOOST_TEST(!Has(mates, 1));
   BOOST_TEST(directory.InstanceCount(At(11200)) == 3u);
   BOOST_TEST((directory.OwnPosition(At(11200)) == InstancePosition{0, 3}));
-  directory.RecordReport(0, 7, {}, At(11200));
+  directory.RecordReport({0, 7}, {}, At(11200));
   BOOST_TEST((directory.OwnPosition(At(11200)) == InstancePosition{1, 4}));
 }
 
+// Guards against instances that are shutting down and count like the others, or
+// count as leaving before all know it or after their restart.
+BOOST_AUTO_TEST_CASE(LeavingInstancesAreKnown) {
+  const auto leaving = [](const PeerDirectory& directory, int64_t ms) {
+    return directory.OwnPosition(At(ms)).leaving;
+  };
+  const std::vector<size_t> none;
+  PeerDirectory directory(2, 7, {});
+  directory.RecordReport({1, 7}, {{3, 7}, {4, 7}}, At(1000));
+  BOOST_TEST(leaving(directory, 5000) == none);
+  directory.RecordReport({3, 7, Duration(0), true}, {}, At(5000));
+  BOOST_TEST(leaving(directory, 5500) == none);
+  BOOST_TEST(leaving(directory, 6100) == std::vector<size_t>{2});
+  // Others are told, and older news change nothing.
+  BOOST_TEST(directory.Members(At(6100))[1].leaving);
+  directory.RecordReport({1, 7}, {{3, 7, std::chrono::seconds(3)}}, At(6200));
+  BOOST_TEST(leaving(directory, 6300) == std::vector<size_t>{2});
+  directory.RecordOwnLeaving(At(6300));
+  BOOST_TEST((leaving(directory, 7400) == std::vector<size_t>{1, 2}));
+  directory.RecordReport({1, 7}, {{3, 7, Duration(0), false}}, At(8000));
+  BOOST_TEST(leaving(directory, 8000) == std::vector<size_t>{1});
+}
+
 // Guards against sending reports to instances that no longer exist.
 BOOST_AUTO_TEST_CASE(PeersWithoutReportsAreDropped) {
   PeerDirectory directory(1, 7, {});
-  directory.RecordReport(5, 7, {}, At(1000));
+  directory.RecordReport({5, 7}, {}, At(1000));
   BOOST_TEST(Has(directory.Mates(At(2000)), 5));
   BOOST_TEST(!Has(directory.Mates(At(47000)), 5));
   BOOST_TEST(directory.Members(At(47000)).empty());
@@ -58,7 +81,8 @@
   PeerDirectory directory(1000, 7, {});
   for (uint32_t n = 1; n <= 72; ++n) {
     const auto other_region = static_cast<uint16_t>(8 + n % 2);
-    directory.RecordReport(n, n % 3 == 0 ? 7 : other_region, {}, At(1000));
+    directory.RecordReport({n, n % 3 == 0 ? uint16_t{7} : other_region}, {},
+                           At(1000));
   }
   BOOST_TEST(directory.Mates(At(1100)).size() == 24u);
   std::set<uint32_t> told;
@@ -102,7 +126,7 @@
           const auto members = fleet[n].Members(At(ms + n));
           for (const uint32_t it : fleet[n].MemberRecipients(At(ms + n))) {
             if (it <= live && random() % 3 != 0) {
-              fleet[it - 1].RecordReport(n + 1, static_cast<uint16_t>(n % 4),
+              fleet[it - 1].RecordReport({n + 1, static_cast<uint16_t>(n % 4)},
                                          members, At(ms + n));
             }
           }
@@ -161,7 +185,7 @@
           on_the_way.pop_front();
           const auto report = DecodePeerLoadReport(datagram.bytes);
           if (datagram.to < live && report) {
-            fleet[datagram.to].RecordReport(report->sender, report->region,
+            fleet[datagram.to].RecordReport({report->sender, report->region},
                                             report->members, At(ms));
           }
         }
@@ -192,11 +216,11 @@
   for (uint32_t n = 0; n < 100000; ++n) {
     members.push_back({n + 10, 7, Duration(0)});
   }
-  directory.RecordReport(2, 7, members, At(100000));
+  directory.RecordReport({2, 7}, members, At(100000));
   BOOST_TEST(directory.InstanceCount(At(100000)) <= 2001u);
   PeerDirectory other(1, 7, {});
   other.RecordReport(
-      2, 7, {{3, 7, std::chrono::hours(1)}, {4, 7, Duration(-1000000)}},
+      {2, 7}, {{3, 7, std::chrono::hours(1)}, {4, 7, Duration(-1000000)}},
       At(100000));
   BOOST_TEST(other.InstanceCount(At(100000)) == 2u);
 }
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -10,13 +10,14 @@
   report.sender = 0x0a010026;
   report.sequence = 17;
   report.region = 99;
+  report.leaving = true;
   report.work = {{1, 2, 3}, {0xffffffffffffffff, 64, 540000}};
   report.scope = ReportScope::kRegion;
   report.interval = std::chrono::milliseconds(430);
   report.cached = {{0, {5, 12000, {0x5c1e07a2, 7}, {8}}},
                    {0x0a010029, {0xfffffffffffffffe, 0, {9}, {}}}};
   report.members = {{0x0a010027, 99, std::chrono::milliseconds(1250)},
-                    {0x0a020001, 5, Duration(0)}};
+                    {0x0a020001, 5, Duration(0), true}};
   report.profiles = {{77, {{51.125, 5.0}, 40, 12}}};
   report.crashes = {
       {0xfffffffffffffffd,
--- a/tests/placement/rate_limit_fleet_test.cc
+++ b/tests/placement/rate_limit_fleet_test.cc
@@ -33,6 +33,7 @@
         random_(seed),
         limits_(shape.instances),
         started_ms_(shape.instances, -100000),
+        left_ms_(shape.instances, -200000),
         arrivals_(shape.replicas),
         most_(shape.replicas, 0) {}
 
@@ -69,6 +70,13 @@
     started_ms_[n] = now_ms_;
   }
 
+  // From now on, requests of an instance that was restarted do not count for
+  // the time that the users' rule excuses it: it does not know the limits.
+  void ExcuseRestarts() { restarts_excused_ = true; }
+
+  // Lets an instance take no more requests until it is restarted.
+  void Leave(size_t n) { left_ms_[n] = now_ms_; }
+
   // Returns the most requests that any replica got in a window that counts, as
   // a share of what is allowed.
   double MostOfAllowed() const {
@@ -110,19 +118,43 @@
     // An instance that has just started assumes that there are many others.
     constexpr int64_t kJoiningMs = 2000;
     constexpr size_t kAssumedInstances = 64;
-    InstancePosition position{n, shape_.instances};
+    constexpr int64_t kSpreadingMs = 10000;
+    InstancePosition position{n, shape_.instances, {}};
+    position.joining =
+        shape_.instances > 17 && now_ms_ - started_ms_[n] < kSpreadingMs;
+    for (size_t other = 0; other < shape_.instances; ++other) {
+      if (IsKnownToLeave(other, n)) {
+        position.leaving.push_back(other);
+      }
+    }
     if (now_ms_ - started_ms_[n] < kJoiningMs) {
       position.count = std::max(position.count, kAssumedInstances);
     }
     limits_[n].set_instance(position);
   }
 
+  bool HasLeft(size_t n) const { return left_ms_[n] > started_ms_[n]; }
+
+  // Returns true if `observer` counts the instance as leaving. News take up to
+  // five seconds more in a large fleet.
+  bool IsKnownToLeave(size_t n, size_t observer) const {
+    constexpr int64_t kLeavingNoticeMs = 1000;
+    const auto delay_ms = static_cast<int64_t>(
+        shape_.instances > 17 ? (n * 7919 + observer * 104729) % 5000 : 60);
+    return now_ms_ >= left_ms_[n] + kLeavingNoticeMs + delay_ms &&
+           (HasLeft(n) || now_ms_ < started_ms_[n] + delay_ms) &&
+           left_ms_[n] >= 0;
+  }
+
   void Send() {
     // Some instances get twice as many requests as others.
     size_t instance = random_() % shape_.instances;
     if (instance % 2 == 1 && random_() % 2 == 0) {
       --instance;
     }
+    while (HasLeft(instance)) {
+      instance = random_() % shape_.instances;
+    }
     const size_t first = random_() % shape_.replicas;
     for (size_t n = 0; n < shape_.replicas; ++n) {
       const size_t replica = (first + n) % shape_.replicas;
@@ -132,7 +164,9 @@
       }
       limits_[instance].RecordSent(replica, Now());
       ++sent_;
-      Arrive(replica);
+      if (!restarts_excused_ || now_ms_ - started_ms_[instance] >= kStableMs) {
+        Arrive(replica);
+      }
       constexpr int64_t kResponseMs = 60;
       responses_.push_back(
           {now_ms_ + kResponseMs, instance, replica,
@@ -201,10 +235,12 @@
   std::mt19937 random_;
   std::vector<ReplicaRateLimits> limits_;
   std::vector<int64_t> started_ms_;
+  std::vector<int64_t> left_ms_;
   std::vector<std::deque<int64_t>> arrivals_;
   std::vector<double> most_;
   std::deque<Response> responses_;
   bool stated_ = false;
+  bool restarts_excused_ = false;
   int64_t stated_since_ms_ = -1;
   int64_t now_ms_ = 0;
   int64_t sent_ = 0;
@@ -255,4 +291,39 @@
   }
 }
 
+// Guards against limits of which half is unused while half of the instances are
+// shutting down one after the other, and against exceeding them when these
+// return.
+BOOST_AUTO_TEST_CASE(SharesOfLeavingInstancesAreUsedByOthers) {
+  const FleetShape shapes[] = {
+      {8, 1, 12, 2.5}, {8, 1, 3, 6}, {62, 3, 90, 4}, {95, 6, 6, 16}};
+  for (const FleetShape& shape : shapes) {
+    for (unsigned seed = 1; seed <= 3; ++seed) {
+      BOOST_TEST_CONTEXT("instances " << shape.instances << " limit "
+                                      << shape.limit << " seed " << seed) {
+        LimitedFleet fleet(shape, seed);
+        fleet.Run(1000, false);
+        fleet.Run(kStableMs, true);
+        const size_t leaving = shape.instances / 2;
+        for (size_t n = 0; n < leaving; ++n) {
+          fleet.Leave(2 * n);
+          fleet.Run(4000 / static_cast<int64_t>(leaving) / 10 * 10, true);
+        }
+        fleet.Run(shape.instances > 17 ? 5000 : 1000, true);
+        fleet.ResetUse();
+        const int64_t begin_ms = fleet.now_ms();
+        fleet.Run(4000, true);
+        BOOST_TEST(fleet.Use(begin_ms) >= 0.8);
+        fleet.ExcuseRestarts();
+        for (size_t n = 0; n < leaving; ++n) {
+          fleet.Restart(2 * n);
+          fleet.Run(4000 / static_cast<int64_t>(leaving) / 10 * 10, true);
+        }
+        fleet.Run(8000, true);
+        BOOST_TEST(fleet.MostOfAllowed() <= 1);
+      }
+    }
+  }
+}
+
 }  // namespace endiveyard
