Keep the call that crashed a replica behind a long queue of others

What callers saw: nothing yet; found by reading. With 64 or more calls waiting at an engine when it ends, the call that it was answering is not kept if it is reported last. The waiting ones are blamed then: requests with their common part, sound ones too, are refused after three crashes, and the crashing ones are only refused together with them.

Cause: the limit on the calls of a crash did not prefer those that may have caused it. Calls that only waited do not count beside one that was being answered, but took its place.

Fix: waiting calls go once an answered one is known, and are not added any more, so that all calls of a crash are possible causes.

Evidence: CrashingCallIsKnownBehindALongQueue failed in five checks (64 calls in a report instead of 1, sound requests refused here and at a peer).

--- a/include/endiveyard/placement/crash_suspects.h
+++ b/include/endiveyard/placement/crash_suspects.h
@@ -126,6 +126,8 @@
   struct Crash {
     TimePoint at{};  // earliest loss of a call
     bool alive = false;
+    // The calls that may have caused it: those that the replica was answering,
+    // or, as long as none is known, those that waited for an answer.
     std::vector<Call> calls;
     std::set<SuspectKey> cleared;
     int reports_left = 0;
--- a/src/placement/crash_suspects.cc
+++ b/src/placement/crash_suspects.cc
@@ -53,20 +53,6 @@
   return std::binary_search(keys.begin(), keys.end(), key);
 }
 
-// Calls `visit` for the calls of `crash` that may have caused it: those whose
-// answer the replica had begun, if there are any.
-template <typename Crash, typename Visit>
-void VisitPossibleCauses(const Crash& crash, const Visit& visit) {
-  const bool any_answering =
-      std::any_of(crash.calls.begin(), crash.calls.end(),
-                  [](const auto& it) { return it.answering; });
-  for (const auto& it : crash.calls) {
-    if (it.answering || !any_answering) {
-      visit(it);
-    }
-  }
-}
-
 // Returns how many of `crashes`, in order of time, were not simultaneous with
 // the one before, unless `key` was sent again in between.
 template <typename Crash>
@@ -74,10 +60,10 @@
   int count = 0;
   TimePoint previous{};
   for (const Crash* crash : crashes) {
-    bool sent_again = false;
-    VisitPossibleCauses(*crash, [&](const auto& it) {
-      sent_again |= it.sent_at > previous && Contains(it.keys, key);
-    });
+    const bool sent_again = std::any_of(
+        crash->calls.begin(), crash->calls.end(), [&](const auto& it) {
+          return it.sent_at > previous && Contains(it.keys, key);
+        });
     if (count == 0 || crash->at - previous >= kSimultaneousLosses ||
         sent_again) {
       ++count;
@@ -93,7 +79,7 @@
   SuspectKeys signature;
   for (size_t n = 0; n < crashes.size(); ++n) {
     SuspectKeys companions;
-    VisitPossibleCauses(*crashes[n], [&](const auto& it) {
+    for (const auto& it : crashes[n]->calls) {
       if (Contains(it.keys, key)) {
         for (const SuspectKey companion : it.keys) {
           if (crashes[n]->cleared.count(companion) == 0) {
@@ -101,7 +87,7 @@
           }
         }
       }
-    });
+    }
     std::sort(companions.begin(), companions.end());
     companions.erase(std::unique(companions.begin(), companions.end()),
                      companions.end());
@@ -172,6 +158,14 @@
 }
 
 bool CrashSuspects::AddCall(Crash* crash, Call call) {
+  // Calls that only waited do not count beside one that was being answered.
+  const bool any_answering = !crash->calls.empty() && crash->calls[0].answering;
+  if (any_answering && !call.answering) {
+    return false;
+  }
+  if (call.answering && !any_answering) {
+    crash->calls.clear();
+  }
   const auto includes = [](const SuspectKeys& a, const SuspectKeys& b) {
     return std::includes(a.begin(), a.end(), b.begin(), b.end());
   };
@@ -179,12 +173,9 @@
   // tells calls with the same parts apart.
   for (Call& it : crash->calls) {
     if (includes(it.keys, call.keys)) {
-      const bool changed = call.answering && !it.answering;
-      it.answering |= call.answering;
-      return changed;
+      return false;
     }
     if (includes(call.keys, it.keys)) {
-      call.answering |= it.answering;
       it = std::move(call);
       return true;
     }
@@ -295,13 +286,13 @@
   crashes_by_key_.clear();
   for (Crash* crash : by_time) {
     std::set<SuspectKey> left;
-    VisitPossibleCauses(*crash, [&](const Call& it) {
+    for (const Call& it : crash->calls) {
       for (const SuspectKey key : it.keys) {
         if (crash->cleared.count(key) == 0) {
           left.insert(key);
         }
       }
-    });
+    }
     for (const SuspectKey key : left) {
       crashes_by_key_[key].push_back(crash);
     }
@@ -423,7 +414,7 @@
   if (crash.alive) {
     return report;
   }
-  VisitPossibleCauses(crash, [&](const Call& it) {
+  for (const Call& it : crash.calls) {
     LostCall call{{},
                   std::chrono::duration_cast<Duration>(now - it.sent_at),
                   it.answering};
@@ -432,7 +423,7 @@
     if (!call.keys.empty()) {
       report.calls.push_back(std::move(call));
     }
-  });
+  }
   report.cleared.assign(crash.cleared.begin(), crash.cleared.end());
   return report;
 }
--- a/tests/placement/crash_suspects_test.cc
+++ b/tests/placement/crash_suspects_test.cc
@@ -89,6 +89,33 @@
   }
 }
 
+// Guards against a queue at the replica that is so long that the call that
+// crashed it is not kept, at the instance that lost it or at one that hears of
+// it last.
+BOOST_AUTO_TEST_CASE(CrashingCallIsKnownBehindALongQueue) {
+  CrashSuspects suspects;
+  CrashSuspects peer;
+  for (int n = 1; n <= 3; ++n) {
+    const auto replica = static_cast<uint64_t>(n);
+    for (uint32_t waiting = 0; waiting < 2 * kMaxLostCallsPerCrash; ++waiting) {
+      const SuspectKey own = 10000 * static_cast<uint32_t>(n) + waiting;
+      suspects.RecordLostCall(replica, {kFirst, own}, At(n * 1000 - 200), false,
+                              At(n * 1000));
+      peer.RecordLostCall(replica, {kFirst, own + 5000}, At(n * 1000 - 200),
+                          false, At(n * 1000));
+    }
+    RecordCrash(&suspects, n, {kFirst, kDeadly});
+  }
+  BOOST_TEST(IsCulprit(&suspects, {kFirst, kDeadly}, 3100));
+  BOOST_TEST(!IsCulprit(&suspects, {kFirst, 77}, 3100));
+  for (const CrashReport& it : suspects.TakeNews(1000, At(3100))) {
+    BOOST_TEST(it.calls.size() == 1u);
+    peer.ApplyReport(it, At(3100), false);
+  }
+  BOOST_TEST(IsCulprit(&peer, {kFirst, kDeadly}, 3200));
+  BOOST_TEST(!IsCulprit(&peer, {kFirst, 77}, 3200));
+}
+
 // Guards against holding requests responsible for a failure domain that loses
 // power, and for replicas that close connections but work on.
 BOOST_AUTO_TEST_CASE(OtherCausesOfLostCallsAreRecognized) {
