Find parts that crash replicas behind many others

What callers saw: nothing yet; found by reading. A part that crashes replicas and is the 24th of a prompt or a later one, as in a long conversation, had no key, so that its requests were never refused.

Cause: the keys of a request were limited to 24, for the size of reports, while prompts are read up to 64 parts.

Fix: one key for each part that is read. The size of reports is limited where they are made instead: a crash adds at most 256 keys of calls and 256 cleared ones. It could add 1,536 of each before, so that receivers would have dropped the report.

--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -18,8 +18,8 @@
 
 // Size limit of a report. For 500 replicas, each with work and a cache entry, a
 // report takes 34 bytes per replica; cached parts, crashes and rate limits take
-// 4 KB more.
-inline constexpr size_t kMaxPeerLoadReportBytes = 22528;
+// 6 KB more.
+inline constexpr size_t kMaxPeerLoadReportBytes = 24576;
 
 // An instance that the sender of a report knows to be live.
 struct Member {
--- a/include/endiveyard/placement/crash_suspects.h
+++ b/include/endiveyard/placement/crash_suspects.h
@@ -70,7 +70,12 @@
 // Limits on what is kept and on what a report may contain.
 inline constexpr size_t kMaxCrashes = 256;
 inline constexpr size_t kMaxLostCallsPerCrash = 64;
-inline constexpr size_t kMaxKeysPerLostCall = 24;
+// More than the shared parts of any prompt that is read (64 with the last one).
+inline constexpr size_t kMaxKeysPerLostCall = 64;
+// Limits the keys of calls and the cleared keys each, so that a report fits
+// into a datagram.
+inline constexpr size_t kMaxKeysPerCrashReport = 256;
+inline constexpr size_t kMaxClearedKeysPerCrash = 1536;
 // Crashes count for this time. A culprit that is sent again after it adds new
 // evidence.
 inline constexpr Duration kCrashLifetime = std::chrono::minutes(10);
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -16,8 +16,8 @@
 
 // Limits the work that a malicious datagram can cause in the decoder. The
 // largest report has five words per replica when unpacked: 2,500 for 500
-// replicas.
-constexpr uint64_t kMaxTraversalWords = 4096;
+// replicas, and about as many for the other lists.
+constexpr uint64_t kMaxTraversalWords = 5120;
 
 // Limits on the figures of one entry, so that a forged report has a bounded
 // weight: more work than an engine can have queued counts as this much.
--- a/src/placement/crash_suspects.cc
+++ b/src/placement/crash_suspects.cc
@@ -372,7 +372,7 @@
     changed |= AddCall(crash, std::move(call));
   }
   for (const SuspectKey key : report.cleared) {
-    if (crash->cleared.size() < kMaxLostCallsPerCrash * kMaxKeysPerLostCall) {
+    if (crash->cleared.size() < kMaxClearedKeysPerCrash) {
       changed |= crash->cleared.insert(key).second;
     }
   }
@@ -414,17 +414,27 @@
   if (crash.alive) {
     return report;
   }
+  size_t keys = 0;
   for (const Call& it : crash.calls) {
     LostCall call{{},
                   std::chrono::duration_cast<Duration>(now - it.sent_at),
                   it.answering};
     std::copy_if(it.keys.begin(), it.keys.end(), std::back_inserter(call.keys),
                  [&](SuspectKey key) { return crash.cleared.count(key) == 0; });
+    keys += call.keys.size();
+    if (keys > kMaxKeysPerCrashReport) {
+      break;
+    }
     if (!call.keys.empty()) {
       report.calls.push_back(std::move(call));
     }
   }
-  report.cleared.assign(crash.cleared.begin(), crash.cleared.end());
+  for (const SuspectKey key : crash.cleared) {
+    if (report.cleared.size() >= kMaxKeysPerCrashReport) {
+      break;
+    }
+    report.cleared.push_back(key);
+  }
   return report;
 }
 
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -67,6 +67,16 @@
                               {{keys, {}, true}},
                               {}});
   }
+  // The last crash of a report may have more keys than the others together.
+  CrashReport& largest = report.crashes.emplace_back();
+  for (uint32_t n = 0; n < kMaxKeysPerCrashReport; ++n) {
+    const SuspectKey key = 0x85ebca6b * (n + 1);
+    largest.cleared.push_back(~key);
+    if (n % (kMaxKeysPerCrashReport / kMaxLostCallsPerCrash) == 0) {
+      largest.calls.push_back({{}, {}, false});
+    }
+    largest.calls.back().keys.push_back(key);
+  }
   const std::string bytes = EncodePeerLoadReport(report);
   BOOST_TEST(bytes.size() <= kMaxPeerLoadReportBytes);
   const auto decoded = DecodePeerLoadReport(bytes);
--- a/tests/placement/crash_suspects_test.cc
+++ b/tests/placement/crash_suspects_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <string>
 #include <utility>
 
 namespace endiveyard {
@@ -159,6 +160,35 @@
   BOOST_TEST(SuspectKeysOf(&prompt, "h", "/x", "").size() == 3u);
 }
 
+// Guards against a part that crashes replicas and is overlooked because many
+// others come before it, as in a long conversation.
+BOOST_AUTO_TEST_CASE(PartBehindManyOthersIsHeldResponsible) {
+  const auto keys_of = [](uint64_t document, uint64_t request) {
+    PromptShape prompt;
+    for (uint64_t part = 0; part < 60; ++part) {
+      prompt.parts.push_back({1000 + part, 50});
+    }
+    prompt.parts.push_back({document, 50});
+    prompt.parts.push_back({request, 50});
+    return SuspectKeysOf(&prompt, "h", "/x", std::to_string(request));
+  };
+  constexpr uint64_t kDeadlyDocument = 1;
+  constexpr uint64_t kSoundDocument = 2;
+  CrashSuspects suspects;
+  for (uint64_t n = 1; n <= 3; ++n) {
+    const auto ms = static_cast<int64_t>(n) * 1000;
+    suspects.RecordLostCall(n, keys_of(kDeadlyDocument, 100 + n), At(ms - 300),
+                            true, At(ms));
+    suspects.RecordAnswer(keys_of(kSoundDocument, 200 + n), At(ms + 10),
+                          At(ms + 300));
+  }
+  BOOST_TEST(IsCulprit(&suspects, keys_of(kDeadlyDocument, 300), 3400));
+  BOOST_TEST(!IsCulprit(&suspects, keys_of(kSoundDocument, 301), 3400));
+  for (const CrashReport& it : suspects.TakeNews(1000, At(3400))) {
+    BOOST_TEST(it.calls.size() == 1u);
+  }
+}
+
 // Guards against reports whose order, repetition or delay matters, and against
 // evidence that returns although it was cleared.
 BOOST_AUTO_TEST_CASE(ReportsMergeInAnyOrder) {
@@ -203,7 +233,15 @@
     suspects.ApplyReport(report, At(100000), false);
     report.calls.resize(1);
   }
-  BOOST_TEST(suspects.Digest(1u << 30, At(100000)).size() <= kMaxCrashes);
+  const std::vector<CrashReport> digest = suspects.Digest(1u << 30, At(100000));
+  BOOST_TEST(digest.size() <= kMaxCrashes);
+  for (const CrashReport& it : digest) {
+    size_t keys = it.cleared.size();
+    for (const LostCall& call : it.calls) {
+      keys += call.keys.size();
+    }
+    BOOST_TEST(keys <= 2 * kMaxKeysPerCrashReport);
+  }
 }
 
 }  // namespace endiveyard
