Tell restarted instances what new ones are told

What callers saw: nothing. Replicas with limits got requests without regard to these from instances that had just restarted, and so did replicas from requests known to crash them, until the next digest.

Cause: peers answer the first report of an instance that they do not know with the live instances, crashes and limits. A restarted one has the same address, so that it was still known for 45 s.

Fix: the sequence of reports starts again with each process; a lower one than before marks a new process.

Evidence: StartedInstancesAreWelcomed fails without the fix (the report after a restart).

--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -45,10 +45,13 @@
                 std::vector<uint32_t> seeds);
 
   // Records a report of `sender` and the live instances in it. Returns true if
-  // the sender was not known before.
+  // the sender has started, or started again, and was not welcomed yet.
   bool RecordReport(const Member& sender,
+                    uint64_t sequence,
                     const std::vector<Member>& members,
                     TimePoint now);
+  // Records that the peer was sent what a new instance needs to know.
+  void RecordWelcomed(uint32_t peer);
   // Records that this instance is leaving.
   void RecordOwnLeaving(TimePoint now);
 
@@ -86,6 +89,8 @@
     uint16_t region = 0;
     TimePoint last_alive{};
     std::optional<TimePoint> leaving_since;  // when that was learned
+    uint64_t sequence = 0;                   // of its latest report
+    bool welcomed = true;                    // by this instance, or another one
   };
 
   std::vector<uint32_t> LivePeers(TimePoint now) const;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -159,13 +159,14 @@
       return;
     }
     const TimePoint now = BootClock::now();
-    const bool added = directory_.RecordReport(
+    const bool has_started = directory_.RecordReport(
         {report->sender, report->region, Duration(0), report->leaving},
-        report->members, now);
-    if (added && report->scope == ReportScope::kMembers &&
+        report->sequence, report->members, now);
+    if (has_started && report->scope == ReportScope::kMembers &&
         now - last_welcome_ >= kMinWelcomeInterval) {
       // A new instance knows the seeds only.
       last_welcome_ = now;
+      directory_.RecordWelcomed(report->sender);
       PeerLoadReport welcome = MakeReport(ReportScope::kMembers);
       welcome.members = directory_.Members(now);
       welcome.crashes = crash_suspects_.Digest(kMaxCrashKeysPerReport, now);
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -70,6 +70,7 @@
       random_(own_address + 1) {}
 
 bool PeerDirectory::RecordReport(const Member& sender,
+                                 uint64_t sequence,
                                  const std::vector<Member>& members,
                                  TimePoint now) {
   RemoveOld(now);
@@ -101,7 +102,23 @@
       record(it);
     }
   }
-  return !known;
+  const auto entry = peers_.find(sender.address);
+  if (entry == peers_.end()) {
+    return false;
+  }
+  Peer& peer = entry->second;
+  // Each process counts its reports from one.
+  if (!known || sequence < peer.sequence) {
+    peer.welcomed = false;
+  }
+  peer.sequence = sequence;
+  return !peer.welcomed;
+}
+
+void PeerDirectory::RecordWelcomed(uint32_t peer) {
+  if (const auto it = peers_.find(peer); it != peers_.end()) {
+    it->second.welcomed = true;
+  }
 }
 
 void PeerDirectory::RecordOwnLeaving(TimePoint now) {
--- a/tests/load_exchange/peer_directory_test.cc
+++ b/tests/load_exchange/peer_directory_test.cc
@@ -29,7 +29,7 @@
   BOOST_TEST(Has(directory.MemberRecipients(At(10000)), 2));
   BOOST_TEST(!Has(directory.MemberRecipients(At(10000)), 1));
   BOOST_TEST(directory.Mates(At(10000)).empty());
-  directory.RecordReport({2, 7}, {{1, 7, Duration(0)}, {3, 7, Duration(0)}},
+  directory.RecordReport({2, 7}, 1, {{1, 7, Duration(0)}, {3, 7, Duration(0)}},
                          At(11100));
   const auto mates = directory.Mates(At(11200));
   BOOST_TEST(Has(mates, 2));
@@ -37,7 +37,7 @@
   BOOST_TEST(!Has(mates, 1));
   BOOST_TEST(directory.InstanceCount(At(11200)) == 3u);
   BOOST_TEST((directory.OwnPosition(At(11200)) == InstancePosition{0, 3}));
-  directory.RecordReport({0, 7}, {}, At(11200));
+  directory.RecordReport({0, 7}, 1, {}, At(11200));
   BOOST_TEST((directory.OwnPosition(At(11200)) == InstancePosition{1, 4}));
 }
 
@@ -49,25 +49,43 @@
   };
   const std::vector<size_t> none;
   PeerDirectory directory(2, 7, {});
-  directory.RecordReport({1, 7}, {{3, 7}, {4, 7}}, At(1000));
+  directory.RecordReport({1, 7}, 1, {{3, 7}, {4, 7}}, At(1000));
   BOOST_TEST(leaving(directory, 5000) == none);
-  directory.RecordReport({3, 7, Duration(0), true}, {}, At(5000));
+  directory.RecordReport({3, 7, Duration(0), true}, 1, {}, At(5000));
   BOOST_TEST(leaving(directory, 5500) == none);
   BOOST_TEST(leaving(directory, 6100) == std::vector<size_t>{2});
   // Others are told, and older news change nothing.
   BOOST_TEST(directory.Members(At(6100))[1].leaving);
-  directory.RecordReport({1, 7}, {{3, 7, std::chrono::seconds(3)}}, At(6200));
+  directory.RecordReport({1, 7}, 1, {{3, 7, std::chrono::seconds(3)}},
+                         At(6200));
   BOOST_TEST(leaving(directory, 6300) == std::vector<size_t>{2});
   directory.RecordOwnLeaving(At(6300));
   BOOST_TEST((leaving(directory, 7400) == std::vector<size_t>{1, 2}));
-  directory.RecordReport({1, 7}, {{3, 7, Duration(0), false}}, At(8000));
+  directory.RecordReport({1, 7}, 1, {{3, 7, Duration(0), false}}, At(8000));
   BOOST_TEST(leaving(directory, 8000) == std::vector<size_t>{1});
 }
 
+// Guards against instances that have restarted at the same address and are not
+// told what a new instance needs to know.
+BOOST_AUTO_TEST_CASE(StartedInstancesAreWelcomed) {
+  PeerDirectory directory(1, 7, {});
+  BOOST_TEST(directory.RecordReport({2, 7}, 1, {}, At(1000)));
+  BOOST_TEST(directory.RecordReport({2, 7}, 2, {}, At(1100)));
+  directory.RecordWelcomed(2);
+  BOOST_TEST(!directory.RecordReport({2, 7}, 500, {}, At(2000)));
+  // The first report of the new process was lost.
+  BOOST_TEST(directory.RecordReport({2, 7}, 2, {}, At(5000)));
+  directory.RecordWelcomed(2);
+  BOOST_TEST(!directory.RecordReport({2, 7}, 3, {}, At(5100)));
+  // Others have welcomed an instance that is known by hearsay.
+  directory.RecordReport({2, 7}, 4, {{3, 7}}, At(5200));
+  BOOST_TEST(!directory.RecordReport({3, 7}, 9, {}, At(5300)));
+}
+
 // Guards against sending reports to instances that no longer exist.
 BOOST_AUTO_TEST_CASE(PeersWithoutReportsAreDropped) {
   PeerDirectory directory(1, 7, {});
-  directory.RecordReport({5, 7}, {}, At(1000));
+  directory.RecordReport({5, 7}, 1, {}, At(1000));
   BOOST_TEST(Has(directory.Mates(At(2000)), 5));
   BOOST_TEST(!Has(directory.Mates(At(47000)), 5));
   BOOST_TEST(directory.Members(At(47000)).empty());
@@ -81,7 +99,7 @@
   PeerDirectory directory(1000, 7, {});
   for (uint32_t n = 1; n <= 72; ++n) {
     const auto other_region = static_cast<uint16_t>(8 + n % 2);
-    directory.RecordReport({n, n % 3 == 0 ? uint16_t{7} : other_region}, {},
+    directory.RecordReport({n, n % 3 == 0 ? uint16_t{7} : other_region}, 1, {},
                            At(1000));
   }
   BOOST_TEST(directory.Mates(At(1100)).size() == 24u);
@@ -127,7 +145,7 @@
           for (const uint32_t it : fleet[n].MemberRecipients(At(ms + n))) {
             if (it <= live && random() % 3 != 0) {
               fleet[it - 1].RecordReport({n + 1, static_cast<uint16_t>(n % 4)},
-                                         members, At(ms + n));
+                                         1, members, At(ms + n));
             }
           }
         }
@@ -185,7 +203,7 @@
           on_the_way.pop_front();
           const auto report = DecodePeerLoadReport(datagram.bytes);
           if (datagram.to < live && report) {
-            fleet[datagram.to].RecordReport({report->sender, report->region},
+            fleet[datagram.to].RecordReport({report->sender, report->region}, 1,
                                             report->members, At(ms));
           }
         }
@@ -216,11 +234,11 @@
   for (uint32_t n = 0; n < 100000; ++n) {
     members.push_back({n + 10, 7, Duration(0)});
   }
-  directory.RecordReport({2, 7}, members, At(100000));
+  directory.RecordReport({2, 7}, 1, members, At(100000));
   BOOST_TEST(directory.InstanceCount(At(100000)) <= 2001u);
   PeerDirectory other(1, 7, {});
   other.RecordReport(
-      {2, 7}, {{3, 7, std::chrono::hours(1)}, {4, 7, Duration(-1000000)}},
+      {2, 7}, 1, {{3, 7, std::chrono::hours(1)}, {4, 7, Duration(-1000000)}},
       At(100000));
   BOOST_TEST(other.InstanceCount(At(100000)) == 2u);
 }
