Keep live instances of a large fleet known when reports are rare

What callers saw: nothing; found by a model of 370 instances. With reports about live instances every two seconds, as large as crashes and limits make them, and a third of the datagrams lost, an instance knew as few as 207 of the 370 (357 on the mean), and took too large a share of common limits.

Fix: in a fleet of more than 17, an instance counts as gone after 90 s. Signs of life older than a minute are not passed on, as their age has no room in a report.

Ruled out: more recipients or smaller reports, which cost bytes at the size where these are short.

--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -13,10 +13,14 @@
 
 namespace endiveyard {
 
-// An instance of which no sign of life was seen for this long is not live. News
-// of live instances reach all others of a fleet of 370 within this time, even
-// if a third of the datagrams is lost.
+// An instance of which no sign of life was seen for this long is not live. In a
+// large fleet, news of live instances are several hops old: they reach all
+// others of 370 within the longer time, even if a third of the datagrams is
+// lost and reports are so large that each instance sends one in two seconds.
 inline constexpr Duration kPeerTimeout = std::chrono::seconds(45);
+inline constexpr Duration kPeerTimeoutOfLargeFleet = std::chrono::seconds(90);
+// Older signs of life are not passed on.
+inline constexpr Duration kMaxReportedAge = std::chrono::seconds(60);
 // Interval at which instances tell others which instances are live, and probe
 // seeds that are not.
 inline constexpr Duration kMemberInterval = std::chrono::seconds(1);
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -98,7 +98,7 @@
   };
   record(sender);
   for (const Member& it : members) {
-    if (it.age >= Duration(0) && it.age < kPeerTimeout) {
+    if (it.age >= Duration(0) && it.age <= kMaxReportedAge) {
       record(it);
     }
   }
@@ -128,7 +128,9 @@
 }
 
 bool PeerDirectory::IsLive(const Peer& peer, TimePoint now) const {
-  return now - peer.last_alive < kPeerTimeout;
+  return now - peer.last_alive < (peers_.size() > kMaxPeersForFullExchange
+                                      ? kPeerTimeoutOfLargeFleet
+                                      : kPeerTimeout);
 }
 
 void PeerDirectory::RemoveOld(TimePoint now) {
@@ -195,15 +197,22 @@
 }
 
 std::vector<Member> PeerDirectory::Members(TimePoint now) {
+  const auto age_of = [now](const Peer& peer) {
+    return std::chrono::duration_cast<Duration>(now - peer.last_alive) +
+           kMaxTransitTime;
+  };
+  std::vector<uint32_t> reported = LivePeers(now);
+  reported.erase(
+      std::remove_if(
+          reported.begin(), reported.end(),
+          [&](uint32_t it) { return age_of(peers_.at(it)) > kMaxReportedAge; }),
+      reported.end());
   std::vector<Member> members;
   for (const uint32_t it :
-       RandomSample(LivePeers(now), kMaxMembersPerReport, &random_)) {
+       RandomSample(reported, kMaxMembersPerReport, &random_)) {
     const Peer& peer = peers_.at(it);
     members.push_back(
-        {it, peer.region,
-         std::chrono::duration_cast<Duration>(now - peer.last_alive) +
-             kMaxTransitTime,
-         peer.leaving_since.has_value()});
+        {it, peer.region, age_of(peer), peer.leaving_since.has_value()});
   }
   return members;
 }
