Do not let a failure domain that returns exceed the limits of replicas

What callers saw: nothing; found by reading. In a fleet of more than 17, a failure domain whose instances restart together could send replicas several times what they state, until all others had learned of it.

Cause: an instance that had just started closed the ranks like those that stayed, so that all that return side by side held a share of the same limits.

Fix: as long as others may use its share, an instance keeps its place among all, as one that is leaving does already.

Ruled out: no share for instances that have just started, since their callers come at once.

--- a/src/placement/replica_rate_limits.cc
+++ b/src/placement/replica_rate_limits.cc
@@ -111,9 +111,10 @@
   const std::vector<size_t>& leaving = instance_.leaving;
   const bool is_leaving =
       std::binary_search(leaving.begin(), leaving.end(), instance_.index);
-  // A leaving instance keeps its place among all of them. The others close the
-  // ranks.
-  const size_t gaps = is_leaving ? 0 : leaving.size();
+  const bool is_contested = is_leaving || instance_.joining;
+  // The others close the ranks. An instance whose share they may use keeps its
+  // place among all, so that no more of these hold a share than without them.
+  const size_t gaps = is_contested ? 0 : leaving.size();
   const size_t count = instance_.count - gaps;
   const auto place = [&](size_t index) {
     return gaps == 0 ? index
@@ -128,7 +129,7 @@
   const size_t offset = (place(instance_.index) + count - first) % count;
   const double share =
       offset < holders ? rate / static_cast<double>(holders) : 0;
-  return is_leaving || instance_.joining ? share * kContestedShare : share;
+  return is_contested ? share * kContestedShare : share;
 }
 
 std::optional<Duration> ReplicaRateLimits::WaitFor(uint64_t replica_key,
--- a/tests/placement/replica_rate_limits_test.cc
+++ b/tests/placement/replica_rate_limits_test.cc
@@ -1,6 +1,8 @@
 #include "endiveyard/placement/replica_rate_limits.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 namespace endiveyard {
 namespace {
@@ -129,4 +131,50 @@
   }
 }
 
+// Guards against shares that add up to more than a limit while instances leave
+// or return and only some of the others know it: every second instance, or
+// half of them in a row, as in a failure domain that is restarted.
+BOOST_AUTO_TEST_CASE(SharesStayWithinTheLimitWhileNewsSpread) {
+  constexpr size_t kReplicas = 24;
+  // Of the users' bound of one and a half, a part is left for bursts.
+  constexpr double kMostOfLimit = 1.25;
+  std::mt19937 random(1);
+  for (const size_t instances : {8u, 95u, 370u}) {
+    for (const double limit : {1.5, 16.0}) {
+      for (const bool in_a_row : {false, true}) {
+        const auto moves = [&](size_t n) {
+          return in_a_row ? n < instances / 2 : n % 2 == 0;
+        };
+        // In a small fleet, all know within a moment that an instance is back.
+        for (const bool returning : {false, true}) {
+          if (returning && instances == 8) {
+            continue;
+          }
+          for (size_t replica = 0; replica < kReplicas; ++replica) {
+            const unsigned known_in_20 = replica % 2 == 0 ? 10 : 19;
+            double sum = 0;
+            for (size_t n = 0; n < instances; ++n) {
+              InstancePosition position{n, instances, {}, false};
+              for (size_t other = 0; other < instances; ++other) {
+                const bool is_known = random() % 20 < known_in_20;
+                if (moves(other) && (other == n ? !returning : is_known)) {
+                  position.leaving.push_back(other);
+                }
+              }
+              position.joining = returning && moves(n);
+              ReplicaRateLimits limits;
+              limits.set_instance(position);
+              limits.RecordResponse(kReplica, limit, At(0));
+              const auto wait =
+                  limits.WaitFor(kReplica, {replica, kReplicas}, At(0));
+              sum += wait ? 1e6 / static_cast<double>(wait->count()) : 0;
+            }
+            BOOST_TEST(sum <= kMostOfLimit * limit * 1.001);
+          }
+        }
+      }
+    }
+  }
+}
+
 }  // namespace endiveyard
