Pass on first which instances have left or returned

What callers saw: nothing; found by reading. The return of an instance took up to 50 s to reach 370 instances, while it took its whole share of limits after 10 s.

Cause: a report holds 100 of the live instances at random, and the time that was assumed had been measured with 95.

Fix: instances that have just left or returned come first in reports, and an instance counts as known after 30 s in a fleet of more than 17.

Evidence: ReturnOfAnInstanceIsKnownAfterTheSpreadingTime fails without both (37 of 94 and 327 of 369 instances count the instance as leaving after 10 s, by members' reports alone, two seconds apart, a third lost) and passes.

--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -67,12 +67,16 @@
   // and the seeds that are not live.
   std::vector<uint32_t> MemberRecipients(TimePoint now);
   // Returns live peers with the time since their last sign of life, at most
-  // kMaxMembersPerReport of them, at random.
+  // kMaxMembersPerReport of them, at random. Those that have just left or
+  // returned come first.
   std::vector<Member> Members(TimePoint now);
 
   // Returns the number of live instances, including this one.
   size_t InstanceCount(TimePoint now) const;
 
+  // Returns the time within which all others learn that an instance is back.
+  Duration SpreadingTime(TimePoint now) const;
+
   // Returns the position of this instance among the live ones, in order of
   // address. Instances count as leaving once all have had time to learn of it.
   InstancePosition OwnPosition(TimePoint now) const;
@@ -93,8 +97,9 @@
     uint16_t region = 0;
     TimePoint last_alive{};
     std::optional<TimePoint> leaving_since;  // when that was learned
-    uint64_t sequence = 0;                   // of its latest report
-    bool welcomed = true;                    // by this instance, or another one
+    TimePoint changed_at{};  // when it was last learned to leave or be back
+    uint64_t sequence = 0;   // of its latest report
+    bool welcomed = true;    // by this instance, or another one
   };
 
   std::vector<uint32_t> LivePeers(TimePoint now) const;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -31,8 +31,6 @@
 // it takes as much of a rate limit as if there were this many.
 constexpr Duration kJoiningTime = std::chrono::seconds(2);
 constexpr size_t kAssumedInstances = 64;
-// In a large fleet, news of an instance reach all others within this time.
-constexpr Duration kSpreadingTime = std::chrono::seconds(10);
 // Interval of reports of work without any change.
 constexpr Duration kIdleReportInterval = std::chrono::milliseconds(500);
 // Cached parts are told to this many instances of each other region, since
@@ -283,7 +281,7 @@
     if (has_other_seeds_ && now - started_at_ < kJoiningTime) {
       position.count = std::max(position.count, kAssumedInstances);
     }
-    position.joining = IsLargeFleet(now) && now - started_at_ < kSpreadingTime;
+    position.joining = now - started_at_ < directory_.SpreadingTime(now);
     placer_.rate_limits().set_instance(std::move(position));
   }
 
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -33,6 +33,15 @@
 constexpr double kWorkShareOfLargeFleet = 1 - kMemberShare - kRegionShare;
 constexpr double kWorkShareOfSmallFleet = 1 - kMemberShare;
 
+// Instances that were learned to leave or to be back within this time come
+// first in reports, up to half of the entries.
+constexpr Duration kNewsTime = std::chrono::seconds(30);
+constexpr size_t kMaxNewsPerReport = kMaxMembersPerReport / 2;
+// In a large fleet, such news reach all others within this time, even if a
+// third of the datagrams is lost and each instance sends a report in two
+// seconds.
+constexpr Duration kSpreadingTime = std::chrono::seconds(30);
+
 // Added to ages that are passed on. Most datagrams take less time, which the
 // receiver does not know.
 constexpr Duration kMaxTransitTime = std::chrono::milliseconds(250);
@@ -90,6 +99,9 @@
     }
     entry.region = member.region;
     entry.last_alive = alive;
+    if (member.leaving != entry.leaving_since.has_value()) {
+      entry.changed_at = now;
+    }
     if (!member.leaving) {
       entry.leaving_since.reset();
     } else if (!entry.leaving_since) {
@@ -201,15 +213,22 @@
     return std::chrono::duration_cast<Duration>(now - peer.last_alive) +
            kMaxTransitTime;
   };
-  std::vector<uint32_t> reported = LivePeers(now);
-  reported.erase(
-      std::remove_if(
-          reported.begin(), reported.end(),
-          [&](uint32_t it) { return age_of(peers_.at(it)) > kMaxReportedAge; }),
-      reported.end());
-  std::vector<Member> members;
+  std::vector<uint32_t> news;
+  std::vector<uint32_t> others;
+  for (const uint32_t it : LivePeers(now)) {
+    const Peer& peer = peers_.at(it);
+    if (age_of(peer) <= kMaxReportedAge) {
+      (now - peer.changed_at < kNewsTime ? news : others).push_back(it);
+    }
+  }
+  std::vector<uint32_t> reported =
+      RandomSample(news, kMaxNewsPerReport, &random_);
   for (const uint32_t it :
-       RandomSample(reported, kMaxMembersPerReport, &random_)) {
+       RandomSample(others, kMaxMembersPerReport - reported.size(), &random_)) {
+    reported.push_back(it);
+  }
+  std::vector<Member> members;
+  for (const uint32_t it : reported) {
     const Peer& peer = peers_.at(it);
     members.push_back(
         {it, peer.region, age_of(peer), peer.leaving_since.has_value()});
@@ -236,6 +255,12 @@
                   RateLimited(recipients, report_bytes, kRegionShare));
 }
 
+Duration PeerDirectory::SpreadingTime(TimePoint now) const {
+  // In a small fleet, an instance tells all others itself.
+  return LivePeers(now).size() > kMaxPeersForFullExchange ? kSpreadingTime
+                                                          : Duration(0);
+}
+
 InstancePosition PeerDirectory::OwnPosition(TimePoint now) const {
   std::vector<uint32_t> live = LivePeers(now);
   live.insert(std::lower_bound(live.begin(), live.end(), own_address_),
--- a/tests/load_exchange/peer_directory_test.cc
+++ b/tests/load_exchange/peer_directory_test.cc
@@ -35,7 +35,10 @@
 class ReportingFleet {
  public:
   ReportingFleet(uint32_t instances, int64_t interval_ms, uint32_t lost_in)
-      : interval_ms_(interval_ms), lost_in_(lost_in), live_(instances) {
+      : interval_ms_(interval_ms),
+        lost_in_(lost_in),
+        live_(instances),
+        leaving_(instances) {
     for (uint32_t n = 0; n < instances; ++n) {
       fleet_.emplace_back(n + 1, RegionOf(n), std::vector<uint32_t>{1, 2, 3});
     }
@@ -58,6 +61,20 @@
 
   void EndLast() { --live_; }
 
+  void SetLeaving(uint32_t n, bool leaving) { leaving_[n] = leaving; }
+  // Returns the number of other instances that count some instance as leaving.
+  uint32_t ObserversOfLeaving(uint32_t n) const {
+    uint32_t observers = 0;
+    for (uint32_t other = 0; other < live_; ++other) {
+      observers +=
+          other != n && !fleet_[other].OwnPosition(At(now_ms_)).leaving.empty();
+    }
+    return observers;
+  }
+  int64_t SpreadingTimeMs() const {
+    return fleet_[0].SpreadingTime(At(now_ms_)).count() / 1000;
+  }
+
   uint32_t KnownInstances(uint32_t n) const {
     return static_cast<uint32_t>(fleet_[n].InstanceCount(At(now_ms_)));
   }
@@ -77,6 +94,7 @@
     report.sequence = 1;
     report.region = RegionOf(from);
     report.scope = ReportScope::kMembers;
+    report.leaving = leaving_[from];
     report.members = fleet_[from].Members(At(now_ms_));
     const std::string bytes = EncodePeerLoadReport(report);
     for (const uint32_t it : fleet_[from].MemberRecipients(At(now_ms_))) {
@@ -88,15 +106,16 @@
     const bool lost = lost_in_ > 0 && random_() % lost_in_ == 0;
     const auto report = DecodePeerLoadReport(datagram.bytes);
     if (!lost && report && datagram.to < live_) {
-      fleet_[datagram.to].RecordReport({report->sender, report->region},
-                                       report->sequence, report->members,
-                                       At(now_ms_));
+      fleet_[datagram.to].RecordReport(
+          {report->sender, report->region, Duration(0), report->leaving},
+          report->sequence, report->members, At(now_ms_));
     }
   }
 
   const int64_t interval_ms_;
   const uint32_t lost_in_;
   uint32_t live_;
+  std::vector<bool> leaving_;
   std::mt19937 random_{1};
   std::vector<PeerDirectory> fleet_;
   std::deque<Datagram> on_the_way_;
@@ -119,9 +138,11 @@
   BOOST_TEST(Has(mates, 3));
   BOOST_TEST(!Has(mates, 1));
   BOOST_TEST(directory.InstanceCount(At(11200)) == 3u);
-  BOOST_TEST((directory.OwnPosition(At(11200)) == InstancePosition{0, 3}));
+  BOOST_TEST(
+      (directory.OwnPosition(At(11200)) == InstancePosition{0, 3, {}, false}));
   directory.RecordReport({0, 7}, 1, {}, At(11200));
-  BOOST_TEST((directory.OwnPosition(At(11200)) == InstancePosition{1, 4}));
+  BOOST_TEST(
+      (directory.OwnPosition(At(11200)) == InstancePosition{1, 4, {}, false}));
 }
 
 // Guards against instances that are shutting down and count like the others, or
@@ -280,6 +301,22 @@
   }
 }
 
+// Guards against an instance that takes its whole share again after a restart,
+// while others still use it because they count the instance as leaving.
+BOOST_AUTO_TEST_CASE(ReturnOfAnInstanceIsKnownAfterTheSpreadingTime) {
+  for (const uint32_t instances : {95u, 370u}) {
+    ReportingFleet fleet(instances, 2000, 3);
+    fleet.Run(40000);
+    const uint32_t n = instances / 2;
+    fleet.SetLeaving(n, true);
+    fleet.Run(60000);
+    BOOST_TEST(fleet.ObserversOfLeaving(n) >= instances * 0.9);
+    fleet.SetLeaving(n, false);
+    fleet.Run(fleet.SpreadingTimeMs());
+    BOOST_TEST(fleet.ObserversOfLeaving(n) == 0u);
+  }
+}
+
 // Guards against forged reports that fill the memory or add instances of the
 // past or the future.
 BOOST_AUTO_TEST_CASE(ForgedMembersAreBounded) {
