Do not take a repeated refusal for that of a later request

A target that had refused a request and wrote the refusal once more on the kept connection, without a request id, had it taken for the answer to the next request on that connection. Callers were told 'not run, try again' for a request that the target ran, and a repeat could run it a second time.

Cause: a response without an id counted as the response to the current request on any connection. It is unambiguous only on a new connection; on a reused one the outcome is now unknown (502 where a route forbids repeats). Refusals that carry the id of the earlier request were skipped before.

Evidence: RepeatedRefusalsDoNotCountForLaterRequests failed for 503, 429 and 421 (the callers got 503).

--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -142,6 +142,7 @@
 
   void StartOnConnection(std::unique_ptr<Connection> connection) {
     connection_ = std::move(connection);
+    reused_connection_ = true;
     WriteRequest();
   }
 
@@ -313,6 +314,12 @@
     if (!request_.request_id.empty()) {
       const ResponseMetadata metadata = protocol_.DecodeResponse(
           response_head_.status, response_head_.headers);
+      if (!metadata.request_id && reused_connection_) {
+        // May be a response to an earlier request.
+        End(TransportStatus::kInvalidResponse,
+            "response without a request id on a reused connection");
+        return true;
+      }
       if (metadata.request_id && *metadata.request_id != request_.request_id) {
         if (++skipped_responses_ > kMaxSkippedResponses ||
             parser_->need_eof()) {
@@ -484,6 +491,7 @@
   int interim_responses_ = 0;
   uint64_t body_bytes_ = 0;  // of the current response
   bool connected_ = false;
+  bool reused_connection_ = false;
   bool request_written_ = false;
   bool skipping_response_ = false;
   bool out_of_sync_ = false;
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -148,6 +148,32 @@
   BOOST_TEST(target.ReadUntilClose().empty());
 }
 
+// Guards against 'not run' for a request that a target runs: an earlier refusal
+// that arrives once more on a reused connection, without the request id that
+// would show to which request it belongs.
+BOOST_FIXTURE_TEST_CASE(RepeatedRefusalsDoNotCountForLaterRequests,
+                        RelayFixture) {
+  UseOneTarget();
+  const std::string refusal =
+      "Endiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  for (const char* status : {"503 Service Unavailable", "429 Too Many Requests",
+                             "421 Misdirected Request"}) {
+    const std::string line = "HTTP/1.1 " + std::string(status) + "\r\n";
+    TestConnection caller = Connect();
+    caller.Send(
+        RequestHead("POST", "/unsafe/x", "r1", "Content-Length: 0\r\n"));
+    TestConnection target = first().Accept();
+    target.ReadMessage();
+    target.Send(line + "Endiveyard-Request-Id: r1\r\n" + refusal);
+    BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+    caller.Send(
+        RequestHead("POST", "/unsafe/x", "r2", "Content-Length: 0\r\n"));
+    target.ReadMessage();
+    target.Send(line + refusal);
+    BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "), status);
+  }
+}
+
 // Guards against bytes after a response that are read as the next response.
 BOOST_FIXTURE_TEST_CASE(ExtraBytesCloseTheConnection, RelayFixture) {
   UseOneTarget();
