Show that a request that crashes replicas is refused when it comes again

The new test sends one request again and again through sockets, on a stream, a safe and an unsafe route. It fails when lost calls are not recorded: 12 to 24 crashes, none refused. The tests before had a shared prompt part only.

--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -685,6 +685,43 @@
   ExpectCrashingPartsAreRefused(this, StreamResponseHead);
 }
 
+// Guards against a request that crashes one target after the other and comes
+// again unchanged, also where it has no prompt.
+BOOST_FIXTURE_TEST_CASE(RepeatedRequestsThatCrashTargetsAreRefused,
+                        RelayFixture) {
+  std::atomic<int> crashes{0};
+  const auto respond = [&](const std::string& request) {
+    const std::string id =
+        request.substr(request.find("Endiveyard-Request-Id: ") + 23, 2);
+    if (Contains(request, "deadly")) {
+      ++crashes;
+      return std::string();
+    }
+    return SignedResponse(id, "id: 1\ndata: a\n\n");
+  };
+  const TargetResponder first_responder(&first(), respond);
+  const TargetResponder second_responder(&second(), respond);
+  const auto send = [&](int id, const std::string& path) {
+    TestConnection caller = Connect();
+    caller.Send(
+        RequestHead("POST", path, std::to_string(id), "Content-Length: 0\r\n"));
+    return caller.ReadMessage();
+  };
+  constexpr int kRequests = 12;
+  for (const std::string path : {"/unsafe/", "/safe/", "/stream/"}) {
+    crashes = 0;
+    std::string last;
+    for (int n = 0; n < kRequests; ++n) {
+      last = send(10 + n, path + "deadly");
+      RestartTargets();
+      BOOST_TEST(Contains(send(50 + n, path + std::to_string(n)), " 200 "));
+    }
+    // The users' bound is three repeats after the third crash.
+    BOOST_TEST(crashes <= 6, path);
+    BOOST_TEST(Contains(last, "HTTP/1.1 503 "), path);
+  }
+}
+
 // The same for targets whose streams have neither length nor chunks, where the
 // end of a crashed target looks like the end of the stream.
 BOOST_FIXTURE_TEST_CASE(PromptPartsThatCrashTargetsOfUnframedStreamsAreRefused,
