Read everything again when the registry is restored from a copy

What callers may have seen: routes and targets of before a restore, in force until the next failed call.

Cause: revisions were compared across a restore, after which they are given out again. A list could have pages from both sides of it; a watch could go on from a revision of before it, without the changes that were made since; an answer of before it could arrive after it. Class of fault: a counter that was taken for unique although the one who counts can go back.

Fix: the header that numbers restores is read with every answer, and the era is part of what a list and its watches hold. It is shared by both mirrors, so that one that waits for a lost watch does not have to find out by itself. Event 805 shows a restore, event 312 the era of a list.

--- a/include/endiveyard/registry/registry_client.h
+++ b/include/endiveyard/registry/registry_client.h
@@ -16,11 +16,18 @@
   std::string name;
   std::string spec;  // JSON text
   bool deleted = false;
+  int64_t revision = 0;  // of its last change; 0 if the registry states none
 };
 
+// Eras number the times that the registry was restored from a copy. What it
+// had acknowledged since the copy was made is lost then, and revisions are
+// given out again, so that they can only be compared within one era. 0 stands
+// for a registry that states no era.
+
 struct RegistryList {
   std::vector<RegistryObject> items;
   int64_t revision = 0;  // of the registry when the list was read
+  int64_t era = 0;
 };
 
 // A part of a list, in order of name.
@@ -28,11 +35,13 @@
   std::vector<RegistryObject> items;
   int64_t revision = 0;
   bool has_more = false;  // another page follows the last item
+  int64_t era = 0;
 };
 
 struct RegistryChanges {
   std::vector<RegistryObject> objects;  // in the order of the changes
   int64_t revision = 0;                 // from which the next watch continues
+  int64_t era = 0;
 };
 
 // Reads objects of the registry by kind. Each call is sent once, without
--- a/include/endiveyard/registry/registry_mirror.h
+++ b/include/endiveyard/registry/registry_mirror.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "endiveyard/registry/registry_client.h"
+#include "endiveyard/registry/registry_era.h"
 
 namespace endiveyard {
 
@@ -50,7 +51,8 @@
 // by page, then watches from the revision of its first page. After a failure,
 // it repeats the failed page, or lists again after a watch, with exponential
 // backoff and jitter. Pages that are refused slow down the following ones,
-// since all instances list at the same time after an outage. No I/O.
+// since all instances list at the same time after an outage. After a restore of
+// the registry, it begins a new list. No I/O.
 class MirrorPolicy {
  public:
   // `seed` determines the jitter, so that instances whose calls failed at the
@@ -66,6 +68,8 @@
   MirrorAction AfterSuccess(int64_t revision, bool has_changes);
   MirrorAction AfterFailedPage(const absl::Status& status);
   MirrorAction AfterFailedWatch(const absl::Status& status);
+  // What was read is from before a restore of the registry.
+  MirrorAction AfterRestore();
 
  private:
   Duration NextBackoff();
@@ -88,12 +92,16 @@
 };
 
 // Keeps its owner up to date on all objects of one kind, until it is destroyed.
+// A list and the changes after it are of one era. `era` is shared by the
+// mirrors of one registry, and a restore that one of them learns of makes all
+// begin a new list.
 class RegistryMirror {
  public:
   RegistryMirror(RegistryClient* client,
                  std::string kind,
                  uint64_t seed,
                  MirrorTiming timing,
+                 RegistryEra* era,
                  MirrorHandlers handlers);
   ~RegistryMirror();
   RegistryMirror(const RegistryMirror&) = delete;
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -39,6 +39,7 @@
 inline constexpr int kLogReplicaRateLimitChanged = 317;
 inline constexpr int kLogRegistryLost = 803;
 inline constexpr int kLogRegistryRegained = 804;
+inline constexpr int kLogRegistryRestored = 805;
 inline constexpr int kLogSettingsReloaded = 106;
 inline constexpr int kLogLinesSuppressed = 107;  // log_lines_suppressed
 // Hundreds of the events of relayed requests. Only these events are subject to
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -13,6 +13,7 @@
 
 #include "endiveyard/base/digest.h"
 #include "endiveyard/load_exchange/load_exchange.h"
+#include "endiveyard/registry/registry_era.h"
 #include "endiveyard/registry/registry_mirror.h"
 #include "endiveyard/relay/admin_listener.h"
 #include "endiveyard/relay/relay.h"
@@ -204,8 +205,20 @@
     return handlers;
   }
 
+  void HandleRegistryRestore(int64_t era, int64_t before) {
+    JsonFields fields;
+    fields.Integer("era", era).Integer("before", before);
+    log_.Log(kLogRegistryRestored, fields, BootClock::now());
+    routing_state_.replicas.RecordRegistryFailure();
+    service_map_confirmed_at_.reset();
+    routing_state_.service_map_current = false;
+  }
+
   void StartRegistryMirrors() {
     const uint64_t seed = Digest64(settings_.instance);
+    registry_era_.Subscribe([this](int64_t era, int64_t before) {
+      HandleRegistryRestore(era, before);
+    });
     MirrorHandlers replicas = MakeCommonHandlers();
     replicas.on_list = [this](const RegistryList& list) {
       HandleReplicaList(list);
@@ -215,7 +228,7 @@
     };
     replica_mirror_ = std::make_unique<RegistryMirror>(
         &registry_client_, std::string(platform::kReplicaKind), seed,
-        mirror_timing_, std::move(replicas));
+        mirror_timing_, &registry_era_, std::move(replicas));
 
     MirrorHandlers configuration = MakeCommonHandlers();
     const auto record_success = configuration.on_success;
@@ -242,7 +255,7 @@
     };
     configuration_mirror_ = std::make_unique<RegistryMirror>(
         &registry_client_, std::string(platform::kConfigurationKind), seed + 1,
-        mirror_timing_, std::move(configuration));
+        mirror_timing_, &registry_era_, std::move(configuration));
     configuration_mirror_->Start();
     replica_mirror_->Start();
   }
@@ -277,7 +290,8 @@
     fields.Integer("listed", static_cast<int64_t>(replicas.size()))
         .Integer("in_view",
                  static_cast<int64_t>(routing_state_.replicas.size()))
-        .Integer("revision", list.revision);
+        .Integer("revision", list.revision)
+        .Integer("era", list.era);
     log_.Log(kLogReplicaChanged, fields, BootClock::now());
     relay_.OnRoutingStateChanged();
   }
@@ -440,6 +454,7 @@
   JsonLog log_;
   Metrics metrics_;
   RoutingState routing_state_;
+  RegistryEra registry_era_;
   platform::HttpRegistryClient registry_client_;
   Relay relay_;
   AdminListener readiness_listener_;
--- a/src/registry/registry_mirror.cc
+++ b/src/registry/registry_mirror.cc
@@ -93,26 +93,48 @@
   return {MirrorAction::Kind::kListPage, NextBackoff(), 0, false};
 }
 
+MirrorAction MirrorPolicy::AfterRestore() {
+  page_delay_ = Duration(0);
+  // All instances learn of a restore at the same moment.
+  return {MirrorAction::Kind::kListPage, NextBackoff(), 0, false};
+}
+
 class RegistryMirror::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(RegistryClient* client,
        std::string kind,
        uint64_t seed,
        MirrorTiming timing,
+       RegistryEra* registry_era,
        MirrorHandlers handlers)
       : client_(client),
         kind_(std::move(kind)),
         timing_(timing),
         policy_(seed, timing),
+        registry_era_(registry_era),
         handlers_(std::move(handlers)) {}
 
+  void Start() {
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    registry_era_->Subscribe([weak](int64_t era, int64_t /*before*/) {
+      if (const auto self = weak.lock()) {
+        self->OnRestore(era);
+      }
+    });
+    Perform(policy_.FirstAction());
+  }
+
+ private:
+  // Supersedes the action before, whose pending call or delay is abandoned.
   void Perform(const MirrorAction& action) {
+    const uint64_t step = ++step_;
     if (action.delay > Duration(0)) {
       const std::weak_ptr<Impl> weak = weak_from_this();
       MirrorAction undelayed = action;
       undelayed.delay = Duration(0);
-      handlers_.schedule(action.delay, [weak, undelayed] {
-        if (const auto self = weak.lock()) {
+      handlers_.schedule(action.delay, [weak, undelayed, step] {
+        const auto self = weak.lock();
+        if (self && self->step_ == step) {
           self->Perform(undelayed);
         }
       });
@@ -121,6 +143,7 @@
     if (action.kind == MirrorAction::Kind::kListPage) {
       if (!action.continues_list) {
         list_ = RegistryList();
+        era_ = 0;
       }
       ListPage();
     } else {
@@ -128,32 +151,57 @@
     }
   }
 
-  MirrorAction FirstAction() const { return policy_.FirstAction(); }
+  // Returns false if the answer cannot be combined with what was read before,
+  // in which case a new list has begun.
+  bool AcceptEra(int64_t era) {
+    if (era_ == 0) {
+      era_ = era;
+    }
+    const uint64_t step = step_;
+    if (!registry_era_->Record(era)) {
+      handlers_.on_failure(
+          absl::UnavailableError("answer is from before a restore"));
+      Perform(policy_.AfterRestore());
+    }
+    return step == step_;
+  }
+
+  void OnRestore(int64_t era) {
+    // Nothing was read yet, or the answer that revealed the restore begins this
+    // list.
+    if (era_ != 0 && era_ != era) {
+      Perform(policy_.AfterRestore());
+    }
+  }
 
- private:
   void ListPage() {
     const std::weak_ptr<Impl> weak = weak_from_this();
     const std::string after =
         list_.items.empty() ? std::string() : list_.items.back().name;
-    client_->ListPage(kind_, after, [weak](absl::StatusOr<RegistryPage> page) {
-      const auto self = weak.lock();
-      if (!self) {
-        return;
-      }
-      if (!page.ok()) {
-        self->handlers_.on_failure(page.status());
-        self->Perform(self->policy_.AfterFailedPage(page.status()));
-        return;
-      }
-      self->HandlePage(*std::move(page));
-    });
+    client_->ListPage(
+        kind_, after, [weak, step = step_](absl::StatusOr<RegistryPage> page) {
+          const auto self = weak.lock();
+          if (!self || self->step_ != step) {
+            return;
+          }
+          if (!page.ok()) {
+            self->handlers_.on_failure(page.status());
+            self->Perform(self->policy_.AfterFailedPage(page.status()));
+            return;
+          }
+          self->HandlePage(*std::move(page));
+        });
   }
 
   void HandlePage(RegistryPage page) {
+    if (!AcceptEra(page.era)) {
+      return;
+    }
     // The revision of the first page is kept: a watch from it reports the
     // changes that were made between the pages.
     if (list_.items.empty()) {
       list_.revision = page.revision;
+      list_.era = page.era;
     }
     for (RegistryObject& it : page.items) {
       list_.items.push_back(std::move(it));
@@ -173,9 +221,9 @@
     const std::weak_ptr<Impl> weak = weak_from_this();
     client_->Watch(
         kind_, revision, timing_.watch_timeout,
-        [weak](const absl::StatusOr<RegistryChanges>& changes) {
+        [weak, step = step_](const absl::StatusOr<RegistryChanges>& changes) {
           const auto self = weak.lock();
-          if (!self) {
+          if (!self || self->step_ != step) {
             return;
           }
           if (!changes.ok()) {
@@ -183,6 +231,9 @@
             self->Perform(self->policy_.AfterFailedWatch(changes.status()));
             return;
           }
+          if (!self->AcceptEra(changes->era)) {
+            return;
+          }
           self->handlers_.on_success();
           for (const RegistryObject& it : changes->objects) {
             self->handlers_.on_change(it);
@@ -196,7 +247,10 @@
   const std::string kind_;
   const MirrorTiming timing_;
   MirrorPolicy policy_;
+  RegistryEra* registry_era_;
   RegistryList list_;  // the pages that were read
+  int64_t era_ = 0;    // of the list and the changes after it
+  uint64_t step_ = 0;  // number of the present action
   MirrorHandlers handlers_;
 };
 
@@ -204,17 +258,19 @@
                                std::string kind,
                                uint64_t seed,
                                MirrorTiming timing,
+                               RegistryEra* era,
                                MirrorHandlers handlers)
     : impl_(std::make_shared<Impl>(client,
                                    std::move(kind),
                                    seed,
                                    timing,
+                                   era,
                                    std::move(handlers))) {}
 
 RegistryMirror::~RegistryMirror() = default;
 
 void RegistryMirror::Start() {
-  impl_->Perform(impl_->FirstAction());
+  impl_->Start();
 }
 
 }  // namespace endiveyard
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -133,4 +133,12 @@
       "1.25");
 }
 
+BOOST_AUTO_TEST_CASE(EraOfTheRegistryIsDecoded) {
+  BOOST_TEST(DecodeRegistryEra({{"store-era", "3"}}) == 3);
+  BOOST_TEST(DecodeRegistryEra({{"Store-Era", "-1"}}) == 0);
+  BOOST_TEST(DecodeRegistryEra({{"Store-Era", "x"}}) == 0);
+  BOOST_TEST(DecodeRegistryEra({{"Store-Era", "99999999999999999999"}}) == 0);
+  BOOST_TEST(DecodeRegistryEra({}) == 0);
+}
+
 }  // namespace endiveyard::platform
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -164,7 +164,10 @@
         RequestHead("POST", "/unsafe/x", "r1", "Content-Length: 0\r\n"));
     TestConnection target = first().Accept();
     target.ReadMessage();
-    target.Send(line + "Endiveyard-Request-Id: r1\r\n" + refusal);
+    std::string with_id = line;
+    with_id += "Endiveyard-Request-Id: r1\r\n";
+    with_id += refusal;
+    target.Send(with_id);
     BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
     caller.Send(
         RequestHead("POST", "/unsafe/x", "r2", "Content-Length: 0\r\n"));
--- a/tests/registry/registry_mirror_test.cc
+++ b/tests/registry/registry_mirror_test.cc
@@ -51,11 +51,12 @@
       scheduled = std::move(action);
     };
     mirror = std::make_unique<RegistryMirror>(
-        &client, "things", 7, MirrorTiming(), std::move(handlers));
+        &client, "things", 7, MirrorTiming(), &era, std::move(handlers));
     mirror->Start();
   }
 
   FakeRegistryClient client;
+  RegistryEra era;
   std::vector<std::string> handled;
   std::vector<Duration> delays;
   std::function<void()> scheduled;
