Do not use replicas that left before the registry was restored

What callers may have seen: requests sent to a replica that had drained or left, after the registry came back from a copy that lists it as ready; and refusals for lack of replicas that had registered after the copy was made.

Cause: a list replaced the view, and with it what was known of replicas that had ended. Class of fault: the end of something was kept as its absence, which a copy of earlier contents undoes.

Fix: the view keeps the incarnations that were removed. One that was draining stays so; one that was removed is used again only when its entry changes after the restore, or outlives the time after which the registry drops the entries of silent replicas. Replicas missing in the copy get the grace period that they have after an outage.

Evidence: DrainingReplicasStaySoAfterARestore and RemovedReplicasAreUnconfirmedAfterARestore fail without it (two of two, three of three replicas used).

Ruled out: sequence numbers of entries, which do not show a change by themselves; shutting out removed incarnations for good, as a replica that was silent for some seconds would not come back.

--- a/include/endiveyard/placement/replica_view.h
+++ b/include/endiveyard/placement/replica_view.h
@@ -45,13 +45,24 @@
 // seconds".
 inline constexpr Duration kExpiredEntryGracePeriod = std::chrono::seconds(2);
 
+// Time after which a registry removes the entry of a replica that has ended:
+// three heartbeats of 1.2 s, the platform's default, and a margin.
+inline constexpr Duration kDefaultEntryLifetime =
+    std::chrono::milliseconds(4600);
+
 // Replicas that may receive work, as listed by a registry that may be
-// temporarily unavailable.
+// temporarily unavailable, or restored from a copy that lists what has ended
+// since. A replica that has begun to drain does so until its process ends.
 class ReplicaView {
  public:
   // Replaces the view by a complete list. Replicas that are not in the list are
-  // removed as by Remove().
-  void Reset(const std::vector<Replica>& replicas, TimePoint now);
+  // removed as by Remove(). In the list of a later `era`, see RegistryClient, a
+  // replica that was removed before gets no work until the registry would have
+  // removed its entry.
+  void Reset(const std::vector<Replica>& replicas,
+             TimePoint now,
+             int64_t era = 0);
+  // Applies a change that was made after the last list.
   void Put(const Replica& replica);
   // Removes the replica, immediately or, if the registry is unavailable or has
   // recovered recently and the replica is not draining, after the grace period.
@@ -64,6 +75,8 @@
   // Removes the entries whose grace period has ended. Returns their ids.
   std::vector<std::string> Expire(TimePoint now);
 
+  void set_entry_lifetime(Duration lifetime) { entry_lifetime_ = lifetime; }
+
   // Returns the replica if it is registered, draining or not.
   const Replica* Find(std::string_view id) const;
 
@@ -77,9 +90,27 @@
     Replica replica;
     // Removed from the registry, possibly because it expired during an outage.
     bool removal_pending = false;
+    // Removed before the registry was restored from a copy that lists it.
+    bool unconfirmed = false;
   };
+  // An incarnation that was removed from the view.
+  struct Removed {
+    int64_t started_unix_ms = 0;
+    bool draining = false;
+    int64_t era = 0;
+    TimePoint at{};
+  };
+  using Entries = std::map<std::string, Entry, std::less<>>;
+
+  // Returns the entry for a registration, which may be out of date.
+  Entry MakeEntry(const Replica& replica, bool is_change);
+  Entries::iterator Erase(Entries::iterator it, TimePoint now);
 
-  std::map<std::string, Entry, std::less<>> replicas_;
+  Entries replicas_;
+  std::map<std::string, Removed, std::less<>> removed_;
+  Duration entry_lifetime_ = kDefaultEntryLifetime;
+  int64_t era_ = 0;
+  std::optional<TimePoint> restored_at_;
   bool registry_unavailable_ = false;
   std::optional<TimePoint> registry_recovered_at_;
 };
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -36,6 +36,10 @@
 // A service map counts as the latest version until a registry call fails, or
 // for this long after the timeout of the watch that has to confirm it.
 constexpr Duration kConfirmationMargin = std::chrono::milliseconds(1000);
+// The registry removes an entry after this many heartbeats of silence, and its
+// removal is known after the margin.
+constexpr int kHeartbeatsPerEntry = 3;
+constexpr Duration kEntryRemovalMargin = std::chrono::milliseconds(1000);
 // Interval of the log lines that count datagrams which are no load report.
 constexpr Duration kRejectedDatagramsLogInterval = std::chrono::seconds(10);
 // Time between SIGTERM and closing the listener and idle connections. The
@@ -108,7 +112,11 @@
                        relay_.placer(),
                        relay_.crash_suspects()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
-        maintenance_timer_(io_) {}
+        maintenance_timer_(io_) {
+    routing_state_.replicas.set_entry_lifetime(
+        kHeartbeatsPerEntry * settings_.heartbeat_interval +
+        kEntryRemovalMargin);
+  }
 
   absl::Status Run() {
     std::signal(SIGPIPE, SIG_IGN);
@@ -284,7 +292,7 @@
         replicas.push_back(*std::move(replica));
       }
     }
-    routing_state_.replicas.Reset(replicas, BootClock::now());
+    routing_state_.replicas.Reset(replicas, BootClock::now(), list.era);
     routing_state_.replicas_known = true;
     JsonFields fields;
     fields.Integer("listed", static_cast<int64_t>(replicas.size()))
--- a/tests/placement/replica_view_test.cc
+++ b/tests/placement/replica_view_test.cc
@@ -105,4 +105,85 @@
   BOOST_TEST(!AcceptsWork(current, placed));
 }
 
+namespace {
+
+Replica MakeIncarnation(const std::string& id, int64_t started_unix_ms) {
+  Replica replica = MakeReplica(id);
+  replica.started_unix_ms = started_unix_ms;
+  return replica;
+}
+
+Replica Draining(Replica replica) {
+  replica.draining = true;
+  return replica;
+}
+
+}  // namespace
+
+// Guards against work for replicas that left before the registry was restored
+// from a copy that lists them as ready, whether they are still in the view.
+BOOST_AUTO_TEST_CASE(DrainingReplicasStaySoAfterARestore) {
+  const Replica a = MakeIncarnation("a", 1);
+  const Replica b = MakeIncarnation("b", 1);
+  ReplicaView view;
+  view.Reset({a, b}, At(0), 1);
+  view.Put(Draining(a));
+  view.Put(Draining(b));
+  view.Remove("b", At(3000));
+  view.Reset({a, b}, At(5000), 2);
+  BOOST_TEST(view.Usable("s").empty());
+  view.Expire(At(60000));
+  BOOST_TEST(view.Usable("s").empty());
+  // A new process under the same id is another matter.
+  view.Put(MakeIncarnation("b", 70));
+  BOOST_TEST(view.Usable("s").size() == 1u);
+}
+
+// Guards against work for a replica whose entry was removed before the registry
+// was restored from a copy that has it. If it runs after all, its entry changes
+// or outlives the time after which the registry removes it.
+BOOST_AUTO_TEST_CASE(RemovedReplicasAreUnconfirmedAfterARestore) {
+  const std::vector<Replica> all = {MakeIncarnation("a", 1),
+                                    MakeIncarnation("b", 1),
+                                    MakeIncarnation("c", 1)};
+  ReplicaView view;
+  view.set_entry_lifetime(std::chrono::seconds(5));
+  view.Reset(all, At(0), 1);
+  for (const Replica& it : all) {
+    view.Remove(it.id, At(1000));
+  }
+  view.Reset(all, At(3000), 2);
+  BOOST_TEST(view.Usable("s").empty());
+  BOOST_TEST((view.Find("a") == nullptr));
+  view.Put(all[0]);
+  BOOST_TEST(view.Usable("s").size() == 1u);
+  view.Remove("b", At(3500));
+  view.Reset({all[0], all[2]}, At(4000), 2);
+  view.Expire(At(7900));
+  BOOST_TEST(view.Usable("s").size() == 1u);
+  view.Expire(At(8000));
+  BOOST_TEST(view.Usable("s").size() == 2u);
+}
+
+// Guards against dropping replicas that registered after the copy was made from
+// which the registry was restored.
+BOOST_AUTO_TEST_CASE(ReplicasMissingInACopyAreKeptForTheGracePeriod) {
+  ReplicaView view;
+  view.Reset({MakeReplica("a")}, At(0), 1);
+  view.Put(MakeReplica("b"));
+  view.Reset({MakeReplica("a")}, At(9000), 2);
+  BOOST_TEST(view.Usable("s").size() == 2u);
+  BOOST_TEST(view.Expire(At(11000)).size() == 1u);
+  BOOST_TEST(view.Usable("s").size() == 1u);
+}
+
+// Guards against shutting out a replica that registers again within one era.
+BOOST_AUTO_TEST_CASE(RemovedReplicasMayRegisterAgain) {
+  ReplicaView view;
+  view.Reset({MakeIncarnation("a", 1)}, At(0), 1);
+  view.Remove("a", At(1000));
+  view.Reset({MakeIncarnation("a", 1)}, At(2000), 1);
+  BOOST_TEST(view.Usable("s").size() == 1u);
+}
+
 }  // namespace endiveyard
