Apply a configuration whose version is given out again

What callers may have seen: a configuration of before a restore of the registry stays in force where operators have since written another one under the same version; and 404 for routes that only versions lost in the restore have.

Cause: versions were compared as if they were unique for ever. Class of fault as for revisions: a counter that can go back.

Fix: ServiceMapSelector orders writes of the same version by era and revision, and knows whether the registry has caught up with the version in force; until then, unknown routes are not answered with 404. Lower versions are never applied: they come from the copy or a delayed answer, and operators' versions rise.

Evidence: with the rule before, VersionsGivenOutAgainAreApplied keeps the lost contents, and RestoredVersionsDoNotReplaceLaterOnes takes the registry for current.

--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -13,6 +13,7 @@
 
 #include "endiveyard/base/digest.h"
 #include "endiveyard/load_exchange/load_exchange.h"
+#include "endiveyard/placement/service_map_selector.h"
 #include "endiveyard/registry/registry_era.h"
 #include "endiveyard/registry/registry_mirror.h"
 #include "endiveyard/relay/admin_listener.h"
@@ -243,7 +244,7 @@
     configuration.on_success = [this, record_success] {
       record_success();
       service_map_confirmed_at_ = BootClock::now();
-      routing_state_.service_map_current = true;
+      routing_state_.service_map_current = service_maps_.is_registry_current();
     };
     const auto record_failure = configuration.on_failure;
     configuration.on_failure = [this,
@@ -347,22 +348,23 @@
               std::string(map.status().message()));
       return;
     }
-    // A delayed response may carry an older version, which must not replace a
-    // newer one.
-    if (routing_state_.service_map &&
-        map->version <= routing_state_.service_map->version) {
+    const int64_t before =
+        routing_state_.service_map ? routing_state_.service_map->version : 0;
+    if (!service_maps_.Offer(*std::move(map),
+                             {registry_era_.latest(), object.revision})) {
+      routing_state_.service_map_current &= service_maps_.is_registry_current();
       return;
     }
+    routing_state_.service_map = service_maps_.current();
+    const ServiceMap& applied = *routing_state_.service_map;
     JsonFields fields;
-    fields.Integer("version", map->version)
-        .Integer("before", routing_state_.service_map
-                               ? routing_state_.service_map->version
-                               : 0)
-        .Integer("routes", static_cast<int64_t>(map->routes.size()));
+    fields.Integer("version", applied.version)
+        .Integer("before", before)
+        .Integer("routes", static_cast<int64_t>(applied.routes.size()))
+        .Integer("revision", object.revision)
+        .Integer("era", registry_era_.latest());
     log_.Log(kLogServiceMapApplied, fields, BootClock::now());
-    metrics_.SetConfigurationVersion(static_cast<double>(map->version));
-    routing_state_.service_map =
-        std::make_shared<const ServiceMap>(*std::move(map));
+    metrics_.SetConfigurationVersion(static_cast<double>(applied.version));
     relay_.OnRoutingStateChanged();
   }
 
@@ -375,7 +377,7 @@
       log_.Log(kLogReplicaRemoved, fields, now);
     }
     routing_state_.service_map_current =
-        service_map_confirmed_at_ &&
+        service_map_confirmed_at_ && service_maps_.is_registry_current() &&
         now - *service_map_confirmed_at_ <
             mirror_timing_.watch_timeout + kConfirmationMargin;
     relay_.set_instance_count(load_exchange_.InstanceCount());
@@ -462,6 +464,7 @@
   JsonLog log_;
   Metrics metrics_;
   RoutingState routing_state_;
+  ServiceMapSelector service_maps_;
   RegistryEra registry_era_;
   platform::HttpRegistryClient registry_client_;
   Relay relay_;
