--- a/tests/platform/object_decoding_test.cc
+++ b/tests/platform/object_decoding_test.cc
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
 
 namespace endiveyard::platform {
 namespace {
@@ -122,4 +126,66 @@
   }
 }
 
+namespace {
+
+// Values of another writer that a JSON parser refuses.
+std::vector<std::string> UnreadableValues() {
+  const std::string deep(5000, '[');
+  return {"1e400",
+          "123456789012345678901234567890",
+          "-99999999999999999999",
+          "Infinity",
+          "NaN",
+          "\"\xff\xfe\"",
+          "\"]}, \\\" \x01\"",
+          deep + std::string(deep.size(), ']')};
+}
+
+}  // namespace
+
+// Guards against one unreadable entry of another writer that hides all others:
+// the whole page was refused, and instances never finished their lists.
+BOOST_AUTO_TEST_CASE(UnreadableEntriesDoNotHideOthers) {
+  const std::string sound =
+      R"({"metadata":{"name":"a","revision":3},"spec":{"x":1}})";
+  for (const std::string& value : UnreadableValues()) {
+    const std::string odd = absl::StrCat(
+        R"({"metadata":{"name":"odd","revision":4},"spec":{"slots":)", value,
+        "}}");
+    for (const std::string& items :
+         {absl::StrCat(odd, ",", sound), absl::StrCat(sound, ",", odd)}) {
+      const auto page = DecodeListPage(absl::StrCat(
+          R"({"items":[)", items, R"(],"has_more":true,"current_rev":9})"));
+      BOOST_REQUIRE_MESSAGE(page.ok(), value.substr(0, 40));
+      BOOST_TEST(page->has_more);
+      BOOST_TEST(page->revision == 9);
+      BOOST_REQUIRE_EQUAL(page->items.size(), 2u);
+      for (const RegistryObject& it : page->items) {
+        BOOST_TEST(it.spec == (it.name == "a" ? R"({"x":1})" : ""));
+      }
+    }
+    const auto changes = DecodeChanges(absl::StrCat(
+        R"({"events":[{"deleted":false,"object":)", odd,
+        R"(},{"deleted":true,"object":)", sound, R"(}],"current_rev":11})"));
+    BOOST_REQUIRE_MESSAGE(changes.ok(), value.substr(0, 40));
+    BOOST_TEST(changes->revision == 11);
+    BOOST_REQUIRE_EQUAL(changes->objects.size(), 2u);
+    BOOST_TEST(changes->objects[0].name == "odd");
+    BOOST_TEST(!changes->objects[0].deleted);
+    BOOST_TEST(changes->objects[1].name == "a");
+    BOOST_TEST(changes->objects[1].deleted);
+  }
+}
+
+// Guards against a list that cannot go on behind a page with unreadable entries
+// only.
+BOOST_AUTO_TEST_CASE(PagesOfUnreadableEntriesNameTheNextPage) {
+  const auto page =
+      DecodeListPage(R"({"items":[{"metadata":{"name":"odd"},"spec":1e999}],)"
+                     R"("has_more":true,"current_rev":9})");
+  BOOST_REQUIRE(page.ok());
+  BOOST_REQUIRE_EQUAL(page->items.size(), 1u);
+  BOOST_TEST(page->items[0].name == "odd");
+}
+
 }  // namespace endiveyard::platform
