--- a/tests/platform/object_decoding_test.cc
+++ b/tests/platform/object_decoding_test.cc
@@ -1,6 +1,7 @@
 #include "platform/object_decoding.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <string>
 #include <utility>
 #include <vector>
@@ -188,4 +189,42 @@
   BOOST_TEST(page->items[0].name == "odd");
 }
 
+// Guards against targets from registrations with values out of range, whose
+// conversion is undefined.
+BOOST_AUTO_TEST_CASE(RegistrationsOutOfRangeAreRejected) {
+  const std::pair<const char*, const char*> changes[] = {
+      {":8080", ":0"},
+      {":8080", ":65536"},
+      {":8080", ":-1"},
+      {":8080", ":8080x"},
+      {":8080", ":"},
+      {"10.0.0.9", "10.0.0.999"},
+      {"10.0.0.9", ""},
+      {"\"slots\":64", "\"slots\":1e300"},
+      {"\"slots\":64", "\"slots\":-1"},
+      {"\"slots\":64", "\"slots\":18446744073709551615"},
+  };
+  for (const auto& [from, to] : changes) {
+    BOOST_TEST(!DecodeReplica("i-1", Replace(kRegistration, from, to)).ok(),
+               to);
+  }
+}
+
+// Guards against configurations with values out of range, whose conversion is
+// undefined.
+BOOST_AUTO_TEST_CASE(ConfigurationValuesAreBounded) {
+  const auto map = DecodeServiceMap(
+      R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"safe",)"
+      R"("service":"s","timeout_ms":1e300,"priority":-1e300,)"
+      R"("max_attempts":1e300}],"limits":{"max_header_bytes":-1,)"
+      R"("max_body_bytes":1e300}})");
+  BOOST_REQUIRE(map.ok());
+  const Route& route = map->routes[0];
+  BOOST_TEST((route.timeout > std::chrono::hours(24)));
+  BOOST_TEST(route.priority == -std::numeric_limits<int>::max());
+  BOOST_TEST(route.max_attempts == std::numeric_limits<int>::max());
+  BOOST_TEST(map->limits.max_header_bytes == 0u);
+  BOOST_TEST(map->limits.max_body_bytes > uint64_t{1} << 40);
+}
+
 }  // namespace endiveyard::platform
