Do not complete a broken stream with an error of the next target

What callers saw: a stream broke off, its rest was requested from the next target, and that one answered with a signed error below 500, or a success that is no stream. The caller's stream then ended as if it were complete. An error of more than 256 KiB ended the whole process (std::bad_variant_access).

Cause: a complete answer was forwarded whatever it was, and forwarding to a response that has begun means ending it. The texts of errors themselves did not reach the callers.

Fix: once a response has begun, only a stream of events continues it; all other answers count as failed, and the stream is resumed elsewhere or broken off.

Evidence: ErrorsDoNotContinueAStream plays eight such answers; on the code before it fails with the first (the last chunk of the stream was sent), and with the large error first it aborts.

--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -253,7 +253,9 @@
                   active_call_->response_metadata.has_content_encoding)) {
     return CallOutcome::kMayHaveRun;
   }
-  if (active_call_->status >= 500) {
+  // Only events continue a stream that has begun.
+  if (active_call_->status >= 500 ||
+      (ResponseBegun() && !active_call_->streaming)) {
     return CallOutcome::kErrorResponse;
   }
   return CallOutcome::kCompleted;
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -435,6 +435,48 @@
                       "house=\"svc\"} 1\n"));
 }
 
+// Guards against an error of the next target in the middle of a stream that
+// broke off, and against a stream that such an error completes.
+BOOST_FIXTURE_TEST_CASE(ErrorsDoNotContinueAStream, RelayFixture) {
+  constexpr size_t kMoreThanIsCollected = 400000;
+  const std::string head =
+      "\r\nEndiveyard-Request-Id: r1\r\nEndiveyard-Response-Signature: s\r\n";
+  const std::string not_found = "HTTP/1.1 404 Not Found" + head;
+  const std::string large(kMoreThanIsCollected, 'e');
+  const std::string answers[] = {
+      not_found + "Content-Length: 6\r\n\r\nerror\n",
+      not_found + "Content-Length: 400000\r\n\r\n" + large,
+      not_found + "\r\nerror",
+      "HTTP/1.1 400 Bad Request" + head + "Content-Length: 0\r\n\r\n",
+      "HTTP/1.1 204 No Content" + head + "\r\n",
+      "HTTP/1.1 201 Created" + head + "Content-Length: 6\r\n\r\nerror\n",
+      "HTTP/1.1 500 Internal Server Error" + head +
+          "Content-Length: 6\r\n\r\nerror\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nerror\n\n",
+  };
+  int n = 0;
+  for (const std::string& answer : answers) {
+    TestConnection caller = Connect();
+    // Different requests, as repeated ones that lose their targets are refused.
+    caller.Send(RequestHead("GET", "/stream/" + std::to_string(++n), "r1"));
+    TestConnection target = first().Accept();
+    target.ReadUntil("\r\n\r\n");
+    target.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
+    caller.ReadUntil("data: a\n\n");
+    target.Reset();
+    TestConnection other = second().Accept();
+    other.ReadUntil("\r\n\r\n");
+    other.Send(answer);
+    other.Close();
+    const std::string rest = caller.ReadUntilClose();
+    const std::string name = answer.substr(0, 24);
+    BOOST_TEST(!Contains(rest, "HTTP/1.1"), name);
+    BOOST_TEST(!Contains(rest, "e"), name);
+    BOOST_TEST(!Contains(rest, "0\r\n\r\n"), name);
+    RestartTargets();
+  }
+}
+
 // Guards against a second response head inside the body of a stream: the
 // prompt of a resumed stream is prefilled again, and when that fails without
 // retry budget, the stream ends truncated.
