Heed what targets say about whether they take new work

What callers may have seen: requests sent to a replica that says in its answers that it is leaving, while the registry does not say so yet, and requests to a replica that had rejected one and asked for a pause.

TargetAvailability keeps both by target incarnation; placement passes over targets that do not take work, and what waits for a turn or a prefilled prompt is checked again before it is sent. One target's word has no effect on others, an incarnation that leaves does so for good, and a pause is believed for five minutes at most. When all targets have asked for a pause, requests are refused at once with the time until the first one takes work ("paused"). Instances resume within one second after a pause, each at its own moment. Events 318 and 319 show both.

Evidence: TargetsThatSayTheyLeaveGetNoNewRequests and TargetsThatAskForAPauseGetNoRequests fail without it (a request at the leaving target; no refusal while the only target pauses).

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -19,6 +19,7 @@
 #include "endiveyard/placement/replica_rate_limits.h"
 #include "endiveyard/placement/replica_view.h"
 #include "endiveyard/placement/service_map.h"
+#include "endiveyard/placement/target_availability.h"
 
 namespace endiveyard {
 
@@ -85,6 +86,7 @@
     kNoReplica,
     kTooLate,
     kRateLimited,  // the replicas that could run it get no more requests now
+    kPaused,       // all replicas have asked to get no requests for some time
   };
   Reason reason = Reason::kNoReplica;
   Duration retry_after{};
@@ -164,6 +166,10 @@
 
   ReplicaRateLimits& rate_limits() { return rate_limits_; }
 
+  // What replicas have said about whether they take new work. Choose() passes
+  // over those that do not.
+  TargetAvailability& availability() { return availability_; }
+
   // Removes the state of replicas that are no longer registered, and sets the
   // cache capacities of the engines. `services` may be null.
   void Retain(const ReplicaView& view, const ServiceMap* services);
@@ -289,6 +295,7 @@
   PeerLoads peer_loads_;
   CacheView cache_view_;
   ReplicaRateLimits rate_limits_;
+  TargetAvailability availability_;
   PlacementPrices prices_;
   std::map<std::string, ServiceState> services_;
 };
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -38,6 +38,10 @@
   std::optional<double> requests_per_second;
   // The response states a limit that cannot be read.
   bool has_invalid_rate_limit = false;
+  bool leaving = false;  // the target is leaving and takes no new work
+  // Time for which the target, which rejected the request, wants no further one
+  // from this instance.
+  std::optional<Duration> pause;
 };
 
 // Handle of the KV cache of a prompt, which a prefill engine keeps for another
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -62,6 +62,23 @@
   return Duration(static_cast<int64_t>(ms * 1000));
 }
 
+PlacementRefusal RefusalWithoutCandidates(
+    const std::optional<Duration>& rate_limit_wait,
+    const std::optional<Duration>& shortest_pause) {
+  PlacementRefusal refusal;
+  refusal.retry_after = kNoReplicaRetryAfter;
+  if (shortest_pause) {
+    refusal.reason = PlacementRefusal::Reason::kPaused;
+    refusal.retry_after = *shortest_pause;
+  }
+  if (rate_limit_wait &&
+      *rate_limit_wait <= shortest_pause.value_or(*rate_limit_wait)) {
+    refusal.reason = PlacementRefusal::Reason::kRateLimited;
+    refusal.retry_after = *rate_limit_wait;
+  }
+  return refusal;
+}
+
 // Returns how many of the uncached tokens belong to shared parts.
 double RecomputedTokens(const PromptShape& prompt, double uncached) {
   return std::max(0.0, uncached - UnsharedTokens(prompt));
@@ -335,7 +352,10 @@
   std::vector<const Replica*> prefill_replicas;
   std::vector<const Replica*> run_replicas;
   std::vector<const Replica*> usable = view.Usable(query.service);
-  for (const Replica* it : usable) {
+  std::optional<Duration> shortest_pause;
+  const std::vector<const Replica*> available =
+      availability_.Select(usable, now, &shortest_pause);
+  for (const Replica* it : available) {
     (it->stage == Stage::kPrefill ? prefill_replicas : run_replicas)
         .push_back(it);
   }
@@ -354,7 +374,7 @@
       state.plain_call_ms.Quantile(0.5, now).value_or(kInitialPlainCallMs);
   context.has_live_peers = peer_loads_.LivePeers(now) > 0;
   if (query.prompt) {
-    context.sources = CacheSources(usable, *query.prompt, now);
+    context.sources = CacheSources(available, *query.prompt, now);
   }
   context.usable = std::move(usable);
   const double prefill_speed = context.profile.prefill_tokens_per_ms;
@@ -376,11 +396,8 @@
                      state.mean_uncached_colocated, home);
   PlacementResult result;
   if (colocated.empty()) {
-    result.refusal.reason = context.rate_limit_wait
-                                ? PlacementRefusal::Reason::kRateLimited
-                                : PlacementRefusal::Reason::kNoReplica;
-    result.refusal.retry_after =
-        context.rate_limit_wait.value_or(kNoReplicaRetryAfter);
+    result.refusal =
+        RefusalWithoutCandidates(context.rate_limit_wait, shortest_pause);
     return result;
   }
   const Candidate* run_candidate =
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "endiveyard/base/digest.h"
 #include "endiveyard/placement/crash_suspects.h"
 #include "endiveyard/relay/relay.h"
 
@@ -30,7 +31,9 @@
         metrics(*metrics),
         placer(options.location),
         retry_budget(options.retry_bound),
-        target_client(io, protocol, options.target_client) {}
+        target_client(io, protocol, options.target_client) {
+    placer.availability().set_seed(Digest64(options.ip, options.port));
+  }
 
   boost::asio::io_context& io;
   const RelayOptions options;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -29,6 +29,8 @@
       return "too_late";
     case PlacementRefusal::Reason::kRateLimited:
       return "rate_limited";
+    case PlacementRefusal::Reason::kPaused:
+      return "paused";
   }
   return "no_replica";
 }
@@ -296,13 +298,9 @@
 
 void RelayExchange::OnTurn() {
   const Placement placement = *awaited_placement_;
-  const auto accepts_work = [this](const Replica& placed) {
-    const Replica* current = context_->routing_state.replicas.Find(placed.id);
-    return current != nullptr && AcceptsWork(*current, placed);
-  };
   if (JudgeByCrashes() == CrashVerdict::kCulprit ||
-      !accepts_work(placement.target) ||
-      (placement.prefill && !accepts_work(*placement.prefill))) {
+      !StillTakesWork(placement.target) ||
+      (placement.prefill && !StillTakesWork(*placement.prefill))) {
     // Also refuses a request that has turned out to crash replicas.
     EndTurn();
     Place();
@@ -312,6 +310,13 @@
   StartPlacement(placement);
 }
 
+bool RelayExchange::StillTakesWork(const Replica& placed) const {
+  const Replica* current = context_->routing_state.replicas.Find(placed.id);
+  return current != nullptr && AcceptsWork(*current, placed) &&
+         context_->placer.availability().TakesWork(EngineKey(placed),
+                                                   BootClock::now());
+}
+
 void RelayExchange::EndTurn() {
   if (awaited_placement_) {
     context_->placer.RecordNotSent(*awaited_placement_, BootClock::now());
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -79,6 +79,9 @@
   void OnTurn();
   // Gives back the turn that is awaited, if any.
   void EndTurn();
+  // Returns true if the replica, where a call was placed before, still takes
+  // it.
+  bool StillTakesWork(const Replica& placed) const;
   void StartPrefill(const Placement& placement);
   void OnPrefillEnd(const Placement& placement,
                     TransportStatus transport_status,
@@ -100,6 +103,8 @@
   bool EndedWithoutAnswer() const;
   // Records what the head of the response states about the replica.
   void RecordResponseHead();
+  // Records whether the replica says that it takes new work.
+  void RecordAvailability();
   // Records the speed of the target of a completed run.
   void ObserveCompletedRun(const ActiveCall& call);
   void ContinueAfterCall(CallOutcome outcome, std::string_view detail);
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -136,9 +136,7 @@
   }
   // Prefilling a long prompt takes seconds, and the target may have been
   // removed or started draining in the meantime.
-  const Replica* target =
-      context_->routing_state.replicas.Find(placement.target.id);
-  if (target != nullptr && AcceptsWork(*target, placement.target)) {
+  if (StillTakesWork(placement.target)) {
     StartRun(placement, kv_handle_);
     return;
   }
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -86,6 +86,7 @@
 
 void RelayExchange::RecordResponseHead() {
   RecordSignOfLife();
+  RecordAvailability();
   const ResponseMetadata& metadata = active_call_->response_metadata;
   if (active_call_->status == kMisdirectedRequest ||
       metadata.has_invalid_rate_limit ||
@@ -111,6 +112,27 @@
   }
 }
 
+void RelayExchange::RecordAvailability() {
+  if (active_call_->status == kMisdirectedRequest) {
+    return;  // from another replica at this address
+  }
+  const TimePoint now = BootClock::now();
+  const ResponseMetadata& metadata = active_call_->response_metadata;
+  TargetAvailability& availability = context_->placer.availability();
+  const uint64_t key = EngineKey(active_call_->replica);
+  JsonFields fields;
+  fields.Text("replica", active_call_->replica.id)
+      .Text("request", request_metadata_.request_id)
+      .Integer("status", active_call_->status);
+  if (metadata.leaving && availability.RecordLeaving(key, now)) {
+    context_->log.Log(kLogReplicaLeaving, fields, now);
+  }
+  if (metadata.pause && availability.RecordPause(key, *metadata.pause, now)) {
+    fields.Millis("pause_ms", availability.PauseOf(key, now));
+    context_->log.Log(kLogReplicaPaused, fields, now);
+  }
+}
+
 void RelayExchange::RecordOutput() {
   active_call_->last_progress_at = BootClock::now();
   if (active_call_->output_started_at) {
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -79,6 +79,12 @@
        "A replica states another limit on its requests per second, or none any "
        "more (-1).",
        "Find out why the replica is short of capacity."},
+      {318, kInfo, "replica_leaving",
+       "A replica says in a response that it is leaving; it gets no new work.",
+       "None."},
+      {319, kInfo, "replica_paused",
+       "A replica rejected a request and wants none for the time stated.",
+       "Frequent ones: capacity is short."},
       {501, kInfo, "lease_acquired", "The instance holds its lease.", "None."},
       {502, kWarn, "lease_lapsed",
        "The lease was not renewed in time; no order is sent.",
--- /dev/null
+++ b/tests/placement/target_availability_test.cc
@@ -0,0 +1,80 @@
+#include "endiveyard/placement/target_availability.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "endiveyard/placement/cache_view.h"
+
+namespace endiveyard {
+namespace {
+
+constexpr uint64_t kTarget = 7;
+
+TimePoint At(int64_t millis) {
+  return TimePointFromMicros(millis * 1000);
+}
+
+}  // namespace
+
+// Guards against a pause that a later, shorter one ends, that is believed
+// without limit, or that all instances end at the same moment.
+BOOST_AUTO_TEST_CASE(PausesAreKeptToTheirEnd) {
+  TargetAvailability availability;
+  BOOST_TEST(availability.RecordPause(kTarget, std::chrono::seconds(5), At(0)));
+  BOOST_TEST(
+      !availability.RecordPause(kTarget, std::chrono::seconds(1), At(100)));
+  BOOST_TEST(!availability.RecordPause(kTarget, Duration(0), At(200)));
+  BOOST_TEST(!availability.TakesWork(kTarget, At(4999)));
+  BOOST_TEST(availability.TakesWork(kTarget, At(6000)));
+  BOOST_TEST(!availability.IsLeaving(kTarget, At(100)));
+  availability.RecordPause(kTarget, std::chrono::hours(9), At(7000));
+  BOOST_TEST(availability.TakesWork(kTarget, At(7000 + 301000)));
+
+  std::set<Duration> ends;
+  for (uint64_t instance = 0; instance < 20; ++instance) {
+    TargetAvailability other;
+    other.set_seed(instance);
+    other.RecordPause(kTarget, std::chrono::seconds(5), At(0));
+    ends.insert(other.PauseOf(kTarget, At(0)));
+  }
+  BOOST_TEST(ends.size() > 10u);
+  BOOST_TEST((*ends.begin() >= std::chrono::seconds(5)));
+  BOOST_TEST((*ends.rbegin() <= std::chrono::seconds(6)));
+}
+
+// Guards against a target that leaves and is used again, and against one
+// target's word that has an effect on others.
+BOOST_AUTO_TEST_CASE(LeavingTargetsAreNotSelected) {
+  Replica a;
+  a.id = "a";
+  Replica b;
+  b.id = "b";
+  Replica c;
+  c.id = "c";
+  TargetAvailability availability;
+  BOOST_TEST(availability.RecordLeaving(EngineKey(a), At(0)));
+  BOOST_TEST(!availability.RecordLeaving(EngineKey(a), At(10)));
+  availability.RecordPause(EngineKey(b), std::chrono::seconds(2), At(0));
+  std::optional<Duration> pause;
+  const auto selected = availability.Select({&a, &b, &c}, At(20), &pause);
+  BOOST_REQUIRE_EQUAL(selected.size(), 1u);
+  BOOST_TEST(selected[0]->id == "c");
+  BOOST_TEST((pause > std::chrono::milliseconds(1900)));
+  BOOST_TEST(availability.Select({&a, &b, &c}, At(60000), &pause).size() == 2u);
+}
+
+// Guards against memory that grows with the targets that have ever been
+// unavailable.
+BOOST_AUTO_TEST_CASE(StatesAreBounded) {
+  TargetAvailability availability;
+  for (uint64_t key = 0; key < kMaxUnavailableTargets; ++key) {
+    BOOST_REQUIRE(
+        availability.RecordPause(key, std::chrono::seconds(1), At(0)));
+  }
+  BOOST_TEST(!availability.RecordPause(kMaxUnavailableTargets,
+                                       std::chrono::seconds(1), At(0)));
+  BOOST_TEST(availability.RecordPause(kMaxUnavailableTargets,
+                                      std::chrono::seconds(1), At(3000)));
+}
+
+}  // namespace endiveyard
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -141,4 +141,24 @@
   BOOST_TEST(DecodeRegistryEra({}) == 0);
 }
 
+// Guards against pauses that are read from anything but seconds in a rejection.
+BOOST_AUTO_TEST_CASE(PausesAreDecoded) {
+  const PlatformWireProtocol protocol;
+  const auto pause = [&](const std::string& value, int status = 503) {
+    return protocol.DecodeResponse(status, {{"retry-after", value}}).pause;
+  };
+  BOOST_TEST((pause("2") == std::chrono::seconds(2)));
+  BOOST_TEST((pause("0.25") == std::chrono::milliseconds(250)));
+  BOOST_TEST((pause("0") == Duration(0)));
+  BOOST_TEST((pause("1" + std::string(30, '0')) == std::chrono::hours(24)));
+  for (const char* value : {"", "-1", "1s", "x", "inf", "nan", "1e3",
+                            "Sat, 05 Dec 2026 08:00:00 GMT"}) {
+    BOOST_TEST(!pause(value).has_value(), value);
+  }
+  BOOST_TEST(!pause("2", 429).has_value());
+  const auto twice = protocol.DecodeResponse(
+      503, {{"Retry-After", "1"}, {"Retry-After", "3"}, {"Retry-After", "x"}});
+  BOOST_TEST((twice.pause == std::chrono::seconds(3)));
+}
+
 }  // namespace endiveyard::platform
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -876,4 +876,90 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
 }
 
+namespace {
+
+std::string RejectionOf(const std::string& id, const std::string& headers) {
+  return "HTTP/1.1 503 Service Unavailable\r\nEndiveyard-Request-Id: " + id +
+         "\r\nEndiveyard-Not-Executed: 1\r\n" + headers +
+         "Content-Length: 0\r\n\r\n";
+}
+
+std::string WithHeader(std::string response, const std::string& header) {
+  return response.insert(response.find("\r\n") + 2, header);
+}
+
+// Sends the request `id` and answers it as `target`.
+void ExpectServedBy(RelayFixture* fixture,
+                    TestTarget* target,
+                    const std::string& id,
+                    const std::string& header = "") {
+  TestConnection caller = fixture->Connect();
+  caller.Send(RequestHead("GET", "/safe/" + id, id));
+  TestConnection connection = target->Accept();
+  connection.ReadUntil("\r\n\r\n");
+  connection.Send(WithHeader(SignedResponse(id, "ok"), header));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nok"));
+  connection.Close();
+}
+
+}  // namespace
+
+// Guards against work for a target that says in a response that it is leaving,
+// while the registry still lists it as ready.
+BOOST_FIXTURE_TEST_CASE(TargetsThatSayTheyLeaveGetNoNewRequests, RelayFixture) {
+  ExpectServedBy(this, &first(), "r1", "Server-Leaving: 1\r\n");
+  for (int n = 2; n < 6; ++n) {
+    ExpectServedBy(this, &second(), "r" + std::to_string(n));
+  }
+  // A new process with the same id takes work.
+  RestartTargets();
+  ExpectServedBy(this, &first(), "r6");
+}
+
+// The same for one that says so when it rejects a request, and for other values
+// of the header, which say nothing.
+BOOST_FIXTURE_TEST_CASE(OtherValuesDoNotMakeATargetLeave, RelayFixture) {
+  for (const char* value : {"0", "true", "", "11"}) {
+    ExpectServedBy(this, &first(), "r1",
+                   "Server-Leaving: " + std::string(value) + "\r\n");
+  }
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r2"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  target.Send(RejectionOf("r2", "Server-Leaving: 1\r\n"));
+  TestConnection other = second().Accept();
+  other.ReadUntil("\r\n\r\n");
+  other.Send(SignedResponse("r2", "ok"));
+  caller.ReadMessage();
+  other.Close();
+  ExpectServedBy(this, &second(), "r3");
+}
+
+// Guards against requests to a target that has rejected one and asked for a
+// pause: others get them, and without others they are refused at once, with the
+// time until it takes work again.
+BOOST_FIXTURE_TEST_CASE(TargetsThatAskForAPauseGetNoRequests, RelayFixture) {
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  target.Send(RejectionOf("r1", "Retry-After: 3.5\r\n"));
+  TestConnection other = second().Accept();
+  other.ReadUntil("\r\n\r\n");
+  other.Send(SignedResponse("r1", "ok"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nok"));
+  other.Close();
+  ExpectServedBy(this, &second(), "r2");
+  UseOneTarget();
+  TestConnection late = Connect();
+  late.Send(RequestHead("GET", "/safe/x", "r3"));
+  const std::string refusal = late.ReadMessage();
+  BOOST_TEST(Contains(refusal, "HTTP/1.1 503 "));
+  BOOST_TEST(Contains(refusal, "paused"));
+  const size_t at = refusal.find("Retry-After: ");
+  BOOST_REQUIRE(at != std::string::npos);
+  BOOST_TEST(std::stod(refusal.substr(at + 13)) > 3.0);
+}
+
 }  // namespace endiveyard
