--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -13,6 +13,7 @@
 #include "endiveyard/placement/peer_loads.h"
 #include "endiveyard/placement/placer.h"
 #include "endiveyard/placement/replica_rate_limits.h"
+#include "endiveyard/placement/target_availability.h"
 
 namespace endiveyard {
 
@@ -65,6 +66,7 @@
   std::vector<ServiceProfile> profiles;
   std::vector<CrashReport> crashes;
   std::vector<RateLimitReport> rate_limits;
+  std::vector<LeavingReport> leaving_replicas;
 
   bool operator==(const PeerLoadReport& other) const;
 };
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -27,6 +27,8 @@
 constexpr size_t kMaxCrashKeysPerReport = 128;
 // Limit on the rate limits of replicas in one report: half a kilobyte.
 constexpr size_t kMaxRateLimitsPerReport = 48;
+// Limit on the leaving replicas in one report: half a kilobyte.
+constexpr size_t kMaxLeavingReplicasPerReport = 32;
 // An instance that has just started does not know the others yet. Until then,
 // it takes as much of a rate limit as if there were this many.
 constexpr Duration kJoiningTime = std::chrono::seconds(2);
@@ -170,6 +172,8 @@
       welcome.crashes = crash_suspects_.Digest(kMaxCrashKeysPerReport, now);
       welcome.rate_limits =
           placer_.rate_limits().Digest(kMaxRateLimitsPerReport, now);
+      welcome.leaving_replicas =
+          placer_.availability().Digest(kMaxLeavingReplicasPerReport, now);
       Send(welcome, {report->sender});
     }
     placer_.ApplyPeerProfiles(report->sender, report->profiles, now);
@@ -181,6 +185,9 @@
     for (const RateLimitReport& it : report->rate_limits) {
       placer_.rate_limits().ApplyReport(it, now, relay);
     }
+    for (const LeavingReport& it : report->leaving_replicas) {
+      placer_.availability().ApplyReport(it, now, relay);
+    }
     switch (report->scope) {
       case ReportScope::kInstance:
         HandleWork(*report, now);
@@ -307,13 +314,15 @@
     report.crashes = crash_suspects_.TakeNews(kMaxCrashKeysPerReport, now);
     report.rate_limits =
         placer_.rate_limits().TakeNews(kMaxRateLimitsPerReport, now);
+    report.leaving_replicas =
+        placer_.availability().TakeNews(kMaxLeavingReplicasPerReport, now);
     UpdateShareOfRateLimits(now);
     Duration delay = work_interval_;
     // After all work has ended, one more report without work is sent, so that
     // peers drop the last one immediately.
     if (!report.work.empty() || !report.cached.empty() ||
         !report.crashes.empty() || !report.rate_limits.empty() ||
-        last_report_had_work_ ||
+        !report.leaving_replicas.empty() || last_report_had_work_ ||
         now - last_work_report_ >= kIdleReportInterval) {
       last_report_had_work_ = !report.work.empty();
       last_work_report_ = now;
@@ -355,6 +364,8 @@
       report.crashes = crash_suspects_.Digest(kMaxCrashKeysPerReport, now);
       report.rate_limits =
           placer_.rate_limits().Digest(kMaxRateLimitsPerReport, now);
+      report.leaving_replicas =
+          placer_.availability().Digest(kMaxLeavingReplicasPerReport, now);
       bytes = Send(report, recipients);
     }
     region_interval_ = PeerDirectory::RegionInterval(recipients.size(), bytes);
@@ -389,6 +400,8 @@
     report.crashes = crash_suspects_.Digest(kMaxCrashKeysPerReport, now);
     report.rate_limits =
         placer_.rate_limits().Digest(kMaxRateLimitsPerReport, now);
+    report.leaving_replicas =
+        placer_.availability().Digest(kMaxLeavingReplicasPerReport, now);
     const std::vector<uint32_t> recipients = directory_.MemberRecipients(now);
     const size_t bytes = Send(report, recipients);
     Schedule(&members_timer_,
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -211,6 +211,15 @@
   }
 }
 
+void EncodeLeavingReplicas(const std::vector<LeavingReport>& replicas,
+                           wire::LoadReport::Builder root) {
+  auto list = root.initLeavingReplicas(static_cast<unsigned>(replicas.size()));
+  for (unsigned n = 0; n < list.size(); ++n) {
+    list[n].setReplicaKey(replicas[n].target_key);
+    list[n].setAgeMs(ToMillis(replicas[n].age));
+  }
+}
+
 RateLimitReport DecodeRateLimit(wire::LoadReport::RateLimit::Reader limit) {
   RateLimitReport decoded;
   decoded.replica_key = limit.getReplicaKey();
@@ -227,7 +236,7 @@
   const auto fields = [](const PeerLoadReport& it) {
     return std::tie(it.sender, it.sequence, it.region, it.leaving, it.scope,
                     it.interval, it.work, it.cached, it.members, it.profiles,
-                    it.crashes, it.rate_limits);
+                    it.crashes, it.rate_limits, it.leaving_replicas);
   };
   return fields(*this) == fields(other);
 }
@@ -269,6 +278,7 @@
   EncodeProfiles(report.profiles, root);
   EncodeCrashes(report.crashes, root);
   EncodeRateLimits(report.rate_limits, root);
+  EncodeLeavingReplicas(report.leaving_replicas, root);
   kj::VectorOutputStream out;
   capnp::writePackedMessage(out, message);
   const auto bytes = out.getArray();
@@ -325,6 +335,10 @@
     for (const auto it : root.getRateLimits()) {
       report.rate_limits.push_back(DecodeRateLimit(it));
     }
+    for (const auto it : root.getLeavingReplicas()) {
+      report.leaving_replicas.push_back(
+          {it.getReplicaKey(), FromMillis(it.getAgeMs())});
+    }
     decoded = std::move(report);
   });
   if (failure != nullptr) {
--- a/src/placement/target_availability.cc
+++ b/src/placement/target_availability.cc
@@ -10,6 +10,11 @@
 namespace {
 
 constexpr Duration kRemovalInterval = std::chrono::seconds(30);
+// Reports that contain a fact after it was learned.
+constexpr int kReportsPerFact = 3;
+// Reports shortly before the end of their lifetime are ignored, so that
+// instances do not return them to each other.
+constexpr Duration kExpiryMargin = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -18,9 +23,9 @@
   if (now >= next_removal_ || states_.size() >= kMaxUnavailableTargets) {
     next_removal_ = now + kRemovalInterval;
     for (auto it = states_.begin(); it != states_.end();) {
-      it = std::max(it->second.leaving_until, it->second.paused_until) <= now
-               ? states_.erase(it)
-               : std::next(it);
+      const State& state = it->second;
+      const bool over = state.paused_until <= now && !IsLeaving(state, now);
+      it = over ? states_.erase(it) : std::next(it);
     }
   }
   const auto it = states_.find(target_key);
@@ -30,12 +35,22 @@
   return &states_[target_key];
 }
 
+bool TargetAvailability::IsLeaving(const State& state, TimePoint now) {
+  return state.leaving_since && now - *state.leaving_since < kLeavingLifetime;
+}
+
 bool TargetAvailability::RecordLeaving(uint64_t target_key, TimePoint now) {
-  const bool known = IsLeaving(target_key, now);
+  if (IsLeaving(target_key, now)) {
+    return false;
+  }
   if (State* state = StateOf(target_key, now)) {
-    state->leaving_until = now + kLeavingLifetime;
+    if (!IsLeaving(*state, now)) {
+      state->leaving_since = now;
+      state->reports_left = kReportsPerFact;
+    }
+    state->heard_from_target = true;
   }
-  return !known;
+  return true;
 }
 
 bool TargetAvailability::RecordPause(uint64_t target_key,
@@ -61,7 +76,8 @@
 
 bool TargetAvailability::IsLeaving(uint64_t target_key, TimePoint now) const {
   const auto it = states_.find(target_key);
-  return it != states_.end() && now < it->second.leaving_until;
+  return it != states_.end() && it->second.heard_from_target &&
+         IsLeaving(it->second, now);
 }
 
 Duration TargetAvailability::PauseOf(uint64_t target_key, TimePoint now) const {
@@ -84,19 +100,87 @@
     return replicas;
   }
   std::vector<const Replica*> selected;
+  std::vector<const Replica*> not_told_leaving;
   for (const Replica* it : replicas) {
     const uint64_t key = EngineKey(*it);
     if (IsLeaving(key, now)) {
       continue;
     }
     const Duration pause = PauseOf(key, now);
-    if (pause <= Duration(0)) {
-      selected.push_back(it);
-    } else {
+    if (pause > Duration(0)) {
       *shortest_pause = std::min(shortest_pause->value_or(pause), pause);
+      continue;
     }
+    selected.push_back(it);
+    const auto state = states_.find(key);
+    if (state == states_.end() || !IsLeaving(state->second, now)) {
+      not_told_leaving.push_back(it);
+    }
+  }
+  return 2 * not_told_leaving.size() >= selected.size() ? not_told_leaving
+                                                        : selected;
+}
+
+void TargetAvailability::ApplyReport(const LeavingReport& report,
+                                     TimePoint now,
+                                     bool relay) {
+  if (report.age < Duration(0) ||
+      report.age >= kLeavingLifetime - kExpiryMargin) {
+    return;
+  }
+  State* state = StateOf(report.target_key, now);
+  if (state == nullptr) {
+    return;
+  }
+  const TimePoint since = now - report.age;
+  if (!IsLeaving(*state, now)) {
+    state->leaving_since = since;
+    state->heard_from_target = false;
+    state->reports_left = relay ? kReportsPerFact : 0;
+  } else if (!state->heard_from_target) {
+    // Reports make it appear later than it was, by their own delay.
+    state->leaving_since = std::min(*state->leaving_since, since);
+  }
+}
+
+LeavingReport TargetAvailability::ReportOf(uint64_t target_key,
+                                           const State& state,
+                                           TimePoint now) {
+  return {target_key,
+          std::chrono::duration_cast<Duration>(now - *state.leaving_since)};
+}
+
+std::vector<LeavingReport> TargetAvailability::TakeNews(size_t max,
+                                                        TimePoint now) {
+  std::vector<LeavingReport> news;
+  for (auto& [key, state] : states_) {
+    if (news.size() >= max) {
+      break;
+    }
+    if (state.reports_left > 0 && IsLeaving(state, now)) {
+      --state.reports_left;
+      news.push_back(ReportOf(key, state, now));
+    }
+  }
+  return news;
+}
+
+std::vector<LeavingReport> TargetAvailability::Digest(size_t max,
+                                                      TimePoint now) {
+  std::vector<LeavingReport> all;
+  for (const auto& [key, state] : states_) {
+    if (IsLeaving(state, now)) {
+      all.push_back(ReportOf(key, state, now));
+    }
+  }
+  if (all.size() <= max) {
+    return all;
+  }
+  std::vector<LeavingReport> digest;
+  for (size_t n = 0; n < max; ++n) {
+    digest.push_back(all[digest_offset_++ % all.size()]);
   }
-  return selected;
+  return digest;
 }
 
 }  // namespace endiveyard
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -28,6 +28,8 @@
       {4, std::chrono::minutes(9), true, {}, {}}};
   report.rate_limits = {{0xfffffffffffffffc, 4.625, Duration(0)},
                         {6, std::nullopt, std::chrono::milliseconds(1500)}};
+  report.leaving_replicas = {{0xfffffffffffffffb, Duration(0)},
+                             {8, std::chrono::minutes(9)}};
   return report;
 }
 
@@ -56,6 +58,10 @@
     report.rate_limits.push_back(
         {~static_cast<uint64_t>(n), 4000000, std::chrono::minutes(1)});
   }
+  for (uint32_t n = 0; n < 32; ++n) {
+    report.leaving_replicas.push_back(
+        {~static_cast<uint64_t>(n), std::chrono::minutes(9)});
+  }
   for (uint32_t n = 0; n < 8; ++n) {
     SuspectKeys keys;
     for (uint32_t key = 0; key < 16; ++key) {
--- a/tests/placement/target_availability_test.cc
+++ b/tests/placement/target_availability_test.cc
@@ -77,4 +77,45 @@
                                       std::chrono::seconds(1), At(3000)));
 }
 
+// Guards against a forged or mistaken report that shuts out a whole service,
+// and against reports that instances return to each other for ever.
+BOOST_AUTO_TEST_CASE(ReportsOfOthersAreBounded) {
+  std::vector<Replica> replicas(4);
+  std::vector<const Replica*> listed;
+  for (size_t n = 0; n < replicas.size(); ++n) {
+    replicas[n].id = std::to_string(n);
+    listed.push_back(&replicas[n]);
+  }
+  TargetAvailability availability;
+  std::optional<Duration> pause;
+  const auto tell = [&](size_t n, Duration age) {
+    availability.ApplyReport({EngineKey(replicas[n]), age}, At(1000000), true);
+  };
+  const auto selected = [&] {
+    return availability.Select(listed, At(1000000), &pause).size();
+  };
+  tell(0, std::chrono::seconds(1));
+  BOOST_TEST(selected() == 3u);
+  BOOST_TEST(!availability.IsLeaving(EngineKey(replicas[0]), At(1000000)));
+  tell(1, std::chrono::seconds(2));
+  BOOST_TEST(selected() == 2u);
+  tell(2, std::chrono::seconds(3));
+  BOOST_TEST(selected() == 4u);
+  // What a target itself says counts in any case.
+  for (const Replica& it : replicas) {
+    availability.RecordLeaving(EngineKey(it), At(1000000));
+  }
+  BOOST_TEST(selected() == 0u);
+
+  TargetAvailability other;
+  for (const Duration age : {Duration(-1), kLeavingLifetime}) {
+    other.ApplyReport({5, age}, At(1000000), true);
+  }
+  BOOST_TEST(other.Digest(10, At(1000000)).empty());
+  other.ApplyReport({5, std::chrono::minutes(9)}, At(1000000), true);
+  BOOST_TEST(other.Digest(10, At(1000000)).size() == 1u);
+  other.ApplyReport(other.Digest(10, At(1030000))[0], At(1031000), true);
+  BOOST_TEST(other.Digest(10, At(1060000)).empty());
+}
+
 }  // namespace endiveyard
