--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -42,6 +42,9 @@
   // Time for which the target, which rejected the request, wants no further one
   // from this instance.
   std::optional<Duration> pause;
+  // Name of a header of the target whose value cannot be read and has no
+  // effect; empty if there is none.
+  std::string_view invalid_header;
 };
 
 // Handle of the KV cache of a prompt, which a prefill engine keeps for another
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -39,6 +39,7 @@
 inline constexpr int kLogReplicaRateLimitChanged = 317;
 inline constexpr int kLogReplicaLeaving = 318;
 inline constexpr int kLogReplicaPaused = 319;
+inline constexpr int kLogReplicaHeaderInvalid = 320;
 inline constexpr int kLogRegistryLost = 803;
 inline constexpr int kLogRegistryRegained = 804;
 inline constexpr int kLogRegistryRestored = 805;
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -10,6 +10,7 @@
 #include "endiveyard/base/digest.h"
 #include "endiveyard/placement/crash_suspects.h"
 #include "endiveyard/relay/relay.h"
+#include "endiveyard/telemetry/log_interval.h"
 
 namespace endiveyard {
 
@@ -46,6 +47,8 @@
   // When refusals of crashing requests were last logged as an event of the
   // process.
   std::optional<TimePoint> crashing_requests_logged_at;
+  // Limits the log lines about headers of a replica that cannot be read.
+  LogInterval invalid_headers_log{std::chrono::minutes(1)};
   ServiceRetryBudget retry_budget;
   TargetClient target_client;
   bool draining = false;
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -124,6 +124,12 @@
   fields.Text("replica", active_call_->replica.id)
       .Text("request", request_metadata_.request_id)
       .Integer("status", active_call_->status);
+  if (!metadata.invalid_header.empty() &&
+      context_->invalid_headers_log.Allow(key, now)) {
+    JsonFields invalid = fields;
+    invalid.Text("header", metadata.invalid_header);
+    context_->log.Log(kLogReplicaHeaderInvalid, invalid, now);
+  }
   if (metadata.leaving && availability.RecordLeaving(key, now)) {
     context_->log.Log(kLogReplicaLeaving, fields, now);
   }
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -85,6 +85,10 @@
       {319, kInfo, "replica_paused",
        "A replica rejected a request and wants none for the time stated.",
        "Frequent ones: capacity is short."},
+      {320, kWarn, "replica_header_invalid",
+       "A replica states something about itself that cannot be read; it has no "
+       "effect. At most one line a minute for each replica.",
+       "Check the version of the replica."},
       {501, kInfo, "lease_acquired", "The instance holds its lease.", "None."},
       {502, kWarn, "lease_lapsed",
        "The lease was not renewed in time; no order is sent.",
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -154,6 +154,9 @@
   for (const char* value : {"", "-1", "1s", "x", "inf", "nan", "1e3",
                             "Sat, 05 Dec 2026 08:00:00 GMT"}) {
     BOOST_TEST(!pause(value).has_value(), value);
+    BOOST_TEST(!protocol.DecodeResponse(503, {{"Retry-After", value}})
+                    .invalid_header.empty(),
+               value);
   }
   BOOST_TEST(!pause("2", 429).has_value());
   const auto twice = protocol.DecodeResponse(
