Believe a registry that keeps stating an earlier era

One answer with a wrong, higher era, or a registry that begins to count anew, would have made all later answers count as late: routes and targets would never have changed again. Found when reading the change again.

Fix: eight answers of an earlier era in a row are believed, more than can be late, as each reader waits for one at a time.

--- a/include/endiveyard/registry/registry_era.h
+++ b/include/endiveyard/registry/registry_era.h
@@ -22,7 +22,8 @@
   }
 
   // Records the era of an answer. Returns false if the answer is from before a
-  // restore that is known, so that its contents may no longer hold.
+  // restore that is known, so that its contents may no longer hold. A registry
+  // that keeps stating an earlier era is believed in the end.
   bool Record(int64_t era);
 
   int64_t latest() const { return latest_; }
@@ -30,6 +31,7 @@
  private:
   std::vector<Subscriber> subscribers_;
   int64_t latest_ = 0;
+  int late_answers_ = 0;  // in a row
 };
 
 }  // namespace endiveyard
--- a/tests/registry/registry_restore_test.cc
+++ b/tests/registry/registry_restore_test.cc
@@ -108,4 +108,26 @@
   BOOST_TEST(outdated == 0);
 }
 
+// Guards against a view that is never updated again after one wrong era, or
+// after the registry begins to count anew.
+BOOST_AUTO_TEST_CASE(RegistriesThatKeepAnEarlierEraAreBelieved) {
+  RegistryEra era;
+  int64_t notified = 0;
+  era.Subscribe([&](int64_t latest, int64_t /*before*/) { notified = latest; });
+  BOOST_TEST(era.Record(3));
+  BOOST_TEST(era.Record(4000000));
+  BOOST_TEST(notified == 4000000);
+  BOOST_TEST(!era.Record(3));
+  BOOST_TEST(!era.Record(3));
+  BOOST_TEST(era.Record(4000000));
+  int refused = 0;
+  while (!era.Record(3) && refused < 100) {
+    ++refused;
+  }
+  BOOST_TEST(refused > 1);
+  BOOST_TEST(refused < 10);
+  BOOST_TEST(notified == 3);
+  BOOST_TEST(era.Record(3));
+}
+
 }  // namespace endiveyard
