Keep room for what targets say beside reports of others

16,384 reports about targets that do not exist, which anyone on the network can send, would have filled the table of targets that take no work, so that a target's own word was not kept. Reports may fill half of it now. Found when reading the change again; ReportsOfOthersAreBounded fails without it.

--- a/src/placement/target_availability.cc
+++ b/src/placement/target_availability.cc
@@ -15,6 +15,8 @@
 // Reports shortly before the end of their lifetime are ignored, so that
 // instances do not return them to each other.
 constexpr Duration kExpiryMargin = std::chrono::seconds(10);
+// Reports leave room for what targets say to this instance.
+constexpr size_t kMaxTargetsFromReports = kMaxUnavailableTargets / 2;
 
 }  // namespace
 
@@ -128,6 +130,10 @@
       report.age >= kLeavingLifetime - kExpiryMargin) {
     return;
   }
+  if (states_.count(report.target_key) == 0 &&
+      states_.size() >= kMaxTargetsFromReports) {
+    return;
+  }
   State* state = StateOf(report.target_key, now);
   if (state == nullptr) {
     return;
--- a/tests/placement/target_availability_test.cc
+++ b/tests/placement/target_availability_test.cc
@@ -116,6 +116,12 @@
   BOOST_TEST(other.Digest(10, At(1000000)).size() == 1u);
   other.ApplyReport(other.Digest(10, At(1030000))[0], At(1031000), true);
   BOOST_TEST(other.Digest(10, At(1060000)).empty());
+
+  // Reports about targets that do not exist leave room for others.
+  for (uint64_t key = 100; key < 100 + kMaxUnavailableTargets; ++key) {
+    other.ApplyReport({key, Duration(0)}, At(1060000), true);
+  }
+  BOOST_TEST(other.RecordPause(7, std::chrono::seconds(1), At(1060000)));
 }
 
 }  // namespace endiveyard
