Check a rejection that announces leaving where there is no other target

OtherValuesDoNotMakeATargetLeave passed in its second half with the header ignored, since the target that rejected was passed over after its failure. Now it is the only one, and the test fails when the header is not recorded.

--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -933,7 +933,11 @@
   other.Send(SignedResponse("r2", "ok"));
   caller.ReadMessage();
   other.Close();
-  ExpectServedBy(this, &second(), "r3");
+  // Without others, it does not get requests either.
+  UseOneTarget();
+  TestConnection late = Connect();
+  late.Send(RequestHead("GET", "/safe/y", "r3"));
+  BOOST_TEST(Contains(late.ReadMessage(), "no_replica"));
 }
 
 // Guards against requests to a target that has rejected one and asked for a
