Bound the memory of removed replicas

Entries of another writer that come and go, up to hundreds a second, were each remembered for ten minutes. 16,384 are remembered now, the latest ones. RemovedReplicasAreBounded fails without the bound (16,434 kept). Found when reading the change again.

--- a/include/endiveyard/placement/replica_view.h
+++ b/include/endiveyard/placement/replica_view.h
@@ -50,6 +50,10 @@
 inline constexpr Duration kDefaultEntryLifetime =
     std::chrono::milliseconds(4600);
 
+// Limit on the removed replicas that are remembered. Beyond it, the one that
+// was removed first is forgotten.
+inline constexpr size_t kMaxRemovedReplicas = 16384;
+
 // Replicas that may receive work, as listed by a registry that may be
 // temporarily unavailable, or restored from a copy that lists what has ended
 // since. A replica that has begun to drain does so until its process ends.
@@ -84,6 +88,7 @@
   std::vector<const Replica*> Usable(std::string_view service) const;
 
   size_t size() const { return replicas_.size(); }
+  size_t removed_size() const { return removed_.size(); }
 
  private:
   struct Entry {
--- a/src/placement/replica_view.cc
+++ b/src/placement/replica_view.cc
@@ -88,6 +88,13 @@
 
 ReplicaView::Entries::iterator ReplicaView::Erase(Entries::iterator it,
                                                   TimePoint now) {
+  if (removed_.size() >= kMaxRemovedReplicas &&
+      removed_.count(it->first) == 0) {
+    removed_.erase(std::min_element(removed_.begin(), removed_.end(),
+                                    [](const auto& a, const auto& b) {
+                                      return a.second.at < b.second.at;
+                                    }));
+  }
   removed_[it->first] = {it->second.replica.started_unix_ms,
                          it->second.replica.draining, era_, now};
   return replicas_.erase(it);
--- a/tests/placement/replica_view_test.cc
+++ b/tests/placement/replica_view_test.cc
@@ -186,4 +186,22 @@
   BOOST_TEST(view.Usable("s").size() == 1u);
 }
 
+// Guards against memory that grows with the entries that come and go: of
+// another writer, up to hundreds a second.
+BOOST_AUTO_TEST_CASE(RemovedReplicasAreBounded) {
+  ReplicaView view;
+  view.Reset({}, At(0), 1);
+  constexpr int64_t kExcess = 50;
+  const int64_t all = static_cast<int64_t>(kMaxRemovedReplicas) + kExcess;
+  for (int64_t n = 0; n < all; ++n) {
+    const std::string id = std::to_string(n);
+    view.Put(Draining(MakeIncarnation(id, 1)));
+    view.Remove(id, At(n));
+  }
+  BOOST_TEST(view.removed_size() == kMaxRemovedReplicas);
+  // The latest ones are remembered.
+  view.Reset({MakeIncarnation(std::to_string(all - 1), 1)}, At(all), 2);
+  BOOST_TEST(view.Usable("s").empty());
+}
+
 }  // namespace endiveyard
