--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and the cases into target/review.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+${CXX:-g++} -std=c++17 -O1 -c -o target/review/support.o review/support/support.cc
+for source in review/[1-5]/case.cc; do
+  number=$(basename "$(dirname "$source")")
+  ${CXX:-g++} -std=c++17 -O1 -pthread -o "target/review/case-$number" \
+    "$source" target/review/support.o
+done
