--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,37 +1,188 @@
-// Replicas hand out a few wrong bytes: in one of 34 streams, the id of one
-// event is wrong. The route is resumable and other replicas are sound.
-#include "../support/streams.h"
+// A replica fails part of its orders: it runs them and then answers 503 without
+// the header that states that it has not. Clients heed the statuses: after a
+// 503, they send the order again with a new id.
+#include <map>
+#include <string>
+
+#include "../support/support.h"
 
 namespace review {
 namespace {
 
-constexpr int kWrongId = 9;
+constexpr int kReplicas = 3;
+constexpr int kClients = 8;
+constexpr int64_t kTrafficMs = 15000;
+constexpr int64_t kTroubleFromMs = 5000;
+constexpr int64_t kTroubleUntilMs = 11500;
+// 9 of 20 orders: share 0.45.
+constexpr int kFailedOfTwenty = 9;
+constexpr int kWorkMs = 40;
+constexpr int kTimeoutMs = 1200;
+
+struct State {
+  Record* record = nullptr;
+  int64_t start_ms = 0;
+  bool trouble = true;
+  std::atomic<bool> stop{false};
+  std::atomic<int> orders_at_troubled{0};
+  std::mutex mutex;
+  std::map<std::string, int> runs;  // by request id
+  std::map<std::string, int> runs_of_purchase;
+  int sent = 0;
+  int succeeded = 0;
+  int refused = 0;  // 408, 421, 429 or 503
+  int refused_after_run = 0;
+  int other = 0;
+};
+
+void RunOrder(State& state,
+              const Replica& replica,
+              const Message& request,
+              Connection& connection) {
+  const std::string id = request.Header("Endiveyard-Request-Id");
+  const int64_t at = NowMs() - state.start_ms;
+  SleepMs(kWorkMs);
+  {
+    const std::lock_guard<std::mutex> lock(state.mutex);
+    ++state.runs[id];
+    ++state.runs_of_purchase[request.body];
+  }
+  if (replica.id() == "i-0" && state.trouble && at >= kTroubleFromMs &&
+      at < kTroubleUntilMs &&
+      state.orders_at_troubled++ % 20 < kFailedOfTwenty) {
+    state.record->Line("replica " + replica.id() + ": has run " + id +
+                       ", answers 503 without Endiveyard-Not-Executed");
+    const std::string body = "the order service is failing\n";
+    connection.Send(
+        "HTTP/1.1 503 Service Unavailable\r\nEndiveyard-Request-Id: " + id +
+        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+        body);
+    return;
+  }
+  connection.Send(Success(request, "done " + id));
+}
+
+bool IsPromise(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+// A client that makes one purchase after the other, with one retry each.
+void MakePurchases(State& state, const Front& front, int client) {
+  for (int n = 0; !state.stop; ++n) {
+    const std::string purchase =
+        "purchase " + std::to_string(client) + "-" + std::to_string(n);
+    constexpr int kAttempts = 2;
+    for (int attempt = 0; attempt < kAttempts; ++attempt) {
+      const std::string id = std::to_string(client) + "-" + std::to_string(n) +
+                             "-" + std::to_string(attempt);
+      const auto connection = Connection::Open(front.ip(), front.port());
+      if (connection == nullptr) {
+        break;
+      }
+      connection->Send(Request("POST", "/order/place", id, 2500, "", purchase));
+      Message response;
+      const bool complete = connection->ReadMessage(&response, 3000);
+      const int status = complete ? response.Status() : 0;
+      bool refused_after_run = false;
+      {
+        const std::lock_guard<std::mutex> lock(state.mutex);
+        refused_after_run = IsPromise(status) && state.runs.count(id) > 0;
+        ++state.sent;
+        state.succeeded += status == 200 ? 1 : 0;
+        state.refused += IsPromise(status) ? 1 : 0;
+        state.refused_after_run += refused_after_run ? 1 : 0;
+        state.other += status != 200 && !IsPromise(status) ? 1 : 0;
+      }
+      state.record->Line(
+          "client: " + id + " -> " +
+          (complete ? response.start_line : "no answer") +
+          (refused_after_run ? ", though a replica has run it" : ""));
+      if (!IsPromise(status)) {
+        break;
+      }
+      SleepMs(50);
+    }
+    SleepMs(20);
+  }
+}
+
+void RunCase(const std::string& folder) {
+  Case review_case(folder);
+  Record* record = review_case.record();
+  State state;
+  state.record = record;
+  state.trouble = review_case.trouble();
+  Store store(review_case.Ip(1), record);
+  std::vector<std::unique_ptr<Replica>> replicas;
+  for (int n = 0; n < kReplicas; ++n) {
+    replicas.push_back(std::make_unique<Replica>(
+        review_case.Ip(10 + n), "i-" + std::to_string(n), record,
+        [&state](const Replica& replica, const Message& request,
+                 Connection& connection) {
+          RunOrder(state, replica, request, connection);
+        }));
+    store.Put("servers", replicas.back()->id(),
+              replicas.back()->Spec("orders", 6, false));
+  }
+  Route route;
+  route.path_prefix = "/order/";
+  route.kind = "unsafe";
+  route.service = "orders";
+  route.timeout_ms = kTimeoutMs;
+  store.Put("config", "main", ConfigurationSpec(7, {route}, {"orders"}, {}));
 
-bool IsOutOfOrder(const Message& response, bool complete) {
-  if (!complete || response.Status() != 200) {
-    return false;
+  Front::Options options;
+  options.name = "front-0";
+  options.ip = review_case.Ip(100);
+  options.zone = "zone-a";
+  options.store_ip = review_case.Ip(1);
+  options.store_port = store.port();
+  options.seed_ips = {review_case.Ip(100)};
+  options.folder = review_case.temporary_folder();
+  auto front = std::make_unique<Front>(options, record);
+  front->Start();
+  if (!front->WaitUntilReady(10000)) {
+    record->Line("the process is not ready after 10 s");
+    review_case.End(kCannotRun);
+  }
+  state.start_ms = NowMs();
+  std::vector<std::thread> clients;
+  clients.reserve(kClients);
+  for (int n = 0; n < kClients; ++n) {
+    clients.emplace_back(
+        [&state, &front, n] { MakePurchases(state, *front, n); });
   }
-  const std::vector<int> pieces = PiecesOf(response.body);
-  bool in_order = pieces.size() == static_cast<size_t>(kEventsOfStream);
-  for (size_t n = 0; n < pieces.size(); ++n) {
-    in_order = in_order && pieces[n] == static_cast<int>(n) + 1;
+  SleepMs(kTrafficMs);
+  state.stop = true;
+  for (std::thread& it : clients) {
+    it.join();
   }
-  return !in_order;
+  front.reset();
+  int twice = 0;
+  for (const auto& [purchase, runs] : state.runs_of_purchase) {
+    if (runs > 1) {
+      ++twice;
+      record->Line(purchase + " was made " + std::to_string(runs) + " times");
+    }
+  }
+  record->Line("sent " + std::to_string(state.sent) + " requests; " +
+               std::to_string(state.succeeded) + " succeeded, " +
+               std::to_string(state.refused) +
+               " were answered with a promise that they have not run, " +
+               std::to_string(state.refused_after_run) + " of these had run, " +
+               std::to_string(state.other) + " ended in another way; " +
+               std::to_string(twice) + " purchases were made twice");
+  const bool broken = state.refused_after_run > 0;
+  record->Line(broken ? "REFUSED is broken" : "REFUSED held");
+  review_case.End(broken ? kBroken : kHeld);
 }
 
 }  // namespace
 }  // namespace review
 
 int main(int argc, char** argv) {
-  if (argc != 2) {
-    return review::kCannotRun;
-  }
-  review::RunStreamCase(
-      argv[1],
-      {"ORDER",
-       [](review::Connection& connection) {
-         return connection.Send(review::EncodeChunk(
-             review::EncodeEvent(review::kWrongId, review::kSpoiledEvent)));
-       },
-       review::IsOutOfOrder});
+  if (argc == 2) {
+    review::RunCase(argv[1]);
+  }
+  return review::kCannotRun;
 }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,15 +1,22 @@
-// Replicas in trouble send bytes that are no answer, without end, in the body
-// of one of 34 streams. The route is resumable and other replicas are sound.
+// Replicas hand out a few wrong bytes: in one of 34 streams, the id of one
+// event is wrong. The route is resumable and other replicas are sound.
 #include "../support/streams.h"
 
 namespace review {
 namespace {
 
-constexpr const char* kNoEvent = "internal error at step 17\n\n";
+constexpr int kWrongId = 9;
 
-bool HasBytesThatAreNoEvent(const Message& response, bool /*complete*/) {
-  return response.Status() == 200 &&
-         response.body.find(kNoEvent) != std::string::npos;
+bool IsOutOfOrder(const Message& response, bool complete) {
+  if (!complete || response.Status() != 200) {
+    return false;
+  }
+  const std::vector<int> pieces = PiecesOf(response.body);
+  bool in_order = pieces.size() == static_cast<size_t>(kEventsOfStream);
+  for (size_t n = 0; n < pieces.size(); ++n) {
+    in_order = in_order && pieces[n] == static_cast<int>(n) + 1;
+  }
+  return !in_order;
 }
 
 }  // namespace
@@ -19,13 +26,12 @@
   if (argc != 2) {
     return review::kCannotRun;
   }
-  review::RunStreamCase(argv[1], {"MIXED",
-                                  [](review::Connection& connection) {
-                                    const std::string bytes =
-                                        review::EncodeChunk(review::kNoEvent);
-                                    while (connection.Send(bytes)) {
-                                    }
-                                    return false;
-                                  },
-                                  review::HasBytesThatAreNoEvent});
+  review::RunStreamCase(
+      argv[1],
+      {"ORDER",
+       [](review::Connection& connection) {
+         return connection.Send(review::EncodeChunk(
+             review::EncodeEvent(review::kWrongId, review::kSpoiledEvent)));
+       },
+       review::IsOutOfOrder});
 }
