Announce in test responses that the target closes its connection

Trace: the responder had sent its response and not yet closed; the relay reused the connection for the next request, which the close then ended without a response. 502 is the truthful answer there, since the target may have read the request.

--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -8,23 +8,6 @@
 namespace endiveyard {
 namespace {
 
-bool Contains(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
-std::string EncodeChunk(const std::string& bytes) {
-  char size[16];
-  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
-  return size + bytes + "\r\n";
-}
-
-std::string StreamResponseHead(const std::string& id) {
-  return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
-         "\r\nEndiveyard-Response-Signature: sig-" + id +
-         "\r\nContent-Type: text/event-stream\r\n"
-         "Transfer-Encoding: chunked\r\n\r\n";
-}
-
 // A stream without length or chunks, which ends with its connection.
 std::string UnframedStreamHead(const std::string& id) {
   return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -21,6 +21,17 @@
 
 constexpr const char* kLoopback = "127.0.0.1";
 
+// Announces in a response that its connection is closed after it. Otherwise,
+// the relay may send the next request before it sees the close, and the outcome
+// of that request would be unknown.
+std::string WithConnectionClose(std::string response) {
+  const size_t line_end = response.find("\r\n");
+  if (line_end != std::string::npos) {
+    response.insert(line_end, "\r\nConnection: close");
+  }
+  return response;
+}
+
 size_t BodyLength(const std::string& head) {
   const std::string name = "Content-Length: ";
   const size_t at = head.find(name);
@@ -173,7 +184,8 @@
             continue;
           }
           TestConnection connection = target->Accept();
-          connection.Send(respond(connection.ReadMessage()));
+          connection.Send(
+              WithConnectionClose(respond(connection.ReadMessage())));
           connection.Close();
         }
       }) {}
@@ -337,4 +349,21 @@
          body;
 }
 
+std::string StreamResponseHead(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
+         "\r\nEndiveyard-Response-Signature: sig-" + id +
+         "\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string EncodeChunk(const std::string& bytes) {
+  char size[16];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
 }  // namespace endiveyard
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -63,7 +63,8 @@
 };
 
 // Responds to all connections of a target on a thread of its own: reads one
-// request, sends what `respond` returns for it, and closes the connection.
+// request, sends what `respond` returns for it with a header that announces the
+// close, and closes the connection.
 class TargetResponder {
  public:
   TargetResponder(
@@ -135,6 +136,12 @@
                            const std::string& body,
                            const std::string& status = "200 OK");
 
+// The head of a signed stream of events to the request `id`, sent in chunks.
+std::string StreamResponseHead(const std::string& id);
+std::string EncodeChunk(const std::string& bytes);
+
+bool Contains(const std::string& text, const std::string& part);
+
 }  // namespace endiveyard
 
 #endif  // ENDIVEYARD_TESTS_PLATFORM_RELAY_FIXTURE_H_
