Do not read a call that has ended when its failure response is too large

Cause: the failure was given up with the outcome of a complete response, and AbandonRun() had reset the active call when the attempt policy chose to forward it. SendCollectedResponse() then read head and body of no call.

Fix: the outcome is that of a truncated response, so that nothing is there to forward, and what follows a call gets the ended call by value. No code after the end of a call can reach active_call_ any more.

Ruled out: memory taken by the endless body, of which 272 KB are held at most.

--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -68,6 +68,17 @@
     std::optional<TimePoint> first_event_at;
   };
 
+  // What is left of a call that has ended and was closed.
+  struct EndedCall {
+    CallOutcome outcome = CallOutcome::kNotSent;
+    int status = 0;
+    bool output_started = false;
+    // The whole response, unless parts of it were forwarded as they arrived.
+    // Present if the outcome is kCompleted or kErrorResponse.
+    TargetResponseHead head;
+    std::string body;
+  };
+
   void AwaitRoutingState();
   void RouteRequest();
   void Place();
@@ -95,7 +106,8 @@
   // Records the arrival of a complete event, or of bytes of another body.
   void RecordOutput();
   void OnRunEnd(TransportStatus transport_status, std::string_view detail);
-  // Ends the run in progress, whose response cannot be used.
+  // Ends the run in progress, whose response cannot be used: `outcome` is one
+  // without a complete response.
   void AbandonRun(CallOutcome outcome, std::string_view detail);
   CallOutcome OutcomeOf(TransportStatus transport_status) const;
   // Returns true if the target closed the connection of a response that ends
@@ -107,9 +119,15 @@
   void RecordAvailability();
   // Records the speed of the target of a completed run.
   void ObserveCompletedRun(const ActiveCall& call);
-  void ContinueAfterCall(CallOutcome outcome, std::string_view detail);
+  // Decides what follows a call. The active call has been closed before, so
+  // that what is needed of it is passed by value.
+  void ContinueAfterCall(EndedCall ended, std::string_view detail);
   void ForwardBody(std::string_view bytes);
-  void SendCollectedResponse();
+  // Sends the head of the active call's response and what was collected of the
+  // body. The rest is forwarded as it arrives.
+  void BeginLargeResponse();
+  void SendCompleteResponse(const TargetResponseHead& head,
+                            const std::string& body);
 
   // Evidence about requests that crash replicas (relay_crash_evidence.cc).
   // Records a response of the replica of the active call.
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -19,6 +19,14 @@
 // HTTP status of a response from another replica than the one expected.
 constexpr int kMisdirectedRequest = 421;
 
+CallerResponseHead CallerHeadFrom(const TargetResponseHead& head) {
+  CallerResponseHead caller_head;
+  caller_head.status = head.status;
+  caller_head.reason = head.reason;
+  caller_head.headers = WithoutHopByHopHeaders(head.headers);
+  return caller_head;
+}
+
 }  // namespace
 
 void RelayExchange::StartRun(const Placement& placement,
@@ -172,14 +180,14 @@
   RecordOutput();
   active_call_->body.append(bytes);
   if (active_call_->body.size() > kMaxCollectedResponseBytes) {
-    const CallOutcome outcome = OutcomeOf(TransportStatus::kComplete);
-    if (outcome != CallOutcome::kCompleted) {
-      AbandonRun(outcome, "failure response exceeds the size limit");
+    if (OutcomeOf(TransportStatus::kComplete) != CallOutcome::kCompleted) {
+      // The rest is not read, so there is no response to forward.
+      AbandonRun(OutcomeOf(TransportStatus::kTruncated),
+                 "failure response exceeds the size limit");
       return;
     }
     // Too large to buffer. From here on, a failure is visible to the caller.
-    active_call_->streaming = true;
-    SendCollectedResponse();
+    BeginLargeResponse();
   }
 }
 
@@ -208,11 +216,7 @@
       first_output_at_ = BootClock::now();
       // This run has used the KV cache.
       kv_handle_.reset();
-      CallerResponseHead head;
-      head.status = active_call_->head.status;
-      head.reason = active_call_->head.reason;
-      head.headers = WithoutHopByHopHeaders(active_call_->head.headers);
-      response_ = std::move(*unsent).Begin(head);
+      response_ = std::move(*unsent).Begin(CallerHeadFrom(active_call_->head));
     }
     std::get<BegunResponse>(response_).SendBody(events);
     const TimePoint now = BootClock::now();
@@ -240,13 +244,17 @@
 }
 
 void RelayExchange::AbandonRun(CallOutcome outcome, std::string_view detail) {
+  EndedCall ended;
+  ended.outcome = outcome;
+  ended.status = active_call_->status;
+  ended.output_started = active_call_->output_started_at.has_value();
   CloseActiveCall(CallResult::kFailed);
   ++delivered_calls_;
   if (outcome != CallOutcome::kNotRun) {
     ++possible_runs_;
     kv_handle_.reset();
   }
-  ContinueAfterCall(outcome, detail);
+  ContinueAfterCall(std::move(ended), detail);
 }
 
 bool RelayExchange::EndedWithoutAnswer() const {
@@ -310,13 +318,18 @@
     default:
       break;
   }
-  ActiveCall ended = *active_call_;
   if (outcome == CallOutcome::kCompleted) {
-    ObserveCompletedRun(ended);
+    ObserveCompletedRun(*active_call_);
     RecordSurvival(true);
   } else {
     RecordLostCall(transport_status);
   }
+  EndedCall ended;
+  ended.outcome = outcome;
+  ended.status = active_call_->status;
+  ended.output_started = active_call_->output_started_at.has_value();
+  ended.head = std::move(active_call_->head);
+  ended.body = std::move(active_call_->body);
   CloseActiveCall(result);
   if (outcome != CallOutcome::kNotSent) {
     ++delivered_calls_;
@@ -325,8 +338,7 @@
     ++possible_runs_;
     kv_handle_.reset();
   }
-  active_call_ = std::move(ended);
-  ContinueAfterCall(outcome, detail);
+  ContinueAfterCall(std::move(ended), detail);
 }
 
 void RelayExchange::ObserveCompletedRun(const ActiveCall& call) {
@@ -351,8 +363,9 @@
   }
 }
 
-void RelayExchange::ContinueAfterCall(CallOutcome outcome,
+void RelayExchange::ContinueAfterCall(EndedCall ended,
                                       std::string_view detail) {
+  const CallOutcome outcome = ended.outcome;
   const TimePoint now = BootClock::now();
   AttemptFacts attempt;
   attempt.outcome = outcome;
@@ -368,11 +381,10 @@
     fields.Text("request", request_metadata_.request_id)
         .Text("replica", last_replica_id_)
         .Text("call", "run")
-        .Integer("status", active_call_ ? active_call_->status : 0)
+        .Integer("status", ended.status)
         .Text("outcome", NameOf(outcome))
         .Text("next", NameOf(step))
-        .Flag("output_started",
-              active_call_ && active_call_->output_started_at.has_value())
+        .Flag("output_started", ended.output_started)
         .Integer("may_have_run", possible_runs_)
         .Number("budget_left", context_->retry_budget.Remaining(service_, now))
         .Millis("left_ms", attempt.time_left)
@@ -390,17 +402,15 @@
         ReleaseKv();
         may_prefill_separately_ = false;
       }
-      active_call_.reset();
       Place();
       return;
     case NextStep::kForwardResponse:
       if (ResponseBegun()) {
-        const int status = active_call_ ? active_call_->status : 200;
         std::get<BegunResponse>(std::exchange(response_, EndedResponse()))
             .Finish();
-        End("answered", status);
+        End("answered", ended.status);
       } else {
-        SendCollectedResponse();
+        SendCompleteResponse(ended.head, ended.body);
       }
       return;
     case NextStep::kRefuseNotRun:
@@ -422,33 +432,34 @@
   }
 }
 
-void RelayExchange::SendCollectedResponse() {
-  CallerResponseHead head;
-  head.status = active_call_->head.status;
-  head.reason = active_call_->head.reason;
-  head.headers = WithoutHopByHopHeaders(active_call_->head.headers);
+void RelayExchange::BeginLargeResponse() {
+  active_call_->streaming = true;
   const std::string body = std::move(active_call_->body);
   if (!first_output_at_) {
     first_output_at_ = BootClock::now();
   }
-  UnsentResponse unsent =
-      std::get<UnsentResponse>(std::exchange(response_, EndedResponse()));
-  if (active_call_->streaming && active_call_->call) {
-    // The rest is forwarded as it arrives.
-    BegunResponse begun = std::move(unsent).Begin(head);
-    begun.SendBody(body);
-    response_ = std::move(begun);
-    return;
+  BegunResponse begun =
+      std::get<UnsentResponse>(std::exchange(response_, EndedResponse()))
+          .Begin(CallerHeadFrom(active_call_->head));
+  begun.SendBody(body);
+  response_ = std::move(begun);
+}
+
+void RelayExchange::SendCompleteResponse(const TargetResponseHead& head,
+                                         const std::string& body) {
+  if (!first_output_at_) {
+    first_output_at_ = BootClock::now();
   }
-  head.length = body.size();
+  CallerResponseHead caller_head = CallerHeadFrom(head);
+  caller_head.length = body.size();
   if (request_.method == "HEAD") {
     // A HEAD response states the length of the body that a GET would return.
-    const auto length =
-        FindHeader(active_call_->head.headers, "content-length");
-    head.length =
+    const auto length = FindHeader(head.headers, "content-length");
+    caller_head.length =
         length ? std::strtoul(std::string(*length).c_str(), nullptr, 10) : 0;
   }
-  std::move(unsent).Respond(head, body);
+  std::get<UnsentResponse>(std::exchange(response_, EndedResponse()))
+      .Respond(caller_head, body);
   End(head.status >= 500 ? "target_failed" : "answered", head.status);
 }
 
