Do not pass on a replica's 503 as the promise that nothing ran

Cause: OutcomeOf() took a complete 503 for a failure response to forward, and 408 and 429 for completed calls. What a status says to callers was not part of the decision.

Fix: the platform's protocol names the statuses that callers read as "not run". Such a response without the statement of the replica has the outcome "may have run": retried where the route allows it, else 502 without signature and Retry-After. This holds for all kinds of routes, 408 and 429 included.

Ruled out as other ways to a false promise, by reading: our own 503 (counts runs), our own 408 (only before a request is complete), 421 (is never forwarded).

--- a/include/endiveyard/placement/attempt_policy.h
+++ b/include/endiveyard/placement/attempt_policy.h
@@ -12,8 +12,8 @@
 enum class CallOutcome {
   kNotSent,        // no byte of the request was sent
   kNotRun,         // the target reports that it did not run the request
-  kMayHaveRun,     // sent, but no complete response was received
-  kErrorResponse,  // complete, signed response with a status of 500 or above
+  kMayHaveRun,     // sent, but no response was received that can be forwarded
+  kErrorResponse,  // complete failure response, forwarded if not retried
   kIncompleteResponse,  // the response began, but its end is missing or invalid
   kCompleted,           // complete response to forward
 };
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -32,6 +32,9 @@
   // False for a response that does not come from the target itself.
   bool signed_by_target = false;
   bool not_run = false;  // the target states that it did not run the request
+  // Callers take the status for a promise that the request has not run and will
+  // not run.
+  bool reads_as_not_run = false;
   bool has_content_encoding = false;  // the body is not as the target wrote it
   std::optional<ReportedLoad> load;
   // Limit on the requests per second from all instances together.
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -289,6 +289,10 @@
                   active_call_->response_metadata.has_content_encoding)) {
     return CallOutcome::kMayHaveRun;
   }
+  if (active_call_->response_metadata.reads_as_not_run) {
+    // The target has not stated it, so the caller must not read it.
+    return CallOutcome::kMayHaveRun;
+  }
   // Only events continue a stream that has begun.
   if (active_call_->status >= 500 ||
       (ResponseBegun() && !active_call_->streaming)) {
--- a/tests/platform/faulty_target_test.cc
+++ b/tests/platform/faulty_target_test.cc
@@ -64,4 +64,33 @@
   }
 }
 
+// Guards against a target's 503 that reaches a caller as the promise that the
+// request has not run, although the target has not stated that: callers of
+// unsafe routes then send the request again. The same holds for 408 and 429.
+BOOST_FIXTURE_TEST_CASE(RefusalsWithoutStatementAreNotForwarded, RelayFixture) {
+  UseOneTarget();
+  const std::string headers[] = {"", "Endiveyard-Response-Signature: s\r\n",
+                                 "Retry-After: 0\r\n"};
+  for (const char* path : {"/unsafe/x", "/once/x", "/safe/x", "/stream/x"}) {
+    for (const char* status : {"408 Request Timeout", "429 Too Many Requests",
+                               "503 Service Unavailable"}) {
+      for (const std::string& it : headers) {
+        BOOST_TEST_CONTEXT(path << ", " << status << ", " << it) {
+          const std::string response = ResponseTo(
+              this, RequestHead("POST", path, "r1", "Content-Length: 0\r\n"),
+              [&](TestConnection& target) {
+                target.Send("HTTP/1.1 " + std::string(status) +
+                            "\r\nEndiveyard-Request-Id: r1\r\n" + it +
+                            "Content-Length: 4\r\n\r\nfail");
+                target.Close();
+              });
+          BOOST_TEST(Contains(response, "HTTP/1.1 502 "));
+          BOOST_TEST(!Contains(response, "Response-Signature"));
+          BOOST_TEST(!Contains(response, "Retry-After"));
+        }
+      }
+    }
+  }
+}
+
 }  // namespace endiveyard
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -94,6 +94,12 @@
       protocol.DecodeResponse(503, {{"Endiveyard-Not-Executed", "1"}}).not_run);
   BOOST_TEST(protocol.DecodeResponse(421, {}).not_run);
   BOOST_TEST(!protocol.DecodeResponse(503, {}).not_run);
+  for (const int status : {408, 421, 429, 503}) {
+    BOOST_TEST(protocol.DecodeResponse(status, {}).reads_as_not_run);
+  }
+  for (const int status : {200, 400, 404, 500, 502, 504}) {
+    BOOST_TEST(!protocol.DecodeResponse(status, {}).reads_as_not_run);
+  }
   BOOST_TEST(!protocol.DecodeResponse(200, {}).signed_by_target);
   const ResponseMetadata metadata = protocol.DecodeResponse(
       200, {{"Endiveyard-Response-Signature", "3e1b"},
