Resume a stream only after the last event that was forwarded

Cause: SseSplitter recorded the ids of all events that it parsed, the damaged one and those after it included, while the exchange forwarded none of them. The stream was resumed after the recorded id.

Fix: Feed() ends before the first event that is out of sequence or too long and records only the ids of what it returns; that is forwarded before the run is abandoned. Ids are numbers as a whole. Where the position is in doubt (data without an id; a first id that the second one contradicts), the stream is broken off instead of resumed.

Ruled out: the watchdog's and the reconnecting paths, which take the same position.

--- a/include/endiveyard/placement/attempt_policy.h
+++ b/include/endiveyard/placement/attempt_policy.h
@@ -23,6 +23,9 @@
   CallOutcome outcome = CallOutcome::kNotSent;
   int targets_that_may_have_run = 0;  // including this call
   bool response_started = false;      // response bytes were sent to the caller
+  // The last event that the caller has is known, so that a stream which has
+  // begun can be continued after it.
+  bool is_position_known = true;
   bool caller_present = true;
   bool budget_left = true;  // the retry budget allows another call
   // Requests like this one were lost in crashes of several targets, so that
--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -18,6 +18,8 @@
   static constexpr size_t kMaxEventBytes = 65536;
 
   // Appends bytes of the stream and returns the events that are now complete.
+  // They end before the first event that is out of sequence or too long; what
+  // follows it is discarded.
   std::string Feed(std::string_view bytes);
 
   // Discards the partial event at the end, before the stream is resumed on
@@ -26,11 +28,19 @@
 
   // Sets the id of the last event that the caller already has. The next event
   // is expected to have the id after it.
-  void StartAfter(int64_t id) { last_id_ = id; }
+  void StartAfter(int64_t id) {
+    last_id_ = id;
+    is_last_id_confirmed_ = true;
+  }
 
-  // Id of the last complete event that had one.
+  // Id of the last returned event that had one.
   std::optional<int64_t> last_id() const { return last_id_; }
-  // True when an id seen by the last Feed() was not one above the id before it.
+  // False if `last_id()` may not be the position of the caller in the stream:
+  // an event with data had no id, or the first id was followed by one that does
+  // not fit, so that either of them may be wrong.
+  bool is_position_known() const { return is_position_known_; }
+  // True when the last Feed() met an event whose id is no number, or is not one
+  // above the id before it.
   bool has_gap() const { return has_gap_; }
   bool has_partial_event() const { return !partial_event_.empty(); }
   // True after a Feed() that left a partial event above `kMaxEventBytes`. The
@@ -38,10 +48,14 @@
   bool is_overlong() const { return is_overlong_; }
 
  private:
-  void CheckEventId(std::string_view event);
+  // Records the id of `event`. Returns false if it is out of sequence.
+  bool RecordEvent(std::string_view event);
 
   std::string partial_event_;
   std::optional<int64_t> last_id_;
+  // `last_id_` follows the id before it, or was set by StartAfter().
+  bool is_last_id_confirmed_ = false;
+  bool is_position_known_ = true;
   // Bytes of `partial_event_` that contain no end of an event.
   size_t scanned_ = 0;
   bool has_gap_ = false;
--- a/src/placement/attempt_policy.cc
+++ b/src/placement/attempt_policy.cc
@@ -30,8 +30,8 @@
   const bool within_budget =
       facts.outcome == CallOutcome::kNotSent || facts.budget_left;
   if (facts.response_started) {
-    const bool resumable =
-        route.kind == RouteKind::kStreaming && route.resumable;
+    const bool resumable = route.kind == RouteKind::kStreaming &&
+                           route.resumable && facts.is_position_known;
     if (resumable && in_time && within_budget &&
         (DidNotRun(facts.outcome) || attempts_left)) {
       return NextStep::kResume;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -123,6 +123,8 @@
   // that what is needed of it is passed by value.
   void ContinueAfterCall(EndedCall ended, std::string_view detail);
   void ForwardBody(std::string_view bytes);
+  // Sends complete events of a stream, the first ones after the head.
+  void ForwardEvents(const std::string& events);
   // Sends the head of the active call's response and what was collected of the
   // body. The rest is forwarded as it arrives.
   void BeginLargeResponse();
--- a/src/relay/relay_exchange_end.cc
+++ b/src/relay/relay_exchange_end.cc
@@ -175,6 +175,7 @@
                                     : CallOutcome::kMayHaveRun;
   attempt.targets_that_may_have_run = possible_runs_ + 1;
   attempt.response_started = ResponseBegun();
+  attempt.is_position_known = sse_splitter_.is_position_known();
   attempt.budget_left = context_->retry_budget.Remaining(service_, now) >= 1;
   attempt.time_left = TimeLeft();
   const NextStep step = DecideNextStep(*route_, attempt);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -196,7 +196,7 @@
     RecordOutput();
     std::get<BegunResponse>(response_).SendBody(bytes);
   } else {
-    const std::string events = sse_splitter_.Feed(bytes);
+    ForwardEvents(sse_splitter_.Feed(bytes));
     if (sse_splitter_.has_gap()) {
       // Events are missing, or they belong to another run of the request.
       AbandonRun(CallOutcome::kIncompleteResponse,
@@ -208,27 +208,6 @@
                  "event exceeds the size limit");
       return;
     }
-    if (events.empty()) {
-      return;
-    }
-    RecordOutput();
-    if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
-      first_output_at_ = BootClock::now();
-      // This run has used the KV cache.
-      kv_handle_.reset();
-      response_ = std::move(*unsent).Begin(CallerHeadFrom(active_call_->head));
-    }
-    std::get<BegunResponse>(response_).SendBody(events);
-    const TimePoint now = BootClock::now();
-    if (last_event_sent_at_) {
-      const auto gap =
-          std::chrono::duration_cast<Duration>(now - *last_event_sent_at_);
-      context_->metrics.ObserveTokenGap(service_, route_->name, gap);
-    }
-    if (!active_call_->first_event_at) {
-      active_call_->first_event_at = now;
-    }
-    last_event_sent_at_ = now;
   }
   if (caller_->unsent_bytes() > kMaxUnsentBytes && active_call_ &&
       active_call_->call) {
@@ -243,6 +222,30 @@
   }
 }
 
+void RelayExchange::ForwardEvents(const std::string& events) {
+  if (events.empty()) {
+    return;
+  }
+  RecordOutput();
+  if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
+    first_output_at_ = BootClock::now();
+    // This run has used the KV cache.
+    kv_handle_.reset();
+    response_ = std::move(*unsent).Begin(CallerHeadFrom(active_call_->head));
+  }
+  std::get<BegunResponse>(response_).SendBody(events);
+  const TimePoint now = BootClock::now();
+  if (last_event_sent_at_) {
+    const auto gap =
+        std::chrono::duration_cast<Duration>(now - *last_event_sent_at_);
+    context_->metrics.ObserveTokenGap(service_, route_->name, gap);
+  }
+  if (!active_call_->first_event_at) {
+    active_call_->first_event_at = now;
+  }
+  last_event_sent_at_ = now;
+}
+
 void RelayExchange::AbandonRun(CallOutcome outcome, std::string_view detail) {
   EndedCall ended;
   ended.outcome = outcome;
@@ -375,6 +378,7 @@
   attempt.outcome = outcome;
   attempt.targets_that_may_have_run = possible_runs_;
   attempt.response_started = ResponseBegun();
+  attempt.is_position_known = sse_splitter_.is_position_known();
   attempt.budget_left = context_->retry_budget.Remaining(service_, now) >= 1;
   attempt.time_left = TimeLeft();
   attempt.may_crash_targets = JudgeByCrashes() != CrashVerdict::kNone;
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -6,32 +6,51 @@
 namespace endiveyard {
 namespace {
 
-constexpr std::string_view kIdField = "id:";
+struct EventFields {
+  bool has_data = false;
+  bool has_id = false;
+  std::optional<int64_t> id;  // absent if the id is no number
+};
 
-std::optional<int64_t> ParseId(std::string_view event) {
-  size_t begin = 0;
-  while (begin < event.size()) {
-    size_t end = event.find('\n', begin);
-    if (end == std::string_view::npos) {
-      end = event.size();
-    }
-    std::string_view line = event.substr(begin, end - begin);
-    begin = end + 1;
-    if (line.substr(0, kIdField.size()) != kIdField) {
-      continue;
-    }
-    line.remove_prefix(kIdField.size());
-    while (!line.empty() && line.front() == ' ') {
-      line.remove_prefix(1);
+// Returns the value of `line` if it is that of the field `name`.
+std::optional<std::string_view> FieldValue(std::string_view line,
+                                           std::string_view name) {
+  if (line.substr(0, name.size()) != name) {
+    return std::nullopt;
+  }
+  line.remove_prefix(name.size());
+  if (!line.empty() && line.front() != ':') {
+    return std::nullopt;
+  }
+  line.remove_prefix(line.empty() ? 0 : 1);
+  while (!line.empty() && line.front() == ' ') {
+    line.remove_prefix(1);
+  }
+  return line;
+}
+
+EventFields ParseFields(std::string_view event) {
+  EventFields fields;
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
     }
-    int64_t id = 0;
-    const auto parsed =
-        std::from_chars(line.data(), line.data() + line.size(), id);
-    if (parsed.ec == std::errc()) {
-      return id;
+    if (FieldValue(line, "data")) {
+      fields.has_data = true;
+    } else if (const auto value = FieldValue(line, "id")) {
+      fields.has_id = true;
+      int64_t id = 0;
+      const char* const value_end = value->data() + value->size();
+      const auto parsed = std::from_chars(value->data(), value_end, id);
+      if (parsed.ec == std::errc() && parsed.ptr == value_end) {
+        fields.id = id;
+      }
     }
   }
-  return std::nullopt;
+  return fields;
 }
 
 // Returns the end of the first event that ends after `from`, with its empty
@@ -63,14 +82,19 @@
   const std::string_view all = partial_event_;
   size_t complete = 0;
   size_t end = FindEventEnd(all, scanned_);
-  while (end != std::string_view::npos) {
-    CheckEventId(all.substr(complete, end - complete));
-    complete = end;
-    end = FindEventEnd(all, complete);
+  while (end != std::string_view::npos && !has_gap_) {
+    if (RecordEvent(all.substr(complete, end - complete))) {
+      complete = end;
+      end = FindEventEnd(all, complete);
+    } else {
+      has_gap_ = true;
+    }
   }
   std::string events = partial_event_.substr(0, complete);
   partial_event_.erase(0, complete);
-  if (partial_event_.size() > kMaxEventBytes) {
+  if (has_gap_) {
+    DropPartialEvent();
+  } else if (partial_event_.size() > kMaxEventBytes) {
     DropPartialEvent();
     is_overlong_ = true;
   }
@@ -85,15 +109,20 @@
   scanned_ = 0;
 }
 
-void SseSplitter::CheckEventId(std::string_view event) {
-  const std::optional<int64_t> id = ParseId(event);
-  if (!id) {
-    return;
+bool SseSplitter::RecordEvent(std::string_view event) {
+  const EventFields fields = ParseFields(event);
+  if (!fields.has_id) {
+    is_position_known_ = is_position_known_ && !fields.has_data;
+    return true;
   }
-  if (last_id_ && *id != *last_id_ + 1) {
-    has_gap_ = true;
+  if (!fields.id || (last_id_ && *fields.id != *last_id_ + 1)) {
+    is_position_known_ =
+        is_position_known_ && (!last_id_ || is_last_id_confirmed_);
+    return false;
   }
-  last_id_ = id;
+  is_last_id_confirmed_ = last_id_.has_value();
+  last_id_ = fields.id;
+  return true;
 }
 
 }  // namespace endiveyard
--- a/tests/placement/attempt_policy_test.cc
+++ b/tests/placement/attempt_policy_test.cc
@@ -77,9 +77,11 @@
         for (const bool budget : {false, true}) {
           for (const bool present : {false, true}) {
             for (const int64_t left_ms : {-5, 20, 5000}) {
-              Step(route, calls, certain_runs + (ran ? 1 : 0),
-                   possible_runs + (ran ? 1 : 0), started || starts, outcome,
-                   budget, present, left_ms);
+              for (const bool position_known : {false, true}) {
+                Step(route, calls, certain_runs + (ran ? 1 : 0),
+                     possible_runs + (ran ? 1 : 0), started || starts, outcome,
+                     budget, present, left_ms, position_known);
+              }
             }
           }
         }
@@ -95,12 +97,14 @@
             CallOutcome outcome,
             bool budget,
             bool present,
-            int64_t left_ms) {
+            int64_t left_ms,
+            bool position_known) {
     ++states_;
     AttemptFacts facts;
     facts.outcome = outcome;
     facts.targets_that_may_have_run = possible_runs;
     facts.response_started = started;
+    facts.is_position_known = position_known;
     facts.caller_present = present;
     facts.budget_left = budget;
     facts.time_left = std::chrono::milliseconds(left_ms);
@@ -114,6 +118,8 @@
           "request runs twice");
     Check(!another_call || possible_runs < route.max_attempts,
           "too many attempts");
+    Check(step != NextStep::kResume || position_known,
+          "stream resumed from an unknown position");
     Check(!another_call || present, "call for a caller that has disconnected");
     Check(!another_call || budget || outcome == CallOutcome::kNotSent,
           "retry without budget");
@@ -201,6 +207,12 @@
          modified.response_started = false;
          return DecideNextStep(route, modified);
        }},
+      {"stream resumed from an unknown position",
+       [](const Route& route, const AttemptFacts& facts) {
+         AttemptFacts modified = facts;
+         modified.is_position_known = true;
+         return DecideNextStep(route, modified);
+       }},
       {"call for a caller that has disconnected",
        [](const Route& route, const AttemptFacts& facts) {
          AttemptFacts modified = facts;
--- a/tests/platform/faulty_target_test.cc
+++ b/tests/platform/faulty_target_test.cc
@@ -93,4 +93,65 @@
   }
 }
 
+// Guards against a resumed stream that leaves out events: a damaged event id
+// was taken for that of the last event the caller has, and so were sound events
+// that arrived together with it. Fails in the same way for an event that is too
+// long.
+BOOST_FIXTURE_TEST_CASE(StreamsAreResumedAfterTheLastForwardedEvent,
+                        RelayFixture) {
+  const std::string sound = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  const struct {
+    const char* fault;
+    std::string bytes;
+  } cases[] = {
+      {"id too high", "id: 9\ndata: c\n\nid: 10\ndata: d\n\n"},
+      {"id too low", "id: 1\ndata: c\n\n"},
+      {"id that is no number", "id: x\ndata: c\n\nid: 4\ndata: d\n\n"},
+      {"number with a rest", "id: 3x\ndata: c\n\nid: 4\ndata: d\n\n"},
+      {"event too long", "id: 3\ndata: " + std::string(131072, 'x')},
+  };
+  for (const auto& it : cases) {
+    BOOST_TEST_CONTEXT(it.fault) {
+      TestConnection caller = Connect();
+      caller.Send(
+          RequestHead("POST", "/stream/x", "r1", "Content-Length: 0\r\n"));
+      TestConnection target = first().Accept();
+      target.ReadMessage();
+      target.Send(StreamResponseHead("r1") + EncodeChunk(sound + it.bytes));
+      TestConnection other = second().Accept();
+      BOOST_TEST(Contains(other.ReadMessage(), "Last-Event-Id: 2\r\n"));
+      other.Send(StreamResponseHead("r1") +
+                 EncodeChunk("id: 3\ndata: e\n\nid: 4\ndata: f\n\n") +
+                 EncodeChunk(""));
+      const std::string response = caller.ReadMessage();
+      BOOST_TEST(Contains(response, sound));
+      BOOST_TEST(Contains(response, "id: 3\ndata: e\n\nid: 4\ndata: f\n\n"));
+      BOOST_TEST(!Contains(response, "data: c"));
+      BOOST_TEST(!Contains(response, "data: d"));
+    }
+    // Forgets the failures, so that the first target is preferred again.
+    RestartTargets();
+  }
+}
+
+// Guards against an event that reaches the caller twice: the position in a
+// stream is unknown after data without an id, so that it cannot be resumed.
+BOOST_FIXTURE_TEST_CASE(StreamsAreNotResumedAfterEventsWithoutId,
+                        RelayFixture) {
+  for (const char* begin : {"id: 1\ndata: a\n\ndata: b\n\n", "data: a\n\n",
+                            "data: a\n\nid: 2\ndata: b\n\n"}) {
+    TestConnection caller = Connect();
+    caller.Send(
+        RequestHead("POST", "/stream/x", "r1", "Content-Length: 0\r\n"));
+    TestConnection target = first().Accept();
+    target.ReadMessage();
+    target.Send(StreamResponseHead("r1") + EncodeChunk(begin));
+    caller.ReadUntil(begin);
+    target.Reset();
+    BOOST_TEST(!Contains(caller.ReadUntilClose(), "0\r\n\r\n"));
+    BOOST_TEST(!second().HasConnectionWithin(0));
+    RestartTargets();
+  }
+}
+
 }  // namespace endiveyard
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -38,6 +38,44 @@
   BOOST_TEST(repeated.has_gap());
 }
 
+// Guards against events that are lost or forwarded although they are out of
+// sequence: those before a gap are returned, and the last id is that of the
+// last returned event.
+BOOST_AUTO_TEST_CASE(EventsAreReturnedUpToAGap) {
+  for (const char* wrong :
+       {"id: 9\n\n", "id: 2\n\n", "id: x\n\n", "id: 3x\n\n", "id\n\n"}) {
+    SseSplitter splitter;
+    BOOST_TEST(splitter.Feed("id: 1\n\nid: 2\n\n" + std::string(wrong) +
+                             "id: 4\n\nid: 5") == "id: 1\n\nid: 2\n\n");
+    BOOST_TEST(splitter.has_gap());
+    BOOST_TEST(splitter.last_id().value_or(0) == 2);
+    BOOST_TEST(splitter.is_position_known());
+    BOOST_TEST(!splitter.has_partial_event());
+    BOOST_TEST(splitter.Feed("id:3\n\nid: 4\r\n\r\n") ==
+               "id:3\n\nid: 4\r\n\r\n");
+    BOOST_TEST(!splitter.has_gap());
+  }
+}
+
+// Guards against a stream that is resumed after an id which may be wrong
+// itself: the first one, if the second one does not follow it, or none at all.
+BOOST_AUTO_TEST_CASE(PositionIsUnknownWhereTheLastIdIsInDoubt) {
+  SseSplitter doubtful;
+  BOOST_TEST(doubtful.Feed("id: 9\n\nid: 2\n\n") == "id: 9\n\n");
+  BOOST_TEST(doubtful.has_gap());
+  BOOST_TEST(!doubtful.is_position_known());
+  SseSplitter resumed;
+  resumed.StartAfter(4);
+  BOOST_TEST(resumed.Feed("id: 9\n\n").empty());
+  BOOST_TEST(resumed.is_position_known());
+  SseSplitter unnumbered;
+  unnumbered.Feed("id: 1\ndata: a\n\n: a comment\n\n");
+  BOOST_TEST(unnumbered.is_position_known());
+  unnumbered.Feed("data: b\n\n");
+  BOOST_TEST(!unnumbered.has_gap());
+  BOOST_TEST(!unnumbered.is_position_known());
+}
+
 // Guards against a partial event of a failed target being merged with the
 // stream of the next target.
 BOOST_AUTO_TEST_CASE(PartialEventsOfALostTargetAreDropped) {
