Add a soak of real processes under faults

The soak starts them against stand-ins of the store, plain replicas and engines that misbehave in 26 ways, sends signals in overlapping series, and checks from outside that what may run once ran once, that "not run" was true, and that answers are own, whole and in order.

Trace behind one narrowed stand-in: a damaged id in the first event of a stream is forwarded, as nothing contradicts it until the second event, at which the stream is broken off.

--- /dev/null
+++ b/tools/soak/front_process.cc
@@ -0,0 +1,162 @@
+#include "soak/front_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <limits>
+
+#include "soak/http_peer.h"
+
+namespace endiveyard::soak {
+namespace {
+
+// A thawed process first works off what has arrived meanwhile.
+constexpr int64_t kThawMs = 1000;
+constexpr int64_t kOpenEnd = std::numeric_limits<int64_t>::max();
+
+}  // namespace
+
+FrontProcess::FrontProcess(const Options& options)
+    : options_(options),
+      port_(FindFreePort(options.ip)),
+      ready_port_(FindFreePort(options.ip)) {
+  WriteSettings();
+}
+
+FrontProcess::~FrontProcess() {
+  if (pid_ > 0) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+}
+
+void FrontProcess::WriteSettings() const {
+  std::string seeds;
+  for (const std::string& it : options_.seed_addresses) {
+    seeds += (seeds.empty() ? "" : ",") + it;
+  }
+  std::ofstream out(options_.folder + "/" + options_.name + ".conf");
+  out << "node=" << options_.name << "\nrole=front\nmachine_class=front\n"
+      << "serves=front,control\nip=" << options_.ip
+      << "\nzone=zone-a\nregion=region-a\nzones.zone-a=region-a\n"
+      << "listen.front=" << options_.ip << ":" << port_
+      << "\nlisten.ready_address=" << options_.ip << ":" << ready_port_
+      << "\nlisten.control=" << options_.ip << ":" << options_.control_port
+      << "\nseeds=" << seeds << "\nbootstrap=true\n"
+      << "limits.memory_mb=260\nlimits.max_fds=4100\nheartbeat_ms=1200\n"
+         "bounds.addr_reuse_s=2\nbounds.stable_ms=4000\nbounds.drain_ms=2500\n"
+         "bounds.grace_s=8\nbounds.config_apply_ms=2500\n"
+         "bounds.retry_budget_ratio=0.2\nbounds.retry_window_s=10\n"
+         "bounds.retry_slack=56\nplatform.form=objects\n"
+         "platform.writes_per_s=400\nplatform.reads_per_s=2000\n"
+         "platform.history_s=20\nplatform.value_bytes=1048576\n"
+      << "platform.address=" << options_.registry_address << "\n";
+}
+
+void FrontProcess::Start() {
+  // Everything that allocates is done before fork(): other threads may hold
+  // the lock of the allocator.
+  const std::string base = options_.folder + "/" + options_.name;
+  const std::string setting = "ENDIVEYARD_CONFIG=" + base + ".conf";
+  const std::string log = base + ".log";
+  const char* const arguments[] = {options_.binary.c_str(), "front",
+                                   "--metrics-port", "0", nullptr};
+  const char* const environment[] = {setting.c_str(), "LANG=C.UTF-8", nullptr};
+  const pid_t parent = getpid();
+  pid_ = fork();
+  if (pid_ == 0) {
+    // The process ends with this program, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) {
+      _exit(127);
+    }
+    const int fd =
+        open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(fd, STDOUT_FILENO);
+    dup2(fd, STDERR_FILENO);
+    execve(arguments[0], const_cast<char* const*>(arguments),
+           const_cast<char* const*>(environment));
+    _exit(127);
+  }
+}
+
+bool FrontProcess::WaitUntilReady(int timeout_ms) const {
+  constexpr int kIntervalMs = 20;
+  const int64_t until = NowMs() + timeout_ms;
+  while (NowMs() < until) {
+    const auto peer = HttpPeer::Connect(options_.ip, ready_port_);
+    if (peer && peer->Send("GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n") &&
+        peer->Read(timeout_ms).Status() == 200) {
+      return true;
+    }
+    SleepMs(kIntervalMs);
+  }
+  return false;
+}
+
+void FrontProcess::BeginDisturbance() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  disturbances_.push_back({NowMs(), kOpenEnd});
+}
+
+void FrontProcess::EndDisturbance() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (Span& it : disturbances_) {
+    it.end_ms = std::min(it.end_ms, NowMs() + kThawMs);
+  }
+}
+
+void FrontProcess::Signal(int signal) {
+  if (pid_ <= 0) {
+    return;
+  }
+  if (signal == SIGKILL || signal == SIGSTOP) {
+    BeginDisturbance();
+  }
+  kill(pid_, signal);
+  if (signal == SIGCONT) {
+    EndDisturbance();
+  }
+}
+
+bool FrontProcess::WaitForEnd(int timeout_ms) {
+  constexpr int kIntervalMs = 5;
+  const int64_t until = NowMs() + timeout_ms;
+  while (pid_ > 0) {
+    if (waitpid(pid_, nullptr, WNOHANG) == pid_) {
+      pid_ = -1;
+      EndDisturbance();
+      return true;
+    }
+    if (NowMs() >= until) {
+      return false;
+    }
+    SleepMs(kIntervalMs);
+  }
+  return true;
+}
+
+bool FrontProcess::HasEndedByItself() {
+  if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) {
+    return false;
+  }
+  pid_ = -1;
+  return true;
+}
+
+bool FrontProcess::WasDisturbed(int64_t begin_ms, int64_t end_ms) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const Span& it : disturbances_) {
+    if (it.begin_ms <= end_ms && it.end_ms >= begin_ms) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace endiveyard::soak
--- /dev/null
+++ b/tools/soak/front_process.h
@@ -0,0 +1,67 @@
+#ifndef ENDIVEYARD_TOOLS_SOAK_FRONT_PROCESS_H_
+#define ENDIVEYARD_TOOLS_SOAK_FRONT_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace endiveyard::soak {
+
+// A process of endiveyard, started as deploy/system.toml does. One thread
+// controls it; others may ask for its address and its disturbances.
+class FrontProcess {
+ public:
+  struct Options {
+    std::string binary;
+    std::string name;
+    std::string ip;
+    std::string folder;  // for the settings and the log
+    std::string registry_address;
+    std::vector<std::string> seed_addresses;  // control addresses of all
+    uint16_t control_port = 0;
+  };
+
+  explicit FrontProcess(const Options& options);
+  ~FrontProcess();
+  FrontProcess(const FrontProcess&) = delete;
+  FrontProcess& operator=(const FrontProcess&) = delete;
+
+  void Start();
+  bool WaitUntilReady(int timeout_ms) const;
+  // Sends a signal. SIGKILL, SIGSTOP and SIGCONT are recorded as disturbances.
+  void Signal(int signal);
+  // Waits until the process ends. Returns false after `timeout_ms`.
+  bool WaitForEnd(int timeout_ms);
+  // Returns true if the process has ended without a signal of this class.
+  bool HasEndedByItself();
+
+  const std::string& ip() const { return options_.ip; }
+  uint16_t port() const { return port_; }
+  // True if the process was killed, frozen or down for a moment from `begin_ms`
+  // to `end_ms`, or thawed less than a second before.
+  bool WasDisturbed(int64_t begin_ms, int64_t end_ms) const;
+
+ private:
+  struct Span {
+    int64_t begin_ms;
+    int64_t end_ms;
+  };
+
+  void WriteSettings() const;
+  void BeginDisturbance();
+  void EndDisturbance();
+
+  const Options options_;
+  const uint16_t port_;
+  const uint16_t ready_port_;
+  pid_t pid_ = -1;
+  mutable std::mutex mutex_;
+  std::vector<Span> disturbances_;
+};
+
+}  // namespace endiveyard::soak
+
+#endif  // ENDIVEYARD_TOOLS_SOAK_FRONT_PROCESS_H_
--- /dev/null
+++ b/tools/soak/main.cc
@@ -0,0 +1,472 @@
+#include <sys/resource.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <thread>
+
+#include <boost/program_options.hpp>
+
+#include "soak/front_process.h"
+#include "soak/http_peer.h"
+#include "soak/registry_standin.h"
+#include "soak/replica_standin.h"
+#include "soak/run_ledger.h"
+
+// Runs processes of endiveyard against stand-ins that misbehave, sends signals
+// to the processes, and checks from outside what ran and what clients got.
+namespace endiveyard::soak {
+namespace {
+
+constexpr const char* kHost = "soak.example";
+constexpr int kTimeoutMs = 2000;
+// Faults begin once estimates of the service times exist.
+constexpr int64_t kCalmMs = 2000;
+constexpr int kGraceMs = 8000;
+
+struct SoakOptions {
+  std::string binary;
+  std::string folder;
+  uint64_t seed = 1;
+  int seconds = 20;
+  int fronts = 3;
+  int clients = 24;
+  double fault_rate = 0.15;
+  std::vector<ReplicaFault> faults;
+  double pipeline_rate = 0;
+  bool signals = true;
+};
+
+class Soak {
+ public:
+  explicit Soak(const SoakOptions& options)
+      : options_(options), network_(NetworkOf(getpid())), registry_(Ip(1)) {}
+
+  // Returns the violations.
+  std::vector<std::string> Run();
+  std::string summary() { return summary_; }
+
+ private:
+  static std::string NetworkOf(pid_t pid) {
+    constexpr int kNets = 250;
+    return "127." + std::to_string(1 + pid / kNets % kNets) + "." +
+           std::to_string(1 + pid % kNets) + ".";
+  }
+  std::string Ip(int n) const { return network_ + std::to_string(n); }
+  std::mt19937_64 RandomFor(uint64_t part) const {
+    std::seed_seq seed{options_.seed, part};
+    return std::mt19937_64(seed);
+  }
+  void StartReplicas();
+  void StartFronts();
+  void PutConfiguration(int version);
+  void RunClient(int number);
+  void SendOne(int number,
+               int count,
+               FrontProcess* front,
+               HttpPeer* peer,
+               std::mt19937_64* random);
+  ClientResult ReadResult(const std::string& id,
+                          const std::string& target,
+                          int64_t sent_ms,
+                          FrontProcess* front,
+                          HttpPeer* peer);
+  void DisturbFront(size_t number);
+  void ChangeReplicas();
+  bool Ended() const { return NowMs() >= end_ms_; }
+  void SleepUntilEnd(int64_t ms) const {
+    SleepMs(std::max<int64_t>(0, std::min(ms, end_ms_ - NowMs())));
+  }
+
+  const SoakOptions options_;
+  const std::string network_;
+  int64_t begin_ms_ = 0;
+  int64_t end_ms_ = 0;
+  RunLedger ledger_;
+  HandleTable handles_;
+  RegistryStandin registry_;
+  std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
+  std::vector<std::unique_ptr<FrontProcess>> fronts_;
+  std::string summary_;
+};
+
+void Soak::StartReplicas() {
+  constexpr int kPlainReplicas = 8;
+  constexpr int kPrefillEngines = 2;
+  constexpr int kDecodeEngines = 5;
+  constexpr int kMaxWorkMs = 120;
+  for (int n = 0; n < kPlainReplicas + kPrefillEngines + kDecodeEngines; ++n) {
+    ReplicaStandin::Options options;
+    options.ip = Ip(10 + n);
+    options.service = n < kPlainReplicas ? "orders" : "chat";
+    options.stage = n < kPlainReplicas                     ? ""
+                    : n < kPlainReplicas + kPrefillEngines ? "prefill"
+                                                           : "decode";
+    options.seed = RandomFor(static_cast<uint64_t>(n))();
+    options.fault_rate = options_.fault_rate;
+    options.faults = options_.faults;
+    options.max_work_ms = kMaxWorkMs;
+    replicas_.push_back(
+        std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
+    registry_.Put("servers", replicas_.back()->id(),
+                  replicas_.back()->Spec("ready"));
+  }
+}
+
+void Soak::PutConfiguration(int version) {
+  std::string routes;
+  const auto add = [&](const std::string& name, const std::string& kind,
+                       const std::string& service, const std::string& more) {
+    routes += std::string(routes.empty() ? "" : ",") + R"({"name":")" + name +
+              R"(","host":")" + kHost + R"(","path_prefix":"/)" + name +
+              R"(/","kind":")" + kind + R"(","timeout_ms":)" +
+              std::to_string(kTimeoutMs) +
+              R"(,"target_latency_ms":800,"priority":1,"service":")" + service +
+              R"(","max_attempts":2)" + more + "}";
+  };
+  const std::string stream = R"(,"session_affinity":true,"target_gap_ms":300)";
+  add("order", "unsafe", "orders", "");
+  add("lookup", "safe", "orders", "");
+  add("once", "streaming", "chat", stream + R"(,"resumable":false)");
+  add("chat", "streaming", "chat", stream + R"(,"resumable":true)");
+  add("added" + std::to_string(version), "safe", "orders", "");
+  registry_.Put(
+      "config", "main",
+      R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+          R"(],"services":[{"name":"orders","health_path":"/healthz",)"
+          R"("max_connections":110},{"name":"chat","health_path":"/healthz",)"
+          R"("max_connections":370,"engine":{"slots":64,"kv_tokens":540532,)"
+          R"("kv_bytes":35136,"link_mbps":1100000,"handle_ttl_s":5}}],)"
+          R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
+          R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+}
+
+void Soak::StartFronts() {
+  std::vector<uint16_t> control_ports;
+  std::vector<std::string> seeds;
+  for (int n = 0; n < options_.fronts; ++n) {
+    control_ports.push_back(FindFreePort(Ip(100 + n)));
+    seeds.push_back(Ip(100 + n) + ":" + std::to_string(control_ports.back()));
+  }
+  for (int n = 0; n < options_.fronts; ++n) {
+    FrontProcess::Options options;
+    options.binary = options_.binary;
+    options.name = "front-" + std::to_string(n);
+    options.ip = Ip(100 + n);
+    options.folder = options_.folder;
+    options.registry_address = Ip(1) + ":" + std::to_string(registry_.port());
+    options.seed_addresses = seeds;
+    options.control_port = control_ports[static_cast<size_t>(n)];
+    fronts_.push_back(std::make_unique<FrontProcess>(options));
+    fronts_.back()->Start();
+  }
+  constexpr int kReadyMs = 10000;
+  for (const auto& it : fronts_) {
+    if (!it->WaitUntilReady(kReadyMs)) {
+      throw std::runtime_error("a process is not ready after 10 s");
+    }
+  }
+}
+
+ClientResult Soak::ReadResult(const std::string& id,
+                              const std::string& target,
+                              int64_t sent_ms,
+                              FrontProcess* front,
+                              HttpPeer* peer) {
+  constexpr int kSlackMs = 1500;
+  const HttpMessage answer = peer->Read(kTimeoutMs + kSlackMs);
+  ClientResult result;
+  result.id = id;
+  result.kind = KindOf(target);
+  result.status = answer.headers.empty() ? 0 : answer.Status();
+  result.complete = answer.complete;
+  result.connection_ended = peer->HasEnded();
+  result.signed_by_target =
+      answer.Header("Endiveyard-Response-Signature") == "sig-" + id;
+  result.answered_id = answer.Header("Endiveyard-Request-Id");
+  result.body = answer.body;
+  const int64_t now = NowMs();
+  result.in_time = now - sent_ms < kTimeoutMs;
+  result.process_disturbed = front->WasDisturbed(sent_ms, now);
+  if (!result.complete || answer.Header("Connection") == "close") {
+    peer->Close();
+  }
+  return result;
+}
+
+void Soak::SendOne(int number,
+                   int count,
+                   FrontProcess* front,
+                   HttpPeer* peer,
+                   std::mt19937_64* random) {
+  const auto draw = [random](int max) {
+    return std::uniform_int_distribution<int>(0, max)(*random);
+  };
+  const char* const kPaths[] = {"/order/", "/order/", "/lookup/", "/once/",
+                                "/chat/"};
+  const auto request = [&](const std::string& id, const std::string& path) {
+    // Few different first parts, so that requests share caches.
+    const std::string prompt =
+        IsStream(KindOf(path))
+            ? "Endiveyard-Model: m\r\nEndiveyard-Token-Count: 8000,40\r\n"
+              "Endiveyard-Prompt-Prefix: a" +
+                  std::to_string(draw(3)) + ":2000,b" + std::to_string(number) +
+                  std::to_string(count) + ":6000\r\n"
+            : "";
+    const std::string body(static_cast<size_t>(draw(2000)), 'q');
+    return "POST " + path + " HTTP/1.1\r\nHost: " + kHost +
+           "\r\nEndiveyard-Request-Id: " + id +
+           "\r\nEndiveyard-Deadline-Ms: " + std::to_string(kTimeoutMs) +
+           "\r\n" + prompt + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  };
+  const double pipelined = std::uniform_real_distribution<double>()(*random);
+  const int requests = pipelined < options_.pipeline_rate ? 2 + draw(1) : 1;
+  std::vector<std::pair<std::string, std::string>> sent;
+  std::string bytes;
+  for (int n = 0; n < requests; ++n) {
+    const std::string id = "c" + std::to_string(number) + "-" +
+                           std::to_string(count) + "-" + std::to_string(n);
+    sent.emplace_back(id, kPaths[draw(4)] + id);
+    bytes += request(id, sent.back().second);
+  }
+  const int64_t sent_ms = NowMs();
+  peer->Send(bytes);
+  for (const auto& [id, target] : sent) {
+    if (peer->HasEnded() && id != sent.front().first) {
+      return;  // not answered, as the answer before closed the connection
+    }
+    ledger_.RecordResult(ReadResult(id, target, sent_ms, front, peer));
+  }
+}
+
+void Soak::RunClient(int number) {
+  std::mt19937_64 random = RandomFor(1000 + static_cast<uint64_t>(number));
+  std::unique_ptr<HttpPeer> peer;
+  FrontProcess* front = nullptr;
+  for (int count = 0; !Ended(); ++count) {
+    if (!peer || peer->HasEnded()) {
+      front = fronts_[random() % fronts_.size()].get();
+      peer = HttpPeer::Connect(front->ip(), front->port());
+      if (!peer) {
+        constexpr int kRetryMs = 50;
+        SleepMs(kRetryMs);
+        continue;
+      }
+    }
+    SendOne(number, count, front, peer.get(), &random);
+    constexpr int kMaxPauseMs = 30;
+    SleepMs(static_cast<int64_t>(random() % kMaxPauseMs));
+  }
+}
+
+void Soak::DisturbFront(size_t number) {
+  std::mt19937_64 random = RandomFor(2000 + number);
+  FrontProcess& front = *fronts_[number];
+  const auto draw = [&random](int max) {
+    return std::uniform_int_distribution<int>(0, max)(random);
+  };
+  const auto freeze = [&](int64_t ms) {
+    front.Signal(SIGSTOP);
+    SleepMs(ms);
+    front.Signal(SIGCONT);
+  };
+  const auto restart = [&] {
+    SleepMs(draw(500));
+    front.Start();
+  };
+  while (!Ended()) {
+    SleepUntilEnd(300 + draw(1700));
+    if (front.HasEndedByItself()) {
+      ledger_.RecordViolation("LOST, process " + std::to_string(number) +
+                              " has ended by itself");
+      restart();
+    }
+    if (Ended()) {
+      break;
+    }
+    switch (options_.signals ? draw(5) : 5) {
+      case 0:
+        freeze(50 + draw(1500));
+        break;
+      case 1: {
+        // A small share of the processor: what lies 90 ms apart is handled in
+        // one iteration of the event loop.
+        const int rounds = 10 + draw(20);
+        for (int n = 0; n < rounds; ++n) {
+          freeze(90);
+          SleepMs(30);
+        }
+        break;
+      }
+      case 2:
+        front.Signal(SIGKILL);
+        front.WaitForEnd(kGraceMs);
+        restart();
+        break;
+      case 3:
+        front.Signal(SIGTERM);
+        if (draw(2) == 0) {
+          SleepMs(draw(2000));
+          freeze(draw(300));
+        }
+        if (!front.WaitForEnd(kGraceMs)) {
+          front.Signal(SIGKILL);
+          front.WaitForEnd(kGraceMs);
+        }
+        restart();
+        break;
+      default:
+        front.Signal(SIGHUP);
+        break;
+    }
+  }
+  // The process ends with the thread that started it. The last requests, and
+  // runs of requests that were refused, end before.
+  constexpr int kSettleMs = 2 * kTimeoutMs;
+  SleepMs(kSettleMs);
+  if (front.HasEndedByItself()) {
+    ledger_.RecordViolation("LOST, process " + std::to_string(number) +
+                            " has ended by itself");
+  }
+}
+
+void Soak::ChangeReplicas() {
+  std::mt19937_64 random = RandomFor(3000);
+  int version = 8;
+  while (!Ended()) {
+    SleepUntilEnd(static_cast<int64_t>(200 + random() % 1500));
+    if (random() % 3 == 0) {
+      PutConfiguration(version += 1 + static_cast<int>(random() % 5));
+      continue;
+    }
+    ReplicaStandin& replica = *replicas_[random() % replicas_.size()];
+    const std::string id = replica.id();
+    registry_.Put("servers", id, replica.Spec("draining"));
+    SleepUntilEnd(static_cast<int64_t>(random() % 3000));
+    registry_.Delete("servers", id);
+    replica.Restart();
+    registry_.Put("servers", replica.id(), replica.Spec("ready"));
+  }
+}
+
+std::vector<std::string> Soak::Run() {
+  StartReplicas();
+  PutConfiguration(7);
+  StartFronts();
+  begin_ms_ = NowMs();
+  end_ms_ = begin_ms_ + int64_t{1000} * options_.seconds;
+  std::vector<std::thread> clients;
+  for (int n = 0; n < options_.clients; ++n) {
+    clients.emplace_back([this, n] { RunClient(n); });
+  }
+  SleepMs(kCalmMs);
+  for (const auto& it : replicas_) {
+    it->set_faulty(true);
+  }
+  std::vector<std::thread> disturbers;
+  for (size_t n = 0; n < fronts_.size(); ++n) {
+    disturbers.emplace_back([this, n] { DisturbFront(n); });
+  }
+  if (options_.signals) {
+    disturbers.emplace_back([this] { ChangeReplicas(); });
+  }
+  for (std::thread& it : clients) {
+    it.join();
+  }
+  for (std::thread& it : disturbers) {
+    it.join();
+  }
+  summary_ = ledger_.Summary();
+  return ledger_.Violations();
+}
+
+}  // namespace
+
+// Returns the faults with these names; all faults if there are no names.
+std::vector<ReplicaFault> FaultsNamed(const std::vector<std::string>& names) {
+  std::vector<ReplicaFault> faults;
+  for (const std::string& it : names) {
+    const auto fault = FaultNamed(it);
+    if (!fault) {
+      throw std::runtime_error("no fault has the name " + it);
+    }
+    faults.push_back(*fault);
+  }
+  for (int n = 1; names.empty() && n < static_cast<int>(ReplicaFault::kCount);
+       ++n) {
+    faults.push_back(static_cast<ReplicaFault>(n));
+  }
+  return faults;
+}
+
+}  // namespace endiveyard::soak
+
+int main(int argc, char** argv) {
+  namespace po = boost::program_options;
+  using endiveyard::soak::Soak;
+  endiveyard::soak::SoakOptions soak;
+  std::string folder;
+  std::vector<std::string> fault_names;
+  po::options_description options("soak");
+  options.add_options()("help", "print this text")(
+      "binary", po::value(&soak.binary)->required(), "the program endiveyard")(
+      "folder", po::value(&folder),
+      "folder for settings and logs; default: a temporary one, which is kept "
+      "if something is wrong")("seed", po::value(&soak.seed),
+                               "seed of the plan of faults")(
+      "seconds", po::value(&soak.seconds), "duration")(
+      "fronts", po::value(&soak.fronts), "processes")(
+      "clients", po::value(&soak.clients), "clients")(
+      "fault-rate", po::value(&soak.fault_rate),
+      "share of the requests that a replica handles wrongly")(
+      "fault", po::value(&fault_names)->composing(),
+      "fault of the replicas; may be repeated; default: all")(
+      "pipeline-rate", po::value(&soak.pipeline_rate),
+      "share of the turns of a client that send two or three requests at once")(
+      "signals", po::value(&soak.signals),
+      "signals to processes, changes of replicas and configuration");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, options), values);
+    if (values.count("help") > 0) {
+      std::cout << options;
+      return 0;
+    }
+    po::notify(values);
+    soak.faults = endiveyard::soak::FaultsNamed(fault_names);
+    std::signal(SIGPIPE, SIG_IGN);
+    const bool temporary = folder.empty();
+    if (temporary) {
+      std::string pattern =
+          (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
+      if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("cannot make a temporary folder");
+      }
+      folder = pattern;
+    }
+    soak.folder = folder;
+    // Replicas and clients use threads that outlive Run(); the program ends
+    // without waiting for them.
+    auto* run = new Soak(soak);
+    const std::vector<std::string> violations = run->Run();
+    std::cout << "seed " << soak.seed << ": " << run->summary() << "\n";
+    for (const std::string& it : violations) {
+      std::cout << "  " << it << "\n";
+    }
+    std::cout << "seed " << soak.seed << ": " << violations.size()
+              << " violations" << std::endl;
+    if (violations.empty() && temporary) {
+      std::filesystem::remove_all(folder);
+    } else {
+      std::cout << "logs: " << folder << std::endl;
+    }
+    std::_Exit(violations.empty() ? 0 : 1);
+  } catch (const std::exception& e) {
+    std::cerr << "soak: " << e.what() << std::endl;
+    std::_Exit(2);
+  }
+}
--- /dev/null
+++ b/tools/soak/replica_standin.cc
@@ -0,0 +1,425 @@
+#include "soak/replica_standin.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+
+namespace endiveyard::soak {
+namespace {
+
+// A second copy arrives up to this much later, where the next response of the
+// connection is expected.
+constexpr int kMaxCopyDelayMs = 60;
+constexpr int kMaxLateMs = 3000;
+
+constexpr std::array<std::string_view,
+                     static_cast<size_t>(ReplicaFault::kCount)>
+    kFaultNames = {"none",
+                   "refuse",
+                   "refuse_twice",
+                   "refuse_twice_without_id",
+                   "late_refusal_without_id",
+                   "reset_before_run",
+                   "close_before_run",
+                   "reset_after_run",
+                   "close_after_run",
+                   "cut_head",
+                   "reset_in_head",
+                   "cut_body",
+                   "reset_in_body",
+                   "answer_twice",
+                   "answer_twice_late",
+                   "surplus_bytes",
+                   "no_http",
+                   "late",
+                   "fail_500",
+                   "fail_503",
+                   "fail_429",
+                   "endless_head",
+                   "endless_body",
+                   "endless_failure",
+                   "wrong_event_id",
+                   "unframed",
+                   "unframed_reset"};
+
+std::string HeadOf(const std::string& id, const std::string& framing) {
+  return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
+         "\r\nEndiveyard-Response-Signature: sig-" + id + "\r\n" + framing +
+         "\r\n";
+}
+
+std::string WithLength(const std::string& id, const std::string& body) {
+  return HeadOf(id, "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         body;
+}
+
+std::string Chunk(const std::string& bytes) {
+  char size[20];
+  std::snprintf(size, sizeof size, "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+std::string Failure(const std::string& id, const std::string& status) {
+  return "HTTP/1.1 " + status + "\r\nEndiveyard-Request-Id: " + id +
+         "\r\nContent-Length: 4\r\n\r\nfail";
+}
+
+std::string Refusal(const std::string& id) {
+  return "HTTP/1.1 503 Service Unavailable\r\n" +
+         (id.empty() ? "" : "Endiveyard-Request-Id: " + id + "\r\n") +
+         "Endiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+bool RunsToTheEnd(ReplicaFault fault) {
+  return fault == ReplicaFault::kNone || fault == ReplicaFault::kAnswerTwice ||
+         fault == ReplicaFault::kAnswerTwiceLate ||
+         fault == ReplicaFault::kSurplusBytes ||
+         fault == ReplicaFault::kUnframed;
+}
+
+}  // namespace
+
+std::string_view NameOf(ReplicaFault fault) {
+  return kFaultNames[static_cast<size_t>(fault)];
+}
+
+std::optional<ReplicaFault> FaultNamed(std::string_view name) {
+  const auto* const it =
+      std::find(kFaultNames.begin(), kFaultNames.end(), name);
+  if (it == kFaultNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<ReplicaFault>(it - kFaultNames.begin());
+}
+
+std::string HandleTable::Add(const std::string& request_id) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::string handle = "h" + std::to_string(next_++);
+  requests_[handle] = request_id;
+  return handle;
+}
+
+std::string HandleTable::Take(const std::string& handle) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto it = requests_.find(handle);
+  if (it == requests_.end()) {
+    return "";
+  }
+  std::string id = it->second;
+  requests_.erase(it);
+  return id;
+}
+
+ReplicaStandin::ReplicaStandin(const Options& options,
+                               RunLedger* ledger,
+                               HandleTable* handles)
+    : options_(options),
+      ledger_(ledger),
+      handles_(handles),
+      random_(options.seed),
+      listener_(options.ip, [this](HttpPeer& peer) { Serve(peer); }) {}
+
+void ReplicaStandin::Restart() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++incarnation_;
+}
+
+std::string ReplicaStandin::id() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return "i-" + options_.ip.substr(options_.ip.rfind('.') + 1) + "-" +
+         std::to_string(incarnation_);
+}
+
+std::string ReplicaStandin::Spec(const std::string& state) const {
+  const bool is_engine = !options_.stage.empty();
+  return R"({"service":")" + options_.service + R"(","address":")" +
+         options_.ip + ":" + std::to_string(listener_.port()) +
+         R"(","zone":"zone-a","version":"v1","slots":)" +
+         (is_engine ? "64" : "6") + R"(,"state":")" + state +
+         R"(","cold_remaining_ms":0)" +
+         (is_engine
+              ? R"(,"stage":")" + options_.stage +
+                    R"(","models":[{"name":"m","version":1,"adapters":[]}])"
+              : "") +
+         R"(,"sequence":1,"born":)" +
+         std::to_string(1790000000000 + incarnation_) + "}";
+}
+
+int ReplicaStandin::DrawNumber(int max) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::uniform_int_distribution<int>(0, max)(random_);
+}
+
+ReplicaFault ReplicaStandin::DrawFault() {
+  constexpr int kRange = 1000000;
+  if (!faulty_ || DrawNumber(kRange) >= options_.fault_rate * kRange) {
+    return ReplicaFault::kNone;
+  }
+  const int last = static_cast<int>(options_.faults.size()) - 1;
+  return options_.faults[static_cast<size_t>(DrawNumber(last))];
+}
+
+void ReplicaStandin::Serve(HttpPeer& peer) {
+  constexpr int kIdleMs = 60000;
+  while (true) {
+    const HttpMessage request = peer.Read(kIdleMs);
+    if (!request.complete || !Handle(peer, request)) {
+      return;
+    }
+  }
+}
+
+bool ReplicaStandin::Handle(HttpPeer& peer, const HttpMessage& request) {
+  const std::string id = request.Header("Endiveyard-Request-Id");
+  if (request.start_line.compare(0, 7, "DELETE ") == 0) {
+    return peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  }
+  if (request.Header("Endiveyard-Expect-Instance") != this->id()) {
+    return peer.Send(
+        "HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Request-Id: " + id +
+        "\r\nContent-Length: 0\r\n\r\n");
+  }
+  if (request.Header("Endiveyard-Stage") == "prefill") {
+    return Prefill(peer, request);
+  }
+  const ReplicaFault fault = DrawFault();
+  if (fault >= ReplicaFault::kRefuse &&
+      fault <= ReplicaFault::kLateRefusalWithoutId) {
+    return Refuse(peer, id, fault);
+  }
+  if (fault == ReplicaFault::kResetBeforeRun) {
+    peer.Reset();
+    return false;
+  }
+  if (fault == ReplicaFault::kCloseBeforeRun) {
+    return false;
+  }
+  const std::string source = request.Header("Endiveyard-Kv-Source");
+  if (!source.empty()) {
+    const std::string owner =
+        handles_->Take(source.substr(source.find('/') + 1));
+    if (owner.empty()) {
+      return peer.Send(Refusal(id));
+    }
+    if (owner != id) {
+      ledger_->RecordViolation("MIXED, request " + id +
+                               " goes on from the handle of " + owner);
+    }
+  }
+  ledger_->RecordRun(id, this->id(), RunsToTheEnd(fault));
+  SleepMs(DrawNumber(options_.max_work_ms));
+  return IsStream(KindOf(request.Target())) ? AnswerStream(peer, request, fault)
+                                            : Answer(peer, request, fault);
+}
+
+bool ReplicaStandin::Refuse(HttpPeer& peer,
+                            const std::string& id,
+                            ReplicaFault fault) {
+  peer.Send(Refusal(id));
+  if (fault == ReplicaFault::kRefuse) {
+    return true;
+  }
+  if (fault != ReplicaFault::kRefuseTwiceWithoutId) {
+    SleepMs(DrawNumber(kMaxCopyDelayMs));
+  }
+  return peer.Send(Refusal(fault == ReplicaFault::kRefuseTwice ? id : ""));
+}
+
+bool ReplicaStandin::Prefill(HttpPeer& peer, const HttpMessage& request) {
+  const std::string id = request.Header("Endiveyard-Request-Id");
+  const ReplicaFault fault = DrawFault();
+  switch (fault) {
+    case ReplicaFault::kRefuse:
+    case ReplicaFault::kRefuseTwice:
+    case ReplicaFault::kRefuseTwiceWithoutId:
+    case ReplicaFault::kLateRefusalWithoutId:
+      return Refuse(peer, id, fault);
+    case ReplicaFault::kResetBeforeRun:
+    case ReplicaFault::kResetAfterRun:
+      peer.Reset();
+      return false;
+    case ReplicaFault::kCloseBeforeRun:
+    case ReplicaFault::kCloseAfterRun:
+      return false;
+    default:
+      break;
+  }
+  SleepMs(DrawNumber(options_.max_work_ms));
+  const std::string body = R"({"kv_handle":")" + handles_->Add(id) +
+                           R"(","tokens":6000,"version":1})";
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  if (fault == ReplicaFault::kCutHead || fault == ReplicaFault::kCutBody) {
+    peer.Send(answer.substr(0, static_cast<size_t>(DrawNumber(
+                                   static_cast<int>(answer.size()) - 1))));
+    return false;
+  }
+  if (fault == ReplicaFault::kAnswerTwiceLate) {
+    peer.Send(answer);
+    SleepMs(DrawNumber(kMaxCopyDelayMs));
+  }
+  return peer.Send(answer);
+}
+
+void ReplicaStandin::SendWithoutEnd(HttpPeer& peer, const std::string& head) {
+  constexpr size_t kPieceBytes = 16384;
+  // Above every bound, so that a caller that keeps all of it is noticed.
+  constexpr size_t kMaxBytes = 64 << 20;
+  bool open = peer.Send(head);
+  for (size_t n = 0; open && n < kMaxBytes; n += kPieceBytes) {
+    open = peer.Send(std::string(kPieceBytes, 'x'));
+  }
+}
+
+bool ReplicaStandin::Answer(HttpPeer& peer,
+                            const HttpMessage& request,
+                            ReplicaFault fault) {
+  const std::string id = request.Header("Endiveyard-Request-Id");
+  const std::string body = ExpectedBody(KindOf(request.Target()), id);
+  const std::string answer = WithLength(id, body);
+  const size_t head_size = answer.size() - body.size();
+  const auto cut_at = [this](size_t begin, size_t end) {
+    return begin +
+           static_cast<size_t>(DrawNumber(static_cast<int>(end - begin) - 1));
+  };
+  switch (fault) {
+    case ReplicaFault::kResetAfterRun:
+      peer.Reset();
+      return false;
+    case ReplicaFault::kCloseAfterRun:
+      return false;
+    case ReplicaFault::kCutHead:
+    case ReplicaFault::kResetInHead:
+      peer.Send(answer.substr(0, cut_at(0, head_size)));
+      fault == ReplicaFault::kCutHead ? peer.Close() : peer.Reset();
+      return false;
+    case ReplicaFault::kCutBody:
+    case ReplicaFault::kResetInBody:
+      peer.Send(answer.substr(0, cut_at(head_size, answer.size())));
+      fault == ReplicaFault::kCutBody ? peer.Close() : peer.Reset();
+      return false;
+    case ReplicaFault::kAnswerTwice:
+      return peer.Send(answer + answer);
+    case ReplicaFault::kAnswerTwiceLate:
+      peer.Send(answer);
+      SleepMs(DrawNumber(kMaxCopyDelayMs));
+      return peer.Send(answer);
+    case ReplicaFault::kSurplusBytes:
+      return peer.Send(answer + "HTTP/1.1 200 OK\r\n");
+    case ReplicaFault::kNoHttp:
+      return peer.Send("this is no answer\r\n\r\n");
+    case ReplicaFault::kLate:
+      SleepMs(DrawNumber(kMaxLateMs));
+      return peer.Send(answer);
+    case ReplicaFault::kFail500:
+      return peer.Send(Failure(id, "500 Internal Server Error"));
+    case ReplicaFault::kFail503:
+      return peer.Send(Failure(id, "503 Service Unavailable"));
+    case ReplicaFault::kFail429:
+      return peer.Send(Failure(id, "429 Too Many Requests"));
+    case ReplicaFault::kEndlessHead:
+      SendWithoutEnd(peer, "HTTP/1.1 200 OK\r\nX-Long: ");
+      return false;
+    case ReplicaFault::kEndlessBody:
+      SendWithoutEnd(
+          peer, "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id + "\r\n\r\n");
+      return false;
+    case ReplicaFault::kEndlessFailure:
+      SendWithoutEnd(peer,
+                     "HTTP/1.1 500 Internal Server Error\r\n"
+                     "Endiveyard-Request-Id: " +
+                         id + "\r\n\r\n");
+      return false;
+    case ReplicaFault::kUnframed:
+      peer.Send(HeadOf(id, "") + body);
+      return false;
+    case ReplicaFault::kUnframedReset:
+      peer.Send(HeadOf(id, "") + body.substr(0, cut_at(0, body.size())));
+      peer.Reset();
+      return false;
+    default:
+      return peer.Send(answer);
+  }
+}
+
+bool ReplicaStandin::AnswerStream(HttpPeer& peer,
+                                  const HttpMessage& request,
+                                  ReplicaFault fault) {
+  const std::string id = request.Header("Endiveyard-Request-Id");
+  const int begun_after = std::atoi(request.Header("Last-Event-Id").c_str());
+  const bool unframed =
+      fault == ReplicaFault::kUnframed || fault == ReplicaFault::kUnframedReset;
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  const std::string head =
+      HeadOf(id, unframed ? type : type + "Transfer-Encoding: chunked\r\n");
+  switch (fault) {
+    case ReplicaFault::kNone:
+    case ReplicaFault::kLate:
+    case ReplicaFault::kAnswerTwice:
+    case ReplicaFault::kAnswerTwiceLate:
+    case ReplicaFault::kSurplusBytes:
+    case ReplicaFault::kWrongEventId:
+    case ReplicaFault::kCutBody:
+    case ReplicaFault::kResetInBody:
+    case ReplicaFault::kUnframed:
+    case ReplicaFault::kUnframedReset:
+      break;
+    case ReplicaFault::kCutHead:
+    case ReplicaFault::kResetInHead:
+      peer.Send(head.substr(0, static_cast<size_t>(DrawNumber(
+                                   static_cast<int>(head.size()) - 1))));
+      fault == ReplicaFault::kCutHead ? peer.Close() : peer.Reset();
+      return false;
+    case ReplicaFault::kEndlessBody:
+      SendWithoutEnd(peer, HeadOf(id, type));
+      return false;
+    default:
+      return Answer(peer, request, fault);
+  }
+  const int special = DrawNumber(kEventsOfStream);
+  std::string sent;
+  for (int n = begun_after + 1; n <= kEventsOfStream; ++n) {
+    constexpr int kMaxEventIntervalMs = 20;
+    SleepMs(DrawNumber(kMaxEventIntervalMs));
+    std::string event = EventOf(n, id);
+    // A wrong first id cannot be told from a right one.
+    if (n == special && n > 1 && fault == ReplicaFault::kWrongEventId) {
+      const std::string ids[] = {"id: " + std::to_string(n + 3),
+                                 "id: " + std::to_string(n - 1), "id: x"};
+      event.replace(0, event.find('\n'), ids[DrawNumber(std::size(ids) - 1)]);
+    }
+    const std::string bytes = unframed ? event : Chunk(event);
+    const bool breaks_off =
+        n >= special && (fault == ReplicaFault::kCutBody ||
+                         fault == ReplicaFault::kResetInBody ||
+                         fault == ReplicaFault::kUnframedReset);
+    if (!peer.Send((sent.empty() ? head : "") +
+                   (breaks_off ? bytes.substr(0, bytes.size() / 2) : bytes))) {
+      return false;
+    }
+    sent += bytes;
+    if (breaks_off) {
+      fault == ReplicaFault::kCutBody ? peer.Close() : peer.Reset();
+      return false;
+    }
+  }
+  if (sent.empty()) {
+    peer.Send(head);
+  }
+  if (unframed) {
+    return false;
+  }
+  const std::string end = Chunk("");
+  if (fault == ReplicaFault::kAnswerTwiceLate) {
+    peer.Send(end);
+    SleepMs(DrawNumber(kMaxCopyDelayMs));
+    return peer.Send(head + sent + end);
+  }
+  if (fault == ReplicaFault::kAnswerTwice) {
+    return peer.Send(end + head + sent + end);
+  }
+  return peer.Send(fault == ReplicaFault::kSurplusBytes ? end + "x" : end);
+}
+
+}  // namespace endiveyard::soak
