Do not accept a response without id after a skipped one

On a new connection, a response to another request was skipped, and a response without a request id after it was accepted. The skipped one shows that the connection is out of step, so the other may belong to any request; a refusal would have been read as "not run" of a request that the target runs.

--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -314,10 +314,11 @@
     if (!request_.request_id.empty()) {
       const ResponseMetadata metadata = protocol_.DecodeResponse(
           response_head_.status, response_head_.headers);
-      if (!metadata.request_id && reused_connection_) {
+      if (!metadata.request_id &&
+          (reused_connection_ || skipped_responses_ > 0)) {
         // May be a response to an earlier request.
         End(TransportStatus::kInvalidResponse,
-            "response without a request id on a reused connection");
+            "response without a request id on a connection that had others");
         return true;
       }
       if (metadata.request_id && *metadata.request_id != request_.request_id) {
--- a/tests/platform/faulty_target_test.cc
+++ b/tests/platform/faulty_target_test.cc
@@ -154,4 +154,23 @@
   }
 }
 
+// Guards against 'not run' for a request that a target runs: on a connection
+// that is out of step, as a response to another request has shown, a refusal
+// without an id may belong to any request.
+BOOST_FIXTURE_TEST_CASE(ResponsesWithoutIdAreNotAcceptedAfterSkippedOnes,
+                        RelayFixture) {
+  UseOneTarget();
+  const std::string refusal =
+      "Endiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  const std::string response = ResponseTo(
+      this, RequestHead("POST", "/unsafe/x", "r1", "Content-Length: 0\r\n"),
+      [&](TestConnection& target) {
+        target.Send(
+            "HTTP/1.1 503 Service Unavailable\r\nEndiveyard-Request-Id: r0"
+            "\r\n" +
+            refusal + "HTTP/1.1 503 Service Unavailable\r\n" + refusal);
+      });
+  BOOST_TEST(Contains(response, "HTTP/1.1 502 "));
+}
+
 }  // namespace endiveyard
