Give calls without a request id a connection of their own

A response can only be matched by its request id. For a call that has none (a caller that sends none; the release of a KV cache), any late response on a kept connection was taken for its own: the caller got the answer to an earlier request. The response to the call itself was then left for the next request on that connection, which ended with an unknown outcome.

Such a call now uses a new connection, which is not kept. Test: CallsWithoutIdDoNotShareConnections, which fails before (the call goes out on the kept connection). Found by reading, after the report of a second copy on a connection that was in use again.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -24,7 +24,8 @@
   std::shared_ptr<const std::string> body;  // may be null
   // When set, a response that carries another request id belongs to an earlier
   // request on the connection and is skipped. One that carries none is only
-  // accepted as the first one on a new connection.
+  // accepted as the first one on a new connection. A request without an id has
+  // a connection of its own.
   std::string request_id;
   // A longer body ends the call as kTruncated; 0 for no limit.
   uint64_t max_response_bytes = 0;
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -439,9 +439,10 @@
     // The connection is not reused if it has bytes beyond the response, which
     // belong to no request, or if the request was not written completely: the
     // target would take the next request for the rest of its body.
-    const bool reusable =
-        !out_of_sync_ && request_written_ && parser_->keep_alive() &&
-        connection_->buffer.size() == 0 && !parser_->need_eof();
+    const bool reusable = !request_.request_id.empty() && !out_of_sync_ &&
+                          request_written_ && parser_->keep_alive() &&
+                          connection_->buffer.size() == 0 &&
+                          !parser_->need_eof();
     if (reusable) {
       if (const auto limit = KeepAliveTimeout(response_head_.headers)) {
         // Half of the target's own timeout, so that the target does not close
@@ -512,7 +513,10 @@
 std::shared_ptr<TargetCall> TargetClient::Start(TargetRequest request,
                                                 TargetCallHandlers handlers) {
   const std::string address = request.ip + ":" + std::to_string(request.port);
-  std::unique_ptr<Connection> idle = impl_->TakeIdle(address);
+  // Without an id, a late response to an earlier request cannot be told from
+  // the one to this request.
+  std::unique_ptr<Connection> idle =
+      request.request_id.empty() ? nullptr : impl_->TakeIdle(address);
   auto call = std::make_shared<HttpTargetCall>(
       impl_->io(), impl_->protocol(), impl_->options(), std::move(request),
       std::move(handlers));
--- a/tests/platform/faulty_target_test.cc
+++ b/tests/platform/faulty_target_test.cc
@@ -173,4 +173,26 @@
   BOOST_TEST(Contains(response, "HTTP/1.1 502 "));
 }
 
+// Guards against a late copy of a response that is taken for that to a request
+// without an id, to which no response can be matched.
+BOOST_FIXTURE_TEST_CASE(CallsWithoutIdDoNotShareConnections, RelayFixture) {
+  UseOneTarget();
+  const std::string without_id =
+      "GET /safe/x HTTP/1.1\r\nHost: h\r\nEndiveyard-Deadline-Ms: 7000\r\n\r\n";
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(SignedResponse("r1", "one"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\none"));
+  caller.Send(without_id);
+  TestConnection own_target = first().Accept();
+  own_target.ReadMessage();
+  target.Send(SignedResponse("r1", "one"));
+  own_target.Send(SignedResponse("r2", "two"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\ntwo"));
+  // Nor is the connection used for later requests.
+  BOOST_TEST(own_target.ReadUntilClose().empty());
+}
+
 }  // namespace endiveyard
