Answer the requests that are open at the end of a planned stop

What callers saw: requests taken in the first seconds after SIGTERM, orders among them, whose connection ended without an answer when the process exited.

Cause: requests that may outlast the grace period are rejected only after the drain delay; those taken before it that did take long were cut with the process, and nothing answered them.

Fix: 250 ms before the exit the relay ends each open exchange: 503 if it has not run, 502 if it may have, a begun response is broken off.

Evidence: RequestsOpenAtTheEndOfAStopAreAnswered fails before.

--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -88,7 +88,9 @@
   // connection. After `drain_delay`, by which time the platform's load balancer
   // has stopped sending new callers, the listener and idle connections are
   // closed, and requests whose timeout reaches beyond `deadline` are rejected
-  // with 503 before they run.
+  // with 503 before they run. At `deadline`, requests that are still open are
+  // answered: with 503 if they have not run, with 502 if they may have. A
+  // response that has begun is broken off.
   void StartDraining(Duration drain_delay, TimePoint deadline);
   size_t open_exchanges() const;
   size_t open_connections() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -50,6 +50,8 @@
 // The process exits this long before the end of the shutdown grace period, at
 // which the platform kills it.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
+// Time before the exit for the answers to requests that are still open.
+constexpr Duration kLastAnswersTime = std::chrono::milliseconds(250);
 // Share of the file descriptors for connections of callers. The rest is left
 // for connections to targets.
 constexpr double kCallerDescriptorShare = 0.66;
@@ -433,9 +435,9 @@
         fields.Integer("signal", signal)
             .Integer("open", static_cast<int64_t>(relay_.open_exchanges()));
         log_.Log(kLogInstanceShutdownStarted, fields, *drain_start_);
-        relay_.StartDraining(
-            kDrainDelay,
-            *drain_start_ + settings_.shutdown_grace - kShutdownMargin);
+        relay_.StartDraining(kDrainDelay,
+                             *drain_start_ + settings_.shutdown_grace -
+                                 kShutdownMargin - kLastAnswersTime);
       }
       WaitForSignal();
     });
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -349,6 +349,20 @@
   }
 }
 
+void CallerConnection::EndForShutdown() {
+  if (closed_ || close_when_written_) {
+    return;
+  }
+  if (exchange_) {
+    const std::shared_ptr<RelayExchange> exchange = exchange_;
+    exchange->EndForShutdown();
+  } else if (request_started_) {
+    RespondWithErrorAndClose(503, "shutting_down");
+  } else if (!writing_) {
+    Close();
+  }
+}
+
 void CallerConnection::Write(std::string bytes) {
   unsent_bytes_ += bytes.size();
   pending_writes_.push_back(std::move(bytes));
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -60,6 +60,9 @@
 
   // Closes the connection unless a request is in progress.
   void CloseIfIdle();
+  // Answers the request that is in progress or partly received, as the process
+  // is about to exit, and closes the connection.
+  void EndForShutdown();
 
  private:
   // Exchanges send their response through these types, which keep the order of
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -29,7 +29,8 @@
       : context_(std::move(context)),
         acceptor_(context_->io),
         accept_timer_(context_->io),
-        drain_timer_(context_->io) {}
+        drain_timer_(context_->io),
+        exit_timer_(context_->io) {}
 
   absl::Status Listen() {
     absl::Status status =
@@ -54,13 +55,17 @@
     drain_timer_.expires_after(drain_delay);
     drain_timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (!ec) {
-        self->context_->rejects_long_requests = true;
-        error_code close_ec;
-        self->acceptor_.close(close_ec);
-        self->accept_timer_.cancel();
+        self->StopAccepting();
         self->CloseIdleConnections();
       }
     });
+    exit_timer_.expires_after(
+        std::chrono::duration_cast<Duration>(deadline - BootClock::now()));
+    exit_timer_.async_wait([self = shared_from_this()](error_code ec) {
+      if (!ec) {
+        self->EndExchanges();
+      }
+    });
   }
 
   RelayContext& context() { return *context_; }
@@ -112,6 +117,22 @@
     connections_.push_back(connection);
   }
 
+  void StopAccepting() {
+    context_->rejects_long_requests = true;
+    error_code ec;
+    acceptor_.close(ec);
+    accept_timer_.cancel();
+  }
+
+  void EndExchanges() {
+    StopAccepting();
+    for (const auto& it : connections_) {
+      if (const auto connection = it.lock()) {
+        connection->EndForShutdown();
+      }
+    }
+  }
+
   void CloseIdleConnections() {
     for (const auto& it : connections_) {
       if (const auto connection = it.lock()) {
@@ -132,6 +153,7 @@
   tcp::acceptor acceptor_;
   asio::steady_timer accept_timer_;
   asio::steady_timer drain_timer_;
+  asio::steady_timer exit_timer_;
   std::vector<std::weak_ptr<CallerConnection>> connections_;
 };
 
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -32,6 +32,8 @@
   void Start();
   // The caller has closed its connection: cancels the call in progress.
   void OnCallerDisconnect();
+  // The process is about to exit: ends the exchange with what is known of it.
+  void EndForShutdown();
   // Ends the wait for the first complete routing state, either because it is
   // there or because the startup deadline has passed.
   void StopAwaitingRoutingState();
@@ -163,6 +165,8 @@
                         std::string_view reason,
                         Duration retry_after);
   void EndWithTimeout();
+  // Gives up the call in progress and ends the exchange as EndInFailure() does.
+  void CancelInFailure(std::string_view reason);
   void OnDeadline();
   void ArmDeadline();
   void ArmWatchdog();
--- a/src/relay/relay_exchange_end.cc
+++ b/src/relay/relay_exchange_end.cc
@@ -97,12 +97,22 @@
 }
 
 void RelayExchange::EndWithTimeout() {
+  CancelInFailure("timeout");
+}
+
+void RelayExchange::EndForShutdown() {
+  if (phase_ != Phase::kEnded) {
+    CancelInFailure("shutting_down");
+  }
+}
+
+void RelayExchange::CancelInFailure(std::string_view reason) {
   if (phase_ == Phase::kRunning) {
     ++possible_runs_;
   }
   CloseActiveCall(CallResult::kFailed);
   ReleaseKv();
-  EndInFailure("timeout", kMinRetryAfter);
+  EndInFailure(reason, kMinRetryAfter);
 }
 
 void RelayExchange::ArmWatchdog() {
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "relay_fixture.h"
 
@@ -378,6 +379,51 @@
   BOOST_TEST(kept.ReadUntilClose().empty());
 }
 
+// Guards against requests that are cut off without an answer at the end of the
+// shutdown grace period: those that have not run are refused, the outcome of
+// others is unknown, and a response that has begun does not look complete.
+BOOST_FIXTURE_TEST_CASE(RequestsOpenAtTheEndOfAStopAreAnswered, RelayFixture) {
+  UseOneTarget();
+  std::vector<TestConnection> targets;
+  std::vector<TestConnection> callers;
+  for (const char* path : {"/unsafe/x", "/safe/x", "/once/x", "/stream/x"}) {
+    callers.push_back(Connect());
+    callers.back().Send(
+        RequestHead("POST", path, "r1", "Content-Length: 0\r\n"));
+    targets.push_back(first().Accept());
+    targets.back().ReadMessage();
+  }
+  TestConnection begun = Connect();
+  begun.Send(RequestHead("POST", "/once/x", "r2", "Content-Length: 0\r\n"));
+  TestConnection begun_target = first().Accept();
+  begun_target.ReadMessage();
+  begun_target.Send(StreamResponseHead("r2") +
+                    EncodeChunk("id: 1\ndata: a\n\n"));
+  begun.ReadUntil("data: a\n\n");
+  TestConnection incomplete = Connect();
+  incomplete.Send(
+      RequestHead("POST", "/unsafe/x", "r3", "Content-Length: 9\r\n") + "part");
+  // The response shows that the relay has read what was sent before.
+  TestConnection idle = Connect();
+  idle.Send(RequestHead("GET", "/nowhere/x", "r0"));
+  idle.ReadMessage();
+  RunOnRelayThread([this](RoutingState&) {
+    relay().StartDraining(Duration(0),
+                          BootClock::now() + std::chrono::milliseconds(200));
+  });
+  for (TestConnection& it : callers) {
+    const std::string response = it.ReadUntilClose();
+    BOOST_TEST(Contains(response, "HTTP/1.1 502 "));
+    BOOST_TEST(!Contains(response, "Retry-After"));
+  }
+  for (TestConnection& it : targets) {
+    BOOST_TEST(it.ReadUntilClose().empty());
+  }
+  BOOST_TEST(!Contains(begun.ReadUntilClose(), "0\r\n\r\n"));
+  BOOST_TEST(Contains(incomplete.ReadUntilClose(), "HTTP/1.1 503 "));
+  BOOST_TEST(idle.ReadUntilClose().empty());
+}
+
 // Guards against a large response of a faulty target that is forwarded as a
 // success although the target did not sign it.
 BOOST_FIXTURE_TEST_CASE(LargeUnsignedResponsesAreNotForwarded, RelayFixture) {
--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <limits>
 
@@ -141,6 +142,20 @@
   return true;
 }
 
+double FrontProcess::SamplePeakMemory() {
+  constexpr double kKilobytesPerMegabyte = 1024;
+  std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(in, line);) {
+    const std::string name = "VmHWM:";
+    if (line.compare(0, name.size(), name) == 0) {
+      peak_memory_mb_ =
+          std::max(peak_memory_mb_, std::atof(line.c_str() + name.size()) /
+                                        kKilobytesPerMegabyte);
+    }
+  }
+  return peak_memory_mb_;
+}
+
 bool FrontProcess::HasEndedByItself() {
   if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) {
     return false;
--- a/tools/soak/front_process.h
+++ b/tools/soak/front_process.h
@@ -35,6 +35,9 @@
   void Signal(int signal);
   // Waits until the process ends. Returns false after `timeout_ms`.
   bool WaitForEnd(int timeout_ms);
+  // Peak of the memory of the processes until now, in MB; that of a process
+  // counts when it is sampled.
+  double SamplePeakMemory();
   // Returns true if the process has ended without a signal of this class.
   bool HasEndedByItself();
 
@@ -58,6 +61,7 @@
   const uint16_t port_;
   const uint16_t ready_port_;
   pid_t pid_ = -1;
+  double peak_memory_mb_ = 0;
   mutable std::mutex mutex_;
   std::vector<Span> disturbances_;
 };
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <iostream>
 #include <memory>
+#include <mutex>
 #include <random>
 #include <thread>
 
@@ -22,7 +23,6 @@
 namespace {
 
 constexpr const char* kHost = "soak.example";
-constexpr int kTimeoutMs = 2000;
 // Faults begin once estimates of the service times exist.
 constexpr int64_t kCalmMs = 2000;
 constexpr int kGraceMs = 8000;
@@ -34,6 +34,8 @@
   int seconds = 20;
   int fronts = 3;
   int clients = 24;
+  int timeout_ms = 2000;  // of the routes and the clients
+  int max_work_ms = 120;  // of a replica on one request, before its answer
   double fault_rate = 0.15;
   std::vector<ReplicaFault> faults;
   double pipeline_rate = 0;
@@ -91,13 +93,14 @@
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::string summary_;
+  std::mutex mutex_;
+  double peak_memory_mb_ = 0;  // of any process
 };
 
 void Soak::StartReplicas() {
   constexpr int kPlainReplicas = 8;
   constexpr int kPrefillEngines = 2;
   constexpr int kDecodeEngines = 5;
-  constexpr int kMaxWorkMs = 120;
   for (int n = 0; n < kPlainReplicas + kPrefillEngines + kDecodeEngines; ++n) {
     ReplicaStandin::Options options;
     options.ip = Ip(10 + n);
@@ -108,7 +111,7 @@
     options.seed = RandomFor(static_cast<uint64_t>(n))();
     options.fault_rate = options_.fault_rate;
     options.faults = options_.faults;
-    options.max_work_ms = kMaxWorkMs;
+    options.max_work_ms = options_.max_work_ms;
     replicas_.push_back(
         std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
     registry_.Put("servers", replicas_.back()->id(),
@@ -123,7 +126,7 @@
     routes += std::string(routes.empty() ? "" : ",") + R"({"name":")" + name +
               R"(","host":")" + kHost + R"(","path_prefix":"/)" + name +
               R"(/","kind":")" + kind + R"(","timeout_ms":)" +
-              std::to_string(kTimeoutMs) +
+              std::to_string(options_.timeout_ms) +
               R"(,"target_latency_ms":800,"priority":1,"service":")" + service +
               R"(","max_attempts":2)" + more + "}";
   };
@@ -177,7 +180,7 @@
                               FrontProcess* front,
                               HttpPeer* peer) {
   constexpr int kSlackMs = 1500;
-  const HttpMessage answer = peer->Read(kTimeoutMs + kSlackMs);
+  const HttpMessage answer = peer->Read(options_.timeout_ms + kSlackMs);
   ClientResult result;
   result.id = id;
   result.kind = KindOf(target);
@@ -189,7 +192,7 @@
   result.answered_id = answer.Header("Endiveyard-Request-Id");
   result.body = answer.body;
   const int64_t now = NowMs();
-  result.in_time = now - sent_ms < kTimeoutMs;
+  result.in_time = now - sent_ms < options_.timeout_ms;
   result.process_disturbed = front->WasDisturbed(sent_ms, now);
   if (!result.complete || answer.Header("Connection") == "close") {
     peer->Close();
@@ -218,10 +221,9 @@
             : "";
     const std::string body(static_cast<size_t>(draw(2000)), 'q');
     return "POST " + path + " HTTP/1.1\r\nHost: " + kHost +
-           "\r\nEndiveyard-Request-Id: " + id +
-           "\r\nEndiveyard-Deadline-Ms: " + std::to_string(kTimeoutMs) +
-           "\r\n" + prompt + "Content-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
+           "\r\nEndiveyard-Request-Id: " + id + "\r\nEndiveyard-Deadline-Ms: " +
+           std::to_string(options_.timeout_ms) + "\r\n" + prompt +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   };
   const double pipelined = std::uniform_real_distribution<double>()(*random);
   const int requests = pipelined < options_.pipeline_rate ? 2 + draw(1) : 1;
@@ -278,8 +280,14 @@
     SleepMs(draw(500));
     front.Start();
   };
+  const auto sample_memory = [&] {
+    const double mb = front.SamplePeakMemory();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    peak_memory_mb_ = std::max(peak_memory_mb_, mb);
+  };
   while (!Ended()) {
     SleepUntilEnd(300 + draw(1700));
+    sample_memory();
     if (front.HasEndedByItself()) {
       ledger_.RecordViolation("LOST, process " + std::to_string(number) +
                               " has ended by itself");
@@ -326,8 +334,9 @@
   }
   // The process ends with the thread that started it. The last requests, and
   // runs of requests that were refused, end before.
-  constexpr int kSettleMs = 2 * kTimeoutMs;
-  SleepMs(kSettleMs);
+  const int settle_ms = 2 * options_.timeout_ms;
+  SleepMs(settle_ms);
+  sample_memory();
   if (front.HasEndedByItself()) {
     ledger_.RecordViolation("LOST, process " + std::to_string(number) +
                             " has ended by itself");
@@ -380,7 +389,13 @@
   for (std::thread& it : disturbers) {
     it.join();
   }
-  summary_ = ledger_.Summary();
+  // That of the smallest machines.
+  constexpr double kMaxMemoryMb = 160;
+  if (peak_memory_mb_ > kMaxMemoryMb) {
+    ledger_.RecordViolation("MEMORY, a process took more than its machine has");
+  }
+  summary_ = ledger_.Summary() + "; peak memory of a process " +
+             std::to_string(static_cast<int>(peak_memory_mb_)) + " MB";
   return ledger_.Violations();
 }
 
@@ -421,6 +436,10 @@
       "seconds", po::value(&soak.seconds), "duration")(
       "fronts", po::value(&soak.fronts), "processes")(
       "clients", po::value(&soak.clients), "clients")(
+      "timeout-ms", po::value(&soak.timeout_ms),
+      "timeout of routes and clients")("max-work-ms",
+                                       po::value(&soak.max_work_ms),
+                                       "time that a replica takes at most")(
       "fault-rate", po::value(&soak.fault_rate),
       "share of the requests that a replica handles wrongly")(
       "fault", po::value(&fault_names)->composing(),
