Take an unframed success without a body for incomplete on all routes

After the report of responses cut in their head: FIN after each byte of a head gives 502 on all kinds of routes, before this change too (new test ResponsesCutInTheHeadAreNotForwarded). A signed success with neither length nor chunks that ends right after its head, however, was forwarded on plain routes as a whole answer with Content-Length 0, although the replica may have stopped there. Streams had the check; it now holds for all successes.

UnframedSuccessesWithoutBodyAreIncomplete fails before (200 in place of 502, no retry on a safe route).

--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -282,12 +282,12 @@
   if (active_call_->response_metadata.not_run) {
     return CallOutcome::kNotRun;
   }
-  if (active_call_->streaming &&
-      (sse_splitter_.has_partial_event() || EndedWithoutAnswer())) {
-    return CallOutcome::kIncompleteResponse;
-  }
   const bool success =
       active_call_->status >= 200 && active_call_->status < 300;
+  if ((active_call_->streaming && sse_splitter_.has_partial_event()) ||
+      (success && EndedWithoutAnswer())) {
+    return CallOutcome::kIncompleteResponse;
+  }
   if (success && (!active_call_->response_metadata.signed_by_target ||
                   active_call_->response_metadata.has_content_encoding)) {
     return CallOutcome::kMayHaveRun;
--- a/tests/platform/faulty_target_test.cc
+++ b/tests/platform/faulty_target_test.cc
@@ -195,4 +195,64 @@
   BOOST_TEST(own_target.ReadUntilClose().empty());
 }
 
+// Guards against a response that a target cut off in its head and that reaches
+// the caller as a success, empty or short, with the framing of a whole one.
+BOOST_FIXTURE_TEST_CASE(ResponsesCutInTheHeadAreNotForwarded, RelayFixture) {
+  UseOneTarget();
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: r1\r\n"
+      "Endiveyard-Response-Signature: s\r\n";
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const std::string heads[] = {
+      head + "Content-Length: 14\r\n\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\n",
+      head + "\r\n",
+      interim + head + "Content-Length: 0\r\n\r\n",
+  };
+  for (const char* path : {"/unsafe/", "/once/", "/stream/", "/safe/"}) {
+    for (const std::string& it : heads) {
+      for (size_t n = 0; n < it.size(); ++n) {
+        // Different requests, as those that lose their targets are refused.
+        const std::string target_path =
+            path + std::to_string(&it - heads) + "-" + std::to_string(n);
+        const std::string response = ResponseTo(
+            this,
+            RequestHead("POST", target_path, "r1", "Content-Length: 0\r\n"),
+            [&](TestConnection& target) {
+              target.Send(it.substr(0, n));
+              target.Close();
+            });
+        BOOST_TEST(Contains(response, "HTTP/1.1 502 "),
+                   target_path << ": " << response);
+      }
+    }
+  }
+}
+
+// Guards against a success that ends with its connection right after the head:
+// the target may have stopped there, so an empty body is not taken for whole.
+BOOST_FIXTURE_TEST_CASE(UnframedSuccessesWithoutBodyAreIncomplete,
+                        RelayFixture) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: r1\r\n"
+      "Endiveyard-Response-Signature: s\r\n\r\n";
+  const std::string response = ResponseTo(
+      this, RequestHead("POST", "/unsafe/x", "r1", "Content-Length: 0\r\n"),
+      [&](TestConnection& target) {
+        target.Send(head);
+        target.Close();
+      });
+  BOOST_TEST(Contains(response, "HTTP/1.1 502 "));
+  RestartTargets();
+  const std::string retried = ResponseTo(
+      this, RequestHead("GET", "/safe/x", "r1"), [&](TestConnection& target) {
+        target.Send(head);
+        target.Close();
+        TestConnection other = second().Accept();
+        other.ReadMessage();
+        other.Send(SignedResponse("r1", "ok"));
+      });
+  BOOST_TEST(Contains(retried, "\r\n\r\nok"));
+}
+
 }  // namespace endiveyard
