Read callers' bytes into an area that parsing does not touch

What callers saw: a request after a pipelined one on a kept connection was replaced by it.

Cause: a read was in progress into the area that flat_buffer::prepare() had returned while the pipelined request in the same buffer was parsed. Consuming it reset the positions of the buffer, and the read's bytes were committed where the earlier request still lay.

Fix: ReadBuffer reads into an area of its own and appends what was received when the read ends.

Ruled out: the exchange and the target's side, which get the request by value; the target's buffer, which is never parsed while a read is in progress.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -17,7 +17,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-constexpr size_t kReadBytes = 8192;
 // Limit on the bytes buffered for pipelined requests while a response is in
 // progress.
 constexpr size_t kMaxPipelinedBytes = 65536;
@@ -92,18 +91,17 @@
 }
 
 void CallerConnection::Read() {
-  if (reading_ || closed_ || buffer_.size() >= kMaxPipelinedBytes) {
+  if (buffer_.is_reading() || closed_ || buffer_.size() >= kMaxPipelinedBytes) {
     return;
   }
-  reading_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
+  socket_.async_read_some(buffer_.StartRead(),
                           [self = shared_from_this()](error_code ec, size_t n) {
                             self->OnRead(ec, n);
                           });
 }
 
 void CallerConnection::OnRead(error_code ec, size_t n) {
-  reading_ = false;
+  buffer_.FinishRead(n);
   if (closed_) {
     return;
   }
@@ -116,7 +114,6 @@
     Close();
     return;
   }
-  buffer_.commit(n);
   if (!exchange_ && !close_when_written_) {
     ParseBuffered();
   }
@@ -138,7 +135,7 @@
     }
     error_code ec;
     const size_t n = parser_->put(buffer_.data(), ec);
-    buffer_.consume(n);
+    buffer_.Consume(n);
     if (ec == http::error::need_more) {
       ec = {};
       if (n == 0 && !parser_->is_done()) {
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -9,10 +9,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "relay/read_buffer.h"
 #include "relay/relay_context.h"
 
 namespace endiveyard {
@@ -95,7 +95,7 @@
   std::shared_ptr<RelayContext> context_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer read_timer_;
-  boost::beast::flat_buffer buffer_;
+  ReadBuffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<RelayExchange> exchange_;
   std::deque<std::string> pending_writes_;
@@ -103,7 +103,6 @@
   std::string method_;
   size_t unsent_bytes_ = 0;
   size_t request_body_bytes_ = 0;
-  bool reading_ = false;
   bool writing_ = false;
   bool keep_alive_ = true;
   bool chunked_response_ = false;
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -345,6 +345,42 @@
   BOOST_TEST(Contains(caller.ReadUntil("0\r\n\r\n"), "id: 2\ndata: b\n\n"));
 }
 
+// Guards against a request that is replaced by the one before it: a read was in
+// progress into memory that parsing the request before it had released.
+BOOST_FIXTURE_TEST_CASE(RequestsAfterPipelinedOnesAreServed, RelayFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  TestConnection other = Connect();
+  const auto request = [](int n) {
+    return RequestHead("POST", "/unsafe/" + std::to_string(n),
+                       "r" + std::to_string(n), "Content-Length: 2\r\n") +
+           std::to_string(10 + n);
+  };
+  caller.Send(request(1));
+  TestConnection target = first().Accept();
+  constexpr int kRequests = 8;
+  for (int n = 1; n <= kRequests; ++n) {
+    const std::string received = target.ReadMessage();
+    BOOST_TEST(
+        Contains(received, "POST /unsafe/" + std::to_string(n) + " HTTP"));
+    BOOST_TEST(Contains(received, "\r\n\r\n" + std::to_string(10 + n)));
+    // Each second one arrives while the one before it is in progress.
+    const bool pipelined = n % 2 == 1;
+    if (pipelined && n < kRequests) {
+      caller.Send(request(n + 1));
+      // The response shows that the relay has read what was sent before.
+      other.Send(RequestHead("GET", "/nowhere/x", "r0"));
+      other.ReadMessage();
+    }
+    target.Send(SignedResponse("r" + std::to_string(n), std::to_string(n)));
+    BOOST_TEST(Contains(caller.ReadMessage(),
+                        "Request-Id: r" + std::to_string(n) + "\r\n"));
+    if (!pipelined && n < kRequests) {
+      caller.Send(request(n + 1));
+    }
+  }
+}
+
 // Guards against requests that are cut off by a planned stop: those that were
 // accepted before it, and those on kept connections after it, are answered.
 BOOST_FIXTURE_TEST_CASE(AcceptedRequestsSurviveAStop, RelayFixture) {
