Continue a paused call in a new iteration of the event loop

Resume() read on from the call stack of the exchange and held no reference to the call, which the handlers called there may release: a use after free, seen by the reviewers under AddressSanitizer. The read is scheduled now and holds a reference, like every other.

ResumeDoesNotCallHandlers ends with a memory access violation before.

The soak and the ended call, passed by reference, follow the linter.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -81,7 +81,7 @@
   // Closes the connection. No handler is called afterwards.
   virtual void Cancel() = 0;
   // Stop and continue reading the response body. Used as back pressure when the
-  // caller reads slowly.
+  // caller reads slowly. Neither calls a handler.
   virtual void Pause() = 0;
   virtual void Resume() = 0;
 };
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -121,9 +121,9 @@
   void RecordAvailability();
   // Records the speed of the target of a completed run.
   void ObserveCompletedRun(const ActiveCall& call);
-  // Decides what follows a call. The active call has been closed before, so
-  // that what is needed of it is passed by value.
-  void ContinueAfterCall(EndedCall ended, std::string_view detail);
+  // Decides what follows a call. The active call has been closed before;
+  // `ended` holds what is needed of it.
+  void ContinueAfterCall(const EndedCall& ended, std::string_view detail);
   void ForwardBody(std::string_view bytes);
   // Sends complete events of a stream, the first ones after the head.
   void ForwardEvents(const std::string& events);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -257,7 +257,7 @@
     ++possible_runs_;
     kv_handle_.reset();
   }
-  ContinueAfterCall(std::move(ended), detail);
+  ContinueAfterCall(ended, detail);
 }
 
 bool RelayExchange::EndedWithoutAnswer() const {
@@ -345,7 +345,7 @@
     ++possible_runs_;
     kv_handle_.reset();
   }
-  ContinueAfterCall(std::move(ended), detail);
+  ContinueAfterCall(ended, detail);
 }
 
 void RelayExchange::ObserveCompletedRun(const ActiveCall& call) {
@@ -370,7 +370,7 @@
   }
 }
 
-void RelayExchange::ContinueAfterCall(EndedCall ended,
+void RelayExchange::ContinueAfterCall(const EndedCall& ended,
                                       std::string_view detail) {
   const CallOutcome outcome = ended.outcome;
   const TimePoint now = BootClock::now();
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -197,7 +197,9 @@
       paused_ = false;
       if (read_deferred_ && !ended_) {
         read_deferred_ = false;
-        ReadBody();
+        // In a new iteration of the event loop: the handlers that reading calls
+        // may release the call, or be running already.
+        asio::post(io_, [self = shared_from_this()] { self->ReadBody(); });
       }
     }
   }
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -208,8 +208,8 @@
   const auto draw = [random](int max) {
     return std::uniform_int_distribution<int>(0, max)(*random);
   };
-  const char* const kPaths[] = {"/order/", "/order/", "/lookup/", "/once/",
-                                "/chat/"};
+  const char* const paths[] = {"/order/", "/order/", "/lookup/", "/once/",
+                               "/chat/"};
   const auto request = [&](const std::string& id, const std::string& path) {
     // Few different first parts, so that requests share caches.
     const std::string prompt =
@@ -232,7 +232,7 @@
   for (int n = 0; n < requests; ++n) {
     const std::string id = "c" + std::to_string(number) + "-" +
                            std::to_string(count) + "-" + std::to_string(n);
-    sent.emplace_back(id, kPaths[draw(4)] + id);
+    sent.emplace_back(id, paths[draw(4)] + id);
     bytes += request(id, sent.back().second);
   }
   const int64_t sent_ms = NowMs();
@@ -369,6 +369,7 @@
   begin_ms_ = NowMs();
   end_ms_ = begin_ms_ + int64_t{1000} * options_.seconds;
   std::vector<std::thread> clients;
+  clients.reserve(static_cast<size_t>(options_.clients));
   for (int n = 0; n < options_.clients; ++n) {
     clients.emplace_back([this, n] { RunClient(n); });
   }
@@ -377,6 +378,7 @@
     it->set_faulty(true);
   }
   std::vector<std::thread> disturbers;
+  disturbers.reserve(fronts_.size() + 1);
   for (size_t n = 0; n < fronts_.size(); ++n) {
     disturbers.emplace_back([this, n] { DisturbFront(n); });
   }
