--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -184,10 +184,10 @@
         });
   }
 
+  // Keeps the handlers, as it may be called by one of them.
   void Cancel() override {
     ended_ = true;
     CloseConnection();
-    handlers_ = {};
   }
 
   void Pause() override { paused_ = true; }
