Count the bodies of requests while they are received

Bytes count as they arrive; a request that exceeds the bound before it is complete is rejected with 503.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -136,6 +136,13 @@
     error_code ec;
     const size_t n = parser_->put(buffer_.data(), ec);
     buffer_.Consume(n);
+    RecordBodyBytes(parser_->get().body().size());
+    if (!parser_->is_done() && request_body_bytes_ > 0 &&
+        context_->buffered_body_bytes >
+            context_->options.max_body_bytes_in_flight) {
+      RespondWithErrorAndClose(503, "overloaded");
+      return;
+    }
     if (ec == http::error::need_more) {
       ec = {};
       if (n == 0 && !parser_->is_done()) {
@@ -154,6 +161,12 @@
   }
 }
 
+void CallerConnection::RecordBodyBytes(size_t size) {
+  context_->buffered_body_bytes += size;
+  context_->buffered_body_bytes -= request_body_bytes_;
+  request_body_bytes_ = size;
+}
+
 void CallerConnection::HandleParseError(error_code ec) {
   JsonFields fields;
   fields.Text("detail", ec.message());
@@ -190,8 +203,6 @@
   if (!message.body().empty()) {
     request.body =
         std::make_shared<const std::string>(std::move(message.body()));
-    request_body_bytes_ = request.body->size();
-    context_->buffered_body_bytes += request_body_bytes_;
   }
   exchange_ = std::make_shared<RelayExchange>(context_, shared_from_this(),
                                               std::move(request));
@@ -298,8 +309,7 @@
   chunked_response_ = false;
   exchange_.reset();
   on_all_sent_ = nullptr;
-  context_->buffered_body_bytes -= request_body_bytes_;
-  request_body_bytes_ = 0;
+  RecordBodyBytes(0);
   if (!keep_alive_) {
     close_when_written_ = true;
     if (!writing_) {
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -84,6 +84,9 @@
   void Read();
   void OnRead(boost::system::error_code ec, size_t n);
   void ParseBuffered();
+  // Counts the bytes of the body that this connection holds, also while they
+  // are received.
+  void RecordBodyBytes(size_t size);
   void HandleParseError(boost::system::error_code ec);
   void HandleRequest();
   void RespondWithErrorAndClose(int status, std::string_view reason);
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -273,6 +273,47 @@
   BOOST_TEST(Contains(caller.ReadUntil("0\r\n\r\n"), "id: 2\ndata: b\n\n"));
 }
 
+// Guards against callers that take the memory of the process with bodies that
+// they send slowly: bytes count towards the limit while they are received, and
+// a request beyond it is rejected as not run.
+BOOST_FIXTURE_TEST_CASE(BodiesCountWhileTheyAreReceived, RelayFixture) {
+  constexpr size_t kPartBytes = 1 << 20;
+  const size_t parts = RelayOptions().max_body_bytes_in_flight / kPartBytes;
+  const std::string part =
+      RequestHead(
+          "POST", "/unsafe/x", "r1",
+          "Content-Length: " + std::to_string(kPartBytes + 1) + "\r\n") +
+      std::string(kPartBytes, 'b');
+  std::vector<TestConnection> slow;
+  for (size_t n = 0; n < parts; ++n) {
+    slow.push_back(Connect());
+    slow.back().Send(part);
+  }
+  TestConnection last = Connect();
+  last.Send(part);
+  // Any of them may be the one that exceeds the limit.
+  slow.push_back(std::move(last));
+  size_t rejected = 0;
+  constexpr int kWaitMs = 10000;
+  for (int waited = 0; rejected == 0 && waited < kWaitMs; waited += 10) {
+    for (TestConnection& it : slow) {
+      if (it.IsClosedWithin(0)) {
+        BOOST_TEST(Contains(it.ReadUntil("\r\n\r\n"), "HTTP/1.1 503 "));
+        ++rejected;
+      }
+    }
+    first().HasConnectionWithin(10);
+  }
+  BOOST_TEST(rejected == 1U);
+  // Requests without a body are served meanwhile.
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r2"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(SignedResponse("r2", "ok"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nok"));
+}
+
 // Guards against request smuggling: two HTTP parsers may disagree on where such
 // a request ends.
 BOOST_FIXTURE_TEST_CASE(AmbiguousFramingIsRejected, RelayFixture) {
