Count repeats in the soak, and let its processes know each other

The settings of the soak had no port for reports between processes, so that each process took itself for one of 64 and kept one retry of the slack: faults in the division of common bounds could not show.

No logic changes here.

--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -48,7 +48,8 @@
       << "listen.front=" << options_.ip << ":" << port_
       << "\nlisten.ready_address=" << options_.ip << ":" << ready_port_
       << "\nlisten.control=" << options_.ip << ":" << options_.control_port
-      << "\nseeds=" << seeds << "\nbootstrap=true\n"
+      << "\ninternal_port_range=" << options_.control_port << ","
+      << options_.control_port << "\nseeds=" << seeds << "\nbootstrap=true\n"
       << "limits.memory_mb=260\nlimits.max_fds=4100\nheartbeat_ms=1200\n"
          "bounds.addr_reuse_s=2\nbounds.stable_ms=4000\nbounds.drain_ms=2500\n"
          "bounds.grace_s=8\nbounds.config_apply_ms=2500\n"
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -39,7 +39,11 @@
   double fault_rate = 0.15;
   std::vector<ReplicaFault> faults;
   double pipeline_rate = 0;
+  int max_pause_ms = 30;  // of a client between two requests
   bool signals = true;
+  // Interval at which one process after the other is killed and started again,
+  // instead of other signals; 0 for none.
+  int kill_every_ms = 0;
 };
 
 class Soak {
@@ -77,6 +81,7 @@
                           FrontProcess* front,
                           HttpPeer* peer);
   void DisturbFront(size_t number);
+  void KillInTurn();
   void ChangeReplicas();
   bool Ended() const { return NowMs() >= end_ms_; }
   void SleepUntilEnd(int64_t ms) const {
@@ -148,11 +153,12 @@
 }
 
 void Soak::StartFronts() {
-  std::vector<uint16_t> control_ports;
+  // Processes report to each other at one port.
+  const uint16_t control_port = FindFreePort(Ip(100));
+  constexpr int kMaxSeeds = 3;
   std::vector<std::string> seeds;
-  for (int n = 0; n < options_.fronts; ++n) {
-    control_ports.push_back(FindFreePort(Ip(100 + n)));
-    seeds.push_back(Ip(100 + n) + ":" + std::to_string(control_ports.back()));
+  for (int n = 0; n < std::min(options_.fronts, kMaxSeeds); ++n) {
+    seeds.push_back(Ip(100 + n) + ":" + std::to_string(control_port));
   }
   for (int n = 0; n < options_.fronts; ++n) {
     FrontProcess::Options options;
@@ -162,7 +168,7 @@
     options.folder = options_.folder;
     options.registry_address = Ip(1) + ":" + std::to_string(registry_.port());
     options.seed_addresses = seeds;
-    options.control_port = control_ports[static_cast<size_t>(n)];
+    options.control_port = control_port;
     fronts_.push_back(std::make_unique<FrontProcess>(options));
     fronts_.back()->Start();
   }
@@ -234,6 +240,8 @@
                            std::to_string(count) + "-" + std::to_string(n);
     sent.emplace_back(id, paths[draw(4)] + id);
     bytes += request(id, sent.back().second);
+    ledger_.RecordRequest(IsStream(KindOf(sent.back().second)) ? "chat"
+                                                               : "orders");
   }
   const int64_t sent_ms = NowMs();
   peer->Send(bytes);
@@ -260,8 +268,8 @@
       }
     }
     SendOne(number, count, front, peer.get(), &random);
-    constexpr int kMaxPauseMs = 30;
-    SleepMs(static_cast<int64_t>(random() % kMaxPauseMs));
+    SleepMs(static_cast<int64_t>(random() %
+                                 static_cast<uint64_t>(options_.max_pause_ms)));
   }
 }
 
@@ -343,6 +351,16 @@
   }
 }
 
+void Soak::KillInTurn() {
+  for (size_t n = 0; !Ended(); ++n) {
+    SleepUntilEnd(options_.kill_every_ms);
+    FrontProcess& front = *fronts_[n % fronts_.size()];
+    front.Signal(SIGKILL);
+    front.WaitForEnd(kGraceMs);
+    front.Start();
+  }
+}
+
 void Soak::ChangeReplicas() {
   std::mt19937_64 random = RandomFor(3000);
   int version = 8;
@@ -379,7 +397,10 @@
   }
   std::vector<std::thread> disturbers;
   disturbers.reserve(fronts_.size() + 1);
-  for (size_t n = 0; n < fronts_.size(); ++n) {
+  if (options_.kill_every_ms > 0) {
+    disturbers.emplace_back([this] { KillInTurn(); });
+  }
+  for (size_t n = 0; options_.kill_every_ms == 0 && n < fronts_.size(); ++n) {
     disturbers.emplace_back([this, n] { DisturbFront(n); });
   }
   if (options_.signals) {
@@ -396,7 +417,8 @@
   if (peak_memory_mb_ > kMaxMemoryMb) {
     ledger_.RecordViolation("MEMORY, a process took more than its machine has");
   }
-  summary_ = ledger_.Summary() + "; peak memory of a process " +
+  summary_ = ledger_.Summary() + "; " + ledger_.RepeatSummary() +
+             "; peak memory of a process " +
              std::to_string(static_cast<int>(peak_memory_mb_)) + " MB";
   return ledger_.Violations();
 }
@@ -448,6 +470,11 @@
       "fault of the replicas; may be repeated; default: all")(
       "pipeline-rate", po::value(&soak.pipeline_rate),
       "share of the turns of a client that send two or three requests at once")(
+      "max-pause-ms", po::value(&soak.max_pause_ms),
+      "pause of a client between two requests at most")(
+      "kill-every-ms", po::value(&soak.kill_every_ms),
+      "interval at which one process after the other is killed and started "
+      "again, instead of other signals")(
       "signals", po::value(&soak.signals),
       "signals to processes, changes of replicas and configuration");
   po::variables_map values;
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -182,6 +182,7 @@
   if (request.Header("Endiveyard-Stage") == "prefill") {
     return Prefill(peer, request);
   }
+  ledger_->RecordArrival(id, options_.service, false, false);
   const ReplicaFault fault = DrawFault();
   if (fault >= ReplicaFault::kRefuse &&
       fault <= ReplicaFault::kLateRefusalWithoutId) {
@@ -228,6 +229,9 @@
 bool ReplicaStandin::Prefill(HttpPeer& peer, const HttpMessage& request) {
   const std::string id = request.Header("Endiveyard-Request-Id");
   const ReplicaFault fault = DrawFault();
+  const bool accepted =
+      fault == ReplicaFault::kNone || fault > ReplicaFault::kCloseBeforeRun;
+  ledger_->RecordArrival(id, options_.service, true, accepted);
   switch (fault) {
     case ReplicaFault::kRefuse:
     case ReplicaFault::kRefuseTwice:
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -1,5 +1,10 @@
 #include "soak/run_ledger.h"
 
+#include <algorithm>
+#include <limits>
+
+#include "soak/http_peer.h"
+
 namespace endiveyard::soak {
 namespace {
 
@@ -68,6 +73,64 @@
   runs_[id].push_back({replica, sound});
 }
 
+void RunLedger::RecordRequest(const std::string& service) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  traffic_[service].requests.push_back(NowMs());
+}
+
+void RunLedger::RecordArrival(const std::string& id,
+                              const std::string& service,
+                              bool read_only,
+                              bool accepted) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  Traffic& traffic = traffic_[service];
+  if (read_only && accepted && traffic.read.insert(id).second) {
+    return;
+  }
+  if (!traffic.arrived.insert(id).second) {
+    traffic.repeats.push_back(NowMs());
+  }
+}
+
+RunLedger::RepeatPeak RunLedger::FindRepeatPeak() const {
+  RepeatPeak peak;
+  peak.beyond_bound = -std::numeric_limits<double>::infinity();
+  for (const auto& [service, traffic] : traffic_) {
+    const auto count = [](const std::vector<int64_t>& times, int64_t begin) {
+      return std::lower_bound(times.begin(), times.end(),
+                              begin + kRetryWindowMs) -
+             std::lower_bound(times.begin(), times.end(), begin);
+    };
+    for (const int64_t it : traffic.repeats) {
+      // Requests count in the window itself, the one before and the one half a
+      // window before, whichever has most.
+      const auto requests =
+          std::max({count(traffic.requests, it),
+                    count(traffic.requests, it - kRetryWindowMs / 2),
+                    count(traffic.requests, it - kRetryWindowMs)});
+      const auto repeats = count(traffic.repeats, it);
+      const double beyond = static_cast<double>(repeats) -
+                            kRetryRatio * static_cast<double>(requests) -
+                            kRetrySlack;
+      if (beyond > peak.beyond_bound) {
+        peak = {service, static_cast<int>(repeats), beyond};
+      }
+    }
+  }
+  return peak;
+}
+
+std::string RunLedger::RepeatSummary() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const RepeatPeak peak = FindRepeatPeak();
+  if (peak.service.empty()) {
+    return "no repeats";
+  }
+  return "most repeats in 10 s " + std::to_string(peak.repeats) + " at " +
+         peak.service + ", " + std::to_string(peak.beyond_bound) +
+         " beyond the bound";
+}
+
 void RunLedger::RecordResult(const ClientResult& result) {
   const std::lock_guard<std::mutex> lock(mutex_);
   results_.push_back(result);
@@ -130,6 +193,12 @@
     Check(it);
   }
   results_.clear();
+  if (const RepeatPeak peak = FindRepeatPeak(); peak.beyond_bound > 0) {
+    violations_.push_back("BUDGET, " + std::to_string(peak.repeats) +
+                          " repeats in 10 s at " + peak.service + ", " +
+                          std::to_string(peak.beyond_bound) +
+                          " beyond the bound");
+  }
   return violations_;
 }
 
