Keep the bound on retries when processes are killed

Callers' requests were sent to replicas more often than the common bound allows: a process that replaces another one began with its whole share of the slack, and with all of it while it knew few others.

In its first window, a process uses a fifth of the ratio and no slack. Of the processes of one instance, only the first in a window can then use its whole share, so the sums hold however often they are killed.

Ruled out: repeats inside one process (without kills the bound holds). The price: processes that have just started repeat less while replicas fail.

--- a/include/endiveyard/placement/service_retry_budget.h
+++ b/include/endiveyard/placement/service_retry_budget.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -22,6 +23,10 @@
 // fall into different windows on different instances, and for clock
 // differences.
 inline constexpr double kUsableRatioShare = 0.7;
+// Share of the ratio that an instance uses in its first window. Together with
+// kUsableRatioShare, it leaves a tenth: the process before it may have used its
+// share of the ratio until the moment at which it ended.
+inline constexpr double kUsableRatioShareAfterStart = 0.2;
 // Share of the slack that one instance uses while it does not know how many
 // others there are.
 inline constexpr double kUnknownFleetSlackShare = 1.0 / 64;
@@ -36,10 +41,18 @@
 // common bound without asking each other, because each uses retries only in
 // proportion to the requests that it received itself, and an equal part of the
 // slack.
+//
+// A process does not know what the one that it replaces has used. In its first
+// window it uses no slack and a small share of the ratio, so that the bound
+// also holds when processes are killed in series, or all at once: of the
+// processes of one instance, only the first of a window can use more.
 class ServiceRetryBudget {
  public:
   explicit ServiceRetryBudget(RetryBound bound) : bound_(bound) {}
 
+  // Records that this process has started, perhaps in place of one that has
+  // used its retries. Without this call, there was none.
+  void RecordStart(TimePoint now) { started_at_ = now; }
   void RecordRequest(const std::string& service, TimePoint now);
   // Records how many instances share the bound, including this one.
   void RecordInstanceCount(size_t instances, TimePoint now);
@@ -57,8 +70,10 @@
 
   Window& RemoveExpired(const std::string& service, TimePoint now);
   double SlackShare() const;
+  bool InFirstWindow(TimePoint now) const;
 
   RetryBound bound_;
+  std::optional<TimePoint> started_at_;
   size_t instance_count_ = 0;  // 0 if unknown
   TimePoint instance_count_at_{};
   std::map<std::string, Window> windows_;
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -28,6 +28,8 @@
   uint16_t port = 0;
   Location location;
   RetryBound retry_bound;
+  // Another process may have used retries at this address until just now.
+  bool may_replace_process = false;
   TargetClientOptions target_client;
   // Limit on open caller connections; further ones wait in the kernel's accept
   // queue. Two thirds of the file descriptors, which leaves the rest for
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -66,6 +66,7 @@
   options.port = settings.callers.port;
   options.location = settings.location;
   options.retry_bound = settings.retry_bound;
+  options.may_replace_process = true;
   const size_t descriptors =
       settings.max_descriptors > kReservedDescriptors
           ? settings.max_descriptors - kReservedDescriptors
--- a/src/placement/service_retry_budget.cc
+++ b/src/placement/service_retry_budget.cc
@@ -45,12 +45,20 @@
   return more_instances_than_retries ? share : std::max(1.0, share);
 }
 
+bool ServiceRetryBudget::InFirstWindow(TimePoint now) const {
+  return started_at_ && now - *started_at_ < bound_.window;
+}
+
 double ServiceRetryBudget::Remaining(const std::string& service,
                                      TimePoint now) {
   const Window& window = RemoveExpired(service, now);
-  const double earned = bound_.ratio * kUsableRatioShare *
-                        static_cast<double>(window.requests.size());
-  return earned + SlackShare() - static_cast<double>(window.retries.size());
+  const bool in_first_window = InFirstWindow(now);
+  const double ratio_share =
+      in_first_window ? kUsableRatioShareAfterStart : kUsableRatioShare;
+  const double earned =
+      bound_.ratio * ratio_share * static_cast<double>(window.requests.size());
+  return earned + (in_first_window ? 0 : SlackShare()) -
+         static_cast<double>(window.retries.size());
 }
 
 bool ServiceRetryBudget::TryConsume(const std::string& service, TimePoint now) {
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -34,6 +34,9 @@
         retry_budget(options.retry_bound),
         target_client(io, protocol, options.target_client) {
     placer.availability().set_seed(Digest64(options.ip, options.port));
+    if (options.may_replace_process) {
+      retry_budget.RecordStart(BootClock::now());
+    }
   }
 
   boost::asio::io_context& io;
