Count repeated prefill calls as retries

A retry or resumption whose prompt was prefilled on another engine again sent two calls and took one from the retry budget: only the first prefill call that is accepted is free. With engines that break off many streams, a service got up to twice the repeats that the budget allows.

The new test sees a second prefill call with a budget of one retry when the fault is put back.

ConsumeRetryBudget() of the fixture assumed that no retry was consumed before; its two callers now say that the prefill call of the retry has taken one. What they check is unchanged.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -17,6 +17,8 @@
 // the attempts of any route, because a target that does not accept the
 // connection does not use up an attempt.
 constexpr int kMaxPlacements = 8;
+// Calls of a retry whose prompt is prefilled on another engine again.
+constexpr double kCallsOfDisaggregatedRetry = 2;
 // Retry-After is spread over 1 to 1.5 times the wait, so that callers do not
 // all return at once.
 constexpr double kRetryAfterJitter = 0.5;
@@ -195,7 +197,10 @@
     query.first_output_time_left =
         std::min(query.time_left, FirstOutputTimeout(*route_) - waited);
   }
-  query.allow_disaggregated_prefill = may_prefill_separately_;
+  query.allow_disaggregated_prefill =
+      may_prefill_separately_ &&
+      (!prompt_prefilled_ || context_->retry_budget.Remaining(service_, now) >=
+                                 kCallsOfDisaggregatedRetry);
   return query;
 }
 
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -222,6 +222,9 @@
   int possible_runs_ = 0;  // targets that may have run the request
   int placements_ = 0;
   bool may_prefill_separately_ = true;
+  // A prefill call was accepted. Further ones have to be covered by the retry
+  // budget, too.
+  bool prompt_prefilled_ = false;
   Duration expected_first_output_{};  // as estimated by the last placement
   std::optional<TimePoint> first_output_at_;
   std::optional<TimePoint> last_event_sent_at_;
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -11,6 +11,11 @@
 }  // namespace
 
 void RelayExchange::StartPrefill(const Placement& placement) {
+  if (prompt_prefilled_ && !TrySpendRetryBudget()) {
+    may_prefill_separately_ = false;
+    Place();
+    return;
+  }
   phase_ = Phase::kPrefilling;
   RegisterCall(*placement.prefill, CallKind::kPrefill,
                placement.predicted_prefill, placement.prefill_uncached);
@@ -106,6 +111,7 @@
       .Text("detail", detail);
   context_->log.Log(kLogCallEnded, fields, now);
   if (kv) {
+    prompt_prefilled_ = true;
     kv_handle_ = kv;
     kv_holder_ = ended.replica;
     RunAfterPrefill(placement);
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -603,7 +603,7 @@
   caller.ReadUntil("data: a\n\n");
   run.Reset();
   prefill.ReadMessage();
-  ConsumeRetryBudget();
+  ConsumeRetryBudget(1);
   prefill.Close();
   const std::string rest = caller.ReadUntilClose();
   BOOST_TEST(!Contains(rest, "HTTP/1.1"));
@@ -627,11 +627,38 @@
   run.ReadMessage();
   run.Reset();
   prefill.ReadMessage();
-  ConsumeRetryBudget();
+  ConsumeRetryBudget(1);
   prefill.Close();
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
 }
 
+// Guards against repeats beyond the common bound: a retry whose prompt is
+// prefilled on another engine again takes two calls of the budget, not one.
+BOOST_FIXTURE_TEST_CASE(RepeatedPrefillsConsumeRetryBudget, RelayFixture) {
+  UseDisaggregatedTargets();
+  RunOnRelayThread([this](RoutingState&) {
+    // One retry.
+    relay().set_retry_bound({0, 0, std::chrono::seconds(10)});
+  });
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/stream/x", "r1",
+                          "Content-Length: 0\r\n"
+                          "Endiveyard-Token-Count: 6000,20\r\n"
+                          "Endiveyard-Prompt-Prefix: a1:4000,b2:2000\r\n"));
+  TestConnection prefill = second().Accept();
+  prefill.ReadMessage();
+  prefill.Send(PrefillResponse("r1"));
+  TestConnection run = first().Accept();
+  run.ReadMessage();
+  run.Reset();
+  TestConnection retry = first().Accept();
+  BOOST_TEST(!Contains(retry.ReadMessage(), "Endiveyard-Kv-Source"));
+  // The prefill engine got no second call before.
+  BOOST_TEST(!prefill.IsClosedWithin(0));
+  retry.Reset();
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
+}
+
 // Guards against a stream that looks complete although its engine failed and
 // the route does not allow resuming it.
 BOOST_FIXTURE_TEST_CASE(NonResumableStreamsEndTruncated, RelayFixture) {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -312,12 +312,12 @@
   NotifyRoutingStateChanged();
 }
 
-void RelayFixture::ConsumeRetryBudget() {
-  // Without ratio and slack, the one retry that an instance may always send is
-  // left.
-  RunOnRelayThread([this](RoutingState&) {
+void RelayFixture::ConsumeRetryBudget(int used) {
+  // One more retry than those that were consumed.
+  RunOnRelayThread([this, used](RoutingState&) {
     RetryBound bound;
     bound.ratio = 0;
+    bound.slack = (used + 1) / kUnknownFleetSlackShare;
     relay_->set_retry_bound(bound);
   });
   TestConnection caller = Connect();
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -98,8 +98,8 @@
   void UseDisaggregatedTargets();
   // Registers the same targets as restarted processes with the same ids.
   void RestartTargets();
-  // Leaves no retry budget for the service.
-  void ConsumeRetryBudget();
+  // Leaves no retry budget for the service, of which `used` were consumed.
+  void ConsumeRetryBudget(int used = 0);
 
   TestTarget& first() { return first_; }
   TestTarget& second() { return second_; }
