Do not resume a stream at another software version

Answers held events of two versions: when an engine broke off a stream, the rest came from any other engine. Versions of replicas were read nowhere.

The version of a replica is now part of its registration (an entry without one is malformed), and a stream that has begun goes on only at the version that sent its first event. Without such a replica it ends truncated, as before where no replica is left. Events 312, 901 and 903 name versions and the attempt that a caller takes up.

StreamsAreNotResumedByAnotherVersion fails without the condition. Does not cover streams that callers take up.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -29,7 +29,9 @@
   std::optional<EngineTraits> engine;  // from the configuration
   std::optional<PromptShape> prompt;   // absent for plain services
   int route_priority = 0;              // 0 is the most urgent
-  std::set<std::string> excluded;     // ids of replicas that failed the request
+  std::set<std::string> excluded;  // ids of replicas that failed the request
+  // Software version that has to run the request; any if absent.
+  std::optional<std::string> version;
   Duration time_left{};               // until the deadline
   Duration first_output_time_left{};  // until the caller gives up waiting
   double body_bytes = 0;  // request body, sent to each chosen engine
--- a/include/endiveyard/placement/replica_view.h
+++ b/include/endiveyard/placement/replica_view.h
@@ -24,6 +24,7 @@
   std::string ip;
   uint16_t port = 0;
   std::string failure_domain;
+  std::string version;  // of its software; compared for equality only
   int slots = 0;
   bool draining = false;
   Stage stage = Stage::kWhole;
@@ -33,8 +34,8 @@
 };
 
 // Returns true if `current`, the present registration, accepts the work that
-// was placed at `placed`: it is not draining, has the same service and stage,
-// and has not restarted.
+// was placed at `placed`: it is not draining, has the same service, stage and
+// version, and has not restarted.
 bool AcceptsWork(const Replica& current, const Replica& placed);
 
 // Returns "IP:PORT" of the replica.
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -24,6 +24,9 @@
   std::optional<Duration> time_left;  // until the caller's deadline
   std::optional<PromptShape> prompt;
   std::optional<int64_t> last_event_id;  // set when a stream is resumed
+  // Id of the attempt that brought the first event of the resumed stream; empty
+  // if the caller did not name one.
+  std::string resumed_request_id;
 };
 
 // Metadata from the headers of a target's response.
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -316,6 +316,7 @@
       fields.Text("replica", replica->id)
           .Text("service", replica->service)
           .Text("address", AddressOf(*replica))
+          .Text("version", replica->version)
           .Flag("draining", replica->draining);
       log_.Log(kLogReplicaChanged, fields, now);
     } else {
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -356,6 +356,9 @@
   const std::vector<const Replica*> available =
       availability_.Select(usable, now, &shortest_pause);
   for (const Replica* it : available) {
+    if (query.version && it->version != *query.version) {
+      continue;
+    }
     (it->stage == Stage::kPrefill ? prefill_replicas : run_replicas)
         .push_back(it);
   }
--- a/src/placement/replica_view.cc
+++ b/src/placement/replica_view.cc
@@ -14,16 +14,16 @@
 }  // namespace
 
 bool Replica::operator==(const Replica& other) const {
-  return std::tie(id, service, ip, port, failure_domain, slots, draining, stage,
-                  started_unix_ms) ==
+  return std::tie(id, service, ip, port, failure_domain, version, slots,
+                  draining, stage, started_unix_ms) ==
          std::tie(other.id, other.service, other.ip, other.port,
-                  other.failure_domain, other.slots, other.draining,
-                  other.stage, other.started_unix_ms);
+                  other.failure_domain, other.version, other.slots,
+                  other.draining, other.stage, other.started_unix_ms);
 }
 
 bool AcceptsWork(const Replica& current, const Replica& placed) {
   return !current.draining && current.service == placed.service &&
-         current.stage == placed.stage &&
+         current.stage == placed.stage && current.version == placed.version &&
          current.started_unix_ms == placed.started_unix_ms;
 }
 
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -188,6 +188,7 @@
   query.prompt = request_metadata_.prompt;
   query.route_priority = route_->priority;
   query.excluded = excluded_replica_ids_;
+  query.version = stream_version_;
   query.body_bytes = static_cast<double>(RequestBodyBytes());
   query.tie_breaker = Digest64(request_metadata_.request_id);
   query.time_left = query.first_output_time_left = TimeLeft();
@@ -225,6 +226,8 @@
     fields.Text("request", request_metadata_.request_id)
         .Text("route", route_->name)
         .Text("reason", refusal)
+        .Text("resumes", request_metadata_.resumed_request_id)
+        .Integer("after_event", request_metadata_.last_event_id.value_or(0))
         .Integer("placements", placements_)
         .Integer("prompt", request_metadata_.prompt
                                ? static_cast<int64_t>(
@@ -247,6 +250,9 @@
   fields.Text("request", request_metadata_.request_id)
       .Text("route", route_->name)
       .Text("target", placement.target.id)
+      .Text("version", placement.target.version)
+      .Text("resumes", request_metadata_.resumed_request_id)
+      .Integer("after_event", request_metadata_.last_event_id.value_or(0))
       .Text("prefill", placement.prefill ? placement.prefill->id : "")
       .Integer("uncached", static_cast<int64_t>(
                                placement.prefill ? placement.prefill_uncached
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -216,6 +216,9 @@
   std::optional<Replica> kv_holder_;
   std::set<std::string> excluded_replica_ids_;
   SseSplitter sse_splitter_;
+  // Software version of the replica that sent the first event of the stream.
+  // What another version writes does not continue it.
+  std::optional<std::string> stream_version_;
   // Calls that were written to a target, except successful prefill calls. Any
   // run after the first of them has to be covered by the retry budget.
   int delivered_calls_ = 0;
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -229,6 +229,9 @@
   RecordOutput();
   if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
     first_output_at_ = BootClock::now();
+    if (!stream_version_) {
+      stream_version_ = active_call_->replica.version;
+    }
     // This run has used the KV cache.
     kv_handle_.reset();
     response_ = std::move(*unsent).Begin(CallerHeadFrom(active_call_->head));
--- a/tests/platform/object_decoding_test.cc
+++ b/tests/platform/object_decoding_test.cc
@@ -30,6 +30,7 @@
   BOOST_TEST(replica->id == "i-1");
   BOOST_TEST(replica->ip == "10.0.0.9");
   BOOST_TEST(replica->port == 8080);
+  BOOST_TEST(replica->version == "v1");
   BOOST_TEST((replica->stage == Stage::kDecode));
   BOOST_TEST(replica->started_unix_ms == 1789048673062);
   BOOST_TEST(!replica->draining);
@@ -49,6 +50,9 @@
       {"\"10.0.0.9:8080\"", "\"10.0.0.9:port\""},
       {"\"10.0.0.9:8080\"", "null"},
       {"\"zone\":\"z\"", "\"zone\":{}"},
+      {"\"version\":\"v1\",", ""},
+      {"\"version\":\"v1\"", "\"version\":1"},
+      {"\"version\":\"v1\"", "\"version\":\"\""},
       {"\"slots\":64", "\"slots\":\"64\""},
       {"\"ready\"", "\"gone\""},
       {"\"ready\"", "true"},
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -37,11 +37,25 @@
   BOOST_TEST(metadata.prompt->parts[0].id == 0x5c1e07a2u);
   BOOST_TEST(metadata.prompt->parts[2].tokens == 250);
   BOOST_TEST(*metadata.last_event_id == 12);
+  BOOST_TEST(metadata.resumed_request_id.empty());
   const RequestMetadata empty = protocol.DecodeRequest({});
   BOOST_TEST(!empty.prompt);
   BOOST_TEST(!empty.time_left);
 }
 
+// Guards against a stream that is taken up as the continuation of another one:
+// headers that name several are as good as none.
+BOOST_AUTO_TEST_CASE(ResumedRequestIsDecoded) {
+  const PlatformWireProtocol protocol;
+  const auto resumed = [&protocol](const HeaderList& headers) {
+    return protocol.DecodeRequest(headers).resumed_request_id;
+  };
+  BOOST_TEST(resumed({{"resumes", "9c41"}}) == "9c41");
+  BOOST_TEST(resumed({{"Resumes", "9c41"}, {"Resumes", "9c41"}}) == "9c41");
+  BOOST_TEST(resumed({{"Resumes", "9c41"}, {"Resumes", "9c42"}}).empty());
+  BOOST_TEST(resumed({{"Resumes", ""}}).empty());
+}
+
 // Guards against callers that control targets by sending the headers that only
 // endiveyard may set.
 BOOST_AUTO_TEST_CASE(InternalHeadersOfCallersAreRemoved) {
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -632,6 +632,22 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
 }
 
+// Guards against an answer with events of two software versions: a stream that
+// breaks off is not resumed by a replica of another version.
+BOOST_FIXTURE_TEST_CASE(StreamsAreNotResumedByAnotherVersion, RelayFixture) {
+  SetVersion("t1", "v1");
+  SetVersion("t2", "v2");
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/stream/x", "r1", "Content-Length: 0\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
+  caller.ReadUntil("data: a\n\n");
+  target.Reset();
+  BOOST_TEST(!Contains(caller.ReadUntilClose(), "0\r\n\r\n"));
+  BOOST_TEST(!second().HasConnectionWithin(0));
+}
+
 // Guards against repeats beyond the common bound: a retry whose prompt is
 // prefilled on another engine again takes two calls of the budget, not one.
 BOOST_FIXTURE_TEST_CASE(RepeatedPrefillsConsumeRetryBudget, RelayFixture) {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -302,6 +302,15 @@
   });
 }
 
+void RelayFixture::SetVersion(const std::string& id,
+                              const std::string& version) {
+  RunOnRelayThread([&](RoutingState& routing_state) {
+    Replica replica = *routing_state.replicas.Find(id);
+    replica.version = version;
+    routing_state.replicas.Put(replica);
+  });
+}
+
 void RelayFixture::RestartTargets() {
   ++target_starts_;
   RunOnRelayThread([this](RoutingState& routing_state) {
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -96,6 +96,8 @@
   // Replaces the targets by the prefill engine `p1` at the second address and
   // the decode engines `d1` and `d2`, which share the first address.
   void UseDisaggregatedTargets();
+  // Changes the software version of the registered replica `id`.
+  void SetVersion(const std::string& id, const std::string& version);
   // Registers the same targets as restarted processes with the same ids.
   void RestartTargets();
   // Leaves no retry budget for the service, of which `used` were consumed.
