Do not read cached prompts across software versions

A prompt was prefilled on an engine of one version and run on one of another, and cached parts were copied between them.

An engine now takes handles and copies only from engines of its own version. In a mixed fleet, a version without a prefill engine prefills where it runs.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -247,8 +247,8 @@
   struct QueryContext;
 
   const ServiceState* FindState(const std::string& service) const;
-  // Returns, for each failure domain, the engine with the most leading tokens
-  // of the prompt in its cache.
+  // Returns, for each failure domain and software version, the engine with the
+  // most leading tokens of the prompt in its cache.
   std::vector<CacheSource> CacheSources(
       const std::vector<const Replica*>& replicas,
       const PromptShape& prompt,
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -125,7 +125,8 @@
     const std::vector<const Replica*>& replicas,
     const PromptShape& prompt,
     TimePoint now) {
-  std::map<std::string_view, CacheSource> best;
+  // What one software version has cached cannot be read by another.
+  std::map<std::pair<std::string_view, std::string_view>, CacheSource> best;
   for (const Replica* it : replicas) {
     const ReplicaLoad& load = LoadOf(*it);
     if (load.InBackoff(now)) {
@@ -133,13 +134,13 @@
     }
     const double tokens =
         cache_view_.CopyableTokens(EngineKey(*it), prompt, now);
-    CacheSource& source = best[it->failure_domain];
+    CacheSource& source = best[{it->failure_domain, it->version}];
     if (tokens >= kMinCopiedTokens && tokens > source.tokens) {
       source = {it, tokens};
     }
   }
   std::vector<CacheSource> sources;
-  for (const auto& [failure_domain, source] : best) {
+  for (const auto& [place, source] : best) {
     if (source.replica != nullptr) {
       sources.push_back(source);
     }
@@ -290,7 +291,9 @@
   for (const CacheSource& it : context.sources) {
     const double copied =
         local_uncached - (context.query.prompt->prompt_tokens - it.tokens);
-    if (it.replica == candidate->replica || copied < kMinCopiedTokens) {
+    if (it.replica == candidate->replica ||
+        it.replica->version != candidate->replica->version ||
+        copied < kMinCopiedTokens) {
       continue;
     }
     const Distance distance =
@@ -314,20 +317,23 @@
     const QueryContext& context,
     const std::vector<Candidate>& prefill_candidates,
     const std::vector<Candidate>& run_candidates) const {
-  // Only the best prefill engine of each failure domain is combined with the
-  // engines that may run the request.
-  std::map<std::string_view, const Candidate*> best_by_failure_domain;
+  // Only the best prefill engine of each failure domain and software version is
+  // combined with the engines that may run the request.
+  std::map<std::pair<std::string_view, std::string_view>, const Candidate*>
+      best_by_place;
   for (const Candidate& it : prefill_candidates) {
-    const Candidate*& best = best_by_failure_domain[it.replica->failure_domain];
+    const Candidate*& best =
+        best_by_place[{it.replica->failure_domain, it.replica->version}];
     if (best == nullptr || it.PrefillCostMs() < best->PrefillCostMs()) {
       best = &it;
     }
   }
   std::optional<DisaggregatedPair> best_pair;
-  for (const auto& [failure_domain, prefill_candidate] :
-       best_by_failure_domain) {
+  for (const auto& [place, prefill_candidate] : best_by_place) {
     for (const Candidate& run_candidate : run_candidates) {
-      if (run_candidate.turn_wait_ms > 0) {
+      if (run_candidate.turn_wait_ms > 0 ||
+          run_candidate.replica->version !=
+              prefill_candidate->replica->version) {
         continue;
       }
       const Distance distance =
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -150,6 +150,8 @@
   PlacementQuery query = MakePlacementQuery(now);
   query.first_output_time_left = query.time_left;
   query.allow_disaggregated_prefill = false;
+  // Another software version cannot read the KV cache.
+  query.version = kv_holder_->version;
   const PlacementResult result =
       context_->placer.Choose(context_->routing_state.replicas, query, now);
   if (!result.placement) {
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -484,4 +484,49 @@
              "limited");
 }
 
+// Guards against a prompt that one software version has prefilled and another
+// one continues: the engine that runs a request reads prompts, and copies
+// cached parts, only from engines of its own version.
+BOOST_AUTO_TEST_CASE(CachesAreNotReadByAnotherVersion) {
+  const auto engine = [](const std::string& id, Stage stage,
+                         const std::string& version) {
+    Replica replica = MakeReplica(id, stage);
+    replica.version = version;
+    return replica;
+  };
+  ReplicaView view;
+  view.Reset(
+      {engine("p1", Stage::kPrefill, "v1"), engine("p2", Stage::kPrefill, "v2"),
+       engine("d1", Stage::kDecode, "v1"), engine("d2", Stage::kDecode, "v2"),
+       engine("d3", Stage::kDecode, "v2")},
+      At(0));
+  for (uint64_t document = 1; document <= 100; ++document) {
+    Placer placer = MakePlacer();
+    PlacementQuery query = MakeQuery(MakePrompt(document, 5000, 6000));
+    // Engines of version 1 have the shared part. The one that prefills, or the
+    // one that runs requests, is so busy that the rest would pay elsewhere.
+    for (const char* id : {"p1", "d1"}) {
+      placer.cache_view().RecordPrefilled(EngineKey(*view.Find(id)),
+                                          *query.prompt, At(0));
+    }
+    placer.LoadOf(*view.Find(document % 2 == 0 ? "p1" : "d1"))
+        .RecordCallSent(200000);
+    for (const std::optional<std::string>& version :
+         {std::optional<std::string>(), std::optional<std::string>("v1"),
+          std::optional<std::string>("v2")}) {
+      query.version = version;
+      const auto placement = placer.Choose(view, query, At(1)).placement;
+      BOOST_REQUIRE(placement);
+      const std::string chosen = placement->target.version;
+      BOOST_TEST((!version || chosen == *version));
+      BOOST_TEST(
+          (!placement->prefill || placement->prefill->version == chosen));
+      BOOST_TEST((!placement->cache_source ||
+                  placement->cache_source->version == chosen));
+    }
+    query.version = "v3";
+    BOOST_TEST(!placer.Choose(view, query, At(1)).placement);
+  }
+}
+
 }  // namespace endiveyard
