--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -157,12 +157,15 @@
   return peak_memory_mb_;
 }
 
-bool FrontProcess::HasEndedByItself() {
-  if (pid_ <= 0 || waitpid(pid_, nullptr, WNOHANG) != pid_) {
-    return false;
+std::optional<std::string> FrontProcess::EndByItself() {
+  int status = 0;
+  if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) {
+    return std::nullopt;
   }
   pid_ = -1;
-  return true;
+  return WIFSIGNALED(status)
+             ? "by signal " + std::to_string(WTERMSIG(status))
+             : "with status " + std::to_string(WEXITSTATUS(status));
 }
 
 bool FrontProcess::WasDisturbed(int64_t begin_ms, int64_t end_ms) const {
--- a/tools/soak/front_process.h
+++ b/tools/soak/front_process.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,8 +39,9 @@
   // Peak of the memory of the processes until now, in MB; that of a process
   // counts when it is sampled.
   double SamplePeakMemory();
-  // Returns true if the process has ended without a signal of this class.
-  bool HasEndedByItself();
+  // Returns how the process has ended, if it did so without a signal of this
+  // class.
+  std::optional<std::string> EndByItself();
 
   const std::string& ip() const { return options_.ip; }
   uint16_t port() const { return port_; }
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -296,9 +296,9 @@
   while (!Ended()) {
     SleepUntilEnd(300 + draw(1700));
     sample_memory();
-    if (front.HasEndedByItself()) {
+    if (const auto end = front.EndByItself()) {
       ledger_.RecordViolation("LOST, process " + std::to_string(number) +
-                              " has ended by itself");
+                              " has ended " + *end);
       restart();
     }
     if (Ended()) {
@@ -345,9 +345,9 @@
   const int settle_ms = 2 * options_.timeout_ms;
   SleepMs(settle_ms);
   sample_memory();
-  if (front.HasEndedByItself()) {
+  if (const auto end = front.EndByItself()) {
     ledger_.RecordViolation("LOST, process " + std::to_string(number) +
-                            " has ended by itself");
+                            " has ended " + *end);
   }
 }
 
