Keep the software versions of the last minute in the registry

After all instances had been killed at once, every stream that callers took up was refused (version_unknown) until the new processes were older than the streams: a process does not know which versions there were before it, and one listed version proves nothing.

The numbers of replicas by version and time are now one object in the registry. It is read at start and written when versions appear, leave or change their shares, not for replicas of a single version. Instances take turns, in an order that all compute alike, and each writes only what none before it has; what was not recorded in time is joined with what the new process sees, and times are taken 3 s later than they say, since clocks differ.

RecordOutlivesAllInstances, FewInstancesWriteAChange (at 8, 95 and 370 instances), OthersWriteWhereOneDoesNot. The first one found that a short period was lost within the margin for clocks.

The stand-in of the registry in the soak reads and writes single objects.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -45,6 +45,8 @@
 
   // Returns the number of live instances, including this one.
   size_t InstanceCount() const;
+  // Returns the position of this instance among them.
+  InstancePosition Position() const;
   // Tells the others that this instance takes no more requests from callers, so
   // that they use its shares of what all instances have together.
   void SetLeaving();
--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -31,6 +31,19 @@
 // By version. A version that is not listed had no replica.
 using VersionCounts = std::map<std::string, VersionCount>;
 
+// The numbers of replicas from `since` until the next period.
+struct VersionPeriod {
+  TimePoint since{};
+  VersionCounts counts;
+
+  bool operator==(const VersionPeriod& other) const {
+    return since == other.since && counts == other.counts;
+  }
+};
+
+// By service, in order of time.
+using VersionPeriods = std::map<std::string, std::vector<VersionPeriod>>;
+
 // Returns the numbers of `replicas`, by service. All replicas of a version that
 // can run requests count, also those that only prefill prompts for the others:
 // they add to what it can take.
@@ -84,11 +97,12 @@
   // False while other instances may see changes of the replicas that this one
   // does not. Then, the numbers of replicas say nothing.
   void set_is_view_current(bool is_current) { is_view_current_ = is_current; }
-  // Records what is known of the time between `since` and the first call of
-  // RecordReplicas(): the numbers of replicas by service. Ends what the last
-  // call said for times from `since` on.
-  void RecordPast(const std::map<std::string, VersionCounts>& counts,
-                  TimePoint since);
+  // Records what is known of the time before the first call of
+  // RecordReplicas(). What the last period of a service became until that call
+  // is not known, so that it is joined with what this instance saw first.
+  void RecordPast(const VersionPeriods& past);
+  // Returns what is known of the numbers of replicas, at most since `since`.
+  VersionPeriods PeriodsSince(TimePoint since) const;
 
   // Returns the version for a new stream; nullopt if the service has no
   // replica that runs requests.
@@ -128,14 +142,8 @@
   size_t remembered_streams() const { return begun_.size() + told_.size(); }
 
  private:
-  // The numbers of replicas from `since` until the next period.
-  struct Period {
-    TimePoint since{};
-    VersionCounts counts;
-  };
-  struct Service {
-    std::deque<Period> periods;  // in order of time
-  };
+  // In order of time. Nothing is known before the first one.
+  using Periods = std::deque<VersionPeriod>;
   struct BegunStream {
     std::string service;
     uint64_t choice = 0;
@@ -161,9 +169,9 @@
                                             TimePoint now) const;
   void RemoveOld(TimePoint now);
 
-  std::map<std::string, Service> services_;
+  std::map<std::string, Periods> services_;
   bool is_view_current_ = true;
-  std::optional<TimePoint> known_since_;
+  std::optional<TimePoint> first_view_at_;
   std::unordered_map<uint64_t, BegunStream> begun_;
   std::unordered_map<uint64_t, ToldStream> told_;
   TimePoint next_removal_{};
--- a/include/endiveyard/registry/registry_client.h
+++ b/include/endiveyard/registry/registry_client.h
@@ -67,6 +67,26 @@
       std::function<void(absl::StatusOr<RegistryChanges>)> done) = 0;
 };
 
+// Reads and writes single objects of the registry. Each call is sent once; its
+// callback runs once, on the event loop thread. A call without an answer may
+// still be carried out later, if its condition holds then.
+class RegistryObjectClient {
+ public:
+  virtual ~RegistryObjectClient() = default;
+
+  // Errors: kNotFound if there is no such object, kUnavailable.
+  virtual void Read(
+      const std::string& kind,
+      const std::string& name,
+      std::function<void(absl::StatusOr<RegistryObject>)> done) = 0;
+  // Replaces the object if its revision is still that of `object`, or creates
+  // it if that is 0. Errors: kAborted if the object has changed or exists,
+  // kUnavailable.
+  virtual void Write(const std::string& kind,
+                     const RegistryObject& object,
+                     std::function<void(absl::Status)> done) = 0;
+};
+
 }  // namespace endiveyard
 
 #endif  // ENDIVEYARD_REGISTRY_REGISTRY_CLIENT_H_
--- a/include/endiveyard/telemetry/json_log.h
+++ b/include/endiveyard/telemetry/json_log.h
@@ -10,6 +10,9 @@
 
 namespace endiveyard {
 
+// Returns `text` as a JSON string, with quotes.
+std::string JsonQuoted(std::string_view text);
+
 // Formats the fields of a JSON object in the order of the calls. Each field
 // starts with a comma, to follow the fields that JsonLog writes first.
 class JsonFields {
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -43,6 +43,8 @@
 inline constexpr int kLogRegistryLost = 803;
 inline constexpr int kLogRegistryRegained = 804;
 inline constexpr int kLogRegistryRestored = 805;
+inline constexpr int kLogVersionRecordRead = 806;
+inline constexpr int kLogVersionRecordWritten = 807;
 inline constexpr int kLogSettingsReloaded = 106;
 inline constexpr int kLogLinesSuppressed = 107;  // log_lines_suppressed
 // Hundreds of the events of relayed requests. Only these events are subject to
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -21,6 +21,7 @@
 #include "endiveyard/telemetry/json_log.h"
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
+#include "front/version_recorder.h"
 #include "platform/http_registry_client.h"
 #include "platform/object_decoding.h"
 #include "platform/platform_wire_protocol.h"
@@ -282,6 +283,34 @@
         mirror_timing_, &registry_era_, std::move(configuration));
     configuration_mirror_->Start();
     replica_mirror_->Start();
+    StartVersionRecorder();
+  }
+
+  void StartVersionRecorder() {
+    VersionRecorderHandlers handlers;
+    handlers.position = [this] { return load_exchange_.Position(); };
+    handlers.now = [] { return BootClock::now(); };
+    handlers.unix_ms = [] {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(
+                 std::chrono::system_clock::now().time_since_epoch())
+          .count();
+    };
+    handlers.schedule = MakeCommonHandlers().schedule;
+    handlers.on_read = [this](const absl::Status& status, size_t services) {
+      JsonFields fields;
+      fields.Integer("services", static_cast<int64_t>(services))
+          .Text("detail", std::string(status.message()));
+      log_.Log(kLogVersionRecordRead, fields, BootClock::now());
+    };
+    handlers.on_written = [this](const absl::Status& status) {
+      LogText(kLogVersionRecordWritten, "detail",
+              std::string(status.message()));
+    };
+    version_recorder_ = std::make_unique<VersionRecorder>(
+        &registry_client_, relay_.stream_versions(),
+        VersionRecorderOptions{std::string(platform::kVersionRecordKind),
+                               std::string(platform::kVersionRecordName)},
+        std::move(handlers));
   }
 
   // Returns the registered replica, or nullopt if the object is deleted or
@@ -318,6 +347,7 @@
         .Integer("era", list.era);
     log_.Log(kLogReplicaChanged, fields, BootClock::now());
     relay_.OnRoutingStateChanged();
+    version_recorder_->OnReplicasChanged();
   }
 
   void HandleReplicaChange(const RegistryObject& object) {
@@ -351,6 +381,7 @@
     asio::post(io_, [this] {
       routing_state_notification_pending_ = false;
       relay_.OnRoutingStateChanged();
+      version_recorder_->OnReplicasChanged();
     });
   }
 
@@ -491,6 +522,7 @@
   LoadExchange load_exchange_;
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
+  std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
   std::optional<TimePoint> service_map_confirmed_at_;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -113,6 +113,10 @@
     return directory_.InstanceCount(BootClock::now());
   }
 
+  InstancePosition Position() const {
+    return directory_.OwnPosition(BootClock::now());
+  }
+
   uint64_t rejected_datagrams() const { return rejected_datagrams_; }
 
   void SetLeaving() {
@@ -496,6 +500,10 @@
   return impl_->InstanceCount();
 }
 
+InstancePosition LoadExchange::Position() const {
+  return impl_->Position();
+}
+
 void LoadExchange::SetLeaving() {
   impl_->SetLeaving();
 }
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -111,16 +111,16 @@
 
 void StreamVersions::RecordReplicas(const ReplicaView& view, TimePoint now) {
   std::map<std::string, VersionCounts> counts = CountReplicas(view.Usable());
-  if (!known_since_) {
-    known_since_ = now;
+  if (!first_view_at_) {
+    first_view_at_ = now;
   }
-  for (const auto& [name, service] : services_) {
+  for (const auto& [name, periods] : services_) {
     counts.insert({name, {}});
   }
   for (auto& [name, current] : counts) {
-    std::deque<Period>& periods = services_[name].periods;
-    if (periods.empty() && *known_since_ < now) {
-      periods.push_back({*known_since_, {}});
+    Periods& periods = services_[name];
+    if (periods.empty() && *first_view_at_ < now) {
+      periods.push_back({*first_view_at_, {}});
     }
     if (periods.empty() || !(periods.back().counts == current)) {
       periods.push_back({now, std::move(current)});
@@ -138,36 +138,57 @@
   RemoveOld(now);
 }
 
-void StreamVersions::RecordPast(
-    const std::map<std::string, VersionCounts>& counts,
-    TimePoint since) {
-  if (!known_since_ || since >= *known_since_) {
+void StreamVersions::RecordPast(const VersionPeriods& past) {
+  if (!first_view_at_) {
     return;
   }
-  for (const auto& [name, past] : counts) {
-    services_[name];
+  for (const auto& [name, earlier] : past) {
+    Periods& periods = services_[name];
+    if (periods.empty()) {
+      periods.push_back({*first_view_at_, {}});
+    }
+    const VersionPeriod first = periods.front();
+    std::vector<VersionPeriod> added;
+    for (const VersionPeriod& it : earlier) {
+      if (it.since < first.since) {
+        added.push_back(it);
+      } else if (!added.empty()) {
+        // Clocks differ: it began before, at an unknown time.
+        Join(&added.back().counts, it.counts);
+      }
+    }
+    if (added.empty()) {
+      continue;
+    }
+    Join(&added.back().counts, first.counts);
+    periods.insert(periods.begin(), added.begin(), added.end());
   }
-  for (auto& [name, service] : services_) {
-    if (service.periods.empty()) {
-      service.periods.push_front({*known_since_, {}});
+}
+
+VersionPeriods StreamVersions::PeriodsSince(TimePoint since) const {
+  VersionPeriods known;
+  for (const auto& [name, periods] : services_) {
+    for (size_t n = 0; n < periods.size(); ++n) {
+      const bool has_ended =
+          n + 1 < periods.size() && periods[n + 1].since <= since;
+      if (!has_ended) {
+        known[name].push_back(periods[n]);
+      }
     }
-    const auto past = counts.find(name);
-    service.periods.push_front(
-        {since, past == counts.end() ? VersionCounts() : past->second});
   }
-  known_since_ = since;
+  return known;
 }
 
 std::optional<std::string> StreamVersions::Choose(
     const std::string& service,
     const StreamId& stream) const {
   const auto it = services_.find(service);
-  if (it == services_.end() || it->second.periods.empty()) {
+  if (it == services_.end() || it->second.empty()) {
     return std::nullopt;
   }
   std::optional<std::string> chosen;
   double best = std::numeric_limits<double>::infinity();
-  for (const auto& [version, count] : it->second.periods.back().counts) {
+  for (const auto& [version, count] : it->second.back().counts) {
     const double rank =
         Rank(RankOfOneReplica(version, stream.choice), count.most);
     if (rank < best) {
@@ -182,11 +203,11 @@
     const std::string& service,
     TimePoint since) const {
   const auto it = services_.find(service);
-  if (!known_since_ || since < *known_since_ || it == services_.end() ||
-      !is_view_current_) {
+  if (it == services_.end() || it->second.empty() ||
+      since < it->second.front().since || !is_view_current_) {
     return std::nullopt;
   }
-  const std::deque<Period>& periods = it->second.periods;
+  const Periods& periods = it->second;
   std::optional<VersionCounts> joined;
   for (size_t n = 0; n < periods.size(); ++n) {
     const bool has_ended =
@@ -213,7 +234,7 @@
   }
   std::set<std::string> known;
   if (const auto it = services_.find(service); it != services_.end()) {
-    for (const Period& period : it->second.periods) {
+    for (const VersionPeriod& period : it->second) {
       for (const auto& [version, count] : period.counts) {
         known.insert(version);
       }
--- a/src/telemetry/json_log.cc
+++ b/src/telemetry/json_log.cc
@@ -46,6 +46,12 @@
   text_ += "\":";
 }
 
+std::string JsonQuoted(std::string_view text) {
+  std::string quoted = "\"";
+  AppendEscaped(&quoted, text);
+  return quoted + "\"";
+}
+
 JsonFields& JsonFields::Text(std::string_view name, std::string_view value) {
   AppendName(name);
   text_.push_back('"');
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -144,6 +144,12 @@
       {805, kWarn, "registry_restored",
        "The registry was restored from a copy; everything is listed again.",
        "Check that the latest configuration was written again."},
+      {806, kInfo, "version_record_read",
+       "The record of the software versions of replicas was read.", "None."},
+      {807, kInfo, "version_record_written",
+       "A change of the software versions of replicas was recorded, or could "
+       "not be.",
+       "None; streams that callers take up may be refused."},
       {901, kInfo, "request_placed", "A request was sent to a target.",
        "None."},
       {902, kInfo, "call_ended",
--- /dev/null
+++ b/tests/front/version_recorder_test.cc
@@ -0,0 +1,255 @@
+#include "front/version_recorder.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace endiveyard {
+namespace {
+
+constexpr const char* kService = "lm";
+
+// Time, and what is to happen later.
+class Clock {
+ public:
+  TimePoint now() const { return now_; }
+  void Schedule(Duration delay, std::function<void()> action) {
+    actions_.emplace(now_ + delay, std::move(action));
+  }
+  void Advance(Duration duration) {
+    const TimePoint until = now_ + duration;
+    while (!actions_.empty() && actions_.begin()->first <= until) {
+      const auto first = actions_.begin();
+      now_ = std::max(now_, first->first);
+      const std::function<void()> action = std::move(first->second);
+      actions_.erase(first);
+      action();
+    }
+    now_ = until;
+  }
+
+ private:
+  TimePoint now_ = TimePointFromMicros(1000000000);
+  std::multimap<TimePoint, std::function<void()>> actions_;
+};
+
+// One object. Answers come 4 ms later.
+class FakeRegistry : public RegistryObjectClient {
+ public:
+  explicit FakeRegistry(Clock* clock) : clock_(clock) {}
+
+  void Read(const std::string& /*kind*/,
+            const std::string& /*name*/,
+            std::function<void(absl::StatusOr<RegistryObject>)> done) override {
+    ++reads;
+    Answer([this, done] {
+      if (unavailable) {
+        done(absl::UnavailableError("down"));
+      } else if (object.revision == 0) {
+        done(absl::NotFoundError("none"));
+      } else {
+        done(object);
+      }
+    });
+  }
+
+  void Write(const std::string& /*kind*/,
+             const RegistryObject& written,
+             std::function<void(absl::Status)> done) override {
+    ++writes;
+    Answer([this, written, done] {
+      if (unavailable) {
+        done(absl::UnavailableError("down"));
+      } else if (written.revision != object.revision) {
+        done(absl::AbortedError("changed"));
+      } else {
+        object = written;
+        ++object.revision;
+        done(absl::OkStatus());
+      }
+    });
+  }
+
+  RegistryObject object;
+  bool unavailable = false;
+  int reads = 0;
+  int writes = 0;
+
+ private:
+  void Answer(std::function<void()> action) {
+    clock_->Schedule(std::chrono::milliseconds(4), std::move(action));
+  }
+
+  Clock* clock_;
+};
+
+ReplicaView MakeView(int first, int second) {
+  std::vector<Replica> replicas;
+  for (int n = 0; n < first + second; ++n) {
+    Replica replica;
+    replica.id = "i-" + std::to_string(n);
+    replica.service = kService;
+    replica.version = n < first ? "v1" : "v2";
+    replicas.push_back(replica);
+  }
+  ReplicaView view;
+  view.Reset(replicas, TimePoint());
+  return view;
+}
+
+struct Instance {
+  Instance(Clock* clock, FakeRegistry* registry, size_t index, size_t count)
+      : clock(clock) {
+    VersionRecorderHandlers handlers;
+    handlers.position = [index, count] {
+      InstancePosition position;
+      position.index = index;
+      position.count = count;
+      return position;
+    };
+    handlers.now = [clock] { return clock->now(); };
+    handlers.unix_ms = [clock] {
+      return 1790000000000 + clock->now().time_since_epoch().count() / 1000;
+    };
+    handlers.schedule = [clock](Duration delay, std::function<void()> action) {
+      clock->Schedule(delay, std::move(action));
+    };
+    handlers.on_read = [](const absl::Status&, size_t) {};
+    handlers.on_written = [](const absl::Status&) {};
+    recorder = std::make_unique<VersionRecorder>(
+        registry, &versions, VersionRecorderOptions{"kind", "name"},
+        std::move(handlers));
+  }
+
+  void See(const ReplicaView& view) {
+    versions.RecordReplicas(view, clock->now());
+    recorder->OnReplicasChanged();
+  }
+  // Returns the version of a stream that began at most `age` ago.
+  std::optional<std::string> Find(Duration age) const {
+    return versions.Find(kService, MakeStreamId(kService, "r1", std::nullopt),
+                         age, clock->now());
+  }
+
+  Clock* clock;
+  StreamVersions versions;
+  std::unique_ptr<VersionRecorder> recorder;
+};
+
+std::vector<std::unique_ptr<Instance>> StartFleet(Clock* clock,
+                                                  FakeRegistry* registry,
+                                                  size_t count) {
+  std::vector<std::unique_ptr<Instance>> fleet;
+  for (size_t n = 0; n < count; ++n) {
+    fleet.push_back(std::make_unique<Instance>(clock, registry, n, count));
+  }
+  return fleet;
+}
+
+void ShowAll(const std::vector<std::unique_ptr<Instance>>& fleet,
+             const ReplicaView& view) {
+  for (const auto& it : fleet) {
+    it->See(view);
+  }
+}
+
+constexpr Duration kSecond = std::chrono::seconds(1);
+
+}  // namespace
+
+// Guards against streams that are refused, or joined, after all instances were
+// killed at once: a new process knows from the record which versions there
+// were.
+BOOST_AUTO_TEST_CASE(RecordOutlivesAllInstances) {
+  Clock clock;
+  FakeRegistry registry(&clock);
+  auto fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(30 * kSecond);
+  fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(kSecond);
+  for (const auto& it : fleet) {
+    BOOST_TEST((it->Find(12 * kSecond) == "v1"));
+  }
+  // The replicas are replaced, and all instances are killed 2 s later.
+  ShowAll(fleet, MakeView(0, 12));
+  clock.Advance(2 * kSecond);
+  fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(0, 12));
+  clock.Advance(kSecond);
+  for (const auto& it : fleet) {
+    BOOST_TEST(!it->Find(4 * kSecond));
+  }
+  // Also if nobody had the time to record the change.
+  ShowAll(fleet, MakeView(12, 0));
+  fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(kSecond);
+  for (const auto& it : fleet) {
+    BOOST_TEST(!it->Find(4 * kSecond));
+  }
+}
+
+// Guards against as many calls to the registry as there are instances for each
+// change.
+BOOST_AUTO_TEST_CASE(FewInstancesWriteAChange) {
+  for (const size_t instances : {1u, 8u, 95u, 370u}) {
+    Clock clock;
+    FakeRegistry registry(&clock);
+    auto fleet = StartFleet(&clock, &registry, instances);
+    ShowAll(fleet, MakeView(12, 0));
+    clock.Advance(10 * kSecond);
+    BOOST_TEST(registry.writes == 1);
+    BOOST_TEST(registry.reads <= static_cast<int>(instances) + 4);
+    registry.reads = registry.writes = 0;
+    // A release in steps.
+    for (int n = 1; n <= 6; ++n) {
+      ShowAll(fleet, MakeView(12 - n, n));
+      clock.Advance(kSecond / 2);
+    }
+    clock.Advance(10 * kSecond);
+    BOOST_TEST(registry.writes >= 1);
+    BOOST_TEST(registry.writes <= 6);
+    BOOST_TEST(registry.reads <= 24);
+    // Replicas of the versions come and go no more.
+    registry.reads = registry.writes = 0;
+    ShowAll(fleet, MakeView(6, 6));
+    clock.Advance(10 * kSecond);
+    BOOST_TEST(registry.writes == 0);
+  }
+}
+
+// Guards against a change that is never recorded: the instance whose turn it is
+// has ended, or the registry was away.
+BOOST_AUTO_TEST_CASE(OthersWriteWhereOneDoesNot) {
+  Clock clock;
+  FakeRegistry registry(&clock);
+  auto fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(10 * kSecond);
+  for (int lost = 0; lost < 8; ++lost) {
+    const std::string before = registry.object.spec;
+    for (int n = 0; n < 8; ++n) {
+      if (n != lost) {
+        fleet[static_cast<size_t>(n)]->See(MakeView(11 - lost, lost + 1));
+      }
+    }
+    clock.Advance(3 * kSecond);
+    BOOST_TEST(registry.object.spec != before, "instance " << lost);
+    fleet[static_cast<size_t>(lost)]->See(MakeView(11 - lost, lost + 1));
+    clock.Advance(3 * kSecond);
+  }
+  const std::string before = registry.object.spec;
+  registry.unavailable = true;
+  ShowAll(fleet, MakeView(3, 3));
+  clock.Advance(6 * kSecond);
+  BOOST_TEST(registry.object.spec == before);
+  registry.unavailable = false;
+  clock.Advance(4 * kSecond);
+  BOOST_TEST(registry.object.spec != before);
+}
+
+}  // namespace endiveyard
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -111,12 +111,13 @@
   BOOST_TEST((versions.Find(kService, stream, 4 * kSecond, At(105)) == "v2"));
   BOOST_TEST((versions.FindOnly(kService, 4 * kSecond, At(105)) == "v2"));
   // The past tells of another version.
-  versions.RecordPast({{kService, {{"v1", {0, 12}}, {"v2", {0, 12}}}}}, At(80));
+  versions.RecordPast(
+      {{kService, {{At(80), {{"v1", {0, 12}}, {"v2", {0, 12}}}}}}});
   BOOST_TEST(!versions.Find(kService, stream, 8 * kSecond, At(105)));
   // Or of the same one only.
   StreamVersions other;
   other.RecordReplicas(MakeView(0, 12), At(100));
-  other.RecordPast({{kService, {{"v2", {12, 12}}}}}, At(80));
+  other.RecordPast({{kService, {{At(80), {{"v2", {12, 12}}}}}}});
   BOOST_TEST((other.Find(kService, stream, 8 * kSecond, At(105)) == "v2"));
   BOOST_TEST(!other.Find(kService, stream, 26 * kSecond, At(105)));
 }
@@ -421,7 +422,7 @@
       }
       past[version] = count;
     }
-    instance.versions.RecordPast({{kService, past}}, At(past_since));
+    instance.versions.RecordPast({{kService, {{At(past_since), past}}}});
   }
 
   int64_t now_ = 0;
--- a/tests/platform/object_decoding_test.cc
+++ b/tests/platform/object_decoding_test.cc
@@ -231,4 +231,24 @@
   BOOST_TEST(map->limits.max_body_bytes > uint64_t{1} << 40);
 }
 
+// Guards against writes without the condition that nobody else has written.
+BOOST_AUTO_TEST_CASE(ObjectsAreWrittenAtTheirRevision) {
+  RegistryObject object;
+  object.name = "a";
+  object.spec = "{\"b\":1}";
+  BOOST_TEST(EncodeObject(object) ==
+             R"({"metadata":{"name":"a"},"spec":{"b":1}})");
+  object.revision = 7;
+  const std::string body = EncodeObject(object);
+  BOOST_TEST(body ==
+             R"({"metadata":{"name":"a","revision":7},"spec":{"b":1}})");
+  const auto decoded = DecodeObject(body);
+  BOOST_REQUIRE(decoded.ok());
+  BOOST_TEST(decoded->name == "a");
+  BOOST_TEST(decoded->revision == 7);
+  BOOST_TEST(decoded->spec == object.spec);
+  BOOST_TEST(!DecodeObject("{").ok());
+  BOOST_TEST(!DecodeObject("{}").ok());
+}
+
 }  // namespace endiveyard::platform
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -703,7 +703,8 @@
   // Both targets have had the same version for longer than the stream exists.
   RunOnRelayThread([this](RoutingState&) {
     relay().stream_versions()->RecordPast(
-        {{"svc", {{"", {2, 2}}}}}, BootClock::now() - std::chrono::minutes(1));
+        {{"svc",
+          {{BootClock::now() - std::chrono::minutes(1), {{"", {2, 2}}}}}}});
   });
   TestConnection caller = Connect();
   caller.Send(RequestHead("POST", "/stream/x", "r1b",
--- a/tools/soak/registry_standin.cc
+++ b/tools/soak/registry_standin.cc
@@ -14,6 +14,13 @@
              : std::atoll(query.c_str() + at + name.size() + 2);
 }
 
+std::string Response(const std::string& status, const std::string& body) {
+  return "HTTP/1.1 " + status +
+         "\r\nStore-Era: 1\r\nContent-Type: application/json\r\n"
+         "Content-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 }  // namespace
 
 RegistryStandin::RegistryStandin(const std::string& ip)
@@ -84,6 +91,56 @@
          std::to_string(revision_) + "}";
 }
 
+std::optional<std::string> RegistryStandin::HandleObject(
+    const HttpMessage& request) {
+  const std::string prefix = "/objects/";
+  const std::string path = request.Target().substr(prefix.size());
+  const size_t slash = path.find('/');
+  const std::string kind = path.substr(0, slash);
+  if (request.start_line.compare(0, 4, "GET ") != 0) {
+    const std::string named = "\"name\":\"";
+    const size_t begin = request.body.find(named) + named.size();
+    return WriteObject(
+        kind, request.body.substr(begin, request.body.find('"', begin) - begin),
+        request.body);
+  }
+  if (slash == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (auto it = changes_.rbegin(); it != changes_.rend(); ++it) {
+    if (it->kind == kind && it->name == path.substr(slash + 1)) {
+      return Response("200 OK", it->object);
+    }
+  }
+  return Response("404 Not Found", "{}");
+}
+
+std::string RegistryStandin::WriteObject(const std::string& kind,
+                                         const std::string& name,
+                                         const std::string& body) {
+  const std::string revision_field = "\"revision\":";
+  const std::string spec_field = "\"spec\":";
+  const size_t spec = body.find(spec_field) + spec_field.size();
+  const size_t revision = body.rfind(revision_field, spec);
+  const int64_t expected =
+      revision == std::string::npos
+          ? 0
+          : std::atoll(body.c_str() + revision + revision_field.size());
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    int64_t current = 0;
+    for (const Change& it : changes_) {
+      current = it.kind == kind && it.name == name ? it.revision : current;
+    }
+    if (current != expected) {
+      return Response("409 Conflict", "{}");
+    }
+  }
+  Record(kind, name, body.substr(spec, body.rfind('}') - spec), false);
+  return Response("200 OK", "{}");
+}
+
 void RegistryStandin::Serve(HttpPeer& peer) {
   constexpr int kIdleMs = 60000;
   while (true) {
@@ -91,10 +148,13 @@
     if (!request.complete) {
       return;
     }
-    const std::string body = Read(request.Target());
-    if (!peer.Send("HTTP/1.1 200 OK\r\nStore-Era: 1\r\n"
-                   "Content-Type: application/json\r\nContent-Length: " +
-                   std::to_string(body.size()) + "\r\n\r\n" + body)) {
+    if (const auto answer = HandleObject(request)) {
+      if (!peer.Send(*answer)) {
+        return;
+      }
+      continue;
+    }
+    if (!peer.Send(Response("200 OK", Read(request.Target())))) {
       return;
     }
   }
--- a/tools/soak/registry_standin.h
+++ b/tools/soak/registry_standin.h
@@ -4,6 +4,7 @@
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,12 @@
 
   void Serve(HttpPeer& peer);
   std::string Read(const std::string& target);
+  // Reads or writes one object. Returns the response, or nullopt for a request
+  // that lists or watches.
+  std::optional<std::string> HandleObject(const HttpMessage& request);
+  std::string WriteObject(const std::string& kind,
+                          const std::string& name,
+                          const std::string& body);
   void Record(const std::string& kind,
               const std::string& name,
               const std::string& spec,
