Do not refuse streams that are taken up as too late for their end

Cause: the estimate counted the whole output, though the caller has a part of it, and asked for the last output before the deadline, though callers that take up have 1 to 3 s left by nature. Their calls queued with new ones, where the first output came after 1.5 to 7 s.

The rest of the output follows from the event that the caller has last and from the tokens per event of complete streams; a stream that is continued needs its next output in time, not its end; and its calls go first.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -35,6 +35,9 @@
   Duration time_left{};               // until the deadline
   Duration first_output_time_left{};  // until the caller gives up waiting
   double body_bytes = 0;  // request body, sent to each chosen engine
+  // The caller has the beginning of the output. It is better off with some of
+  // the rest than with none, so only the first output has to come in time.
+  bool continues_stream = false;
   // Digest of the request, by which instances that see the same load choose
   // different replicas.
   uint64_t tie_breaker = 0;
@@ -188,6 +191,17 @@
                      double running,
                      Duration elapsed,
                      TimePoint now);
+  // Records the number of events of a complete stream with `tokens`.
+  void ObserveEvents(const std::string& service,
+                     double tokens,
+                     double events,
+                     TimePoint now);
+  // Returns how many output tokens are left after `events` of a stream with
+  // `tokens` in all.
+  double TokensAfterEvents(const std::string& service,
+                           double tokens,
+                           double events,
+                           TimePoint now) const;
   // Records how long a call waited, compared with the prediction.
   void ObserveWait(const std::string& service,
                    const CallClass& call_class,
@@ -238,6 +252,8 @@
     const WaitCalibration& WaitsOf(const CallClass& call_class) const;
     // Durations of the calls to a plain service, in ms.
     SampleWindow plain_call_ms{64, std::chrono::seconds(30)};
+    // Output tokens per event of complete streams.
+    SampleWindow tokens_per_event{64, std::chrono::minutes(5)};
     // Moving averages of the uncached prompt tokens per request.
     double mean_uncached_disaggregated = 0;
     double mean_uncached_colocated = 0;
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -478,9 +478,12 @@
 std::optional<PlacementRefusal> Placer::RefusalOf(
     const PlacementQuery& query,
     const Placement& placement) const {
-  const Duration overrun =
-      std::max(placement.expected_first_output - query.first_output_time_left,
-               placement.expected_completion - query.time_left);
+  Duration overrun =
+      placement.expected_first_output - query.first_output_time_left;
+  if (!query.continues_stream) {
+    overrun =
+        std::max(overrun, placement.expected_completion - query.time_left);
+  }
   if (overrun < Duration(0)) {
     return std::nullopt;
   }
--- a/src/placement/placer_measurements.cc
+++ b/src/placement/placer_measurements.cc
@@ -185,6 +185,29 @@
                           : state->WaitsOf(call_class).Upper(predicted, now);
 }
 
+void Placer::ObserveEvents(const std::string& service,
+                           double tokens,
+                           double events,
+                           TimePoint now) {
+  if (events > 0) {
+    services_[service].tokens_per_event.Add(tokens / events, now);
+  }
+}
+
+double Placer::TokensAfterEvents(const std::string& service,
+                                 double tokens,
+                                 double events,
+                                 TimePoint now) const {
+  const ServiceState* state = FindState(service);
+  // An event has one token at least.
+  const double tokens_per_event =
+      state == nullptr
+          ? 1
+          : std::max(1.0,
+                     state->tokens_per_event.Quantile(0.5, now).value_or(1));
+  return std::max(1.0, tokens - events * tokens_per_event);
+}
+
 void Placer::ObservePlainCall(const std::string& service,
                               Duration elapsed,
                               TimePoint now) {
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -231,6 +231,13 @@
       service_, StreamIdOf(request_metadata_.request_id));
 }
 
+int RelayExchange::EffectivePriority() const {
+  // What a stream has taken from engines is lost if the rest comes too late,
+  // and its caller has less time left than others.
+  constexpr int kFirst = 0;
+  return ContinuesStream() ? kFirst : route_->priority;
+}
+
 PlacementQuery RelayExchange::MakePlacementQuery(TimePoint now) const {
   PlacementQuery query;
   query.service = service_;
@@ -239,9 +246,16 @@
     query.engine = service->engine;
   }
   query.prompt = request_metadata_.prompt;
-  query.route_priority = route_->priority;
+  if (const auto events = sse_splitter_.last_id(); query.prompt && events) {
+    // The caller has them already.
+    query.prompt->expected_output_tokens = context_->placer.TokensAfterEvents(
+        service_, query.prompt->expected_output_tokens,
+        static_cast<double>(*events), now);
+  }
+  query.route_priority = EffectivePriority();
   query.excluded = excluded_replica_ids_;
   query.version = RequiredVersion();
+  query.continues_stream = ContinuesStream();
   query.body_bytes = static_cast<double>(RequestBodyBytes());
   query.tie_breaker = Digest64(request_metadata_.request_id);
   query.time_left = query.first_output_time_left = TimeLeft();
@@ -401,7 +415,7 @@
                      UnsharedTokens(*request_metadata_.prompt))
           : 0;
   headers.priority = QueuePriority(
-      route_->priority,
+      EffectivePriority(),
       prefill_tokens / context_->placer.Profile(service_, BootClock::now())
                            .prefill_tokens_per_ms);
   headers.last_event_id = request_metadata_.last_event_id;
@@ -420,7 +434,7 @@
   }
   active_call_ = ActiveCall();
   active_call_->replica = replica;
-  active_call_->call_class = {kind, route_->priority};
+  active_call_->call_class = {kind, EffectivePriority()};
   active_call_->predicted_wait = predicted_wait;
   active_call_->pending_prefill_tokens = uncached;
   active_call_->sent_at = active_call_->last_progress_at = now;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -93,11 +93,16 @@
   // Returns the keys of the stream that `attempt`, with the same prompt, has
   // begun.
   StreamId StreamIdOf(std::string_view attempt) const;
+  // Returns true if the caller has the beginning of the stream.
+  bool ContinuesStream() const { return TakesUpStream() || ResponseBegun(); }
   // Finds the software version that has begun the stream that the caller takes
   // up. Returns false if that is in doubt.
   bool FindStreamVersion();
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
+  // Returns the priority of the calls: that of the route, or the highest one if
+  // they continue a stream.
+  int EffectivePriority() const;
   // Returns the query for the next placement of the request.
   PlacementQuery MakePlacementQuery(TimePoint now) const;
   void StartPlacement(const Placement& placement);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -366,6 +366,10 @@
   // from the estimate of the caller. That is right at the median.
   constexpr double kMinTokens = 16;
   const double tokens = request_metadata_.prompt->expected_output_tokens;
+  if (const auto events = sse_splitter_.last_id()) {
+    context_->placer.ObserveEvents(service_, tokens,
+                                   static_cast<double>(*events), now);
+  }
   if (call.first_event_at && call.response_metadata.load &&
       tokens >= kMinTokens) {
     context_->placer.ObserveOutput(
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -529,4 +529,34 @@
   }
 }
 
+// Guards against streams that are not continued since their end is expected too
+// late: callers that take up a stream have little time left by nature, and have
+// a part of the output already.
+BOOST_AUTO_TEST_CASE(StreamsAreContinuedIfTheirNextOutputIsInTime) {
+  const ReplicaView view = FourEngines();
+  Placer placer = MakePlacer();
+  PlacementQuery query = MakeQuery(MakePrompt(7, 100, 300));
+  query.prompt->expected_output_tokens = 5000;
+  query.time_left = query.first_output_time_left = std::chrono::seconds(2);
+  const auto refused = placer.Choose(view, query, At(0));
+  BOOST_REQUIRE(!refused.placement);
+  BOOST_TEST((refused.refusal.reason == PlacementRefusal::Reason::kTooLate));
+  query.continues_stream = true;
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement.has_value());
+  query.first_output_time_left = Duration(0);
+  BOOST_TEST(!placer.Choose(view, query, At(0)).placement);
+}
+
+// Guards against an estimate that counts the output that a caller has.
+BOOST_AUTO_TEST_CASE(OutputAfterEventsIsTheRest) {
+  Placer placer = MakePlacer();
+  BOOST_TEST(placer.TokensAfterEvents("lm", 300, 20, At(0)) == 280);
+  placer.ObserveEvents("lm", 400, 40, At(0));
+  placer.ObserveEvents("lm", 400, 0, At(0));
+  BOOST_TEST(placer.TokensAfterEvents("lm", 300, 20, At(1)) == 100);
+  // Estimates are often too short.
+  BOOST_TEST(placer.TokensAfterEvents("lm", 300, 50, At(1)) == 1);
+  BOOST_TEST(placer.TokensAfterEvents("other", 300, 20, At(1)) == 280);
+}
+
 }  // namespace endiveyard
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -28,6 +28,7 @@
 // A view with these numbers of replicas of the versions 1 and 2.
 ReplicaView MakeView(int first, int second) {
   std::vector<Replica> replicas;
+  replicas.reserve(static_cast<size_t>(first + second));
   for (int n = 0; n < first + second; ++n) {
     replicas.push_back(MakeReplica(n, n < first ? "v1" : "v2"));
   }
@@ -49,6 +50,7 @@
   versions.RecordReplicas(MakeView(9, 3), At(0));
   constexpr int kStreams = 4000;
   std::vector<std::string> before;
+  before.reserve(kStreams);
   for (int n = 0; n < kStreams; ++n) {
     before.push_back(*versions.Choose(kService, MakeStream(n)));
   }
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -157,6 +157,7 @@
   const uint16_t control_port = FindFreePort(Ip(100));
   constexpr int kMaxSeeds = 3;
   std::vector<std::string> seeds;
+  seeds.reserve(kMaxSeeds);
   for (int n = 0; n < std::min(options_.fronts, kMaxSeeds); ++n) {
     seeds.push_back(Ip(100 + n) + ":" + std::to_string(control_port));
   }
