Tell the version of a stream before its first event

Instances told each other of a stream only after its first event, one to three seconds after it was sent to an engine under load. The version is known when the run is sent and told then; if the stream begins at another one after all, the reports differ and the version counts as unknown.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -122,8 +122,8 @@
                                       Duration max_age,
                                       TimePoint now) const;
 
-  // Records that a replica of `version` has sent the first event of the stream
-  // to this instance.
+  // Records that the stream is to begin at a replica of `version`, or at another
+  // one than before.
   void RecordBegun(const std::string& service,
                    const StreamId& stream,
                    const std::string& version,
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -284,9 +284,15 @@
                                  const std::string& version,
                                  TimePoint now) {
   RemoveOld(now);
-  if (begun_.size() < kMaxBegunStreams) {
-    begun_.insert({stream.attempt,
-                   {service, stream.choice, version, now, kReportCopies}});
+  const auto it = begun_.find(stream.attempt);
+  if (it == begun_.end()) {
+    if (begun_.size() < kMaxBegunStreams) {
+      begun_.insert({stream.attempt,
+                     {service, stream.choice, version, now, kReportCopies}});
+    }
+  } else if (it->second.version != version) {
+    it->second.version = version;
+    it->second.reports_left = kReportCopies;
   }
 }
 
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -38,6 +38,12 @@
                  RetryAfterWithJitter(kNotReadyRetryAfter));
     return;
   }
+  if (route_->kind == RouteKind::kStreaming && route_->resumable) {
+    // Before the first event, so that other instances are told in time.
+    context_->stream_versions.RecordBegun(
+        service_, StreamIdOf(request_metadata_.request_id),
+        placement.target.version, BootClock::now());
+  }
   RegisterCall(placement.target,
                kv ? CallKind::kRunAfterPrefill : CallKind::kRun,
                placement.predicted_run, placement.target_uncached);
@@ -230,11 +236,6 @@
   if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
     first_output_at_ = BootClock::now();
     stream_version_ = active_call_->replica.version;
-    if (route_->resumable) {
-      context_->stream_versions.RecordBegun(
-          service_, StreamIdOf(request_metadata_.request_id), *stream_version_,
-          BootClock::now());
-    }
     // This run has used the KV cache.
     kv_handle_.reset();
     response_ = std::move(*unsent).Begin(CallerHeadFrom(active_call_->head));
