--- a/include/endiveyard/placement/caller_patience.h
+++ b/include/endiveyard/placement/caller_patience.h
@@ -45,7 +45,7 @@
     int requests = 0;
   };
 
-  static constexpr int kMinRequests = 16;
+  static constexpr int kMinRequests = 6;
   static constexpr size_t kMaxRoutes = 4096;
 
   std::map<std::string, Route> routes_;
