--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -122,8 +122,8 @@
                                       Duration max_age,
                                       TimePoint now) const;
 
-  // Records that the stream is to begin at a replica of `version`, or at another
-  // one than before.
+  // Records that the stream is to begin at a replica of `version`, or at
+  // another one than before.
   void RecordBegun(const std::string& service,
                    const StreamId& stream,
                    const std::string& version,
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -28,7 +28,7 @@
 // A view with these numbers of replicas of the versions 1 and 2.
 ReplicaView MakeView(int first, int second) {
   std::vector<Replica> replicas;
-  replicas.reserve(static_cast<size_t>(first + second));
+  replicas.reserve(static_cast<size_t>(first) + static_cast<size_t>(second));
   for (int n = 0; n < first + second; ++n) {
     replicas.push_back(MakeReplica(n, n < first ? "v1" : "v2"));
   }
