Tell the streams whose document leaves the version in doubt

Which streams an instance tells others was decided by the id of the attempt, although the document chooses the version: about half of the streams in doubt were not told, and others were told for nothing. Take-ups of the former were refused as version_unknown where an instance had been killed.

Found on reading the change again; the tests had streams without prompts, whose two keys are equal. StreamsThatOthersCannotComputeAreTold fails 104 times with the fault put back.

--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -317,7 +317,7 @@
       continue;
     }
     const std::vector<std::string> possible = PossibleVersions(
-        begun.service, stream, now - begun.at + kViewDelay, now);
+        begun.service, begun.choice, now - begun.at + kViewDelay, now);
     if (!is_view_current_ || possible.size() != 1 ||
         possible.front() != begun.version) {
       --begun.reports_left;
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -150,6 +150,33 @@
   BOOST_TEST(!changing.Find(kService, MakeStream(1), 10 * kSecond, At(100)));
 }
 
+// Guards against streams that are not told because the id of their attempt, and
+// not their document, is taken for what chose the version: exactly those are
+// told whose version others cannot compute.
+BOOST_AUTO_TEST_CASE(StreamsThatOthersCannotComputeAreTold) {
+  StreamVersions versions;
+  versions.RecordReplicas(MakeView(9, 3), At(0));
+  versions.RecordReplicas(MakeView(3, 9), At(99));
+  StreamVersions other = versions;
+  int told = 0;
+  for (int n = 0; n < 200; ++n) {
+    PromptShape prompt;
+    prompt.parts = {{static_cast<uint64_t>(n), 500}, {1, 100}};
+    const StreamId stream =
+        MakeStreamId(kService, "r" + std::to_string(n), prompt);
+    const std::string version = *versions.Choose(kService, stream);
+    versions.RecordBegun(kService, stream, version, At(100));
+    const bool is_certain =
+        other.Find(kService, stream, 5 * kSecond, At(100)).has_value();
+    const auto news = versions.TakeNews(10, At(100));
+    versions.TakeNews(10, At(100));
+    BOOST_TEST(news.empty() == is_certain);
+    told += news.empty() ? 0 : 1;
+  }
+  BOOST_TEST(told > 50);
+  BOOST_TEST(told < 150);
+}
+
 // Guards against an instance that has started and takes up a stream at the
 // wrong version, since others have told of it before.
 BOOST_AUTO_TEST_CASE(StreamsAreToldAgainToStartedInstances) {
