--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -10,6 +10,7 @@
 
 #include "absl/status/status.h"
 #include "endiveyard/placement/crash_suspects.h"
+#include "endiveyard/placement/forwarding_peers.h"
 #include "endiveyard/placement/placer.h"
 #include "endiveyard/placement/stream_versions.h"
 
@@ -30,12 +31,14 @@
 class LoadExchange {
  public:
   // `placer`, `crash_suspects` and `stream_versions` provide the contents of
-  // each report and take in each one received.
+  // each report and take in each one received. `forwarding_peers` learns from
+  // them which instances take requests.
   LoadExchange(boost::asio::io_context& io,
                LoadExchangeOptions options,
                Placer* placer,
                CrashSuspects* crash_suspects,
-               StreamVersions* stream_versions);
+               StreamVersions* stream_versions,
+               ForwardingPeers* forwarding_peers);
   ~LoadExchange();
   LoadExchange(const LoadExchange&) = delete;
   LoadExchange& operator=(const LoadExchange&) = delete;
@@ -52,6 +55,10 @@
   void SetLeaving();
   // Tells the others whether this instance can read the registry.
   void SetRegistryLost(bool is_lost);
+  // Tells the others whether this instance takes requests that they forward.
+  void SetTakesRequests(bool takes_requests);
+  // Returns the digest of the own region, as in reports.
+  uint16_t region() const;
   // Returns true if another instance has told lately that it can read the
   // registry.
   bool HasPeerWithRegistry() const;
--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -70,6 +70,8 @@
   std::vector<LeavingReport> leaving_replicas;
   std::vector<StreamReport> streams;
   bool registry_lost = false;  // the sender cannot read the registry
+  // The sender takes requests that others forward, see ForwardingState.
+  bool takes_requests = false;
 
   bool operator==(const PeerLoadReport& other) const;
 };
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -12,6 +12,7 @@
 #include "absl/status/status.h"
 #include "endiveyard/base/time_point.h"
 #include "endiveyard/placement/crash_suspects.h"
+#include "endiveyard/placement/forwarding_peers.h"
 #include "endiveyard/placement/placer.h"
 #include "endiveyard/placement/replica_view.h"
 #include "endiveyard/placement/service_map.h"
@@ -34,6 +35,9 @@
   // Another process may have used retries at this address until just now.
   bool may_replace_process = false;
   TargetClientOptions target_client;
+  // Port at which all instances take requests that others forward; 0 if they
+  // do not.
+  uint16_t peer_port = 0;
   // Limit on open caller connections; further ones wait in the kernel's accept
   // queue. Two thirds of the file descriptors, which leaves the rest for
   // connections to targets.
@@ -78,6 +82,13 @@
   // kUnavailable.
   absl::Status Listen();
   uint16_t port() const;
+  // Starts taking requests that other instances forward. Errors: kUnavailable.
+  absl::Status ListenForPeers(const std::string& ip, uint16_t port);
+  uint16_t peer_port() const;
+  // Returns false if no target can be connected to.
+  bool HasLinks() const;
+  // Sets the region as peers state it, see ForwardingState.
+  void set_own_region(uint16_t region);
 
   // Applies a change of the routing state: drops the loads of replicas that are
   // no longer registered and, once the state is complete, resumes the requests
@@ -89,6 +100,9 @@
   // Finds requests that crash replicas. Exposed for the load exchange.
   StreamVersions* stream_versions();
   CrashSuspects* crash_suspects();
+  // The instances that requests are forwarded to while no target can be
+  // reached. Exposed for the load exchange.
+  ForwardingPeers* forwarding_peers();
 
   // Starts a graceful shutdown. Responses sent from now on close their
   // connection. After `drain_delay`, by which time the platform's load balancer
--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -102,6 +102,15 @@
   std::shared_ptr<TargetCall> Start(TargetRequest request,
                                     TargetCallHandlers handlers);
 
+  // Returns true if a call to the address would use an open connection.
+  bool HasIdleConnection(const std::string& ip, uint16_t port) const;
+
+  // Called with the outcome of each attempt to connect to "IP:PORT", before the
+  // handlers of the call.
+  using ConnectObserver =
+      std::function<void(const std::string& address, bool connected)>;
+  void set_connect_observer(ConnectObserver observer);
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -69,6 +69,7 @@
   options.retry_bound = settings.retry_bound;
   options.max_view_delay = settings.max_staleness;
   options.may_replace_process = true;
+  options.peer_port = settings.peer_port;
   const size_t descriptors =
       settings.max_descriptors > kReservedDescriptors
           ? settings.max_descriptors - kReservedDescriptors
@@ -117,7 +118,8 @@
                        MakeLoadExchangeOptions(settings_),
                        relay_.placer(),
                        relay_.crash_suspects(),
-                       relay_.stream_versions()),
+                       relay_.stream_versions(),
+                       relay_.forwarding_peers()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         maintenance_timer_(io_) {
     routing_state_.replicas.set_entry_lifetime(
@@ -150,6 +152,7 @@
       if (!status.ok()) {
         LogText(kLogListenFailed, "detail", std::string(status.message()));
       }
+      ListenForPeers();
     }
     JsonFields fields;
     fields.Text("zone", settings_.location.failure_domain)
@@ -174,6 +177,18 @@
     log_.Log(event_number, fields, BootClock::now());
   }
 
+  // Without it, this instance takes no requests that others forward, which is
+  // no reason not to serve its own.
+  void ListenForPeers() {
+    relay_.set_own_region(load_exchange_.region());
+    const absl::Status status =
+        relay_.ListenForPeers(settings_.own_ip, settings_.peer_port);
+    listens_for_peers_ = status.ok();
+    if (!status.ok()) {
+      LogText(kLogListenFailed, "detail", std::string(status.message()));
+    }
+  }
+
   bool IsReady() const { return !drain_start_ && routing_state_.IsComplete(); }
 
   AdminResponse HandleAdminRequest(std::string_view path) {
@@ -430,6 +445,8 @@
         now - *service_map_confirmed_at_ <
             mirror_timing_.watch_timeout + kConfirmationMargin;
     relay_.set_instance_count(load_exchange_.InstanceCount());
+    load_exchange_.SetTakesRequests(listens_for_peers_ && IsReady() &&
+                                    relay_.HasLinks());
     if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
       load_exchange_.SetLeaving();
     }
@@ -531,6 +548,7 @@
   TimePoint rejected_datagrams_logged_at_{};
   bool routing_state_notification_pending_ = false;
   bool registry_lost_ = false;
+  bool listens_for_peers_ = false;
 };
 
 FrontInstance::FrontInstance(platform::ProcessSettings settings,
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -68,11 +68,13 @@
        LoadExchangeOptions options,
        Placer* placer,
        CrashSuspects* crash_suspects,
-       StreamVersions* stream_versions)
+       StreamVersions* stream_versions,
+       ForwardingPeers* forwarding_peers)
       : options_(std::move(options)),
         placer_(*placer),
         crash_suspects_(*crash_suspects),
         stream_versions_(*stream_versions),
+        forwarding_peers_(*forwarding_peers),
         socket_(io),
         work_timer_(io),
         region_timer_(io),
@@ -126,6 +128,12 @@
 
   void SetRegistryLost(bool is_lost) { registry_lost_ = is_lost; }
 
+  void SetTakesRequests(bool takes_requests) {
+    takes_requests_ = takes_requests;
+  }
+
+  uint16_t region() const { return region_; }
+
   bool HasPeerWithRegistry() const {
     return last_peer_with_registry_ &&
            BootClock::now() - *last_peer_with_registry_ < kPeerStateMemory;
@@ -198,6 +206,9 @@
     if (!report->registry_lost) {
       last_peer_with_registry_ = now;
     }
+    forwarding_peers_.RecordReport(
+        report->sender,
+        {report->takes_requests && !report->leaving, report->region}, now);
     for (const StreamReport& it : report->streams) {
       stream_versions_.ApplyReport(it, now);
     }
@@ -280,6 +291,7 @@
     report.region = region_;
     report.leaving = leaving_;
     report.registry_lost = registry_lost_;
+    report.takes_requests = takes_requests_;
     report.scope = scope;
     return report;
   }
@@ -452,6 +464,7 @@
   Placer& placer_;
   CrashSuspects& crash_suspects_;
   StreamVersions& stream_versions_;
+  ForwardingPeers& forwarding_peers_;
   udp::socket socket_;
   asio::steady_timer work_timer_;
   asio::steady_timer region_timer_;
@@ -464,6 +477,7 @@
   const bool has_other_seeds_;
   bool leaving_ = false;
   bool registry_lost_ = false;
+  bool takes_requests_ = false;
   std::optional<TimePoint> last_peer_with_registry_;
   TimePoint started_at_{};
   uint64_t sequence_ = 0;
@@ -481,12 +495,14 @@
                            LoadExchangeOptions options,
                            Placer* placer,
                            CrashSuspects* crash_suspects,
-                           StreamVersions* stream_versions)
+                           StreamVersions* stream_versions,
+                           ForwardingPeers* forwarding_peers)
     : impl_(std::make_shared<Impl>(io,
                                    std::move(options),
                                    placer,
                                    crash_suspects,
-                                   stream_versions)) {}
+                                   stream_versions,
+                                   forwarding_peers)) {}
 
 LoadExchange::~LoadExchange() {
   impl_->Stop();
@@ -512,6 +528,14 @@
   impl_->SetRegistryLost(is_lost);
 }
 
+void LoadExchange::SetTakesRequests(bool takes_requests) {
+  impl_->SetTakesRequests(takes_requests);
+}
+
+uint16_t LoadExchange::region() const {
+  return impl_->region();
+}
+
 bool LoadExchange::HasPeerWithRegistry() const {
   return impl_->HasPeerWithRegistry();
 }
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -237,7 +237,7 @@
     return std::tie(it.sender, it.sequence, it.region, it.leaving, it.scope,
                     it.interval, it.work, it.cached, it.members, it.profiles,
                     it.crashes, it.rate_limits, it.leaving_replicas, it.streams,
-                    it.registry_lost);
+                    it.registry_lost, it.takes_requests);
   };
   return fields(*this) == fields(other);
 }
@@ -286,6 +286,7 @@
     streams[n].setVersion(report.streams[n].version);
   }
   root.setRegistryLost(report.registry_lost);
+  root.setTakesRequests(report.takes_requests);
   kj::VectorOutputStream out;
   capnp::writePackedMessage(out, message);
   const auto bytes = out.getArray();
@@ -350,6 +351,7 @@
       report.streams.push_back({it.getKey(), it.getVersion()});
     }
     report.registry_lost = root.getRegistryLost();
+    report.takes_requests = root.getTakesRequests();
     decoded = std::move(report);
   });
   if (failure != nullptr) {
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -21,10 +21,19 @@
 // progress.
 constexpr size_t kMaxPipelinedBytes = 65536;
 
-CallerLimits CurrentLimits(const RelayContext& context) {
-  return context.routing_state.service_map
-             ? context.routing_state.service_map->limits
-             : CallerLimits();
+// Idle connections of other instances, which keep them for a few seconds, are
+// not closed before these do so.
+constexpr Duration kPeerIdleTimeout = std::chrono::seconds(30);
+
+CallerLimits CurrentLimits(const RelayContext& context, CallerKind kind) {
+  CallerLimits limits = context.routing_state.service_map
+                            ? context.routing_state.service_map->limits
+                            : CallerLimits();
+  if (kind == CallerKind::kPeer) {
+    limits.max_header_bytes += kMaxForwardedHeaderBytes;
+    limits.idle_timeout = std::max(limits.idle_timeout, kPeerIdleTimeout);
+  }
+  return limits;
 }
 
 std::string_view ReasonPhrase(int status) {
@@ -35,6 +44,8 @@
       return "Not Found";
     case 408:
       return "Request Timeout";
+    case kNotTakenStatus:
+      return "Misdirected Request";
     case 413:
       return "Payload Too Large";
     case 431:
@@ -72,8 +83,10 @@
 }  // namespace
 
 CallerConnection::CallerConnection(std::shared_ptr<RelayContext> context,
-                                   asio::ip::tcp::socket socket)
+                                   asio::ip::tcp::socket socket,
+                                   CallerKind kind)
     : context_(std::move(context)),
+      kind_(kind),
       socket_(std::move(socket)),
       read_timer_(context_->io) {
   ++context_->open_connections;
@@ -122,7 +135,7 @@
 
 void CallerConnection::ParseBuffered() {
   while (buffer_.size() > 0 && !exchange_ && !closed_ && !close_when_written_) {
-    const CallerLimits limits = CurrentLimits(*context_);
+    const CallerLimits limits = CurrentLimits(*context_, kind_);
     if (!parser_) {
       parser_.emplace();
       parser_->eager(true);
@@ -198,6 +211,10 @@
     RespondWithErrorAndClose(400, "doubtful_framing");
     return;
   }
+  if (kind_ == CallerKind::kPeer && !TakeForwardedState(&request)) {
+    RespondWithErrorAndClose(400, "forwarding_state_invalid");
+    return;
+  }
   keep_alive_ = message.keep_alive();
   method_ = request.method;
   if (!message.body().empty()) {
@@ -210,6 +227,23 @@
   exchange->Start();
 }
 
+bool CallerConnection::TakeForwardedState(CallerRequest* request) {
+  const auto text = FindHeader(request->headers, kForwardedRequestHeader);
+  request->forwarded = text ? DecodeForwardedRequest(*text) : std::nullopt;
+  if (!request->forwarded) {
+    return false;
+  }
+  request->headers.erase(
+      std::remove_if(request->headers.begin(), request->headers.end(),
+                     [](const auto& it) {
+                       return EqualsIgnoreCase(it.first,
+                                               kForwardedRequestHeader);
+                     }),
+      request->headers.end());
+  request->received -= request->forwarded->waited;
+  return true;
+}
+
 void CallerConnection::RespondWithErrorAndClose(int status,
                                                 std::string_view reason) {
   keep_alive_ = false;
@@ -224,7 +258,7 @@
 }
 
 void CallerConnection::ArmReadTimer() {
-  const CallerLimits limits = CurrentLimits(*context_);
+  const CallerLimits limits = CurrentLimits(*context_, kind_);
   const Duration limit =
       request_started_ ? std::max(limits.header_timeout, limits.idle_timeout)
                        : limits.idle_timeout;
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "relay/forwarded_request.h"
 #include "relay/read_buffer.h"
 #include "relay/relay_context.h"
 
@@ -27,9 +28,15 @@
   std::string path_and_query;  // raw, as received
   HeaderList headers;
   std::shared_ptr<const std::string> body;
+  // When the first instance received it.
   TimePoint received{};
+  // Set if another instance has forwarded the request.
+  std::optional<ForwardedRequest> forwarded;
 };
 
+// Who connects to a listener of the relay.
+enum class CallerKind { kCaller, kPeer };
+
 // Status line, headers and framing of a response to a caller.
 struct CallerResponseHead {
   int status = 200;
@@ -45,7 +52,8 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   CallerConnection(std::shared_ptr<RelayContext> context,
-                   boost::asio::ip::tcp::socket socket);
+                   boost::asio::ip::tcp::socket socket,
+                   CallerKind kind);
   ~CallerConnection();
 
   void Start();
@@ -89,6 +97,9 @@
   void RecordBodyBytes(size_t size);
   void HandleParseError(boost::system::error_code ec);
   void HandleRequest();
+  // Moves what another instance states of its request from the headers.
+  // Returns false if it is missing or malformed.
+  bool TakeForwardedState(CallerRequest* request);
   void RespondWithErrorAndClose(int status, std::string_view reason);
   void ArmReadTimer();
   void Write(std::string bytes);
@@ -96,6 +107,7 @@
   void Close();
 
   std::shared_ptr<RelayContext> context_;
+  const CallerKind kind_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer read_timer_;
   ReadBuffer buffer_;
--- a/src/relay/caller_response.cc
+++ b/src/relay/caller_response.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "relay/header_rules.h"
+
 namespace endiveyard {
 
 BegunResponse::BegunResponse(std::shared_ptr<CallerConnection> connection)
@@ -34,4 +36,12 @@
   std::move(begun).Finish();
 }
 
+CallerResponseHead CallerHeadFrom(const TargetResponseHead& head) {
+  CallerResponseHead caller_head;
+  caller_head.status = head.status;
+  caller_head.reason = head.reason;
+  caller_head.headers = WithoutHopByHopHeaders(head.headers);
+  return caller_head;
+}
+
 }  // namespace endiveyard
--- a/src/relay/caller_response.h
+++ b/src/relay/caller_response.h
@@ -54,6 +54,13 @@
 using CallerResponse =
     std::variant<UnsentResponse, BegunResponse, EndedResponse>;
 
+// Responses of plain services are collected up to this size before they are
+// sent, so that a retry can replace a broken one where the route allows it.
+inline constexpr size_t kMaxCollectedResponseBytes = 262144;
+
+// Returns the head to send for the response of a target, without a length.
+CallerResponseHead CallerHeadFrom(const TargetResponseHead& head);
+
 }  // namespace endiveyard
 
 #endif  // ENDIVEYARD_SRC_RELAY_CALLER_RESPONSE_H_
--- /dev/null
+++ b/src/relay/forwarded_request.h
@@ -0,0 +1,53 @@
+#ifndef ENDIVEYARD_SRC_RELAY_FORWARDED_REQUEST_H_
+#define ENDIVEYARD_SRC_RELAY_FORWARDED_REQUEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "endiveyard/base/time_point.h"
+
+namespace endiveyard {
+
+// Header of a request that an instance forwards to another one.
+inline constexpr std::string_view kForwardedRequestHeader = "Forwarded-Request";
+// Header of the response: the software version of the replica that has begun
+// the stream, as EncodeVersion() writes it.
+inline constexpr std::string_view kForwardedVersionHeader =
+    "Forwarded-Stream-Version";
+// Status of the response to a request that the other instance does not take.
+// It has done nothing for the request. Never sent to callers.
+inline constexpr int kNotTakenStatus = 421;
+// Limit on the size of the request header that is added, with its name.
+inline constexpr size_t kMaxForwardedHeaderBytes = 1024;
+
+// What the instance that a caller has sent a request to has done for it so far.
+struct ForwardedRequest {
+  Duration time_left{};  // until the deadline
+  Duration waited{};     // since the request was received
+  // Calls that were written to a target, and those of them that may have run.
+  int delivered_calls = 0;
+  int possible_runs = 0;
+  // The retry budget of the service has grown by this request.
+  bool counted = false;
+  // Last event that the caller has, if it has the beginning of the stream, and
+  // the software version that has written it.
+  std::optional<int64_t> last_event_id;
+  std::optional<std::string> stream_version;
+
+  bool operator==(const ForwardedRequest& other) const;
+};
+
+std::string EncodeForwardedRequest(const ForwardedRequest& request);
+// Returns nullopt for text that is no value of the header. Safe for untrusted
+// input.
+std::optional<ForwardedRequest> DecodeForwardedRequest(std::string_view text);
+
+// Versions are text without any restriction, so they are sent in hexadecimal.
+std::string EncodeVersion(std::string_view version);
+std::optional<std::string> DecodeVersion(std::string_view text);
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_SRC_RELAY_FORWARDED_REQUEST_H_
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -1,11 +1,14 @@
 #include "endiveyard/relay/relay.h"
 
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "endiveyard/telemetry/log_event_numbers.h"
 #include "relay/caller_connection.h"
+#include "relay/link_prober.h"
 #include "relay/open_acceptor.h"
 #include "relay/relay_context.h"
 #include "relay/relay_exchange.h"
@@ -27,28 +30,53 @@
  public:
   explicit Impl(std::shared_ptr<RelayContext> context)
       : context_(std::move(context)),
-        acceptor_(context_->io),
-        accept_timer_(context_->io),
+        callers_(context_->io, CallerKind::kCaller),
+        peers_(context_->io, CallerKind::kPeer),
         drain_timer_(context_->io),
         exit_timer_(context_->io) {}
 
+  void WatchLinks() {
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    link_prober_ = std::make_shared<LinkProber>(
+        context_->io, context_->routing_state,
+        context_->options.target_client.connect_timeout, &context_->links,
+        [weak] {
+          if (const auto self = weak.lock()) {
+            self->HandleLinkChange();
+          }
+        });
+    context_->target_client.set_connect_observer(
+        [weak](const std::string& address, bool connected) {
+          const auto self = weak.lock();
+          if (self && self->context_->links.RecordConnect(address, connected)) {
+            self->HandleLinkChange();
+          }
+        });
+  }
+
   absl::Status Listen() {
-    absl::Status status =
-        OpenAcceptor(acceptor_, context_->options.ip, context_->options.port);
+    absl::Status status = OpenAcceptor(callers_.acceptor, context_->options.ip,
+                                       context_->options.port);
     if (!status.ok()) {
       return status;
     }
     context_->startup_deadline =
         BootClock::now() + context_->options.startup_wait;
-    Accept();
+    Accept(&callers_);
     return absl::OkStatus();
   }
 
-  uint16_t port() const {
-    error_code ec;
-    return acceptor_.local_endpoint(ec).port();
+  absl::Status ListenForPeers(const std::string& ip, uint16_t port) {
+    absl::Status status = OpenAcceptor(peers_.acceptor, ip, port);
+    if (status.ok()) {
+      Accept(&peers_);
+    }
+    return status;
   }
 
+  uint16_t port() const { return callers_.port(); }
+  uint16_t peer_port() const { return peers_.port(); }
+
   void StartDraining(Duration drain_delay, TimePoint deadline) {
     context_->draining = true;
     context_->drain_deadline = deadline;
@@ -68,38 +96,84 @@
     });
   }
 
+  void Stop() { link_prober_->Stop(); }
+
   RelayContext& context() { return *context_; }
 
  private:
-  void Accept() {
+  struct Listener {
+    Listener(asio::io_context& io, CallerKind kind)
+        : kind(kind), acceptor(io), pause_timer(io) {}
+
+    uint16_t port() const {
+      error_code ec;
+      return acceptor.local_endpoint(ec).port();
+    }
+    void Close() {
+      error_code ec;
+      acceptor.close(ec);
+      pause_timer.cancel();
+    }
+
+    const CallerKind kind;
+    tcp::acceptor acceptor;
+    asio::steady_timer pause_timer;
+  };
+
+  void Accept(Listener* listener) {
     if (context_->open_connections >= context_->options.max_connections) {
-      AcceptAfterPause();
+      AcceptAfterPause(listener);
       return;
     }
-    acceptor_.async_accept([self = shared_from_this()](error_code ec,
-                                                       tcp::socket socket) {
-      if (!self->acceptor_.is_open()) {
+    listener->acceptor.async_accept([self = shared_from_this(), listener](
+                                        error_code ec, tcp::socket socket) {
+      if (!listener->acceptor.is_open()) {
         return;
       }
       if (ec) {
-        self->AcceptAfterPause();
+        self->AcceptAfterPause(listener);
         return;
       }
-      auto connection =
-          std::make_shared<CallerConnection>(self->context_, std::move(socket));
-      self->TrackConnection(connection);
-      connection->Start();
-      self->Accept();
+      if (listener->kind == CallerKind::kCaller || self->IsKnownPeer(socket)) {
+        auto connection = std::make_shared<CallerConnection>(
+            self->context_, std::move(socket), listener->kind);
+        self->TrackConnection(connection);
+        connection->Start();
+      }
+      self->Accept(listener);
     });
   }
 
-  void AcceptAfterPause() {
-    accept_timer_.expires_after(kAcceptPause);
-    accept_timer_.async_wait([self = shared_from_this()](error_code ec) {
-      if (!ec) {
-        self->Accept();
-      }
-    });
+  void AcceptAfterPause(Listener* listener) {
+    listener->pause_timer.expires_after(kAcceptPause);
+    listener->pause_timer.async_wait(
+        [self = shared_from_this(), listener](error_code ec) {
+          if (!ec) {
+            self->Accept(listener);
+          }
+        });
+  }
+
+  bool IsKnownPeer(const tcp::socket& socket) const {
+    error_code ec;
+    const asio::ip::address address = socket.remote_endpoint(ec).address();
+    return !ec && address.is_v4() &&
+           context_->forwarding_peers.IsKnown(address.to_v4().to_uint(),
+                                              BootClock::now());
+  }
+
+  void HandleLinkChange() {
+    const TimePoint now = BootClock::now();
+    const bool lost = context_->links.state() == LinkMonitor::State::kLost;
+    if (lost != std::exchange(links_lost_, lost)) {
+      JsonFields fields;
+      fields.Integer("open", static_cast<int64_t>(context_->open_exchanges));
+      context_->log.Log(lost ? kLogTargetLinksLost : kLogTargetLinksRegained,
+                        fields, now);
+    }
+    if (context_->links.state() != LinkMonitor::State::kConnected) {
+      link_prober_->Start();
+    }
   }
 
   void TrackConnection(const std::shared_ptr<CallerConnection>& connection) {
@@ -119,9 +193,8 @@
 
   void StopAccepting() {
     context_->rejects_long_requests = true;
-    error_code ec;
-    acceptor_.close(ec);
-    accept_timer_.cancel();
+    callers_.Close();
+    peers_.Close();
   }
 
   void EndExchanges() {
@@ -150,8 +223,10 @@
   }
 
   std::shared_ptr<RelayContext> context_;
-  tcp::acceptor acceptor_;
-  asio::steady_timer accept_timer_;
+  Listener callers_;
+  Listener peers_;
+  std::shared_ptr<LinkProber> link_prober_;
+  bool links_lost_ = false;
   asio::steady_timer drain_timer_;
   asio::steady_timer exit_timer_;
   std::vector<std::weak_ptr<CallerConnection>> connections_;
@@ -168,9 +243,13 @@
                                                                   protocol,
                                                                   routing_state,
                                                                   log,
-                                                                  metrics))) {}
+                                                                  metrics))) {
+  impl_->WatchLinks();
+}
 
-Relay::~Relay() = default;
+Relay::~Relay() {
+  impl_->Stop();
+}
 
 absl::Status Relay::Listen() {
   return impl_->Listen();
@@ -180,8 +259,25 @@
   return impl_->port();
 }
 
+absl::Status Relay::ListenForPeers(const std::string& ip, uint16_t port) {
+  return impl_->ListenForPeers(ip, port);
+}
+
+uint16_t Relay::peer_port() const {
+  return impl_->peer_port();
+}
+
+bool Relay::HasLinks() const {
+  return impl_->context().links.state() != LinkMonitor::State::kLost;
+}
+
+void Relay::set_own_region(uint16_t region) {
+  impl_->context().own_region = region;
+}
+
 void Relay::OnRoutingStateChanged() {
   RelayContext& context = impl_->context();
+  context.links.set_target_count(context.routing_state.replicas.size());
   context.placer.Retain(context.routing_state.replicas,
                         context.routing_state.service_map.get());
   if (context.routing_state.replicas_known) {
@@ -212,6 +308,10 @@
   return &impl_->context().crash_suspects;
 }
 
+ForwardingPeers* Relay::forwarding_peers() {
+  return &impl_->context().forwarding_peers;
+}
+
 void Relay::StartDraining(Duration drain_delay, TimePoint deadline) {
   impl_->StartDraining(drain_delay, deadline);
 }
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -10,6 +10,8 @@
 #include "endiveyard/base/digest.h"
 #include "endiveyard/placement/caller_patience.h"
 #include "endiveyard/placement/crash_suspects.h"
+#include "endiveyard/placement/forwarding_peers.h"
+#include "endiveyard/placement/link_monitor.h"
 #include "endiveyard/placement/stream_versions.h"
 #include "endiveyard/relay/relay.h"
 #include "endiveyard/telemetry/log_interval.h"
@@ -34,7 +36,8 @@
         metrics(*metrics),
         placer(options.location),
         retry_budget(options.retry_bound),
-        target_client(io, protocol, options.target_client) {
+        target_client(io, protocol, options.target_client),
+        peer_client(io, protocol, options.target_client) {
     placer.availability().set_seed(Digest64(options.ip, options.port));
     if (options.may_replace_process) {
       retry_budget.RecordStart(BootClock::now());
@@ -57,7 +60,11 @@
   ServiceRetryBudget retry_budget;
   StreamVersions stream_versions;
   CallerPatience caller_patience;
+  LinkMonitor links;
+  ForwardingPeers forwarding_peers;
+  uint16_t own_region = 0;
   TargetClient target_client;
+  TargetClient peer_client;  // to other instances
   bool draining = false;
   // Set while draining, once the drain delay is over.
   bool rejects_long_requests = false;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -64,6 +64,17 @@
 
 void RelayExchange::Start() {
   request_metadata_ = context_->protocol.DecodeRequest(request_.headers);
+  if (request_.forwarded) {
+    const ForwardedRequest& forwarded = *request_.forwarded;
+    request_metadata_.time_left = forwarded.time_left + forwarded.waited;
+    if (forwarded.last_event_id) {
+      request_metadata_.last_event_id = forwarded.last_event_id;
+    }
+    stream_version_ = forwarded.stream_version;
+    delivered_calls_ = forwarded.delivered_calls;
+    possible_runs_ = forwarded.possible_runs;
+    counted_in_budget_ = forwarded.counted;
+  }
   if (!context_->routing_state.IsComplete() &&
       BootClock::now() < context_->startup_deadline) {
     AwaitRoutingState();
@@ -117,7 +128,7 @@
   if (route_ == nullptr) {
     // While the registry is unreachable, the route may exist in a newer
     // configuration.
-    if (context_->routing_state.service_map_current) {
+    if (context_->routing_state.service_map_current && !request_.forwarded) {
       RespondWithError(
           std::get<UnsentResponse>(std::exchange(response_, EndedResponse())),
           404, "no_route", Duration(0));
@@ -131,6 +142,10 @@
       request_.received + route_->timeout > context_->drain_deadline) {
     // The request could be cut off when this process exits. Other instances can
     // take it at once.
+    if (MayRefuseForwarded()) {
+      RefuseForwarded("shutting_down");
+      return;
+    }
     EndInFailure("shutting_down", kMinRetryAfter);
     return;
   }
@@ -140,16 +155,19 @@
       UnitHash(TakesUpStream() && !request_metadata_.resumed_request_id.empty()
                    ? request_metadata_.resumed_request_id
                    : request_metadata_.request_id));
-  context_->retry_budget.RecordRequest(service_, request_.received);
+  if (request_.forwarded || !LinksLost()) {
+    // Otherwise, the instance that it is forwarded to counts it.
+    CountInBudget();
+  }
   forwarded_headers_ = WithoutHopByHopHeaders(request_.headers);
   if (request_metadata_.last_event_id) {
     sse_splitter_.StartAfter(*request_metadata_.last_event_id);
   }
-  if (TakesUpStream() && !FindStreamVersion()) {
+  if (TakesUpStream() && !stream_version_ && !FindStreamVersion()) {
     EndInFailure("version_unknown", RetryAfterWithJitter(kNotReadyRetryAfter));
     return;
   }
-  if (!TakesUpStream() && request_metadata_.time_left) {
+  if (!TakesUpStream() && request_metadata_.time_left && !request_.forwarded) {
     context_->caller_patience.Record(route_->name,
                                      *request_metadata_.time_left);
   }
@@ -158,12 +176,19 @@
   Place();
 }
 
+void RelayExchange::CountInBudget() {
+  if (!std::exchange(counted_in_budget_, true)) {
+    context_->retry_budget.RecordRequest(service_, BootClock::now());
+  }
+}
+
 void RelayExchange::OnCallerDisconnect() {
   if (phase_ == Phase::kEnded) {
     return;
   }
   response_ = EndedResponse();
   CloseActiveCall(CallResult::kCompleted);
+  CloseForwarding();
   ReleaseKv();
   End("caller_left", 0);
 }
@@ -279,11 +304,23 @@
     return;
   }
   const TimePoint now = BootClock::now();
+  const bool may_place = ++placements_ <= kMaxPlacements;
+  if (!context_->links.AreOpenConnectionsAlive(now)) {
+    if (MayRefuseForwarded()) {
+      RefuseForwarded("links_lost");
+      return;
+    }
+    const auto peer = ChoosePeer(now);
+    if (peer && may_place && !request_.forwarded) {
+      StartForwarding(*peer);
+      return;
+    }
+  }
   const PlacementQuery query = MakePlacementQuery(now);
   PlacementResult result =
       context_->placer.Choose(context_->routing_state.replicas, query, now);
   std::string_view refusal = NameOf(result.refusal.reason);
-  if (++placements_ > kMaxPlacements) {
+  if (!may_place) {
     result.placement.reset();
     refusal = "placements_used_up";
   }
@@ -354,6 +391,13 @@
 }
 
 void RelayExchange::StartPlacement(const Placement& placement) {
+  const TimePoint now = BootClock::now();
+  if (ForwardsInsteadOf(placement, now)) {
+    context_->placer.RecordNotSent(placement, now);
+    StartForwarding(*ChoosePeer(now));
+    return;
+  }
+  CountInBudget();
   if (placement.prefill) {
     StartPrefill(placement);
   } else {
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -16,10 +16,11 @@
 namespace endiveyard {
 
 // Handles one request of a caller from its arrival to the end of the response.
-// The request is placed on a target (relay_exchange.cc). If the placement uses
-// a separate prefill engine, that engine processes the prompt first
-// (relay_prefill_call.cc). Then the request runs on one target after the other,
-// as the attempt policy decides, and the response is forwarded
+// The request is placed on a target (relay_exchange.cc), or forwarded to
+// another instance if no target can be reached (relay_forwarding.cc). If the
+// placement uses a separate prefill engine, that engine processes the prompt
+// first (relay_prefill_call.cc). Then the request runs on one target after the
+// other, as the attempt policy decides, and the response is forwarded
 // (relay_run_call.cc). Timeouts, error responses and cleanup are in
 // relay_exchange_end.cc.
 class RelayExchange : public std::enable_shared_from_this<RelayExchange> {
@@ -45,6 +46,7 @@
     kAwaitingTurn,
     kPrefilling,
     kRunning,
+    kForwarding,
     kEnded
   };
 
@@ -81,8 +83,21 @@
     std::string body;
   };
 
+  // The call in progress to another instance.
+  struct ForwardingCall {
+    uint32_t peer = 0;  // IPv4 address
+    std::shared_ptr<TargetCall> call;
+    TargetResponseHead head;
+    std::string body;         // collected until it is sent as one response
+    bool is_success = false;  // a complete body is a response of a target
+    bool streaming = false;   // events are forwarded as they arrive
+    std::optional<std::string> stream_version;
+  };
+
   void AwaitRoutingState();
   void RouteRequest();
+  // Lets the request add to the retry budget of its service, once.
+  void CountInBudget();
   void Place();
   // Returns true if the caller takes up a stream that another attempt has
   // begun.
@@ -144,6 +159,8 @@
   // `ended` holds what is needed of it.
   void ContinueAfterCall(const EndedCall& ended, std::string_view detail);
   void ForwardBody(std::string_view bytes);
+  // Stops reading the response of `call` while the caller reads slowly.
+  void PauseForSlowCaller(const std::shared_ptr<TargetCall>& call);
   // Sends complete events of a stream, the first ones after the head.
   void ForwardEvents(const std::string& events);
   // Sends the head of the active call's response and what was collected of the
@@ -170,6 +187,32 @@
   // are known to crash replicas.
   void CancelIfCulprit();
 
+  // Forwarding to another instance (relay_forwarding.cc).
+  // Returns the instance to forward the request to; nullopt if none takes it.
+  std::optional<uint32_t> ChoosePeer(TimePoint now) const;
+  // Returns true if no target can be connected to.
+  bool LinksLost() const;
+  // Returns true if the request is better forwarded than sent to the target
+  // that `placement` calls first.
+  bool ForwardsInsteadOf(const Placement& placement, TimePoint now) const;
+  void StartForwarding(uint32_t peer);
+  bool OnPeerHead(const TargetResponseHead& head);
+  void OnPeerBody(std::string_view bytes);
+  void OnPeerEnd(TransportStatus transport_status, std::string_view detail);
+  // Ends the call to the other instance and decides what follows.
+  void EndForwarding(TransportStatus transport_status, std::string_view detail);
+  void CloseForwarding();
+  // Tells the instance that has forwarded the request that this one does not
+  // take it and has done nothing for it.
+  void RefuseForwarded(std::string_view reason);
+  // Returns true if another instance has forwarded the request, and nothing was
+  // done for it here.
+  bool MayRefuseForwarded() const {
+    return request_.forwarded.has_value() &&
+           delivered_calls_ == request_.forwarded->delivered_calls &&
+           std::holds_alternative<UnsentResponse>(response_);
+  }
+
   // Returns true if the caller has got the head of the response.
   bool ResponseBegun() const {
     return std::holds_alternative<BegunResponse>(response_);
@@ -231,6 +274,8 @@
   CallerResponse response_;
   std::optional<Placement> awaited_placement_;
   std::optional<ActiveCall> active_call_;
+  std::optional<ForwardingCall> forwarding_;
+  std::set<uint32_t> excluded_peers_;  // IPv4 addresses
   std::optional<KvHandle> kv_handle_;  // not yet used by a run
   std::optional<Replica> kv_holder_;
   std::set<std::string> excluded_replica_ids_;
@@ -243,6 +288,7 @@
   int delivered_calls_ = 0;
   int possible_runs_ = 0;  // targets that may have run the request
   int placements_ = 0;
+  bool counted_in_budget_ = false;
   bool may_prefill_separately_ = true;
   // A prefill call was accepted. Further ones have to be covered by the retry
   // budget, too.
--- a/src/relay/relay_exchange_end.cc
+++ b/src/relay/relay_exchange_end.cc
@@ -30,6 +30,10 @@
 
 void RelayExchange::EndInFailure(std::string_view reason,
                                  Duration retry_after) {
+  if (MayRefuseForwarded() && route_ == nullptr) {
+    RefuseForwarded(reason);
+    return;
+  }
   CallerResponse response = std::exchange(response_, EndedResponse());
   if (auto* begun = std::get_if<BegunResponse>(&response)) {
     std::move(*begun).Abort();
@@ -107,10 +111,11 @@
 }
 
 void RelayExchange::CancelInFailure(std::string_view reason) {
-  if (phase_ == Phase::kRunning) {
+  if (phase_ == Phase::kRunning || phase_ == Phase::kForwarding) {
     ++possible_runs_;
   }
   CloseActiveCall(CallResult::kFailed);
+  CloseForwarding();
   ReleaseKv();
   EndInFailure(reason, kMinRetryAfter);
 }
--- /dev/null
+++ b/src/relay/relay_forwarding.cc
@@ -0,0 +1,233 @@
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/ip/address_v4.hpp>
+
+#include "endiveyard/base/digest.h"
+#include "endiveyard/telemetry/log_event_numbers.h"
+#include "relay/header_rules.h"
+#include "relay/relay_exchange.h"
+#include "relay/retry_after.h"
+
+// Requests that this instance cannot send to any target and forwards to another
+// instance, and those that others forward to it. One hop: a forwarded request
+// is not forwarded again.
+namespace endiveyard {
+namespace {
+
+std::string IpText(uint32_t address) {
+  return boost::asio::ip::address_v4(address).to_string();
+}
+
+HeaderList WithoutHeader(HeaderList headers, std::string_view name) {
+  headers.erase(std::remove_if(headers.begin(), headers.end(),
+                               [name](const auto& it) {
+                                 return EqualsIgnoreCase(it.first, name);
+                               }),
+                headers.end());
+  return headers;
+}
+
+}  // namespace
+
+std::optional<uint32_t> RelayExchange::ChoosePeer(TimePoint now) const {
+  return context_->forwarding_peers.Choose(
+      context_->own_region, excluded_peers_,
+      Digest64(request_metadata_.request_id), now);
+}
+
+bool RelayExchange::LinksLost() const {
+  return context_->links.state() == LinkMonitor::State::kLost;
+}
+
+bool RelayExchange::ForwardsInsteadOf(const Placement& placement,
+                                      TimePoint now) const {
+  const Replica& first =
+      placement.prefill ? *placement.prefill : placement.target;
+  return LinksLost() && !request_.forwarded && ChoosePeer(now) &&
+         !context_->target_client.HasIdleConnection(first.ip, first.port);
+}
+
+void RelayExchange::RefuseForwarded(std::string_view reason) {
+  RespondWithError(
+      std::get<UnsentResponse>(std::exchange(response_, EndedResponse())),
+      kNotTakenStatus, reason, Duration(0));
+}
+
+void RelayExchange::StartForwarding(uint32_t peer) {
+  const TimePoint now = BootClock::now();
+  phase_ = Phase::kForwarding;
+  forwarding_ = ForwardingCall();
+  forwarding_->peer = peer;
+  last_replica_id_ = IpText(peer);
+  context_->forwarding_peers.RecordSent(peer);
+
+  ForwardedRequest state;
+  state.time_left = std::max(Duration(0), TimeLeft());
+  state.waited = std::chrono::duration_cast<Duration>(now - request_.received);
+  state.delivered_calls = delivered_calls_;
+  state.possible_runs = possible_runs_;
+  state.counted = counted_in_budget_;
+  state.stream_version = stream_version_;
+  state.last_event_id = sse_splitter_.last_id();
+
+  TargetRequest request;
+  request.ip = IpText(peer);
+  request.port = context_->options.peer_port;
+  request.method = request_.method;
+  request.path = request_.path_and_query;
+  request.headers = WithoutHeader(forwarded_headers_, kForwardedRequestHeader);
+  request.headers.emplace_back(std::string(kForwardedRequestHeader),
+                               EncodeForwardedRequest(state));
+  request.body = request_.body;
+  request.request_id = request_metadata_.request_id;
+
+  TargetCallHandlers handlers;
+  const std::weak_ptr<RelayExchange> weak = weak_from_this();
+  handlers.on_head = [weak](const TargetResponseHead& head) {
+    const auto self = weak.lock();
+    return self && self->OnPeerHead(head);
+  };
+  handlers.on_body = [weak](std::string_view bytes) {
+    if (const auto self = weak.lock()) {
+      self->OnPeerBody(bytes);
+    }
+  };
+  handlers.on_end = [weak](TransportStatus transport_status,
+                           std::string_view detail) {
+    if (const auto self = weak.lock()) {
+      self->OnPeerEnd(transport_status, detail);
+    }
+  };
+  JsonFields fields;
+  fields.Text("request", request_metadata_.request_id)
+      .Text("route", route_->name)
+      .Text("peer", request.ip)
+      .Integer("arrivals", delivered_calls_)
+      .Integer("may_have_run", possible_runs_)
+      .Integer("after_event", state.last_event_id.value_or(0))
+      .Millis("left_ms", state.time_left);
+  context_->log.Log(kLogRequestForwarded, fields, now);
+  forwarding_->call =
+      context_->peer_client.Start(std::move(request), std::move(handlers));
+}
+
+bool RelayExchange::OnPeerHead(const TargetResponseHead& head) {
+  if (!forwarding_) {
+    return false;
+  }
+  const ResponseMetadata metadata =
+      context_->protocol.DecodeResponse(head.status, head.headers);
+  forwarding_->head = head;
+  forwarding_->head.headers =
+      WithoutHeader(head.headers, kForwardedVersionHeader);
+  forwarding_->is_success = head.status >= 200 && head.status < 300 &&
+                            metadata.signed_by_target &&
+                            !metadata.has_content_encoding;
+  forwarding_->streaming =
+      route_->kind == RouteKind::kStreaming && forwarding_->is_success;
+  if (const auto version = FindHeader(head.headers, kForwardedVersionHeader);
+      version && forwarding_->streaming) {
+    forwarding_->stream_version = DecodeVersion(*version);
+  }
+  return true;
+}
+
+void RelayExchange::OnPeerBody(std::string_view bytes) {
+  if (!forwarding_) {
+    return;
+  }
+  if (forwarding_->streaming) {
+    const std::string events = sse_splitter_.Feed(bytes);
+    if (!events.empty()) {
+      if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
+        first_output_at_ = BootClock::now();
+        stream_version_ = forwarding_->stream_version;
+        response_ = std::move(*unsent).Begin(CallerHeadFrom(forwarding_->head));
+      }
+      std::get<BegunResponse>(response_).SendBody(events);
+    }
+    if (sse_splitter_.has_gap() || sse_splitter_.is_overlong()) {
+      EndForwarding(TransportStatus::kTruncated,
+                    "events that do not follow each other");
+      return;
+    }
+  } else if (ResponseBegun() && route_->kind == RouteKind::kStreaming) {
+    return;  // a failure, whose text does not continue the stream
+  } else if (ResponseBegun()) {
+    std::get<BegunResponse>(response_).SendBody(bytes);
+  } else {
+    forwarding_->body.append(bytes);
+    if (forwarding_->body.size() > kMaxCollectedResponseBytes) {
+      if (!forwarding_->is_success) {
+        EndForwarding(TransportStatus::kTruncated,
+                      "failure response exceeds the size limit");
+        return;
+      }
+      first_output_at_ = BootClock::now();
+      BegunResponse begun =
+          std::get<UnsentResponse>(std::exchange(response_, EndedResponse()))
+              .Begin(CallerHeadFrom(forwarding_->head));
+      begun.SendBody(std::exchange(forwarding_->body, ""));
+      response_ = std::move(begun);
+    }
+  }
+  PauseForSlowCaller(forwarding_->call);
+}
+
+void RelayExchange::OnPeerEnd(TransportStatus transport_status,
+                              std::string_view detail) {
+  if (phase_ == Phase::kForwarding && forwarding_) {
+    forwarding_->call.reset();
+    EndForwarding(transport_status, detail);
+  }
+}
+
+void RelayExchange::EndForwarding(TransportStatus transport_status,
+                                  std::string_view detail) {
+  EndedCall ended;
+  ended.status = forwarding_->head.status;
+  ended.output_started = ResponseBegun();
+  ended.head = std::move(forwarding_->head);
+  ended.body = std::move(forwarding_->body);
+  const bool complete = transport_status == TransportStatus::kComplete &&
+                        !ended.head.ends_with_connection;
+  const bool is_cut =
+      forwarding_->streaming && sse_splitter_.has_partial_event();
+  excluded_peers_.insert(forwarding_->peer);
+  const bool continues_stream =
+      route_->kind == RouteKind::kStreaming && ResponseBegun();
+  const bool is_failure = continues_stream && !forwarding_->streaming;
+  CloseForwarding();
+  if (transport_status == TransportStatus::kNotSent ||
+      (complete && ended.status == kNotTakenStatus)) {
+    ended.outcome = CallOutcome::kNotSent;
+  } else if (!complete || is_cut) {
+    ended.outcome = ResponseBegun() ? CallOutcome::kIncompleteResponse
+                                    : CallOutcome::kMayHaveRun;
+  } else if (is_failure) {
+    ended.outcome = CallOutcome::kErrorResponse;
+  } else {
+    // Failures, too: the other instance has done what could be done.
+    ended.outcome = CallOutcome::kCompleted;
+  }
+  if (ended.outcome != CallOutcome::kNotSent) {
+    counted_in_budget_ = true;  // by the other instance
+    ++delivered_calls_;
+    ++possible_runs_;
+  }
+  ContinueAfterCall(ended, detail);
+}
+
+void RelayExchange::CloseForwarding() {
+  if (!forwarding_) {
+    return;
+  }
+  if (forwarding_->call) {
+    forwarding_->call->Cancel();
+  }
+  context_->forwarding_peers.RecordEnded(forwarding_->peer);
+  forwarding_.reset();
+}
+
+}  // namespace endiveyard
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -32,6 +32,7 @@
     if (!self || !self->active_call_) {
       return false;
     }
+    self->context_->links.RecordResponse(BootClock::now());
     self->active_call_->status = head.status;
     self->active_call_->response_metadata =
         self->context_->protocol.DecodeResponse(head.status, head.headers);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -9,24 +9,12 @@
 namespace endiveyard {
 namespace {
 
-// Responses of plain services are collected up to this size before they are
-// forwarded, so that a retry can replace a broken one where the route allows
-// it.
-constexpr size_t kMaxCollectedResponseBytes = 262144;
 // Reading from the target pauses while more bytes than this wait for a slow
 // caller.
 constexpr size_t kMaxUnsentBytes = 65536;
 // HTTP status of a response from another replica than the one expected.
 constexpr int kMisdirectedRequest = 421;
 
-CallerResponseHead CallerHeadFrom(const TargetResponseHead& head) {
-  CallerResponseHead caller_head;
-  caller_head.status = head.status;
-  caller_head.reason = head.reason;
-  caller_head.headers = WithoutHopByHopHeaders(head.headers);
-  return caller_head;
-}
-
 }  // namespace
 
 void RelayExchange::StartRun(const Placement& placement,
@@ -83,6 +71,7 @@
   active_call_->head = head;
   active_call_->status = head.status;
   active_call_->last_progress_at = BootClock::now();
+  context_->links.RecordResponse(active_call_->last_progress_at);
   active_call_->response_metadata =
       context_->protocol.DecodeResponse(head.status, head.headers);
   RecordResponseHead();
@@ -215,19 +204,25 @@
       return;
     }
   }
-  if (caller_->unsent_bytes() > kMaxUnsentBytes && active_call_ &&
-      active_call_->call) {
-    active_call_->call->Pause();
-    const std::weak_ptr<RelayExchange> weak = weak_from_this();
-    caller_->set_on_all_sent([weak] {
-      const auto self = weak.lock();
-      if (self && self->active_call_ && self->active_call_->call) {
-        self->active_call_->call->Resume();
-      }
-    });
+  if (active_call_) {
+    PauseForSlowCaller(active_call_->call);
   }
 }
 
+void RelayExchange::PauseForSlowCaller(
+    const std::shared_ptr<TargetCall>& call) {
+  if (caller_->unsent_bytes() <= kMaxUnsentBytes || !call) {
+    return;
+  }
+  call->Pause();
+  const std::weak_ptr<TargetCall> weak = call;
+  caller_->set_on_all_sent([weak] {
+    if (const auto paused = weak.lock()) {
+      paused->Resume();
+    }
+  });
+}
+
 void RelayExchange::ForwardEvents(const std::string& events) {
   if (events.empty()) {
     return;
@@ -238,7 +233,12 @@
     stream_version_ = active_call_->replica.version;
     // This run has used the KV cache.
     kv_handle_.reset();
-    response_ = std::move(*unsent).Begin(CallerHeadFrom(active_call_->head));
+    CallerResponseHead head = CallerHeadFrom(active_call_->head);
+    if (request_.forwarded) {
+      head.headers.emplace_back(std::string(kForwardedVersionHeader),
+                                EncodeVersion(*stream_version_));
+    }
+    response_ = std::move(*unsent).Begin(head);
   }
   std::get<BegunResponse>(response_).SendBody(events);
   const TimePoint now = BootClock::now();
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -101,6 +101,24 @@
   const WireProtocol& protocol() const { return protocol_; }
   const Options& options() const { return options_; }
 
+  void set_connect_observer(ConnectObserver observer) {
+    connect_observer_ = std::move(observer);
+  }
+  void NotifyConnect(const std::string& address, bool connected) {
+    if (connect_observer_) {
+      connect_observer_(address, connected);
+    }
+  }
+
+  bool HasIdle(const std::string& address) const {
+    const auto it = idle_.find(address);
+    if (it == idle_.end() || it->second.empty()) {
+      return false;
+    }
+    const Connection& newest = *it->second.back();
+    return BootClock::now() - newest.idle_since < newest.idle_limit;
+  }
+
  private:
   // Closes connections that have reached their idle limit.
   void CloseExpired(TimePoint now) {
@@ -116,6 +134,7 @@
   asio::io_context& io_;
   const WireProtocol& protocol_;
   const Options options_;
+  ConnectObserver connect_observer_;
   std::map<std::string, std::deque<std::unique_ptr<Connection>>> idle_;
   size_t idle_count_ = 0;
 };
@@ -139,6 +158,9 @@
 
   // Called with a connection that can be reused. Set before the call starts.
   std::function<void(std::unique_ptr<Connection>)> return_to_pool;
+  // Called with the outcome of the attempt to connect. Set before the call
+  // starts.
+  TargetClient::ConnectObserver on_connect;
 
   void StartOnConnection(std::unique_ptr<Connection> connection) {
     connection_ = std::move(connection);
@@ -164,7 +186,8 @@
     SetLivenessOptions(connection_->socket, options_.peer_timeout);
     connect_timer_.expires_after(options_.connect_timeout);
     connect_timer_.async_wait([self = shared_from_this()](error_code timer_ec) {
-      if (!timer_ec && !self->connected_) {
+      if (!timer_ec && !self->connected_ && !self->ended_) {
+        self->on_connect(self->connection_->address, false);
         self->End(TransportStatus::kNotSent, "connect timeout");
       }
     });
@@ -176,6 +199,7 @@
           }
           self->connected_ = true;
           self->connect_timer_.cancel();
+          self->on_connect(self->connection_->address, !connect_ec);
           if (connect_ec) {
             self->End(TransportStatus::kNotSent, connect_ec.message());
             return;
@@ -526,6 +550,10 @@
                               impl_](std::unique_ptr<Connection> connection) {
     impl->PutIdle(std::move(connection));
   };
+  call->on_connect = [impl = impl_](const std::string& connect_address,
+                                    bool connected) {
+    impl->NotifyConnect(connect_address, connected);
+  };
   if (idle) {
     call->StartOnConnection(std::move(idle));
   } else {
@@ -534,4 +562,13 @@
   return call;
 }
 
+bool TargetClient::HasIdleConnection(const std::string& ip,
+                                     uint16_t port) const {
+  return impl_->HasIdle(ip + ":" + std::to_string(port));
+}
+
+void TargetClient::set_connect_observer(ConnectObserver observer) {
+  impl_->set_connect_observer(std::move(observer));
+}
+
 }  // namespace endiveyard
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -89,6 +89,12 @@
        "A replica states something about itself that cannot be read; it has no "
        "effect. At most one line a minute for each replica.",
        "Check the version of the replica."},
+      {321, kWarn, "target_links_lost",
+       "No target can be connected to from here; requests are forwarded to "
+       "other instances.",
+       "Check the network between this instance and the targets."},
+      {322, kInfo, "target_links_regained", "A target can be connected to.",
+       "None."},
       {501, kInfo, "lease_acquired", "The instance holds its lease.", "None."},
       {502, kWarn, "lease_lapsed",
        "The lease was not renewed in time; no order is sent.",
@@ -164,6 +170,10 @@
       {905, kInfo, "placement_refused",
        "No target can serve a request in time; the line names the times.",
        "Frequent ones: capacity is short."},
+      {906, kInfo, "request_forwarded",
+       "A request was forwarded to another instance, since no target can be "
+       "reached.",
+       "See 321."},
   };
   return kCatalogue;
 }
--- /dev/null
+++ b/tests/platform/forwarding_test.cc
@@ -0,0 +1,226 @@
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "relay/forwarded_request.h"
+#include "relay_fixture.h"
+
+namespace endiveyard {
+namespace {
+
+// An instance that has lost its links to the targets, and the other instance,
+// whose part the test plays.
+struct StrandedInstance {
+  StrandedInstance() : peer(io), relay(Duration(0), peer.port()) {
+    relay.LoseLinks();
+    relay.LearnOfPeer();
+  }
+
+  boost::asio::io_context io;
+  TestTarget peer;
+  RelayFixture relay;
+};
+
+// The head of a request of another instance.
+std::string ForwardedHead(const std::string& method,
+                          const std::string& path,
+                          const std::string& id,
+                          ForwardedRequest state = {},
+                          const std::string& more_headers = "") {
+  state.time_left = std::chrono::seconds(6);
+  return RequestHead(method, path, id,
+                     std::string(kForwardedRequestHeader) + ": " +
+                         EncodeForwardedRequest(state) + "\r\n" + more_headers);
+}
+
+std::string NotTaken(const std::string& id) {
+  return "HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Request-Id: " + id +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
+}  // namespace
+
+// Guards against callers that get failures from an instance without links to
+// targets (RECOVER): their requests are forwarded and responses come back
+// unchanged, refusals with their Retry-After too.
+BOOST_FIXTURE_TEST_CASE(RequestsOfInstancesWithoutLinksAreForwarded,
+                        StrandedInstance) {
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("POST", "/unsafe/%2e/x?y", "r1",
+                          "Content-Length: 4\r\nX-Own: kept\r\n"
+                          "Forwarded-Request: forged\r\n") +
+              "body");
+  TestConnection other = peer.Accept();
+  const std::string request = other.ReadMessage();
+  BOOST_TEST(Contains(request, "POST /unsafe/%2e/x?y HTTP/1.1\r\n"));
+  BOOST_TEST(Contains(request, "X-Own: kept\r\n"));
+  BOOST_TEST(Contains(request, "\r\n\r\nbody"));
+  BOOST_TEST(Contains(request, "calls=0;runs=0;counted=0\r\n"));
+  BOOST_TEST(!Contains(request, "forged"));
+  other.Send(SignedResponse("r1", "done", "201 Created"));
+  const std::string response = caller.ReadMessage();
+  BOOST_TEST(Contains(response, "HTTP/1.1 201 Created\r\n"));
+  BOOST_TEST(Contains(response, "Endiveyard-Response-Signature: sig-r1\r\n"));
+
+  caller.Send(RequestHead("GET", "/safe/x", "r2"));
+  other.ReadMessage();
+  other.Send(
+      "HTTP/1.1 503 Service Unavailable\r\nEndiveyard-Request-Id: r2\r\n"
+      "Retry-After: 0.70\r\nContent-Length: 2\r\n\r\n{}");
+  const std::string refusal = caller.ReadMessage();
+  BOOST_TEST(Contains(refusal, "HTTP/1.1 503 "));
+  BOOST_TEST(Contains(refusal, "Retry-After: 0.70\r\n"));
+}
+
+// Guards against a request that may have run at another instance and is
+// reported as not run, or is sent again although that is not allowed.
+BOOST_FIXTURE_TEST_CASE(LostForwardedRequestsMayHaveRun, StrandedInstance) {
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("POST", "/unsafe/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  other.Close();
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
+
+  // Where the other instance says that it has not taken the request, it may go
+  // elsewhere, here to nobody.
+  relay.LearnOfPeer();
+  TestConnection again = relay.Connect();
+  again.Send(RequestHead("POST", "/unsafe/x", "r2"));
+  TestConnection refusing = peer.Accept();
+  refusing.ReadUntil("\r\n\r\n");
+  refusing.Send(NotTaken("r2"));
+  BOOST_TEST(Contains(again.ReadMessage(), "HTTP/1.1 503 "));
+}
+
+// Guards against a forwarded stream whose events are held back, that ends as
+// complete after its connection broke, or that holds the text of a failure.
+BOOST_FIXTURE_TEST_CASE(ForwardedStreamsArePassedOnByEvent, StrandedInstance) {
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/stream/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  other.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
+  caller.ReadUntil("data: a\n\n");
+  other.Send(EncodeChunk("id: 2\ndata: b\n\nid: 3\ndata: c"));
+  other.Close();
+  const std::string rest = caller.ReadUntilClose();
+  BOOST_TEST(Contains(rest, "data: b"));
+  BOOST_TEST(!Contains(rest, "data: c"));
+  BOOST_TEST(!Contains(rest, "0\r\n\r\n"));
+
+  relay.LearnOfPeer();
+  TestConnection left = relay.Connect();
+  left.Send(RequestHead("GET", "/stream/x", "r2"));
+  TestConnection serving = peer.Accept();
+  serving.ReadUntil("\r\n\r\n");
+  left.Close();
+  BOOST_TEST(serving.IsClosedWithin(5000));
+}
+
+// Guards against a stream that is continued by another instance at an event
+// that the caller has, or at another software version.
+BOOST_FIXTURE_TEST_CASE(BrokenStreamsContinueThroughPeers, RelayFixture) {
+  LearnOfPeer();
+  SetVersion("t1", "v1");
+  SetVersion("t2", "v2");
+  TestConnection other = ConnectAsPeer();
+  ForwardedRequest state;
+  state.delivered_calls = state.possible_runs = 1;
+  state.counted = true;
+  state.last_event_id = 4;
+  state.stream_version = "v2";
+  other.Send(ForwardedHead("GET", "/stream/x", "r1", state));
+  TestConnection target = second().Accept();
+  const std::string request = target.ReadUntil("\r\n\r\n");
+  BOOST_TEST(Contains(request, "Last-Event-Id: 4\r\n"));
+  BOOST_TEST(!Contains(request, "Forwarded-Request"));
+  target.Send(StreamResponseHead("r1") + EncodeChunk("id: 5\ndata: e\n\n") +
+              "0\r\n\r\n");
+  const std::string response = other.ReadMessage();
+  BOOST_TEST(Contains(response, "data: e"));
+  BOOST_TEST(Contains(response, std::string(kForwardedVersionHeader) + ": " +
+                                    EncodeVersion("v2") + "\r\n"));
+}
+
+// Guards against a promise that a forwarded request has not run although it may
+// have run before it was forwarded.
+BOOST_FIXTURE_TEST_CASE(RunsBeforeForwardingAreCounted, RelayFixture) {
+  LearnOfPeer();
+  TestConnection other = ConnectAsPeer();
+  ForwardedRequest state;
+  state.delivered_calls = state.possible_runs = 2;  // all attempts of the route
+  other.Send(ForwardedHead("GET", "/safe/x", "r1", state));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  target.Send(
+      "HTTP/1.1 503 Full\r\nEndiveyard-Request-Id: r1\r\n"
+      "Endiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 502 "));
+}
+
+// Guards against requests that two instances without links send back and forth,
+// and against a refusal that an instance without links gives for others.
+BOOST_FIXTURE_TEST_CASE(ForwardedRequestsAreNotForwardedAgain,
+                        StrandedInstance) {
+  TestConnection other = relay.ConnectAsPeer();
+  other.Send(ForwardedHead("GET", "/safe/x", "r1"));
+  BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 421 "));
+  BOOST_TEST(!peer.HasConnectionWithin(0));
+}
+
+// Guards against callers that use the listener of the instances: without what
+// an instance states, and from unknown addresses, nothing is served.
+BOOST_FIXTURE_TEST_CASE(OnlyInstancesForwardRequests, RelayFixture) {
+  TestConnection stranger = ConnectAsPeer();
+  BOOST_TEST(stranger.ReadUntilClose().empty());
+  LearnOfPeer();
+  TestConnection caller = ConnectAsPeer();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  BOOST_TEST(Contains(caller.ReadUntilClose(), "HTTP/1.1 400 "));
+}
+
+// Guards against an instance that goes on forwarding after its links are back.
+BOOST_FIXTURE_TEST_CASE(RegainedLinksEndForwarding, StrandedInstance) {
+  relay.RestartTargets();
+  bool has_links = false;
+  while (!has_links) {
+    relay.RunOnRelayThread([this, &has_links](RoutingState&) {
+      has_links = relay.relay().HasLinks();
+    });
+  }
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  while (true) {
+    TestConnection target = relay.first().Accept();
+    if (!target.IsClosedWithin(0)) {  // not a probe
+      target.ReadUntil("\r\n\r\n");
+      target.Send(SignedResponse("r1", "ok"));
+      break;
+    }
+  }
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+}
+
+// Guards against what another instance states being misread.
+BOOST_AUTO_TEST_CASE(ForwardedStateIsReadAsWritten) {
+  ForwardedRequest state;
+  state.time_left = std::chrono::milliseconds(1500);
+  state.waited = Duration(7);
+  state.delivered_calls = 2;
+  state.possible_runs = 1;
+  state.counted = true;
+  state.last_event_id = 12;
+  state.stream_version = "v;1=\n";
+  BOOST_CHECK(DecodeForwardedRequest(EncodeForwardedRequest(state)) == state);
+  for (const char* it :
+       {"", "left_us=1", "left_us=1;waited_us=0;calls=0;runs=1;counted=0",
+        "left_us=-1;waited_us=0;calls=0;runs=0;counted=0",
+        "left_us=1;waited_us=0;calls=0;runs=0;counted=2",
+        "left_us=1;left_us=1;waited_us=0;calls=0;runs=0;counted=0",
+        "left_us=1;waited_us=0;calls=0;runs=0;counted=0;after=x",
+        "left_us=1;waited_us=0;calls=0;runs=0;counted=0;version=0g"}) {
+    BOOST_TEST(!DecodeForwardedRequest(it).has_value(), it);
+  }
+}
+
+}  // namespace endiveyard
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -195,7 +195,7 @@
   thread_.join();
 }
 
-RelayFixture::RelayFixture(Duration startup_wait)
+RelayFixture::RelayFixture(Duration startup_wait, uint16_t peer_port)
     : first_(test_io_),
       second_(test_io_),
       work_guard_(asio::make_work_guard(io_)),
@@ -233,6 +233,7 @@
   options.location.failure_domain = "z";
   options.retry_bound.slack = 640;
   options.startup_wait = startup_wait;
+  options.peer_port = peer_port;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
   if (!relay_->Listen().ok()) {
@@ -282,6 +283,52 @@
   RunOnRelayThread([this](RoutingState&) { relay_->OnRoutingStateChanged(); });
 }
 
+void RelayFixture::LoseLinks() {
+  closed_port_.open(tcp::v4());
+  closed_port_.bind(tcp::endpoint(asio::ip::make_address(kLoopback), 0));
+  const uint16_t port = closed_port_.local_endpoint().port();
+  RunOnRelayThread([&](RoutingState& routing_state) {
+    // Other addresses of the loopback network refuse connections, too.
+    std::vector<Replica> replicas;
+    for (const char* id : {"t1", "t2", "t3", "t4"}) {
+      replicas.push_back(MakeReplica(id, port));
+      replicas.back().ip = std::string("127.0.1.") + id[1];
+    }
+    routing_state.replicas.Reset(replicas, BootClock::now());
+  });
+  NotifyRoutingStateChanged();
+  bool has_links = true;
+  while (has_links) {
+    TestConnection caller = Connect();
+    caller.Send(RequestHead("GET", "/safe/x", "lost"));
+    caller.ReadMessage();
+    RunOnRelayThread([&](RoutingState&) { has_links = relay_->HasLinks(); });
+  }
+}
+
+void RelayFixture::LearnOfPeer() {
+  RunOnRelayThread([this](RoutingState&) {
+    ForwardingState state;
+    state.takes_requests = true;
+    relay_->forwarding_peers()->RecordReport(
+        asio::ip::make_address_v4(kLoopback).to_uint(), state,
+        BootClock::now());
+  });
+}
+
+TestConnection RelayFixture::ConnectAsPeer() {
+  RunOnRelayThread([this](RoutingState&) {
+    if (relay_->peer_port() == 0 &&
+        !relay_->ListenForPeers(kLoopback, 0).ok()) {
+      throw std::runtime_error("cannot listen on loopback");
+    }
+  });
+  tcp::socket socket(test_io_);
+  socket.connect(
+      tcp::endpoint(asio::ip::make_address(kLoopback), relay_->peer_port()));
+  return TestConnection(std::move(socket));
+}
+
 void RelayFixture::UseOneTarget() {
   RunOnRelayThread([this](RoutingState& routing_state) {
     routing_state.replicas.Reset({MakeReplica("t1", first_.port())},
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -83,7 +83,10 @@
 class RelayFixture {
  public:
   // By default, requests do not wait for the routing state after startup.
-  explicit RelayFixture(Duration startup_wait = Duration(0));
+  // Requests are forwarded to other instances at `peer_port` of the loopback
+  // address.
+  explicit RelayFixture(Duration startup_wait = Duration(0),
+                        uint16_t peer_port = 0);
   ~RelayFixture();
 
   TestConnection Connect();
@@ -91,6 +94,14 @@
   void RunOnRelayThread(const std::function<void(RoutingState&)>& action);
   // Notifies the relay of a change of the routing state, on its thread.
   void NotifyRoutingStateChanged();
+  // Replaces the targets by ones that refuse connections, and returns when the
+  // relay has noticed that it cannot connect to any target.
+  void LoseLinks();
+  // Lets the relay know of an instance at the loopback address.
+  void LearnOfPeer();
+  // Listens for forwarded requests, and returns a connection of another
+  // instance.
+  TestConnection ConnectAsPeer();
   // Removes the second target from the registered replicas.
   void UseOneTarget();
   // Replaces the targets by the prefill engine `p1` at the second address and
@@ -115,6 +126,8 @@
   boost::asio::io_context test_io_;
   TestTarget first_;
   TestTarget second_;
+  // Bound, but not listening.
+  boost::asio::ip::tcp::acceptor closed_port_{test_io_};
   boost::asio::io_context io_{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       work_guard_;
