Remember the version of streams that other instances have begun

An instance that had recorded the version of its own attempt, which then reached no target, and forwarded the request, kept that version although the receiver began the stream at another one. A caller that took the stream up there got events of two software versions (ORDER).

Now the version is chosen once, where the request came in, and the one that the response names replaces what was remembered.

Found by the review of the change before it was in use. ForwardedStreamsAreTakenUpAtTheirVersion fails without it (v1, not v2).

--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -198,6 +198,8 @@
   void StartForwarding(uint32_t peer);
   bool OnPeerHead(const TargetResponseHead& head);
   void OnPeerBody(std::string_view bytes);
+  // Remembers the version that has begun the stream.
+  void RecordForwardedVersion();
   void OnPeerEnd(TransportStatus transport_status, std::string_view detail);
   // Ends the call to the other instance and decides what follows.
   void EndForwarding(TransportStatus transport_status, std::string_view detail);
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -68,7 +68,8 @@
   state.delivered_calls = delivered_calls_;
   state.possible_runs = possible_runs_;
   state.counted = counted_in_budget_;
-  state.stream_version = stream_version_;
+  // Chosen here, so that all receivers of the request begin it at the same one.
+  state.stream_version = RequiredVersion();
   state.last_event_id = sse_splitter_.last_id();
 
   TargetRequest request;
@@ -142,7 +143,7 @@
     if (!events.empty()) {
       if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
         first_output_at_ = BootClock::now();
-        stream_version_ = forwarding_->stream_version;
+        RecordForwardedVersion();
         response_ = std::move(*unsent).Begin(CallerHeadFrom(forwarding_->head));
       }
       std::get<BegunResponse>(response_).SendBody(events);
@@ -175,6 +176,19 @@
   PauseForSlowCaller(forwarding_->call);
 }
 
+void RelayExchange::RecordForwardedVersion() {
+  if (!forwarding_->stream_version) {
+    return;
+  }
+  stream_version_ = forwarding_->stream_version;
+  if (route_->resumable) {
+    // Replaces what this instance remembers of an own run that did not begin.
+    context_->stream_versions.RecordBegun(
+        service_, StreamIdOf(request_metadata_.request_id), *stream_version_,
+        BootClock::now());
+  }
+}
+
 void RelayExchange::OnPeerEnd(TransportStatus transport_status,
                               std::string_view detail) {
   if (phase_ == Phase::kForwarding && forwarding_) {
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -117,6 +117,33 @@
   BOOST_TEST(serving.IsClosedWithin(5000));
 }
 
+// Guards against a stream that another instance has begun and that its caller
+// takes up here at another software version: what this instance remembers of
+// its own attempt, which reached no target, must not decide (ORDER).
+BOOST_FIXTURE_TEST_CASE(ForwardedStreamsAreTakenUpAtTheirVersion,
+                        StrandedInstance) {
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/stream/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  relay.RunOnRelayThread([this](RoutingState&) {
+    relay.relay().stream_versions()->RecordBegun(
+        "svc", MakeStreamId("svc", "r1", std::nullopt), "v1", BootClock::now());
+  });
+  std::string head = StreamResponseHead("r1");
+  head.insert(head.size() - 2, std::string(kForwardedVersionHeader) + ": " +
+                                   EncodeVersion("v2") + "\r\n");
+  other.Send(head + EncodeChunk("id: 1\ndata: a\n\n"));
+  caller.ReadUntil("data: a\n\n");
+  std::optional<std::string> version;
+  relay.RunOnRelayThread([this, &version](RoutingState&) {
+    version = relay.relay().stream_versions()->Find(
+        "svc", MakeStreamId("svc", "r1", std::nullopt), std::chrono::seconds(1),
+        BootClock::now());
+  });
+  BOOST_TEST(version.value_or("unknown") == "v2");
+}
+
 // Guards against a stream that is continued by another instance at an event
 // that the caller has, or at another software version.
 BOOST_FIXTURE_TEST_CASE(BrokenStreamsContinueThroughPeers, RelayFixture) {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -161,6 +161,11 @@
   return poll(&listener, 1, ms) == 1;
 }
 
+TestTarget::TestTarget(asio::io_context& io,
+                       const std::string& ip,
+                       uint16_t port)
+    : io_(io), acceptor_(io, tcp::endpoint(asio::ip::make_address(ip), port)) {}
+
 TestConnection TestTarget::Accept() {
   if (!HasConnectionWithin(10000)) {
     throw std::runtime_error("target got no connection within 10 s");
@@ -306,13 +311,12 @@
   }
 }
 
-void RelayFixture::LearnOfPeer() {
-  RunOnRelayThread([this](RoutingState&) {
+void RelayFixture::LearnOfPeer(const std::string& ip) {
+  RunOnRelayThread([this, &ip](RoutingState&) {
     ForwardingState state;
     state.takes_requests = true;
     relay_->forwarding_peers()->RecordReport(
-        asio::ip::make_address_v4(kLoopback).to_uint(), state,
-        BootClock::now());
+        asio::ip::make_address_v4(ip).to_uint(), state, BootClock::now());
   });
 }
 
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -51,6 +51,8 @@
 class TestTarget {
  public:
   explicit TestTarget(boost::asio::io_context& io);
+  // Listens at another address of the loopback network.
+  TestTarget(boost::asio::io_context& io, const std::string& ip, uint16_t port);
 
   TestConnection Accept();
   // Returns true if a connection arrives within `ms`, or waits already.
@@ -97,8 +99,8 @@
   // Replaces the targets by ones that refuse connections, and returns when the
   // relay has noticed that it cannot connect to any target.
   void LoseLinks();
-  // Lets the relay know of an instance at the loopback address.
-  void LearnOfPeer();
+  // Lets the relay know of an instance at an address of the loopback network.
+  void LearnOfPeer(const std::string& ip = "127.0.0.1");
   // Listens for forwarded requests, and returns a connection of another
   // instance.
   TestConnection ConnectAsPeer();
