Forward only to instances that route alike, and count once

Gaps of the forwarding found by its review, before it was in use: - a receiver that could not read the registry, or had an older service map, handled requests by it (CONFIG, DRAIN); a stream could be continued at another service (ROUTE); - a prompt prefilled here and again at the receiver was outside the retry budget, and a request that was refused added to it (BUDGET); - a request was refused for what an instance without links sees of the targets although another one would have taken it (RECOVER); - what a replica states about itself reached the caller through the sender but was only kept by the receiver (DRAIN); - a receiver that stands still, or had just refused, got more requests; - a round of probes began with the same services each time, and a probe that ended after the relay touched its state.

ReceiversRefuseWhatTheyWouldRouteDifferently, LeavingReplicasAreLearntThroughPeers and SilentInstancesAreOverdue are new.

--- a/include/endiveyard/placement/forwarding_peers.h
+++ b/include/endiveyard/placement/forwarding_peers.h
@@ -42,6 +42,12 @@
                                  const std::set<uint32_t>& excluded,
                                  uint64_t tie_breaker,
                                  TimePoint now) const;
+  // Records that the instance did not take a request. It gets none until its
+  // next report.
+  void RecordNotTaken(uint32_t address);
+  // Returns true if reports of the instance are missing, by the intervals of
+  // the last ones.
+  bool IsOverdue(uint32_t address, TimePoint now) const;
   // Record the beginning and the end of a request that was forwarded.
   void RecordSent(uint32_t address);
   void RecordEnded(uint32_t address);
@@ -50,6 +56,7 @@
   struct Peer {
     ForwardingState state;
     TimePoint heard_at{};
+    Duration interval{};  // between the last two reports
     int open_requests = 0;
   };
 
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -87,6 +87,9 @@
   uint16_t peer_port() const;
   // Returns false if no target can be connected to.
   bool HasLinks() const;
+  // Returns true if this instance has its links, and room for connections of
+  // others.
+  bool TakesForwardedRequests() const;
   // Sets the region as peers state it, see ForwardingState.
   void set_own_region(uint16_t region);
 
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -446,7 +446,8 @@
             mirror_timing_.watch_timeout + kConfirmationMargin;
     relay_.set_instance_count(load_exchange_.InstanceCount());
     load_exchange_.SetTakesRequests(listens_for_peers_ && IsReady() &&
-                                    relay_.HasLinks());
+                                    !registry_lost_ &&
+                                    relay_.TakesForwardedRequests());
     if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
       load_exchange_.SetLeaving();
     }
--- a/src/placement/forwarding_peers.cc
+++ b/src/placement/forwarding_peers.cc
@@ -1,5 +1,6 @@
 #include "endiveyard/placement/forwarding_peers.h"
 
+#include <algorithm>
 #include <iterator>
 #include <tuple>
 
@@ -11,6 +12,10 @@
 constexpr Duration kMemory = std::chrono::minutes(1);
 // Limits the memory that forged reports can take.
 constexpr size_t kMaxPeers = 2000;
+// Reports are missing after several of their intervals, since some are lost,
+// and after twice the longest interval in a small fleet.
+constexpr int kMissingReports = 4;
+constexpr Duration kMinOverdueTime = std::chrono::milliseconds(1200);
 // An instance of another region is chosen when those of the own one have this
 // many more open requests each.
 constexpr int kOpenRequestsForRegion = 8;
@@ -25,6 +30,7 @@
   }
   Peer& peer = peers_[address];
   peer.state = state;
+  peer.interval = std::chrono::duration_cast<Duration>(now - peer.heard_at);
   peer.heard_at = now;
   for (auto it = peers_.begin(); it != peers_.end();) {
     const bool is_old =
@@ -62,6 +68,22 @@
   return chosen;
 }
 
+void ForwardingPeers::RecordNotTaken(uint32_t address) {
+  if (const auto it = peers_.find(address); it != peers_.end()) {
+    it->second.state.takes_requests = false;
+  }
+}
+
+bool ForwardingPeers::IsOverdue(uint32_t address, TimePoint now) const {
+  const auto it = peers_.find(address);
+  if (it == peers_.end()) {
+    return true;
+  }
+  const Duration limit =
+      std::max(kMinOverdueTime, kMissingReports * it->second.interval);
+  return now - it->second.heard_at > limit;
+}
+
 void ForwardingPeers::RecordSent(uint32_t address) {
   ++peers_[address].open_requests;
 }
--- a/src/relay/forwarded_request.cc
+++ b/src/relay/forwarded_request.cc
@@ -16,6 +16,9 @@
 constexpr std::string_view kDeliveredCalls = "calls";
 constexpr std::string_view kPossibleRuns = "runs";
 constexpr std::string_view kCounted = "counted";
+constexpr std::string_view kPrefilled = "prefilled";
+constexpr std::string_view kMapVersion = "map";
+constexpr std::string_view kService = "service";
 constexpr std::string_view kLastEventId = "after";
 constexpr std::string_view kVersion = "version";
 constexpr std::string_view kReplica = "replica";
@@ -23,6 +26,7 @@
 // Limits on what another instance may state.
 constexpr int64_t kMaxMicros = 86'400'000'000;  // a day
 constexpr int64_t kMaxCalls = 1000;
+constexpr int64_t kMaxMapVersion = std::numeric_limits<int64_t>::max();
 constexpr size_t kMaxTextBytes = 256;
 
 std::optional<int64_t> ParseInteger(std::string_view text) {
@@ -116,8 +120,8 @@
 bool ForwardedRequest::operator==(const ForwardedRequest& other) const {
   const auto tie = [](const ForwardedRequest& it) {
     return std::tie(it.time_left, it.waited, it.delivered_calls,
-                    it.possible_runs, it.counted, it.last_event_id,
-                    it.stream_version);
+                    it.possible_runs, it.counted, it.prefilled, it.map_version,
+                    it.last_event_id, it.stream_version, it.service);
   };
   return tie(*this) == tie(other);
 }
@@ -135,12 +139,17 @@
   fields.Add(kDeliveredCalls, request.delivered_calls);
   fields.Add(kPossibleRuns, request.possible_runs);
   fields.Add(kCounted, request.counted ? 1 : 0);
+  fields.Add(kPrefilled, request.prefilled ? 1 : 0);
+  fields.Add(kMapVersion, request.map_version);
   if (request.last_event_id) {
     fields.Add(kLastEventId, *request.last_event_id);
   }
   if (request.stream_version) {
     fields.Add(kVersion, EncodeText(*request.stream_version));
   }
+  if (request.service) {
+    fields.Add(kService, EncodeText(*request.service));
+  }
   return fields.text();
 }
 
@@ -154,6 +163,8 @@
   request.possible_runs = static_cast<int>(
       fields.Number(kPossibleRuns, 0, request.delivered_calls));
   request.counted = fields.Number(kCounted, 0, 1) == 1;
+  request.prefilled = fields.Number(kPrefilled, 0, 1) == 1;
+  request.map_version = fields.Number(kMapVersion, 0, kMaxMapVersion);
   if (fields.Has(kLastEventId)) {
     request.last_event_id =
         fields.Number(kLastEventId, std::numeric_limits<int64_t>::min(),
@@ -162,6 +173,9 @@
   if (fields.Has(kVersion)) {
     request.stream_version = fields.Text(kVersion);
   }
+  if (fields.Has(kService)) {
+    request.service = fields.Text(kService);
+  }
   return fields.is_valid() ? std::optional(request) : std::nullopt;
 }
 
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -31,10 +31,16 @@
   int possible_runs = 0;
   // The retry budget of the service has grown by this request.
   bool counted = false;
-  // Last event that the caller has, if it has the beginning of the stream, and
-  // the software version that has written it.
+  // A prefill call for it was accepted.
+  bool prefilled = false;
+  // Version of the service map by which it was routed.
+  int64_t map_version = 0;
+  // Last event that the caller has, if it has the beginning of the stream.
   std::optional<int64_t> last_event_id;
+  // Software version that has to run it.
   std::optional<std::string> stream_version;
+  // Service that has begun the stream.
+  std::optional<std::string> service;
 
   bool operator==(const ForwardedRequest& other) const;
 };
--- a/src/relay/link_prober.cc
+++ b/src/relay/link_prober.cc
@@ -79,14 +79,27 @@
                        std::make_pair(b.first, order[b.second]);
               });
   }
+  // Each round begins with another service, since there may be more of them
+  // than probes.
+  std::vector<const std::vector<std::pair<bool, std::string>>*> services;
+  services.reserve(by_service.size());
+  for (const auto& [service, targets] : by_service) {
+    services.push_back(&targets);
+  }
+  if (!services.empty()) {
+    std::rotate(services.begin(),
+                services.begin() +
+                    static_cast<std::ptrdiff_t>(round_ % services.size()),
+                services.end());
+  }
   std::vector<std::string> chosen;
   for (size_t n = 0; chosen.size() < LinkMonitor::kFailedProbesBeforeLoss;
        ++n) {
     const size_t before = chosen.size();
-    for (const auto& [service, targets] : by_service) {
-      if (n < targets.size() &&
+    for (const auto* targets : services) {
+      if (n < targets->size() &&
           chosen.size() < LinkMonitor::kFailedProbesBeforeLoss) {
-        chosen.push_back(targets[n].second);
+        chosen.push_back((*targets)[n].second);
       }
     }
     if (chosen.size() == before) {
@@ -125,7 +138,7 @@
 }
 
 void LinkProber::Finish(const std::shared_ptr<Probe>& probe, bool connected) {
-  if (std::exchange(probe->finished, true)) {
+  if (std::exchange(probe->finished, true) || stopped_) {
     return;
   }
   probe->timer.cancel();
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -261,6 +261,15 @@
   return impl_->context().links.state() != LinkMonitor::State::kLost;
 }
 
+bool Relay::TakesForwardedRequests() const {
+  constexpr double kConnectionShare = 0.9;
+  const RelayContext& context = impl_->context();
+  return HasLinks() &&
+         static_cast<double>(context.open_connections) <
+             kConnectionShare *
+                 static_cast<double>(context.options.max_connections);
+}
+
 void Relay::set_own_region(uint16_t region) {
   impl_->context().own_region = region;
 }
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -74,6 +74,7 @@
     delivered_calls_ = forwarded.delivered_calls;
     possible_runs_ = forwarded.possible_runs;
     counted_in_budget_ = forwarded.counted;
+    prompt_prefilled_ = forwarded.prefilled;
   }
   if (!context_->routing_state.IsComplete() &&
       BootClock::now() < context_->startup_deadline) {
@@ -120,6 +121,11 @@
     EndInFailure("overloaded", RetryAfterWithJitter(kNotReadyRetryAfter));
     return;
   }
+  if (request_.forwarded &&
+      service_map_->version < request_.forwarded->map_version) {
+    RefuseForwarded("configuration_older");
+    return;
+  }
   const std::string_view path =
       std::string_view(request_.path_and_query)
           .substr(0, request_.path_and_query.find('?'));
@@ -155,8 +161,13 @@
       UnitHash(TakesUpStream() && !request_metadata_.resumed_request_id.empty()
                    ? request_metadata_.resumed_request_id
                    : request_metadata_.request_id));
-  if (request_.forwarded || !LinksLost()) {
-    // Otherwise, the instance that it is forwarded to counts it.
+  if (request_.forwarded && request_.forwarded->service &&
+      *request_.forwarded->service != service_) {
+    RefuseForwarded("other_service");
+    return;
+  }
+  if (!request_.forwarded && !LinksLost()) {
+    // Otherwise, the instance that sends it to a target counts it.
     CountInBudget();
   }
   forwarded_headers_ = WithoutHopByHopHeaders(request_.headers);
@@ -324,6 +335,13 @@
     result.placement.reset();
     refusal = "placements_used_up";
   }
+  if (!result.placement && may_place && LinksLost() && !request_.forwarded) {
+    if (const auto peer = ChoosePeer(now)) {
+      // The refusal comes from what this instance sees of the targets.
+      StartForwarding(*peer);
+      return;
+    }
+  }
   if (!result.placement) {
     expected_first_output_ = result.refusal.expected_first_output;
     JsonFields fields;
@@ -392,6 +410,11 @@
 
 void RelayExchange::StartPlacement(const Placement& placement) {
   const TimePoint now = BootClock::now();
+  if (LinksLost() && MayRefuseForwarded()) {
+    context_->placer.RecordNotSent(placement, now);
+    RefuseForwarded("links_lost");
+    return;
+  }
   if (ForwardsInsteadOf(placement, now)) {
     context_->placer.RecordNotSent(placement, now);
     StartForwarding(*ChoosePeer(now));
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -159,8 +159,14 @@
   bool EndedWithoutAnswer() const;
   // Records what the head of the response states about the replica.
   void RecordResponseHead();
+  // Records the limit on requests per second that the replica states.
+  void RecordRateLimit(const Replica& replica,
+                       int status,
+                       const ResponseMetadata& metadata);
   // Records whether the replica says that it takes new work.
-  void RecordAvailability();
+  void RecordAvailability(const Replica& replica,
+                          int status,
+                          const ResponseMetadata& metadata);
   // Records the speed of the target of a completed run.
   void ObserveCompletedRun(const ActiveCall& call);
   // Decides what follows a call. The active call has been closed before;
@@ -219,6 +225,8 @@
   CallOutcome OutcomeOfForwarding(TransportStatus transport_status) const;
   // Ends the call to the other instance and decides what follows.
   void EndForwarding(TransportStatus transport_status, std::string_view detail);
+  // Goes on elsewhere if the other instance has fallen silent.
+  void CheckForwarding(TimePoint now);
   void CloseForwarding();
   // Tells the instance that has forwarded the request that this one does not
   // take it and has done nothing for it.
@@ -228,6 +236,7 @@
   bool MayRefuseForwarded() const {
     return request_.forwarded.has_value() &&
            delivered_calls_ == request_.forwarded->delivered_calls &&
+           prompt_prefilled_ == request_.forwarded->prefilled &&
            std::holds_alternative<UnsentResponse>(response_);
   }
 
--- a/src/relay/relay_exchange_end.cc
+++ b/src/relay/relay_exchange_end.cc
@@ -152,6 +152,10 @@
 
 void RelayExchange::OnWatchdog() {
   ArmWatchdog();
+  if (forwarding_) {
+    CheckForwarding(BootClock::now());
+    return;
+  }
   if (!active_call_ || !active_call_->call) {
     return;
   }
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -52,10 +52,12 @@
 
 bool RelayExchange::ForwardsInsteadOf(const Placement& placement,
                                       TimePoint now) const {
-  const Replica& first =
-      placement.prefill ? *placement.prefill : placement.target;
+  const auto has_connection = [this](const Replica& replica) {
+    return context_->target_client.HasIdleConnection(replica.ip, replica.port);
+  };
   return LinksLost() && !request_.forwarded && ChoosePeer(now) &&
-         !context_->target_client.HasIdleConnection(first.ip, first.port);
+         (!has_connection(placement.target) ||
+          (placement.prefill && !has_connection(*placement.prefill)));
 }
 
 void RelayExchange::RefuseForwarded(std::string_view reason) {
@@ -78,6 +80,11 @@
   state.delivered_calls = delivered_calls_;
   state.possible_runs = possible_runs_;
   state.counted = counted_in_budget_;
+  state.prefilled = prompt_prefilled_;
+  state.map_version = service_map_->version;
+  if (ContinuesStream()) {
+    state.service = service_;
+  }
   // Chosen here, so that all receivers of the request begin it at the same one.
   state.stream_version = RequiredVersion();
   state.last_event_id = sse_splitter_.last_id();
@@ -135,6 +142,15 @@
   if (const auto text = FindHeader(head.headers, kForwardedResponseHeader)) {
     forwarding_->response = DecodeForwardedResponse(*text);
   }
+  if (forwarding_->response) {
+    const Replica* replica = context_->routing_state.replicas.Find(
+        forwarding_->response->replica_id);
+    if (replica != nullptr) {
+      // The response says so through this instance, too.
+      RecordAvailability(*replica, head.status, metadata);
+      RecordRateLimit(*replica, head.status, metadata);
+    }
+  }
   forwarding_->is_success =
       head.status >= 200 && head.status < 300 && metadata.signed_by_target &&
       forwarding_->response && !metadata.has_content_encoding;
@@ -262,6 +278,9 @@
   ended.body = std::move(forwarding_->body);
   const std::optional<ForwardedResponse> response = forwarding_->response;
   excluded_peers_.insert(forwarding_->peer);
+  if (ended.outcome == CallOutcome::kNotSent) {
+    context_->forwarding_peers.RecordNotTaken(forwarding_->peer);
+  }
   CloseForwarding();
   if (ended.outcome != CallOutcome::kNotSent) {
     counted_in_budget_ = true;  // by the other instance
@@ -272,6 +291,15 @@
   ContinueAfterCall(ended, detail);
 }
 
+void RelayExchange::CheckForwarding(TimePoint now) {
+  // An instance that stands still acknowledges what it gets.
+  if (IsRetryable(*route_) && !ResponseBegun() &&
+      context_->forwarding_peers.IsOverdue(forwarding_->peer, now)) {
+    EndForwarding(TransportStatus::kNoResponse,
+                  "the other instance has stopped reporting");
+  }
+}
+
 void RelayExchange::CloseForwarding() {
   if (!forwarding_) {
     return;
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -89,44 +89,50 @@
 
 void RelayExchange::RecordResponseHead() {
   RecordSignOfLife();
-  RecordAvailability();
-  const ResponseMetadata& metadata = active_call_->response_metadata;
-  if (active_call_->status == kMisdirectedRequest ||
-      metadata.has_invalid_rate_limit ||
-      (!metadata.requests_per_second &&
-       (metadata.not_run || active_call_->status >= 500))) {
+  RecordAvailability(active_call_->replica, active_call_->status,
+                     active_call_->response_metadata);
+  RecordRateLimit(active_call_->replica, active_call_->status,
+                  active_call_->response_metadata);
+}
+
+void RelayExchange::RecordRateLimit(const Replica& replica,
+                                    int status,
+                                    const ResponseMetadata& metadata) {
+  if (status == kMisdirectedRequest || metadata.has_invalid_rate_limit ||
+      (!metadata.requests_per_second && (metadata.not_run || status >= 500))) {
     // From another replica at this address, or perhaps not from a replica. What
     // was stated before stays in force.
     return;
   }
   const TimePoint now = BootClock::now();
   ReplicaRateLimits& limits = context_->placer.rate_limits();
-  const uint64_t key = EngineKey(active_call_->replica);
+  const uint64_t key = EngineKey(replica);
   const std::optional<double> before = limits.LimitOf(key, now);
   if (limits.RecordResponse(key, metadata.requests_per_second, now)) {
     constexpr double kNone = -1;
     JsonFields fields;
-    fields.Text("replica", active_call_->replica.id)
+    fields.Text("replica", replica.id)
         .Number("requests_per_s", metadata.requests_per_second.value_or(kNone))
         .Number("before", before.value_or(kNone))
         .Text("request", request_metadata_.request_id)
-        .Integer("status", active_call_->status);
+        .Integer("status", status);
     context_->log.Log(kLogReplicaRateLimitChanged, fields, now);
   }
 }
 
-void RelayExchange::RecordAvailability() {
-  if (active_call_->status == kMisdirectedRequest) {
+void RelayExchange::RecordAvailability(const Replica& replica,
+                                       int status,
+                                       const ResponseMetadata& metadata) {
+  if (status == kMisdirectedRequest) {
     return;  // from another replica at this address
   }
   const TimePoint now = BootClock::now();
-  const ResponseMetadata& metadata = active_call_->response_metadata;
   TargetAvailability& availability = context_->placer.availability();
-  const uint64_t key = EngineKey(active_call_->replica);
+  const uint64_t key = EngineKey(replica);
   JsonFields fields;
-  fields.Text("replica", active_call_->replica.id)
+  fields.Text("replica", replica.id)
       .Text("request", request_metadata_.request_id)
-      .Integer("status", active_call_->status);
+      .Integer("status", status);
   if (!metadata.invalid_header.empty() &&
       context_->invalid_headers_log.Allow(key, now)) {
     JsonFields invalid = fields;
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -11,6 +11,7 @@
   report.sequence = 17;
   report.region = 99;
   report.leaving = true;
+  report.takes_requests = true;
   report.work = {{1, 2, 3}, {0xffffffffffffffff, 64, 540000}};
   report.scope = ReportScope::kRegion;
   report.interval = std::chrono::milliseconds(430);
--- a/tests/placement/link_monitor_test.cc
+++ b/tests/placement/link_monitor_test.cc
@@ -97,4 +97,22 @@
   BOOST_TEST(!peers.IsKnown(10, At(70000)));
 }
 
+// Guards against requests that go on waiting for an instance that stands still,
+// or to one that has just refused one.
+BOOST_AUTO_TEST_CASE(SilentInstancesAreOverdue) {
+  ForwardingPeers peers;
+  for (int n = 0; n < 4; ++n) {
+    peers.RecordReport(10, {true, 1}, At(500 * n));   // a small fleet
+    peers.RecordReport(11, {true, 1}, At(2000 * n));  // another region
+  }
+  BOOST_TEST(!peers.IsOverdue(10, At(1500 + 1900)));
+  BOOST_TEST(peers.IsOverdue(10, At(1500 + 2100)));
+  BOOST_TEST(!peers.IsOverdue(11, At(6000 + 7900)));
+  BOOST_TEST(peers.IsOverdue(11, At(6000 + 8100)));
+  peers.RecordNotTaken(11);
+  BOOST_TEST(!peers.Choose(1, {}, 5, At(6100)).has_value());
+  peers.RecordReport(11, {true, 1}, At(6200));
+  BOOST_TEST(peers.Choose(1, {}, 5, At(6300)).value_or(0) == 11u);
+}
+
 }  // namespace endiveyard
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -32,13 +32,14 @@
                          EncodeForwardedRequest(state) + "\r\n" + more_headers);
 }
 
-// `message` with what an instance tells about the target `t9`, of version `v2`.
+// `message` with what an instance tells about the replica that has responded.
 std::string WithForwardedResponse(std::string message,
                                   int runs = 1,
-                                  const std::string& version = "v2") {
+                                  const std::string& version = "v2",
+                                  const std::string& replica = "t9") {
   ForwardedResponse response;
   response.delivered_calls = response.possible_runs = runs;
-  response.replica_id = "t9";
+  response.replica_id = replica;
   response.version = version;
   return message.insert(message.find("\r\n") + 2,
                         std::string(kForwardedResponseHeader) + ": " +
@@ -80,7 +81,8 @@
   BOOST_TEST(Contains(request, "POST /unsafe/%2e/x?y HTTP/1.1\r\n"));
   BOOST_TEST(Contains(request, "X-Own: kept\r\n"));
   BOOST_TEST(Contains(request, "\r\n\r\nbody"));
-  BOOST_TEST(Contains(request, "calls=0;runs=0;counted=0\r\n"));
+  BOOST_TEST(
+      Contains(request, "calls=0;runs=0;counted=0;prefilled=0;map=1\r\n"));
   BOOST_TEST(!Contains(request, "forged"));
   other.Send(
       WithForwardedResponse(SignedResponse("r1", "done", "201 Created")));
@@ -275,7 +277,8 @@
   other.Close();
   TestConnection next = next_peer.Accept();
   const std::string request = next.ReadUntil("\r\n\r\n");
-  BOOST_TEST(Contains(request, "calls=1;runs=1;counted=1;after=1"));
+  BOOST_TEST(
+      Contains(request, "calls=1;runs=1;counted=1;prefilled=0;map=1;after=1"));
   next.Send(WithForwardedResponse(
       "HTTP/1.1 502 Bad Gateway\r\nEndiveyard-Request-Id: r1\r\n"
       "Content-Length: 7\r\n\r\nFAILURE",
@@ -285,6 +288,44 @@
   BOOST_TEST(!Contains(rest, "0\r\n\r\n"));
 }
 
+// Guards against a request that is handled by an older configuration than the
+// one by which it was routed, or by another service than the one that has begun
+// its stream (CONFIG, ROUTE).
+BOOST_FIXTURE_TEST_CASE(ReceiversRefuseWhatTheyWouldRouteDifferently,
+                        RelayFixture) {
+  LearnOfPeer();
+  TestConnection other = ConnectAsPeer();
+  ForwardedRequest newer;
+  newer.map_version = 2;
+  other.Send(ForwardedHead("GET", "/safe/x", "r1", newer));
+  BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 421 "));
+  ForwardedRequest moved;
+  moved.last_event_id = 1;
+  moved.service = "other";
+  other.Send(ForwardedHead("GET", "/stream/x", "r2", moved));
+  BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 421 "));
+}
+
+// Guards against new work for a replica that has said, through another
+// instance, that it is leaving (DRAIN).
+BOOST_FIXTURE_TEST_CASE(LeavingReplicasAreLearntThroughPeers,
+                        StrandedInstance) {
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  std::string response = SignedResponse("r1", "ok");
+  response.insert(response.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+  other.Send(WithForwardedResponse(response, 1, "v1", "t1"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+  bool leaving = false;
+  relay.RunOnRelayThread([&](RoutingState& routing_state) {
+    leaving = relay.relay().placer()->availability().IsLeaving(
+        EngineKey(*routing_state.replicas.Find("t1")), BootClock::now());
+  });
+  BOOST_TEST(leaving);
+}
+
 // Guards against a receiver that resumes a stream by itself, so that its sender
 // cannot count the runs (BUDGET).
 BOOST_FIXTURE_TEST_CASE(ReceiversDoNotResumeStreams, RelayFixture) {
@@ -324,16 +365,22 @@
   state.counted = true;
   state.last_event_id = 12;
   state.stream_version = "v;1=\n";
-  BOOST_CHECK(DecodeForwardedRequest(EncodeForwardedRequest(state)) == state);
-  for (const char* it :
-       {"", "left_us=1", "left_us=1;waited_us=0;calls=0;runs=1;counted=0",
-        "left_us=-1;waited_us=0;calls=0;runs=0;counted=0",
-        "left_us=1;waited_us=0;calls=0;runs=0;counted=2",
-        "left_us=1;left_us=1;waited_us=0;calls=0;runs=0;counted=0",
-        "left_us=1;waited_us=0;calls=0;runs=0;counted=0;after=x",
-        "left_us=1;waited_us=0;calls=0;runs=0;counted=0;version=0g"}) {
-    BOOST_TEST(!DecodeForwardedRequest(it).has_value(), it);
+  state.service = "svc";
+  state.map_version = 3;
+  const std::string text = EncodeForwardedRequest(state);
+  BOOST_CHECK(DecodeForwardedRequest(text) == state);
+  // Each change of one field makes the value unreadable.
+  for (const auto& [from, to] :
+       {std::pair("left_us=", "left_us=-"), std::pair("left_us=", "x="),
+        std::pair("runs=1", "runs=3"), std::pair("counted=1", "counted=2"),
+        std::pair("calls=2", "calls="), std::pair("after=12", "after=x"),
+        std::pair("version=", "version=0g"), std::pair("map=3", "map=3;map=3"),
+        std::pair("map=3", "map=99999999999999999999")}) {
+    std::string changed = text;
+    changed.replace(changed.find(from), std::string(from).size(), to);
+    BOOST_TEST(!DecodeForwardedRequest(changed).has_value(), changed);
   }
+  BOOST_TEST(!DecodeForwardedRequest("").has_value());
 }
 
 }  // namespace endiveyard
