Do not count calls that are lost with the links as crashes

An instance that loses its links loses its open calls, too, one after the other, and each counted as a crash of its target.

Such calls are no evidence while the links are in doubt or lost. A target that crashes at that moment is not recorded by this instance. CallsLostWithTheLinksAreNoCrashes fails without it.

--- a/src/relay/relay_crash_evidence.cc
+++ b/src/relay/relay_crash_evidence.cc
@@ -67,6 +67,7 @@
       (active_call_->head.ends_with_connection &&
        OutcomeOf(transport_status) == CallOutcome::kIncompleteResponse);
   if (!connection_lost || answer_survived_ ||
+      context_->links.state() != LinkMonitor::State::kConnected ||
       active_call_->response_metadata.not_run) {
     return;
   }
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -326,6 +326,26 @@
   BOOST_TEST(leaving);
 }
 
+// Guards against calls that an instance loses together with its links and that
+// count as crashes of the targets, so that sound requests are refused.
+BOOST_FIXTURE_TEST_CASE(CallsLostWithTheLinksAreNoCrashes, RelayFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/unsafe/x", "r1",
+                          "Endiveyard-Token-Count: 4000,80\r\n"
+                          "Endiveyard-Prompt-Prefix: aa11:3000,bb22:1000\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  LoseLinks();
+  target.Reset();
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
+  bool has_evidence = true;
+  RunOnRelayThread([&](RoutingState&) {
+    has_evidence = !relay().crash_suspects()->empty();
+  });
+  BOOST_TEST(!has_evidence);
+}
+
 // Guards against a receiver that resumes a stream by itself, so that its sender
 // cannot count the runs (BUDGET).
 BOOST_FIXTURE_TEST_CASE(ReceiversDoNotResumeStreams, RelayFixture) {
