Keep connections of callers that pause while reading

Cause: TCP_USER_TIMEOUT on the connections of callers. The kernel counts a receive window that stays closed like silence, although each window probe is acknowledged.

Callers' connections now have keep-alive probes only, which find a dead peer after the same 4 s while nothing is unacknowledged. What is left to bound is a caller that never reads on: an exchange ends at its deadline, and now the bytes that are queued after its end are given up after the idle timeout. An instance that is asked to stop ends them at the end of its grace, as before.

Evidence: CallersThatPauseGetTheWholeResponse fails on, "expected the end of the chunks", after 3 s without reading (peer timeout set to 1 s). CallersThatStopReadingAreClosedAfterTheIdleTimeout passes before, by TCP_USER_TIMEOUT, and fails with the new options but without the timer. socket_options_test reads the options back and shows on loopback that a closed window ends a connection with TCP_USER_TIMEOUT (ETIMEDOUT), not before its time, and does not with probes alone.

What it costs: a caller whose machine dies while data for it is unacknowledged is found at the deadline of its request, not after 4 s.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -85,7 +85,8 @@
 }
 
 void CallerConnection::Start() {
-  SetLivenessOptions(socket_, context_->options.target_client.peer_timeout * 2);
+  SetKeepAliveOptions(socket_,
+                      context_->options.target_client.peer_timeout * 2);
   ArmReadTimer();
   Read();
 }
@@ -311,10 +312,7 @@
   on_all_sent_ = nullptr;
   RecordBodyBytes(0);
   if (!keep_alive_) {
-    close_when_written_ = true;
-    if (!writing_) {
-      Close();
-    }
+    CloseWhenWritten();
     return;
   }
   ArmReadTimer();
@@ -337,13 +335,25 @@
   if (closed_) {
     return;
   }
-  if (writing_) {
-    // Bytes that are queued are still sent. The caller detects the failure by
-    // the missing end of the response.
-    close_when_written_ = true;
+  // Bytes that are queued are still sent. The caller detects the failure by the
+  // missing end of the response.
+  CloseWhenWritten();
+}
+
+void CallerConnection::CloseWhenWritten() {
+  if (!writing_) {
+    Close();
     return;
   }
-  Close();
+  close_when_written_ = true;
+  const uint64_t generation = ++timer_generation_;
+  read_timer_.expires_after(CurrentLimits(*context_).idle_timeout);
+  read_timer_.async_wait(
+      [self = shared_from_this(), generation](error_code ec) {
+        if (!ec && generation == self->timer_generation_) {
+          self->Close();
+        }
+      });
 }
 
 void CallerConnection::CloseIfIdle() {
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -91,6 +91,9 @@
   void HandleRequest();
   void RespondWithErrorAndClose(int status, std::string_view reason);
   void ArmReadTimer();
+  // Closes the connection when the queued bytes are written, or after the idle
+  // timeout if the caller does not read them.
+  void CloseWhenWritten();
   void Write(std::string bytes);
   void WriteNext();
   void Close();
--- a/src/relay/socket_options.h
+++ b/src/relay/socket_options.h
@@ -7,9 +7,16 @@
 
 namespace endiveyard {
 
-// Sets TCP_NODELAY, keep-alive probes and TCP_USER_TIMEOUT, so that a dead peer
-// is detected within about `peer_timeout`. Options that the kernel rejects keep
-// their default.
+// Sets TCP_NODELAY and keep-alive probes, by which a peer that is dead while
+// the connection is idle is detected within about `peer_timeout`. A peer that
+// does not read is not dead: its kernel answers the probes. Options that the
+// kernel rejects keep their default.
+void SetKeepAliveOptions(boost::asio::ip::tcp::socket& socket,
+                         Duration peer_timeout);
+
+// Also sets TCP_USER_TIMEOUT, so that a dead peer is detected while data is
+// unacknowledged, too. The connection ends as well if the peer reads nothing
+// for `peer_timeout` while more data is queued than its window takes.
 void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
                         Duration peer_timeout);
 
