Do not count calls that end in silence as crashes

What callers would see: sound requests refused as crashes_replicas (503) by all instances, after the links of some instances to targets were down three times, or long enough for calls to end one after the other.

Cause: a call that ended with ETIMEDOUT was reported like one whose connection the target closed, and became crash evidence. It was our own kernel that gave up; the target may go on behind a link that is cut. The class: an end that our own side decides taken for a statement of the target. A stall limit of ours was no evidence before either (AbandonRun does not record it).

TransportStatus::kSilent now tells the two apart. The kernel reports the error once only, to a write in progress if there is one, so the read after it sees an orderly end; the error of the write counts as well.

Evidence: CallsLostInSilenceAreNoEvidenceOfCrashes fails before, without and with a large body (the fourth request reaches no target); with a large body also if the error of the write is not looked at. The test drops the target's incoming segments by a socket filter, which needs no privilege.

What it costs: a target that crashes without a word (machine lost) is no evidence any more.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -48,6 +48,9 @@
   kNoResponse,       // written, but the connection ended without a response
   kInvalidResponse,  // the bytes received are not the expected HTTP response
   kTruncated,        // the head was received, but not the whole body
+  // Written, but the target's kernel acknowledged nothing for the peer timeout:
+  // the target or a link to it is down, and nobody closed the connection.
+  kSilent,
   kComplete,
 };
 
--- a/src/relay/relay_crash_evidence.cc
+++ b/src/relay/relay_crash_evidence.cc
@@ -60,11 +60,13 @@
 
 void RelayExchange::RecordLostCall(TransportStatus transport_status) {
   // Responses that are complete or invalid come from a replica that works. A
-  // stream that ends with its connection ends like a complete one.
+  // stream that ends with its connection ends like a complete one. After
+  // silence, the replica may go on behind a link that is down.
   const bool connection_lost =
       transport_status == TransportStatus::kNoResponse ||
       transport_status == TransportStatus::kTruncated ||
-      (active_call_->head.ends_with_connection &&
+      (transport_status == TransportStatus::kComplete &&
+       active_call_->head.ends_with_connection &&
        OutcomeOf(transport_status) == CallOutcome::kIncompleteResponse);
   if (!connection_lost || answer_survived_ ||
       active_call_->response_metadata.not_run) {
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -279,6 +279,11 @@
     case TransportStatus::kNoResponse:
     case TransportStatus::kInvalidResponse:
       return CallOutcome::kMayHaveRun;
+    case TransportStatus::kSilent:
+      if (active_call_->status == 0) {
+        return CallOutcome::kMayHaveRun;
+      }
+      [[fallthrough]];
     case TransportStatus::kTruncated:
       return active_call_->response_metadata.not_run
                  ? CallOutcome::kNotRun
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -59,6 +59,13 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// Returns true for errors by which the kernel gives up a connection whose peer
+// acknowledges nothing.
+bool IsSilence(error_code ec) {
+  return ec == asio::error::timed_out || ec == asio::error::host_unreachable ||
+         ec == asio::error::network_unreachable;
+}
+
 }  // namespace
 
 class TargetClient::Impl : public std::enable_shared_from_this<Impl> {
@@ -235,6 +242,7 @@
                         // A failed write is reported by the read, which may
                         // still find a response that was sent early.
                         self->request_written_ = !ec;
+                        self->write_error_ = ec;
                       });
     ReadHead();
   }
@@ -251,10 +259,10 @@
             return;
           }
           if (ec) {
-            self->End(self->connection_->buffer.size() > 0
-                          ? TransportStatus::kInvalidResponse
-                          : TransportStatus::kNoResponse,
-                      ec.message());
+            self->EndWithReadError(self->connection_->buffer.size() > 0
+                                       ? TransportStatus::kInvalidResponse
+                                       : TransportStatus::kNoResponse,
+                                   ec);
             return;
           }
           self->connection_->buffer.commit(n);
@@ -390,7 +398,7 @@
             return;
           }
           if (ec) {
-            self->End(TransportStatus::kTruncated, ec.message());
+            self->EndWithReadError(TransportStatus::kTruncated, ec);
             return;
           }
           self->connection_->buffer.commit(n);
@@ -457,6 +465,13 @@
     End(TransportStatus::kComplete, "");
   }
 
+  void EndWithReadError(TransportStatus if_closed, error_code ec) {
+    // The kernel reports an error once, to the write if one is in progress.
+    const error_code cause = IsSilence(write_error_) ? write_error_ : ec;
+    End(IsSilence(cause) ? TransportStatus::kSilent : if_closed,
+        cause.message());
+  }
+
   void End(TransportStatus transport_status, std::string_view detail) {
     if (ended_) {
       return;
@@ -494,6 +509,7 @@
   int skipped_responses_ = 0;
   int interim_responses_ = 0;
   uint64_t body_bytes_ = 0;  // of the current response
+  error_code write_error_;
   bool connected_ = false;
   bool reused_connection_ = false;
   bool request_written_ = false;
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -1,6 +1,7 @@
 #include "relay_fixture.h"
 
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -152,6 +153,21 @@
   socket_.close(ec);
 }
 
+void TestConnection::DiscardIncoming() {
+  sock_filter discard_all = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{1, &discard_all};
+  if (setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER,
+                 &program, sizeof program) != 0) {
+    throw std::runtime_error("cannot attach a socket filter");
+  }
+}
+
+void TestConnection::ReceiveAgain() {
+  const int unused = 0;
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_DETACH_FILTER, &unused,
+             sizeof unused);
+}
+
 TestTarget::TestTarget(asio::io_context& io)
     : io_(io),
       acceptor_(io, tcp::endpoint(asio::ip::make_address(kLoopback), 0)) {}
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -41,6 +41,10 @@
   void Close();
   // Closes with a TCP reset instead of an orderly shutdown.
   void Reset();
+  // Makes the kernel discard all segments that arrive, like a link that is cut
+  // in this direction, until ReceiveAgain(). Nothing is acknowledged.
+  void DiscardIncoming();
+  void ReceiveAgain();
 
  private:
   boost::asio::ip::tcp::socket socket_;
--- a/tests/platform/silent_peer_test.cc
+++ b/tests/platform/silent_peer_test.cc
@@ -15,6 +15,9 @@
 // Half of the time after which a caller that acknowledges nothing is dead.
 constexpr Duration kShortPeerTimeout = seconds(1);
 
+// Time for which the link to a sound target may be silent.
+constexpr milliseconds kSilence(1500);
+
 struct ShortTimeoutsFixture : RelayFixture {
   ShortTimeoutsFixture() : RelayFixture(Duration(0), kShortPeerTimeout) {}
 };
@@ -88,4 +91,76 @@
   BOOST_TEST(open == 0U);
 }
 
+// Guards against sound requests that are refused as crashing targets because
+// links were cut: a target that no longer acknowledges has not closed anything.
+BOOST_FIXTURE_TEST_CASE(CallsLostInSilenceAreNoEvidenceOfCrashes,
+                        ShortTimeoutsFixture) {
+  UseOneTarget();
+  ChangeServiceMap(this, [](ServiceMap& map) {
+    map.limits.max_body_bytes = 2 * LargeBody().size();
+  });
+  constexpr int kLostCalls = 3;
+  // The larger body is still being written when the target falls silent.
+  for (const std::string& body : {std::string(), LargeBody()}) {
+    const auto request = [&](const std::string& id) {
+      return RequestHead(
+                 "POST", "/unsafe/x", id,
+                 "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+             body;
+    };
+    for (int n = 0; n < kLostCalls; ++n) {
+      TestConnection caller = Connect();
+      TestConnection target = [&] {
+        const auto sent = std::async(std::launch::async,
+                                     [&] { caller.Send(request("lost")); });
+        TestConnection accepted = first().Accept();
+        accepted.ReadUntil("\r\n\r\n");
+        accepted.DiscardIncoming();
+        return accepted;
+      }();
+      BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
+      RestartTargets();
+      UseOneTarget();
+    }
+    TestConnection caller = Connect();
+    caller.Send(request("last"));
+    TestConnection target = first().Accept();
+    target.ReadMessage();
+    target.Send(SignedResponse("last", "done"));
+    BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+  }
+}
+
+// Guards against calls of sound targets that are cut off because a link was
+// silent for a second or two while they had nothing to send.
+BOOST_FIXTURE_TEST_CASE(WaitingCallsSurviveASilenceOfTheLink, RelayFixture) {
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/unsafe/x", "r1", "Content-Length: 0\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.DiscardIncoming();
+  std::this_thread::sleep_for(kSilence);
+  target.ReceiveAgain();
+  std::this_thread::sleep_for(seconds(1));
+  target.Send(SignedResponse("r1", "done"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+}
+
+// The same for a request that is written into the silence.
+BOOST_FIXTURE_TEST_CASE(RequestsSentIntoASilenceOfTheLinkArrive, RelayFixture) {
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/unsafe/x", "r1", "Content-Length: 0\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(SignedResponse("r1", "done"));
+  caller.ReadMessage();
+  target.DiscardIncoming();
+  caller.Send(RequestHead("POST", "/unsafe/y", "r2", "Content-Length: 0\r\n"));
+  std::this_thread::sleep_for(kSilence);
+  target.ReceiveAgain();
+  BOOST_TEST(Contains(target.ReadMessage(), "POST /unsafe/y "));
+  target.Send(SignedResponse("r2", "done"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+}
+
 }  // namespace endiveyard
