Let targets be silent for two seconds

Cause: the peer timeout of 2 s, set as TCP_USER_TIMEOUT, also decides when keep-alive probes give up, whatever their count. Probes go out at 1 s intervals, the least that the kernel takes, so that one probe fits into 2 s. If it or its answer is lost, the connection ends.

The peer timeout of targets is 4 s now: three probes fit, and the third retransmission of a request, 3 s after it was written. What may be repeated goes elsewhere earlier, by the stall limits, as before. Callers keep their 4 s.

Evidence: WaitingCallsSurviveASilenceOfTheLink (no segment arrives at the target for 1.5 s, by a socket filter) fails with 2 s: the relay has closed the connection when the target responds. The same for a request written into the silence (RequestsSentIntoASilenceOfTheLinkArrive) passed before, too, and stays as a guard.

What it costs: calls that may not be repeated wait 2 s longer at a target that is gone.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -73,7 +73,9 @@
   Duration max_idle_time = std::chrono::milliseconds(4000);
   // A target whose kernel acknowledges nothing for this long is considered
   // dead, in the middle of a response too (TCP keep-alive, TCP_USER_TIMEOUT).
-  Duration peer_timeout = std::chrono::milliseconds(2000);
+  // Links may be silent for up to two seconds: three probes fit, and the
+  // retransmission 3 s after a request was written.
+  Duration peer_timeout = std::chrono::milliseconds(4000);
   size_t max_idle_connections = 400;
 };
 
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -85,8 +85,7 @@
 }
 
 void CallerConnection::Start() {
-  SetKeepAliveOptions(socket_,
-                      context_->options.target_client.peer_timeout * 2);
+  SetKeepAliveOptions(socket_, context_->options.target_client.peer_timeout);
   ArmReadTimer();
   Read();
 }
