Accept request lines in absolute form

The whole URI was taken for the path, so that no route matched.

The form is taken apart now. The host replaces the Host header, as the RFC asks, and the target gets the path and query as they were sent, which is what PROTOCOL.md calls unchanged.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -8,6 +8,7 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "relay/header_rules.h"
 #include "relay/relay_exchange.h"
+#include "relay/request_target.h"
 #include "relay/socket_options.h"
 
 namespace endiveyard {
@@ -69,6 +70,20 @@
          (encodings > 0 && !only_chunked);
 }
 
+// Makes a request line in absolute form the origin form with a Host header.
+void ReplaceHost(std::string_view authority, CallerRequest* request) {
+  HeaderList& headers = request->headers;
+  headers.erase(std::remove_if(headers.begin(), headers.end(),
+                               [](const auto& it) {
+                                 return EqualsIgnoreCase(it.first, "host");
+                               }),
+                headers.end());
+  headers.emplace(headers.begin(), "Host", authority);
+  if (request->path_and_query.substr(0, 1) != "/") {
+    request->path_and_query.insert(0, "/");
+  }
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(std::shared_ptr<RelayContext> context,
@@ -189,7 +204,6 @@
   CallerRequest request;
   request.received = BootClock::now();
   request.method = std::string(message.method_string());
-  request.path_and_query = std::string(message.target());
   for (const auto& it : message) {
     request.headers.emplace_back(std::string(it.name_string()),
                                  std::string(it.value()));
@@ -198,6 +212,16 @@
     RespondWithErrorAndClose(400, "doubtful_framing");
     return;
   }
+  const auto target = ParseRequestTarget(
+      std::string_view(message.target().data(), message.target().size()));
+  if (!target) {
+    RespondWithErrorAndClose(400, "bad_request");
+    return;
+  }
+  request.path_and_query = std::string(target->path_and_query);
+  if (target->authority) {
+    ReplaceHost(*target->authority, &request);
+  }
   keep_alive_ = message.keep_alive();
   method_ = request.method;
   if (!message.body().empty()) {
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -50,6 +50,25 @@
   BOOST_TEST(Contains(response, "\r\n\r\ndone"));
 }
 
+// Guards against 404 for the absolute form of a request line, which servers
+// have to accept (RFC 9112, section 3.2.2): its host replaces the Host header,
+// and the target gets the same path in origin form.
+BOOST_FIXTURE_TEST_CASE(RequestLinesInAbsoluteFormAreServed, RelayFixture) {
+  TestConnection caller = Connect();
+  caller.Send(
+      "GET http://h/safe/a?b=/%2e HTTP/1.1\r\nHost: other\r\n"
+      "Endiveyard-Request-Id: r1\r\n\r\n");
+  TestConnection target = first().Accept();
+  const std::string request = target.ReadMessage();
+  BOOST_TEST(Contains(request, "GET /safe/a?b=/%2e HTTP/1.1\r\n"));
+  BOOST_TEST(Contains(request, "Host: h\r\n"));
+  BOOST_TEST(!Contains(request, "other"));
+  target.Send(SignedResponse("r1", "done"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+  caller.Send("GET http:///safe/a HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(Contains(caller.ReadUntilClose(), "HTTP/1.1 400 "));
+}
+
 // Guards against work for a caller that has disconnected: the connection to the
 // target is closed while the request is in progress.
 BOOST_FIXTURE_TEST_CASE(CallerDisconnectClosesTheTargetConnection,
