--- a/tests/platform/silent_peer_test.cc
+++ b/tests/platform/silent_peer_test.cc
@@ -3,6 +3,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "relay_fixture.h"
 
@@ -163,4 +164,68 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
 }
 
+// Guards against requests of sound targets that are lost, sent on or counted as
+// crashes because the target pauses for a second or two at any place of its
+// response.
+BOOST_FIXTURE_TEST_CASE(TargetsMayPauseAnywhereInAResponse, RelayFixture) {
+  ChangeServiceMap(this, [](ServiceMap& map) {
+    for (Route& it : map.routes) {
+      it.target_gap = seconds(1);  // callers give up after 8 s
+    }
+  });
+  const std::string plain = SignedResponse("r1", "done");
+  const std::string head = StreamResponseHead("r1");
+  const std::string first_event = EncodeChunk("id: 1\ndata: a\n\n");
+  const std::string rest = EncodeChunk("id: 2\ndata: b\n\n") + EncodeChunk("");
+  const struct {
+    const char* path;
+    // The target pauses before each of them.
+    std::vector<std::string> parts;
+  } cases[] = {
+      {"/unsafe/x",
+       {plain.substr(0, 20), plain.substr(20, plain.size() - 22), "ne"}},
+      {"/once/x", {head, first_event, rest}},
+      {"/stream/x",
+       {rest.substr(0, 8), rest.substr(8, rest.size() - 10), "\r\n"}},
+  };
+  std::vector<TestConnection> callers;
+  std::vector<TestConnection> targets;
+  for (const auto& it : cases) {
+    callers.push_back(Connect());
+    callers.back().Send(
+        RequestHead("POST", it.path, "r1", "Content-Length: 0\r\n"));
+    targets.push_back(first().Accept());
+    targets.back().ReadMessage();
+  }
+  targets.back().Send(head + first_event);
+  callers.back().ReadUntil("data: a\n\n");
+  for (size_t part = 0; part < 3; ++part) {
+    std::this_thread::sleep_for(kSilence);
+    for (size_t n = 0; n < targets.size(); ++n) {
+      targets[n].Send(cases[n].parts[part]);
+    }
+  }
+  BOOST_TEST(Contains(callers[0].ReadMessage(), "\r\n\r\ndone"));
+  BOOST_TEST(Contains(callers[1].ReadMessage(), "id: 2\ndata: b\n\n"));
+  BOOST_TEST(Contains(callers[2].ReadMessage(), "id: 2\ndata: b\n\n"));
+  BOOST_TEST(!second().HasConnectionWithin(0));
+  RunOnRelayThread(
+      [this](RoutingState&) { BOOST_TEST(relay().crash_suspects()->empty()); });
+}
+
+// A request that may be repeated does not wait for the silent target, which is
+// no evidence that the target crashes either.
+BOOST_FIXTURE_TEST_CASE(SafeRequestsDoNotWaitForSilentTargets, RelayFixture) {
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  TestConnection other = second().Accept();
+  other.ReadMessage();
+  other.Send(SignedResponse("r1", "done"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+  RunOnRelayThread(
+      [this](RoutingState&) { BOOST_TEST(relay().crash_suspects()->empty()); });
+}
+
 }  // namespace endiveyard
