--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -8,6 +8,7 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "relay/header_rules.h"
 #include "relay/relay_exchange.h"
+#include "relay/request_target.h"
 #include "relay/socket_options.h"
 
 namespace endiveyard {
@@ -80,6 +81,20 @@
          (encodings > 0 && !only_chunked);
 }
 
+// Makes a request line in absolute form the origin form with a Host header.
+void ReplaceHost(std::string_view authority, CallerRequest* request) {
+  HeaderList& headers = request->headers;
+  headers.erase(std::remove_if(headers.begin(), headers.end(),
+                               [](const auto& it) {
+                                 return EqualsIgnoreCase(it.first, "host");
+                               }),
+                headers.end());
+  headers.emplace(headers.begin(), "Host", authority);
+  if (request->path_and_query.substr(0, 1) != "/") {
+    request->path_and_query.insert(0, "/");
+  }
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(std::shared_ptr<RelayContext> context,
@@ -98,7 +113,7 @@
 }
 
 void CallerConnection::Start() {
-  SetLivenessOptions(socket_, context_->options.target_client.peer_timeout * 2);
+  SetKeepAliveOptions(socket_, context_->options.target_client.peer_timeout);
   ArmReadTimer();
   Read();
 }
@@ -202,7 +217,6 @@
   CallerRequest request;
   request.received = BootClock::now();
   request.method = std::string(message.method_string());
-  request.path_and_query = std::string(message.target());
   for (const auto& it : message) {
     request.headers.emplace_back(std::string(it.name_string()),
                                  std::string(it.value()));
@@ -216,6 +230,16 @@
     RespondWithErrorAndClose(kNotTakenStatus, "not_forwarded");
     return;
   }
+  const auto target = ParseRequestTarget(
+      std::string_view(message.target().data(), message.target().size()));
+  if (!target) {
+    RespondWithErrorAndClose(400, "bad_request");
+    return;
+  }
+  request.path_and_query = std::string(target->path_and_query);
+  if (target->authority) {
+    ReplaceHost(*target->authority, &request);
+  }
   keep_alive_ = message.keep_alive();
   method_ = request.method;
   if (!message.body().empty()) {
@@ -354,10 +378,7 @@
   on_all_sent_ = nullptr;
   RecordBodyBytes(0);
   if (!keep_alive_) {
-    close_when_written_ = true;
-    if (!writing_) {
-      Close();
-    }
+    CloseWhenWritten();
     return;
   }
   ArmReadTimer();
@@ -380,13 +401,25 @@
   if (closed_) {
     return;
   }
-  if (writing_) {
-    // Bytes that are queued are still sent. The caller detects the failure by
-    // the missing end of the response.
-    close_when_written_ = true;
+  // Bytes that are queued are still sent. The caller detects the failure by the
+  // missing end of the response.
+  CloseWhenWritten();
+}
+
+void CallerConnection::CloseWhenWritten() {
+  if (!writing_) {
+    Close();
     return;
   }
-  Close();
+  close_when_written_ = true;
+  const uint64_t generation = ++timer_generation_;
+  read_timer_.expires_after(CurrentLimits(*context_, kind_).idle_timeout);
+  read_timer_.async_wait(
+      [self = shared_from_this(), generation](error_code ec) {
+        if (!ec && generation == self->timer_generation_) {
+          self->Close();
+        }
+      });
 }
 
 void CallerConnection::CloseIfIdle() {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -1,6 +1,7 @@
 #include "relay_fixture.h"
 
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -152,6 +153,21 @@
   socket_.close(ec);
 }
 
+void TestConnection::DiscardIncoming() {
+  sock_filter discard_all = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{1, &discard_all};
+  if (setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER,
+                 &program, sizeof program) != 0) {
+    throw std::runtime_error("cannot attach a socket filter");
+  }
+}
+
+void TestConnection::ReceiveAgain() {
+  const int unused = 0;
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_DETACH_FILTER, &unused,
+             sizeof unused);
+}
+
 TestTarget::TestTarget(asio::io_context& io)
     : io_(io),
       acceptor_(io, tcp::endpoint(asio::ip::make_address(kLoopback), 0)) {}
@@ -200,7 +216,9 @@
   thread_.join();
 }
 
-RelayFixture::RelayFixture(Duration startup_wait, uint16_t peer_port)
+RelayFixture::RelayFixture(Duration startup_wait,
+                           Duration peer_timeout,
+                           uint16_t peer_port)
     : first_(test_io_),
       second_(test_io_),
       work_guard_(asio::make_work_guard(io_)),
@@ -239,6 +257,7 @@
   options.retry_bound.slack = 640;
   options.startup_wait = startup_wait;
   options.peer_port = peer_port;
+  options.target_client.peer_timeout = peer_timeout;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
   if (!relay_->Listen().ok()) {
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -41,6 +41,10 @@
   void Close();
   // Closes with a TCP reset instead of an orderly shutdown.
   void Reset();
+  // Makes the kernel discard all segments that arrive, like a link that is cut
+  // in this direction, until ReceiveAgain(). Nothing is acknowledged.
+  void DiscardIncoming();
+  void ReceiveAgain();
 
  private:
   boost::asio::ip::tcp::socket socket_;
@@ -87,8 +91,10 @@
   // By default, requests do not wait for the routing state after startup.
   // Requests are forwarded to other instances at `peer_port` of the loopback
   // address.
-  explicit RelayFixture(Duration startup_wait = Duration(0),
-                        uint16_t peer_port = 0);
+  explicit RelayFixture(
+      Duration startup_wait = Duration(0),
+      Duration peer_timeout = TargetClientOptions().peer_timeout,
+      uint16_t peer_port = 0);
   ~RelayFixture();
 
   TestConnection Connect();
