--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -40,6 +40,7 @@
   // The body has neither a length nor chunks and ends with the connection, so
   // that its end does not show whether it is complete.
   bool ends_with_connection = false;
+  int earlier_requests = 0;  // that the connection carried before this one
 };
 
 // How far the HTTP exchange of a call got before it ended.
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -75,6 +75,8 @@
     CallOutcome outcome = CallOutcome::kNotSent;
     int status = 0;
     bool output_started = false;
+    Duration took{};
+    int earlier_requests = 0;  // on the connection of the call
     // The whole response, unless parts of it were forwarded as they arrived.
     // Present if the outcome is kCompleted or kErrorResponse.
     TargetResponseHead head;
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -33,6 +33,7 @@
       return false;
     }
     self->active_call_->status = head.status;
+    self->active_call_->head.earlier_requests = head.earlier_requests;
     self->active_call_->response_metadata =
         self->context_->protocol.DecodeResponse(head.status, head.headers);
     self->RecordResponseHead();
@@ -95,6 +96,7 @@
       .Integer("status", ended.status)
       .Millis("took_ms",
               std::chrono::duration_cast<Duration>(now - ended.sent_at))
+      .Integer("earlier_requests", ended.head.earlier_requests)
       .Integer("uncached", static_cast<int64_t>(ended.pending_prefill_tokens))
       .Integer(
           "tokens_per_s",
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -258,6 +258,9 @@
   ended.outcome = outcome;
   ended.status = active_call_->status;
   ended.output_started = active_call_->output_started_at.has_value();
+  ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
+                                                    active_call_->sent_at);
+  ended.earlier_requests = active_call_->head.earlier_requests;
   CloseActiveCall(CallResult::kFailed);
   ++delivered_calls_;
   if (outcome != CallOutcome::kNotRun) {
@@ -342,6 +345,9 @@
   ended.outcome = outcome;
   ended.status = active_call_->status;
   ended.output_started = active_call_->output_started_at.has_value();
+  ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
+                                                    active_call_->sent_at);
+  ended.earlier_requests = active_call_->head.earlier_requests;
   ended.head = std::move(active_call_->head);
   ended.body = std::move(active_call_->body);
   CloseActiveCall(result);
@@ -401,6 +407,8 @@
         .Text("replica", last_replica_id_)
         .Text("call", "run")
         .Integer("status", ended.status)
+        .Millis("took_ms", ended.took)
+        .Integer("earlier_requests", ended.earlier_requests)
         .Text("outcome", NameOf(outcome))
         .Text("next", NameOf(step))
         .Flag("output_started", ended.output_started)
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -46,6 +46,7 @@
   tcp::socket socket;
   beast::flat_buffer buffer;
   std::string address;
+  int requests = 0;  // written so far
   TimePoint idle_since{};
   Duration idle_limit{};
 };
@@ -217,6 +218,7 @@
         }
       });
     }
+    response_head_.earlier_requests = connection_->requests++;
     request_head_ = request_.method + " " + request_.path + " HTTP/1.1\r\n";
     for (const auto& [name, value] : request_.headers) {
       AppendHeader(&request_head_, name, value);
