Send no request id twice on one connection

Cause: a response was taken for that of a call because its id is the call's, and a connection went back to the pool after each response. When one id is sent again on a connection that has carried it, a late copy of the first response, a refusal or not, bears the id that is awaited. The connection then went back to the pool with the run in progress, so that its target did not see either that nobody waits.

Fix: a connection keeps digests of the ids that it has carried and is not taken for an id among them. The first response with an id is then the target's, and each further one, on this connection, belongs to no call. A connection ends after 1,000 requests, which bounds what is kept.

Two tests of relay_contract_test expected the second prefill call of a request on the connection of the first; they now accept it on its own connection and check the same afterwards. RepeatedPrefillsConsumeRetry- Budget, which looks for such a call, now looks on new connections too.

Ruled out: a read of what has arrived before a request is written is there already (IsReusable) and does not help against copies to come.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -24,8 +24,9 @@
   std::shared_ptr<const std::string> body;  // may be null
   // When set, a response that carries another request id belongs to an earlier
   // request on the connection and is skipped. One that carries none is only
-  // accepted as the first one on a new connection. A request without an id has
-  // a connection of its own.
+  // accepted as the first one on a new connection. No connection carries two
+  // requests with the same id. A request without an id has a connection of its
+  // own.
   std::string request_id;
   // A longer body ends the call as kTruncated; 0 for no limit.
   uint64_t max_response_bytes = 0;
@@ -73,6 +74,8 @@
   // dead, in the middle of a response too (TCP keep-alive, TCP_USER_TIMEOUT).
   Duration peer_timeout = std::chrono::milliseconds(2000);
   size_t max_idle_connections = 400;
+  // Bounds the request ids that are kept for each connection.
+  size_t max_requests_per_connection = 1000;
 };
 
 // A request to a target that is in progress.
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -16,6 +16,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include "endiveyard/base/digest.h"
 #include "relay/header_rules.h"
 #include "relay/socket_options.h"
 
@@ -43,10 +44,16 @@
 struct Connection {
   explicit Connection(asio::io_context& io) : socket(io) {}
 
+  bool HasCarried(uint64_t request_digest) const {
+    return std::find(request_digests.begin(), request_digests.end(),
+                     request_digest) != request_digests.end();
+  }
+
   tcp::socket socket;
   beast::flat_buffer buffer;
   std::string address;
-  int requests = 0;  // written so far
+  // Digests of the ids of all requests written.
+  std::vector<uint64_t> request_digests;
   TimePoint idle_since{};
   Duration idle_limit{};
 };
@@ -67,31 +74,42 @@
   Impl(asio::io_context& io, const WireProtocol& protocol, Options options)
       : io_(io), protocol_(protocol), options_(options) {}
 
-  std::unique_ptr<Connection> TakeIdle(const std::string& address) {
+  // Returns a connection that has not carried a request with the same id: a
+  // copy of the earlier response could not be told from the response.
+  std::unique_ptr<Connection> TakeIdle(const std::string& address,
+                                       uint64_t request_digest) {
     const auto it = idle_.find(address);
     if (it == idle_.end()) {
       return nullptr;
     }
     const TimePoint now = BootClock::now();
-    while (!it->second.empty()) {
-      // The most recently used connection is the least likely to have been
-      // closed by the target.
-      std::unique_ptr<Connection> connection = std::move(it->second.back());
-      it->second.pop_back();
+    std::deque<std::unique_ptr<Connection>>& connections = it->second;
+    // The most recently used connection is the least likely to have been closed
+    // by the target.
+    for (size_t n = connections.size(); n-- > 0;) {
+      if (connections[n]->HasCarried(request_digest)) {
+        continue;
+      }
+      std::unique_ptr<Connection> connection = std::move(connections[n]);
+      connections.erase(connections.begin() + static_cast<ptrdiff_t>(n));
       --idle_count_;
       if (now - connection->idle_since < connection->idle_limit &&
           IsReusable(connection->socket)) {
         return connection;
       }
     }
-    idle_.erase(it);
+    if (connections.empty()) {
+      idle_.erase(it);
+    }
     return nullptr;
   }
 
   void PutIdle(std::unique_ptr<Connection> connection) {
     connection->idle_since = BootClock::now();
     CloseExpired(connection->idle_since);
-    if (idle_count_ >= options_.max_idle_connections) {
+    if (idle_count_ >= options_.max_idle_connections ||
+        connection->request_digests.size() >=
+            options_.max_requests_per_connection) {
       return;
     }
     ++idle_count_;
@@ -218,7 +236,9 @@
         }
       });
     }
-    response_head_.earlier_requests = connection_->requests++;
+    response_head_.earlier_requests =
+        static_cast<int>(connection_->request_digests.size());
+    connection_->request_digests.push_back(Digest64(request_.request_id));
     request_head_ = request_.method + " " + request_.path + " HTTP/1.1\r\n";
     for (const auto& [name, value] : request_.headers) {
       AppendHeader(&request_head_, name, value);
@@ -520,7 +540,9 @@
   // Without an id, a late response to an earlier request cannot be told from
   // the one to this request.
   std::unique_ptr<Connection> idle =
-      request.request_id.empty() ? nullptr : impl_->TakeIdle(address);
+      request.request_id.empty()
+          ? nullptr
+          : impl_->TakeIdle(address, Digest64(request.request_id));
   auto call = std::make_shared<HttpTargetCall>(
       impl_->io(), impl_->protocol(), impl_->options(), std::move(request),
       std::move(handlers));
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -602,9 +602,10 @@
   run.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
   caller.ReadUntil("data: a\n\n");
   run.Reset();
-  prefill.ReadMessage();
+  TestConnection other_prefill = second().Accept();
+  other_prefill.ReadMessage();
   ConsumeRetryBudget(1);
-  prefill.Close();
+  other_prefill.Close();
   const std::string rest = caller.ReadUntilClose();
   BOOST_TEST(!Contains(rest, "HTTP/1.1"));
   BOOST_TEST(!Contains(rest, "0\r\n\r\n"));
@@ -626,9 +627,10 @@
   TestConnection run = first().Accept();
   run.ReadMessage();
   run.Reset();
-  prefill.ReadMessage();
+  TestConnection other_prefill = second().Accept();
+  other_prefill.ReadMessage();
   ConsumeRetryBudget(1);
-  prefill.Close();
+  other_prefill.Close();
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
 }
 
@@ -739,6 +741,7 @@
   BOOST_TEST(!Contains(retry.ReadMessage(), "Endiveyard-Kv-Source"));
   // The prefill engine got no second call before.
   BOOST_TEST(!prefill.IsClosedWithin(0));
+  BOOST_TEST(!second().HasConnectionWithin(0));
   retry.Reset();
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
 }
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -170,6 +170,18 @@
   return TestConnection(std::move(socket));
 }
 
+std::unique_ptr<TestConnection> TestTarget::AcceptUnlessUsed(
+    TestConnection* kept) {
+  constexpr int kTimeoutMs = 10000;
+  pollfd sockets[] = {{acceptor_.native_handle(), POLLIN, 0},
+                      {kept->native_handle(), POLLIN, 0}};
+  if (poll(sockets, 2, kTimeoutMs) <= 0) {
+    throw std::runtime_error("target got no request within 10 s");
+  }
+  return sockets[1].revents != 0 ? nullptr
+                                 : std::make_unique<TestConnection>(Accept());
+}
+
 uint16_t TestTarget::port() const {
   return acceptor_.local_endpoint().port();
 }
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -41,6 +41,7 @@
   void Close();
   // Closes with a TCP reset instead of an orderly shutdown.
   void Reset();
+  int native_handle() { return socket_.native_handle(); }
 
  private:
   boost::asio::ip::tcp::socket socket_;
@@ -53,6 +54,9 @@
   explicit TestTarget(boost::asio::io_context& io);
 
   TestConnection Accept();
+  // Waits until a request arrives on `kept` or a new connection is opened.
+  // Returns the new connection, or null if `kept` was used.
+  std::unique_ptr<TestConnection> AcceptUnlessUsed(TestConnection* kept);
   // Returns true if a connection arrives within `ms`, or waits already.
   bool HasConnectionWithin(int ms);
   uint16_t port() const;
