Test that callers who leave end the run in every state

The relay closes the connection to the target also when the caller had not read, so that the relay had stopped reading from the target, and when the caller had pipelined another request.

--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -64,6 +64,37 @@
   }
 }
 
+// Guards against a run that goes on after its caller has left, beside the one
+// that takes up its stream: the caller had not read for so long that the relay
+// did not read from the target either.
+BOOST_FIXTURE_TEST_CASE(CallersThatLeaveWithoutReadingEndTheRun, RelayFixture) {
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/stream/x", "r1", "Content-Length: 0\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
+  caller.ReadUntil("data: a\n\n");
+  target.SendUntilBlocked(EncodeChunk(":" + std::string(4000, 'x') + "\n\n"));
+  caller.Reset();
+  BOOST_CHECK_NO_THROW(target.ReadUntilClose());
+}
+
+// The same for a caller that has sent its next request before it leaves.
+BOOST_FIXTURE_TEST_CASE(CallersThatLeaveAfterPipeliningEndTheRun,
+                        RelayFixture) {
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/stream/x", "r1", "Content-Length: 0\r\n") +
+              RequestHead("POST", "/stream/x", "r2", "Content-Length: 0\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
+  caller.ReadUntil("data: a\n\n");
+  caller.Close();
+  BOOST_TEST(target.ReadUntilClose().empty());
+  BOOST_TEST(!first().HasConnectionWithin(0));
+  BOOST_TEST(!second().HasConnectionWithin(0));
+}
+
 // Guards against an unsafe request that runs twice: when a connection ends
 // without a response after the request was sent, the target may have run it.
 BOOST_FIXTURE_TEST_CASE(UnsafeRequestsAreNotRetried, RelayFixture) {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -67,6 +67,20 @@
   return sent;
 }
 
+void TestConnection::SendUntilBlocked(const std::string& bytes) {
+  constexpr int kBlockedMs = 300;
+  pollfd peer{socket_.native_handle(), POLLOUT, 0};
+  size_t sent = 0;
+  while (poll(&peer, 1, kBlockedMs) > 0) {
+    const ssize_t n = send(peer.fd, bytes.data() + sent, bytes.size() - sent,
+                           MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n <= 0) {
+      throw std::runtime_error("the connection was closed");
+    }
+    sent = (sent + static_cast<size_t>(n)) % bytes.size();
+  }
+}
+
 void TestConnection::TrickleUntilClosed(const std::string& bytes) {
   constexpr int kIntervalMs = 50;
   constexpr int kMaxWrites = 200;
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -26,6 +26,8 @@
   // Sends `bytes` repeatedly until the peer closes the connection or `limit`
   // bytes were sent. Returns the number of bytes sent.
   size_t SendUntilClosed(const std::string& bytes, size_t limit);
+  // Sends `bytes` repeatedly until the peer stops reading.
+  void SendUntilBlocked(const std::string& bytes);
   // Sends `bytes` every 50 ms until the peer closes the connection. Throws
   // after ten seconds.
   void TrickleUntilClosed(const std::string& bytes);
