--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -78,6 +78,8 @@
     int status = 0;
     bool output_started = false;
     Replica replica;  // of a call to a target
+    Duration took{};
+    int earlier_requests = 0;  // on the connection of the call
     // The whole response, unless parts of it were forwarded as they arrived.
     // Present if the outcome is kCompleted or kErrorResponse.
     TargetResponseHead head;
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -261,6 +261,9 @@
   ended.status = active_call_->status;
   ended.output_started = active_call_->output_started_at.has_value();
   ended.replica = active_call_->replica;
+  ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
+                                                    active_call_->sent_at);
+  ended.earlier_requests = active_call_->head.earlier_requests;
   CloseActiveCall(CallResult::kFailed);
   ++delivered_calls_;
   if (outcome != CallOutcome::kNotRun) {
@@ -351,6 +354,9 @@
   ended.status = active_call_->status;
   ended.output_started = active_call_->output_started_at.has_value();
   ended.replica = active_call_->replica;
+  ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
+                                                    active_call_->sent_at);
+  ended.earlier_requests = active_call_->head.earlier_requests;
   ended.head = std::move(active_call_->head);
   ended.body = std::move(active_call_->body);
   CloseActiveCall(result);
@@ -410,6 +416,8 @@
         .Text("replica", last_replica_id_)
         .Text("call", "run")
         .Integer("status", ended.status)
+        .Millis("took_ms", ended.took)
+        .Integer("earlier_requests", ended.earlier_requests)
         .Text("outcome", NameOf(outcome))
         .Text("next", NameOf(step))
         .Flag("output_started", ended.output_started)
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -68,6 +68,20 @@
   return sent;
 }
 
+void TestConnection::SendUntilBlocked(const std::string& bytes) {
+  constexpr int kBlockedMs = 300;
+  pollfd peer{socket_.native_handle(), POLLOUT, 0};
+  size_t sent = 0;
+  while (poll(&peer, 1, kBlockedMs) > 0) {
+    const ssize_t n = send(peer.fd, bytes.data() + sent, bytes.size() - sent,
+                           MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n <= 0) {
+      throw std::runtime_error("the connection was closed");
+    }
+    sent = (sent + static_cast<size_t>(n)) % bytes.size();
+  }
+}
+
 void TestConnection::TrickleUntilClosed(const std::string& bytes) {
   constexpr int kIntervalMs = 50;
   constexpr int kMaxWrites = 200;
@@ -191,6 +205,18 @@
   return TestConnection(std::move(socket));
 }
 
+std::unique_ptr<TestConnection> TestTarget::AcceptUnlessUsed(
+    TestConnection* kept) {
+  constexpr int kTimeoutMs = 10000;
+  pollfd sockets[] = {{acceptor_.native_handle(), POLLIN, 0},
+                      {kept->native_handle(), POLLIN, 0}};
+  if (poll(sockets, 2, kTimeoutMs) <= 0) {
+    throw std::runtime_error("target got no request within 10 s");
+  }
+  return sockets[1].revents != 0 ? nullptr
+                                 : std::make_unique<TestConnection>(Accept());
+}
+
 uint16_t TestTarget::port() const {
   return acceptor_.local_endpoint().port();
 }
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -26,6 +26,8 @@
   // Sends `bytes` repeatedly until the peer closes the connection or `limit`
   // bytes were sent. Returns the number of bytes sent.
   size_t SendUntilClosed(const std::string& bytes, size_t limit);
+  // Sends `bytes` repeatedly until the peer stops reading.
+  void SendUntilBlocked(const std::string& bytes);
   // Sends `bytes` every 50 ms until the peer closes the connection. Throws
   // after ten seconds.
   void TrickleUntilClosed(const std::string& bytes);
@@ -45,6 +47,7 @@
   // in this direction, until ReceiveAgain(). Nothing is acknowledged.
   void DiscardIncoming();
   void ReceiveAgain();
+  int native_handle() { return socket_.native_handle(); }
 
  private:
   boost::asio::ip::tcp::socket socket_;
@@ -59,6 +62,9 @@
   TestTarget(boost::asio::io_context& io, const std::string& ip, uint16_t port);
 
   TestConnection Accept();
+  // Waits until a request arrives on `kept` or a new connection is opened.
+  // Returns the new connection, or null if `kept` was used.
+  std::unique_ptr<TestConnection> AcceptUnlessUsed(TestConnection* kept);
   // Returns true if a connection arrives within `ms`, or waits already.
   bool HasConnectionWithin(int ms);
   uint16_t port() const;
