Count the replicas between changes that become known together

Callers: a stream that is taken up could go on at a software version that did not begin it.

Cause: a watch returns several changes at once, after the batching delay of 400 ms or after a standstill of the instance, and only the numbers before the first and after the last of them were recorded. Another instance may have acted on any in between, so a version that is certain for both ends need not be the one that began the stream.

StreamVersions::RecordChange() is told of each change and keeps the extremes until the next view; they are a period of their own where they lie outside the numbers before and after, which in a plain release they do not, so that the record in the registry does not grow. O(versions) a change, without another pass over the replicas.

Not covered: a list, after the registry was lost, does not tell what lies between.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -94,6 +94,10 @@
  public:
   // Records the replicas that accept new work.
   void RecordReplicas(const ReplicaView& view, TimePoint now);
+  // Records one of the changes that led to the view which RecordReplicas() gets
+  // next: the numbers of replicas between two changes count as well. Each
+  // argument is the replica if it accepted new work, or null.
+  void RecordChange(const Replica* before, const Replica* after);
   // False while other instances may see changes of the replicas that this one
   // does not. Then, the numbers of replicas say nothing.
   void set_is_view_current(bool is_current) { is_view_current_ = is_current; }
@@ -169,7 +173,15 @@
                                             TimePoint now) const;
   void RemoveOld(TimePoint now);
 
+  // Numbers of replicas of a service since the last call of RecordReplicas().
+  struct RecentCounts {
+    std::map<std::string, int> last;
+    VersionCounts extremes;
+  };
+  void AddRecent(const Replica& replica, int change);
+
   std::map<std::string, Periods> services_;
+  std::map<std::string, RecentCounts> recent_;
   bool is_view_current_ = true;
   std::optional<TimePoint> first_view_at_;
   std::unordered_map<uint64_t, BegunStream> begun_;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -352,6 +352,7 @@
 
   void HandleReplicaChange(const RegistryObject& object) {
     const TimePoint now = BootClock::now();
+    const auto before = UsableReplica(object.name);
     if (auto replica = ParseReplicaObject(object)) {
       routing_state_.replicas.Put(*replica);
       JsonFields fields;
@@ -368,9 +369,19 @@
           .Flag("kept", routing_state_.replicas.Find(object.name) != nullptr);
       log_.Log(kLogReplicaRemoved, fields, now);
     }
+    const auto after = UsableReplica(object.name);
+    relay_.stream_versions()->RecordChange(before ? &*before : nullptr,
+                                           after ? &*after : nullptr);
     NotifyRoutingStateChanged();
   }
 
+  // Returns the replica if it accepts new work.
+  std::optional<Replica> UsableReplica(const std::string& id) const {
+    const Replica* replica = routing_state_.replicas.Find(id);
+    return replica == nullptr || replica->draining ? std::nullopt
+                                                   : std::optional(*replica);
+  }
+
   // Notifies the relay once for all changes of the present iteration of the
   // event loop: the work of a notification grows with the number of replicas.
   void NotifyRoutingStateChanged() {
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -79,6 +79,20 @@
   }
 }
 
+// Returns true if no number in `counts` lies outside those before and after.
+bool AreBetween(const VersionCounts& counts,
+                const VersionCounts& before,
+                const VersionCounts& after) {
+  VersionCounts joined = before;
+  Join(&joined, after);
+  return std::all_of(counts.begin(), counts.end(), [&joined](const auto& it) {
+    const auto found = joined.find(it.first);
+    return found == joined.end() ? it.second.most == 0
+                                 : it.second.least >= found->second.least &&
+                                       it.second.most <= found->second.most;
+  });
+}
+
 }  // namespace
 
 StreamId MakeStreamId(std::string_view service,
@@ -122,6 +136,11 @@
     if (periods.empty() && *first_view_at_ < now) {
       periods.push_back({*first_view_at_, {}});
     }
+    if (const auto recent = recent_.find(name);
+        recent != recent_.end() &&
+        !AreBetween(recent->second.extremes, periods.back().counts, current)) {
+      periods.push_back({now, std::move(recent->second.extremes)});
+    }
     if (periods.empty() || !(periods.back().counts == current)) {
       periods.push_back({now, std::move(current)});
     }
@@ -135,9 +154,43 @@
       periods.pop_front();
     }
   }
+  recent_.clear();
   RemoveOld(now);
 }
 
+void StreamVersions::RecordChange(const Replica* before, const Replica* after) {
+  if (before != nullptr && after != nullptr &&
+      before->service == after->service && before->version == after->version) {
+    return;
+  }
+  if (before != nullptr) {
+    AddRecent(*before, -1);
+  }
+  if (after != nullptr) {
+    AddRecent(*after, 1);
+  }
+}
+
+void StreamVersions::AddRecent(const Replica& replica, int change) {
+  const auto it = services_.find(replica.service);
+  if (it == services_.end() || it->second.empty()) {
+    return;  // RecordReplicas() tells of the first ones
+  }
+  const auto [recent, added] = recent_.insert({replica.service, {}});
+  RecentCounts& counts = recent->second;
+  if (added) {
+    for (const auto& [version, count] : it->second.back().counts) {
+      counts.last[version] = count.most;
+      counts.extremes[version] = {count.most, count.most};
+    }
+  }
+  int& last = counts.last[replica.version];
+  last = std::max(0, last + change);
+  VersionCount& extreme = counts.extremes[replica.version];
+  extreme.least = std::min(extreme.least, last);
+  extreme.most = std::max(extreme.most, last);
+}
+
 void StreamVersions::RecordPast(const VersionPeriods& past) {
   if (!first_view_at_) {
     return;
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -124,6 +124,41 @@
   BOOST_TEST(!other.Find(kService, stream, 26 * kSecond, At(105)));
 }
 
+// Guards against a version that is certain only as far as the numbers before
+// and after several changes that became known together, and not between them.
+BOOST_AUTO_TEST_CASE(NumbersBetweenChangesCount) {
+  const Replica first = MakeReplica(0, "v1");
+  const Replica second = MakeReplica(0, "v2");
+  StreamVersions direct;
+  direct.RecordReplicas(MakeView(12, 0), At(0));
+  direct.RecordReplicas(MakeView(11, 1), At(99));
+  StreamVersions changing = direct;
+  constexpr int kReplaced = 8;
+  for (int n = 0; n < kReplaced; ++n) {
+    changing.RecordChange(&first, nullptr);
+    changing.RecordChange(nullptr, &second);
+  }
+  for (int n = 0; n < kReplaced; ++n) {
+    changing.RecordChange(&second, &first);
+  }
+  changing.RecordReplicas(MakeView(11, 1), At(100));
+  StreamVersions between;
+  between.RecordReplicas(MakeView(11 - kReplaced, 1 + kReplaced), At(0));
+  int in_doubt = 0;
+  for (int n = 0; n < 200; ++n) {
+    const auto begun_at = between.Choose(kService, MakeStream(n));
+    const auto found =
+        changing.Find(kService, MakeStream(n), 10 * kSecond, At(100));
+    BOOST_TEST((!found || found == begun_at));
+    in_doubt += found ? 0 : 1;
+    // Later streams began when the changes were over.
+    BOOST_TEST((changing.Find(kService, MakeStream(n), kSecond, At(102)) ==
+                direct.Find(kService, MakeStream(n), kSecond, At(102))));
+  }
+  BOOST_TEST(in_doubt > 50);
+  BOOST_TEST(in_doubt < 190);
+}
+
 // Guards against reports, which are not authenticated, that make a stream
 // continue at a version which cannot have begun it.
 BOOST_AUTO_TEST_CASE(ReportsOnlySelectAmongPossibleVersions) {
