Take streams up only at a view that was read after the request

Cause: the version that began a stream is computed from the numbers of replicas since then, and "no change has arrived" counted as "no change". That holds neither after a standstill (the first events are the requests that waited), nor in a partition that has not been noticed, nor during the batching delay after each change.

Where neither this instance nor a report remembers the stream, a take-up now waits for the answer to a read that was sent after it arrived. The stream began before, so that the answer includes every change that other instances can have acted on; no clock and no timer is involved. Take-ups share reads (RegistryMirror::Refresh), of which an instance sends at most ten a second. Where the registry does not answer, memory and reports decide, or the stream is refused as not run; where no instance has the registry, the view counts as before.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -120,6 +120,13 @@
                                   Duration max_age,
                                   TimePoint now) const;
 
+  // Returns the version that began the stream if this instance or another one
+  // remembers it. Needs no current view of the replicas.
+  std::optional<std::string> FindRemembered(const std::string& service,
+                                            const StreamId& stream,
+                                            Duration max_age,
+                                            TimePoint now) const;
+
   // Returns the version of all replicas within `max_age`, or nullopt if there
   // was more than one, or none.
   std::optional<std::string> FindOnly(const std::string& service,
--- a/include/endiveyard/registry/registry_mirror.h
+++ b/include/endiveyard/registry/registry_mirror.h
@@ -109,6 +109,11 @@
 
   void Start();
 
+  // Reads the registry without waiting for a change. `done` runs once: with OK
+  // after the handlers have got all changes that were made before this call.
+  // Callers that come together share a call to the registry.
+  void Refresh(std::function<void(const absl::Status&)> done);
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -55,6 +55,11 @@
   bool service_map_current = false;
   ReplicaView replicas;
   bool replicas_known = false;  // set by the first complete list
+  // Brings `replicas` up to date. `done` runs once, later or at once: with true
+  // if they include all changes that any instance may have acted on before the
+  // call. If it is empty, they always do.
+  std::function<void(std::function<void(bool is_current)> done)>
+      refresh_replicas;
 
   bool IsComplete() const { return service_map != nullptr && replicas_known; }
 };
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -224,10 +224,27 @@
 
   // Without the registry, the view is as good as that of the others only if
   // none of them has it.
+  bool IsViewCurrent() const {
+    return !registry_lost_ || !load_exchange_.HasPeerWithRegistry();
+  }
+
   void UpdateViewState() {
     load_exchange_.SetRegistryLost(registry_lost_);
-    relay_.stream_versions()->set_is_view_current(
-        !registry_lost_ || !load_exchange_.HasPeerWithRegistry());
+    relay_.stream_versions()->set_is_view_current(IsViewCurrent());
+  }
+
+  void RefreshReplicas(std::function<void(bool is_current)> done) {
+    if (registry_lost_) {
+      done(IsViewCurrent());
+      return;
+    }
+    replica_mirror_->Refresh(
+        [this, done = std::move(done)](const absl::Status& status) {
+          // After the notification of what the refresh has changed.
+          asio::post(io_, [this, done, is_read = status.ok()] {
+            done(is_read || (registry_lost_ && IsViewCurrent()));
+          });
+        });
   }
 
   void HandleRegistryRestore(int64_t era, int64_t before) {
@@ -281,6 +298,9 @@
     configuration_mirror_ = std::make_unique<RegistryMirror>(
         &registry_client_, std::string(platform::kConfigurationKind), seed + 1,
         mirror_timing_, &registry_era_, std::move(configuration));
+    routing_state_.refresh_replicas = [this](std::function<void(bool)> done) {
+      RefreshReplicas(std::move(done));
+    };
     configuration_mirror_->Start();
     replica_mirror_->Start();
     StartVersionRecorder();
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -300,22 +300,36 @@
                                                 const StreamId& stream,
                                                 Duration max_age,
                                                 TimePoint now) const {
-  if (const auto it = begun_.find(stream.attempt); it != begun_.end()) {
-    return it->second.version;
+  std::optional<std::string> remembered =
+      FindRemembered(service, stream, max_age, now);
+  if (remembered || told_.count(stream.attempt) > 0) {
+    return remembered;
   }
+  // One known version is not the only possible one if the past is not known.
   const std::vector<std::string> possible =
       PossibleVersions(service, stream.choice, max_age, now);
+  const bool is_certain =
+      possible.size() == 1 && CountsSince(service, now - max_age);
+  return is_certain ? std::optional(possible.front()) : std::nullopt;
+}
+
+std::optional<std::string> StreamVersions::FindRemembered(
+    const std::string& service,
+    const StreamId& stream,
+    Duration max_age,
+    TimePoint now) const {
+  if (const auto it = begun_.find(stream.attempt); it != begun_.end()) {
+    return it->second.version;
+  }
   const auto told = told_.find(stream.attempt);
-  if (told == told_.end()) {
-    // One known version is not the only possible one if the past is not known.
-    const bool is_certain =
-        possible.size() == 1 && CountsSince(service, now - max_age);
-    return is_certain ? std::optional(possible.front()) : std::nullopt;
+  if (told == told_.end() || told->second.conflicting) {
+    return std::nullopt;
   }
   // What others tell only selects among the possible versions: reports are not
   // authenticated.
-  for (const std::string& it : possible) {
-    if (!told->second.conflicting && Digest64(it) == told->second.version) {
+  for (const std::string& it :
+       PossibleVersions(service, stream.choice, max_age, now)) {
+    if (Digest64(it) == told->second.version) {
       return it;
     }
   }
--- a/src/registry/registry_mirror.cc
+++ b/src/registry/registry_mirror.cc
@@ -1,6 +1,9 @@
 #include "endiveyard/registry/registry_mirror.h"
 
 #include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
 
 #include "absl/status/status.h"
 #include "endiveyard/base/digest.h"
@@ -28,6 +31,10 @@
 constexpr Duration kMinWatchTimeout = std::chrono::milliseconds(1000);
 // Limit of the platform.
 constexpr Duration kMaxWatchTimeout = std::chrono::seconds(30);
+// Timeout of a watch that only returns what has changed already.
+constexpr Duration kRefreshTimeout = std::chrono::milliseconds(1);
+// Minimum time between two refreshes, which bounds the calls of an instance.
+constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
 // Part of the time within which changes have to be applied.
 constexpr int kBatchDelayDivisor = 6;
 
@@ -101,6 +108,8 @@
 
 class RegistryMirror::Impl : public std::enable_shared_from_this<Impl> {
  public:
+  using RefreshDone = std::function<void(const absl::Status&)>;
+
   Impl(RegistryClient* client,
        std::string kind,
        uint64_t seed,
@@ -124,6 +133,13 @@
     Perform(policy_.FirstAction());
   }
 
+  void Refresh(RefreshDone done) {
+    awaiting_refresh_.push_back(std::move(done));
+    if (!refresh_pending_) {
+      StartRefresh();
+    }
+  }
+
  private:
   // Supersedes the action before, whose pending call or delay is abandoned.
   void Perform(const MirrorAction& action) {
@@ -141,6 +157,7 @@
       return;
     }
     if (action.kind == MirrorAction::Kind::kListPage) {
+      revision_.reset();
       if (!action.continues_list) {
         list_ = RegistryList();
         era_ = 0;
@@ -187,6 +204,7 @@
           if (!page.ok()) {
             self->handlers_.on_failure(page.status());
             self->Perform(self->policy_.AfterFailedPage(page.status()));
+            self->FailRefreshes(page.status());
             return;
           }
           self->HandlePage(*std::move(page));
@@ -214,7 +232,87 @@
     const RegistryList list = std::move(list_);
     list_ = RegistryList();
     handlers_.on_list(list);
+    revision_ = list.revision;
     Perform(policy_.AfterSuccess(list.revision, false));
+    if (!refresh_pending_) {
+      StartRefresh();
+    }
+  }
+
+  // While a list is read, its end starts the refresh.
+  void StartRefresh() {
+    if (awaiting_refresh_.empty() || !revision_) {
+      return;
+    }
+    refresh_pending_ = true;
+    std::vector<RefreshDone> served;
+    served.swap(awaiting_refresh_);
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    client_->Watch(kind_, *revision_, kRefreshTimeout,
+                   [weak, served = std::move(served), revision = *revision_](
+                       const absl::StatusOr<RegistryChanges>& changes) {
+                     if (const auto self = weak.lock()) {
+                       self->OnRefreshed(served, revision, changes);
+                     }
+                   });
+    const auto next = [weak] {
+      if (const auto self = weak.lock()) {
+        self->refresh_pending_ = false;
+        self->StartRefresh();
+      }
+    };
+    handlers_.schedule(kRefreshInterval, next);
+  }
+
+  void OnRefreshed(const std::vector<RefreshDone>& served,
+                   int64_t revision,
+                   const absl::StatusOr<RegistryChanges>& changes) {
+    if (revision_ != revision) {
+      // The watch has returned meanwhile, or a list has begun.
+      awaiting_refresh_.insert(awaiting_refresh_.begin(), served.begin(),
+                               served.end());
+      if (!refresh_pending_) {
+        StartRefresh();
+      }
+      return;
+    }
+    if (!changes.ok()) {
+      handlers_.on_failure(changes.status());
+      Perform(policy_.AfterFailedWatch(changes.status()));
+      EndRefresh(served, changes.status());
+      return;
+    }
+    if (!AcceptEra(changes->era)) {
+      EndRefresh(served, absl::UnavailableError("registry was restored"));
+      return;
+    }
+    ApplyChanges(*changes);
+    // Without changes, the watch in progress goes on.
+    if (!changes->objects.empty()) {
+      Perform(policy_.AfterSuccess(changes->revision, true));
+    }
+    EndRefresh(served, absl::OkStatus());
+  }
+
+  static void EndRefresh(const std::vector<RefreshDone>& served,
+                         const absl::Status& status) {
+    for (const RefreshDone& it : served) {
+      it(status);
+    }
+  }
+
+  void FailRefreshes(const absl::Status& status) {
+    std::vector<RefreshDone> failed;
+    failed.swap(awaiting_refresh_);
+    EndRefresh(failed, status);
+  }
+
+  void ApplyChanges(const RegistryChanges& changes) {
+    handlers_.on_success();
+    for (const RegistryObject& it : changes.objects) {
+      handlers_.on_change(it);
+    }
+    revision_ = changes.revision;
   }
 
   void Watch(int64_t revision) {
@@ -234,10 +332,7 @@
           if (!self->AcceptEra(changes->era)) {
             return;
           }
-          self->handlers_.on_success();
-          for (const RegistryObject& it : changes->objects) {
-            self->handlers_.on_change(it);
-          }
+          self->ApplyChanges(*changes);
           self->Perform(self->policy_.AfterSuccess(changes->revision,
                                                    !changes->objects.empty()));
         });
@@ -248,9 +343,13 @@
   const MirrorTiming timing_;
   MirrorPolicy policy_;
   RegistryEra* registry_era_;
-  RegistryList list_;  // the pages that were read
-  int64_t era_ = 0;    // of the list and the changes after it
-  uint64_t step_ = 0;  // number of the present action
+  RegistryList list_;                // the pages that were read
+  int64_t era_ = 0;                  // of the list and the changes after it
+  uint64_t step_ = 0;                // number of the present action
+  std::optional<int64_t> revision_;  // of what is known; none while listing
+  std::vector<RefreshDone> awaiting_refresh_;
+  // A refresh was sent less than kRefreshInterval ago.
+  bool refresh_pending_ = false;
   MirrorHandlers handlers_;
 };
 
@@ -273,4 +372,8 @@
   impl_->Start();
 }
 
+void RegistryMirror::Refresh(std::function<void(const absl::Status&)> done) {
+  impl_->Refresh(std::move(done));
+}
+
 }  // namespace endiveyard
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -145,15 +145,42 @@
   if (request_metadata_.last_event_id) {
     sse_splitter_.StartAfter(*request_metadata_.last_event_id);
   }
-  if (TakesUpStream() && !FindStreamVersion()) {
-    EndInFailure("version_unknown", RetryAfterWithJitter(kNotReadyRetryAfter));
+  ArmDeadline();
+  if (TakesUpStream()) {
+    TakeUpStream();
     return;
   }
-  if (!TakesUpStream() && request_metadata_.time_left) {
+  if (request_metadata_.time_left) {
     context_->caller_patience.Record(route_->name,
                                      *request_metadata_.time_left);
   }
-  ArmDeadline();
+  ArmWatchdog();
+  Place();
+}
+
+void RelayExchange::TakeUpStream() {
+  const auto& refresh = context_->routing_state.refresh_replicas;
+  if (!refresh || FindRememberedVersion()) {
+    OnReplicasRefreshed(true);
+    return;
+  }
+  // Other instances may have begun the stream at a version that has joined
+  // since the last answer of the registry.
+  phase_ = Phase::kAwaitingRoutingState;
+  refresh([weak = weak_from_this()](bool is_current) {
+    const auto self = weak.lock();
+    if (self && self->phase_ == Phase::kAwaitingRoutingState) {
+      self->phase_ = Phase::kPlacing;
+      self->OnReplicasRefreshed(is_current);
+    }
+  });
+}
+
+void RelayExchange::OnReplicasRefreshed(bool is_current) {
+  if (!FindStreamVersion(is_current)) {
+    EndInFailure("version_unknown", RetryAfterWithJitter(kNotReadyRetryAfter));
+    return;
+  }
   ArmWatchdog();
   Place();
 }
@@ -195,18 +222,35 @@
   return MakeStreamId(service_, attempt, request_metadata_.prompt);
 }
 
-bool RelayExchange::FindStreamVersion() {
+Duration RelayExchange::LongestStreamAge() const {
+  return context_->caller_patience.LongestAge(route_->name, route_->timeout,
+                                              request_metadata_.time_left) +
+         context_->options.max_view_delay;
+}
+
+std::optional<std::string> RelayExchange::FindRememberedVersion() const {
+  const std::string& first_attempt = request_metadata_.resumed_request_id;
+  if (!route_->resumable || first_attempt.empty()) {
+    return std::nullopt;
+  }
+  return context_->stream_versions.FindRemembered(
+      service_, StreamIdOf(first_attempt), LongestStreamAge(),
+      BootClock::now());
+}
+
+bool RelayExchange::FindStreamVersion(bool is_view_current) {
   const TimePoint now = BootClock::now();
-  const Duration age =
-      context_->caller_patience.LongestAge(route_->name, route_->timeout,
-                                           request_metadata_.time_left) +
-      context_->options.max_view_delay;
+  const Duration age = LongestStreamAge();
   const std::string& first_attempt = request_metadata_.resumed_request_id;
   const StreamVersions& versions = context_->stream_versions;
-  stream_version_ =
-      route_->resumable && !first_attempt.empty()
-          ? versions.Find(service_, StreamIdOf(first_attempt), age, now)
-          : versions.FindOnly(service_, age, now);
+  if (!is_view_current) {
+    stream_version_ = FindRememberedVersion();
+  } else if (route_->resumable && !first_attempt.empty()) {
+    stream_version_ =
+        versions.Find(service_, StreamIdOf(first_attempt), age, now);
+  } else {
+    stream_version_ = versions.FindOnly(service_, age, now);
+  }
   if (stream_version_) {
     return true;
   }
@@ -216,6 +260,7 @@
       .Text("reason", "version_unknown")
       .Text("resumes", first_attempt)
       .Integer("after_event", *request_metadata_.last_event_id)
+      .Flag("view_current", is_view_current)
       .Millis("stream_age_ms", age)
       .Millis("left_ms", TimeLeft());
   context_->log.Log(kLogPlacementRefused, fields, now);
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -97,7 +97,16 @@
   bool ContinuesStream() const { return TakesUpStream() || ResponseBegun(); }
   // Finds the software version that has begun the stream that the caller takes
   // up. Returns false if that is in doubt.
-  bool FindStreamVersion();
+  bool FindStreamVersion(bool is_view_current);
+  // Returns the version if some instance remembers it.
+  std::optional<std::string> FindRememberedVersion() const;
+  // Returns how long ago the stream may have begun at an instance with any view
+  // of the replicas.
+  Duration LongestStreamAge() const;
+  // Goes on with a stream that the caller takes up, once it is known which
+  // version has begun it.
+  void TakeUpStream();
+  void OnReplicasRefreshed(bool is_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
   // Returns the priority of the calls: that of the route, or the highest one if
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -288,11 +288,14 @@
     kKill = kBegin + 2,         // and start again, without memory
     kKillWithPast = kKill + 2,  // and start again, with the registry's past
     kCut = kKillWithPast + 2,   // from the registry, or heal
-    kKillAll = kCut + 2,
+    kFreeze = kCut + 2,         // or wake
+    kKillAll = kFreeze + 2,
     kSteps
   };
 
-  Model() {
+  // In a large fleet, instances do not tell of their streams.
+  explicit Model(bool is_large_fleet = false)
+      : is_large_fleet_(is_large_fleet) {
     for (size_t n = 0; n < 2; ++n) {
       Sync(n);
     }
@@ -321,15 +324,24 @@
       Restart(static_cast<size_t>(step - kKill), false);
     } else if (step < kCut) {
       Restart(static_cast<size_t>(step - kKillWithPast), true);
-    } else if (step < kKillAll) {
+    } else if (step < kFreeze) {
       Instance& instance = instances_[static_cast<size_t>(step - kCut)];
       instance.cut = !instance.cut;
+      instance.watches = false;
+    } else if (step < kKillAll) {
+      const auto number = static_cast<size_t>(step - kFreeze);
+      instances_[number].frozen = !instances_[number].frozen;
+      Sync(number);
     } else {
       Restart(0, true);
       Restart(1, true);
     }
     for (size_t n = 0; n < 2; ++n) {
       Instance& instance = instances_[n];
+      if (instance.frozen) {
+        instance.last_cut = now_;
+        continue;
+      }
       if (instance.cut) {
         instance.last_cut = now_;
         // Known after a second, and told with the streams.
@@ -338,12 +350,7 @@
         Sync(n);
       }
     }
-    for (size_t n = 0; n < 2; ++n) {
-      for (const StreamReport& it :
-           instances_[n].versions.TakeNews(100, At(now_))) {
-        instances_[1 - n].versions.ApplyReport(it, At(now_));
-      }
-    }
+    TellStreams();
   }
 
   // Takes up each stream at each instance. Returns how many would go on at
@@ -352,6 +359,7 @@
   // have started again since.
   int CountJoined() const {
     int joined = 0;
+    const std::vector<StreamVersions> refreshed = Refreshed();
     for (const Stream& it : streams_) {
       const bool forgotten =
           it.begun_without_registry &&
@@ -362,8 +370,8 @@
       if (forgotten) {
         continue;
       }
-      for (const Instance& instance : instances_) {
-        const auto found = Find(instance, it);
+      for (size_t n = 0; n < 2; ++n) {
+        const auto found = Find(instances_[n], refreshed[n], it);
         joined += found && *found != it.version ? 1 : 0;
       }
     }
@@ -374,12 +382,14 @@
   // changed since before they began, and the instance has seen all of the time.
   int CountLost() const {
     int lost = 0;
+    const std::vector<StreamVersions> refreshed = Refreshed();
     for (const Stream& it : streams_) {
       const int64_t since = it.begun_at - 2 * kViewDelaySeconds;
-      for (const Instance& instance : instances_) {
+      for (size_t n = 0; n < 2; ++n) {
+        const Instance& instance = instances_[n];
         if (history_.back().first < since && instance.known_since <= since &&
             instance.last_cut < since && !it.begun_without_registry &&
-            !Find(instance, it)) {
+            !Find(instance, refreshed[n], it)) {
           ++lost;
         }
       }
@@ -393,12 +403,15 @@
 
   struct Instance {
     StreamVersions versions;
+    std::vector<StreamReport> unread;  // while it is frozen
     bool cut = false;
+    bool frozen = false;
     bool ready = true;
+    bool watches = false;  // has a revision from which it can watch
     int64_t synced_at = 0;
     int64_t known_since = 0;
     int64_t started_at = 0;
-    int64_t last_cut = 0;
+    int64_t last_cut = 0;  // or frozen
 
     int64_t lag(int64_t now) const { return now - synced_at; }
   };
@@ -409,20 +422,77 @@
     bool begun_without_registry = false;
   };
 
+  // A frozen instance wakes, and the caller's request is the first that it
+  // reads.
   std::optional<std::string> Find(const Instance& instance,
+                                  const StreamVersions& refreshed,
                                   const Stream& stream) const {
     if (!instance.ready) {
       return std::nullopt;
     }
-    return instance.versions.Find(
-        kService, stream.id,
-        (now_ - stream.begun_at + kViewDelaySeconds) * kSecond, At(now_));
+    const Duration age = (now_ - stream.begun_at + kViewDelaySeconds) * kSecond;
+    auto remembered =
+        instance.versions.FindRemembered(kService, stream.id, age, At(now_));
+    if (remembered || instance.cut) {
+      return remembered;
+    }
+    return refreshed.Find(kService, stream.id, age, At(now_));
   }
 
-  ReplicaView View() const {
+  // Returns what the instances know after they have read the registry. Reports
+  // that wait in a socket are read before its answer arrives.
+  std::vector<StreamVersions> Refreshed() const {
+    std::vector<StreamVersions> refreshed;
+    for (const Instance& it : instances_) {
+      refreshed.push_back(it.versions);
+      if (!it.cut) {
+        refreshed.back().set_is_view_current(true);
+        RecordViews(it, &refreshed.back());
+      }
+      for (const StreamReport& report : it.unread) {
+        refreshed.back().ApplyReport(report, At(now_));
+      }
+    }
+    return refreshed;
+  }
+
+  void TellStreams() {
+    for (size_t n = 0; n < 2 && !is_large_fleet_; ++n) {
+      if (instances_[n].frozen) {
+        continue;
+      }
+      Instance& other = instances_[1 - n];
+      for (const StreamReport& it :
+           instances_[n].versions.TakeNews(100, At(now_))) {
+        other.unread.push_back(it);
+      }
+    }
+    for (Instance& instance : instances_) {
+      if (instance.frozen) {
+        continue;
+      }
+      for (const StreamReport& it : instance.unread) {
+        instance.versions.ApplyReport(it, At(now_));
+      }
+      instance.unread.clear();
+    }
+  }
+
+  // A watch returns all changes since the last answer, a list only the present
+  // replicas.
+  void RecordViews(const Instance& instance, StreamVersions* versions) const {
+    for (const auto& [since, replicas] : history_) {
+      if (instance.watches && since > instance.synced_at) {
+        versions->RecordReplicas(View(replicas), At(now_));
+      }
+    }
+    versions->RecordReplicas(View(replicas_), At(now_));
+  }
+
+  ReplicaView View(const std::vector<std::string>& of_versions) const {
     std::vector<Replica> replicas;
-    for (size_t n = 0; n < replicas_.size(); ++n) {
-      replicas.push_back(MakeReplica(static_cast<int>(n), replicas_[n]));
+    for (size_t n = 0; n < of_versions.size(); ++n) {
+      replicas.push_back(MakeReplica(static_cast<int>(n), of_versions[n]));
     }
     ReplicaView view;
     view.Reset(replicas, At(now_));
@@ -431,18 +501,18 @@
 
   void Sync(size_t number) {
     Instance& instance = instances_[number];
-    if (instance.cut) {
+    if (instance.cut || instance.frozen) {
       return;
     }
-    instance.ready = true;
-    instance.synced_at = now_;
     instance.versions.set_is_view_current(true);
-    instance.versions.RecordReplicas(View(), At(now_));
+    RecordViews(instance, &instance.versions);
+    instance.ready = instance.watches = true;
+    instance.synced_at = now_;
   }
 
   void Begin(size_t number) {
     Instance& instance = instances_[number];
-    if (!instance.ready) {
+    if (!instance.ready || instance.frozen) {
       return;
     }
     constexpr int kStreams = 6;
@@ -489,6 +559,7 @@
     instance.versions.RecordPast({{kService, {{At(past_since), past}}}});
   }
 
+  bool is_large_fleet_ = false;
   int64_t now_ = 0;
   std::vector<std::string> replicas_ = {"v1", "v1", "v1", "v1"};
   // The replicas from each time on.
@@ -538,7 +609,7 @@
     }
     PlayAll(model, 4, &histories, &joined, &lost);
   }
-  BOOST_TEST(histories == 2 * 13 * 13 * 13 * 13);
+  BOOST_TEST(histories == 2 * 15 * 15 * 15 * 15);
   BOOST_TEST(joined == 0);
   BOOST_TEST(lost == 0);
 }
@@ -560,4 +631,26 @@
   }
 }
 
+// Guards against streams that an instance which stood still, or whose view is
+// late, takes up at another version: in a large fleet, nobody tells it of them.
+BOOST_AUTO_TEST_CASE(NoStreamGoesOnAtAnotherVersionInLargeFleets) {
+  for (uint32_t seed = 1; seed <= 1500; ++seed) {
+    std::mt19937 random(seed);
+    Model model(true);
+    int joined = 0;
+    int lost = 0;
+    for (int n = 0; n < 30; ++n) {
+      const int step = static_cast<int>(random() % Model::kSteps);
+      // An instance without the registry has to tell of its streams.
+      if (step < Model::kCut || step >= Model::kFreeze) {
+        model.Perform(step);
+      }
+      joined += model.CountJoined();
+      lost += model.CountLost();
+    }
+    BOOST_TEST(joined == 0, "seed " << seed << ": " << joined << " joined");
+    BOOST_TEST(lost == 0, "seed " << seed << ": " << lost << " lost");
+  }
+}
+
 }  // namespace endiveyard
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -716,6 +716,75 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "data: b"));
 }
 
+// Guards against streams that hold events of two software versions: an instance
+// that has just gone on after it stood still reads the request before the news
+// that another version has joined.
+BOOST_FIXTURE_TEST_CASE(StreamsAreNotTakenUpAtAnOldView, RelayFixture) {
+  NotifyRoutingStateChanged();
+  bool is_current = true;
+  std::function<void(bool)> pending;
+  const auto apply_news = [this](const std::string& version) {
+    return [this, version](RoutingState& state) {
+      Replica replica = *state.replicas.Find("t2");
+      replica.version = version;
+      state.replicas.Put(replica);
+      relay().OnRoutingStateChanged();
+    };
+  };
+  std::function<void(RoutingState&)> news = apply_news("");
+  RunOnRelayThread([&](RoutingState& state) {
+    relay().stream_versions()->RecordPast(
+        {{"svc",
+          {{BootClock::now() - std::chrono::minutes(1), {{"", {2, 2}}}}}}});
+    state.refresh_replicas =
+        [&, &state = state](const std::function<void(bool)>& done) {
+          news(state);
+          done(is_current);
+        };
+  });
+  const std::string take_up = RequestHead(
+      "POST", "/stream/x", "r1b", "Content-Length: 0\r\nLast-Event-Id: 1\r\n");
+  {
+    TestConnection caller = Connect();
+    caller.Send(take_up);
+    TestConnection run = first().Accept();
+    run.ReadMessage();
+    run.Send(StreamResponseHead("r1b") + EncodeChunk("id: 2\ndata: b\n\n") +
+             "0\r\n\r\n");
+    BOOST_TEST(Contains(caller.ReadMessage(), "data: b"));
+  }
+  // The registry does not answer.
+  RunOnRelayThread([&](RoutingState&) { is_current = false; });
+  TestConnection refused = Connect();
+  refused.Send(take_up);
+  BOOST_TEST(Contains(refused.ReadMessage(), "HTTP/1.1 503 "));
+  RunOnRelayThread([&](RoutingState&) {
+    is_current = true;
+    news = apply_news("v2");
+  });
+  TestConnection caller = Connect();
+  caller.Send(take_up);
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+  // A caller that leaves while the registry is read.
+  RunOnRelayThread([&](RoutingState& state) {
+    state.refresh_replicas = [&pending](std::function<void(bool)> done) {
+      pending = std::move(done);
+    };
+  });
+  TestConnection leaving = Connect();
+  leaving.Send(take_up);
+  bool is_asked = false;
+  while (!is_asked) {
+    RunOnRelayThread([&](RoutingState&) { is_asked = pending != nullptr; });
+  }
+  leaving.Close();
+  while (!Contains(metrics().Serialize(), "caller_left")) {
+  }
+  RunOnRelayThread([&](RoutingState&) { pending(true); });
+  BOOST_TEST(!first().HasConnectionWithin(0));
+  BOOST_TEST(!second().HasConnectionWithin(0));
+}
+
 // Guards against repeats beyond the common bound: a retry whose prompt is
 // prefilled on another engine again takes two calls of the budget, not one.
 BOOST_FIXTURE_TEST_CASE(RepeatedPrefillsConsumeRetryBudget, RelayFixture) {
--- a/tests/registry/registry_mirror_test.cc
+++ b/tests/registry/registry_mirror_test.cc
@@ -91,6 +91,78 @@
   BOOST_TEST(delays.empty());
 }
 
+// Guards against decisions on old news: a refresh ends with the answer to a
+// call that was sent after it was asked for, and after the changes in it were
+// handled. The watch in progress is superseded if there are any.
+BOOST_FIXTURE_TEST_CASE(RefreshesEndAfterTheNews, Fixture) {
+  client.list_done(RegistryPage{{}, 10, false});
+  const auto watch_done = client.watch_done;
+  const auto refresh = [this](const std::string& name) {
+    mirror->Refresh([this, name](const absl::Status& status) {
+      handled.push_back(name + (status.ok() ? " ok" : " failed"));
+    });
+  };
+  refresh("r1");
+  const auto first_refresh = client.watch_done;
+  const auto next_refresh = scheduled;
+  refresh("r2");
+  BOOST_TEST(client.calls.size() == 3u);
+  first_refresh(RegistryChanges{{{"a", "{}", false}}, 12});
+  const auto next_watch = scheduled;
+  watch_done(RegistryChanges{{{"old", "{}", false}}, 11});
+  next_refresh();
+  client.watch_done(RegistryChanges{{}, 12});
+  next_watch();
+  const std::vector<std::string> calls = {"list things", "watch things 10",
+                                          "watch things 10", "watch things 12",
+                                          "watch things 12"};
+  BOOST_TEST(client.calls == calls, boost::test_tools::per_element());
+  const std::vector<std::string> expected = {"list 0", "+a", "r1 ok", "r2 ok"};
+  BOOST_TEST(handled == expected, boost::test_tools::per_element());
+}
+
+// Guards against older news that overwrite later ones: the watch has returned
+// before the refresh, which is asked for again.
+BOOST_FIXTURE_TEST_CASE(OvertakenRefreshesAreRepeated, Fixture) {
+  client.list_done(RegistryPage{{}, 10, false});
+  const auto watch_done = client.watch_done;
+  mirror->Refresh([this](const absl::Status&) { handled.push_back("r"); });
+  const auto refresh_done = client.watch_done;
+  const auto next_refresh = scheduled;
+  watch_done(RegistryChanges{{{"a", "{}", false}, {"a", "", true}}, 12});
+  refresh_done(RegistryChanges{{{"a", "{}", false}}, 11});
+  next_refresh();
+  BOOST_TEST(client.calls.back() == "watch things 12");
+  client.watch_done(RegistryChanges{{}, 12});
+  const std::vector<std::string> expected = {"list 0", "+a", "-a", "r"};
+  BOOST_TEST(handled == expected, boost::test_tools::per_element());
+}
+
+// Guards against refreshes that never end: without the registry, or while a
+// list is read.
+BOOST_FIXTURE_TEST_CASE(RefreshesEndWithoutTheRegistry, Fixture) {
+  const auto refresh = [this] {
+    mirror->Refresh([this](const absl::Status& status) {
+      handled.push_back(status.ok() ? "ok" : "failed");
+    });
+  };
+  refresh();
+  client.list_done(absl::UnavailableError("down"));
+  scheduled();
+  refresh();
+  client.list_done(RegistryPage{{}, 10, false});
+  BOOST_TEST(client.calls.back() == "watch things 10");
+  BOOST_TEST(handled.back() == "list 0");
+  client.watch_done(RegistryChanges{{}, 10});
+  BOOST_TEST(handled.back() == "ok");
+  scheduled();
+  refresh();
+  client.watch_done(absl::UnavailableError("down"));
+  const std::vector<std::string> expected = {"failure", "failed",  "list 0",
+                                             "ok",      "failure", "failed"};
+  BOOST_TEST(handled == expected, boost::test_tools::per_element());
+}
+
 // Guards against listing again without a delay while calls keep failing.
 BOOST_FIXTURE_TEST_CASE(FailuresAreRetriedAfterBackoff, Fixture) {
   client.list_done(absl::UnavailableError("down"));
