Hold requests after a standstill until the registry was read again

Found by looking for the cause of the joined streams elsewhere: the first requests after a standstill were routed by what was known before it. They could go to replicas that had left, by routes that were withdrawn, be refused with 404 for routes that were added, or begin streams at a version that others do not expect; in a large fleet, which tells nothing of its streams, those were joined when they were taken up elsewhere.

Cause: requests and news wait in different sockets, and the requests are read first. The open watch brings only the first change, so that its answer is no sign of a current view either. service_map_current was set by the arrival of that answer, however long ago it had been sent.

A process that notices a gap of more than 500 ms between two turns of its timer (250 ms), on the clock that counts standstills, reads both mirrors again (one call each). Requests that arrive meanwhile are held: in 300 ms at most, they go on with what is known, as before, since an outage of the registry is no reason to refuse them. The replicas count as current for streams only after a successful read, also where no peer has the registry: the silence of peers after a standstill proved nothing. Event 108 tells of it. 500 ms is twice the timer and little more than the batching delay of 400 ms by which any view may be late.

Not changed, with the reason: limits, pauses and leaving replicas told by peers expire on the same clock, and an absent report keeps what is known; peers count for 45 s and more, so that shares of limits and retries do not grow after a standstill of seconds; an instance holds no leases here. Calls that were placed before the standstill go on with their target.

--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,8 +46,15 @@
   // to this long after startup. Loading the lists from the registry takes 20 to
   // 100 ms, which is less than a retry by the caller would take.
   Duration startup_wait = std::chrono::milliseconds(500);
+  // Requests that arrive after a standstill of the process are held for up to
+  // this long until the routing state is recent again.
+  Duration news_wait = std::chrono::milliseconds(300);
 };
 
+// The routing state is recent if all news that had arrived this long ago are
+// applied.
+inline constexpr Duration kMaxNewsAge = std::chrono::milliseconds(500);
+
 // Routes and replicas that the relay routes by. The owner keeps it current and
 // calls Relay::OnRoutingStateChanged() after each change.
 struct RoutingState {
@@ -61,7 +69,13 @@
   std::function<void(std::function<void(bool is_current)> done)>
       refresh_replicas;
 
+  // When all news that had arrived were applied; always, if it is empty.
+  std::optional<TimePoint> news_applied_at;
+
   bool IsComplete() const { return service_map != nullptr && replicas_known; }
+  bool IsRecent(TimePoint now) const {
+    return !news_applied_at || now - *news_applied_at <= kMaxNewsAge;
+  }
 };
 
 // Reverse proxy between callers and targets: reads requests, selects targets
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -47,6 +47,7 @@
 inline constexpr int kLogVersionRecordWritten = 807;
 inline constexpr int kLogSettingsReloaded = 106;
 inline constexpr int kLogLinesSuppressed = 107;  // log_lines_suppressed
+inline constexpr int kLogStandstillEnded = 108;
 // Hundreds of the events of relayed requests. Only these events are subject to
 // the rate limit of JsonLog.
 inline constexpr int kRelayEventGroup = 9;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -21,6 +21,7 @@
 #include "endiveyard/telemetry/json_log.h"
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
+#include "front/standstill_check.h"
 #include "front/version_recorder.h"
 #include "platform/http_registry_client.h"
 #include "platform/object_decoding.h"
@@ -225,7 +226,8 @@
   // Without the registry, the view is as good as that of the others only if
   // none of them has it.
   bool IsViewCurrent() const {
-    return !registry_lost_ || !load_exchange_.HasPeerWithRegistry();
+    return standstill_check_.is_confirmed() &&
+           (!registry_lost_ || !load_exchange_.HasPeerWithRegistry());
   }
 
   void UpdateViewState() {
@@ -247,6 +249,47 @@
         });
   }
 
+  void ReadNews(uint64_t number) {
+    if (standstill_check_.awaits_news()) {
+      service_map_confirmed_at_.reset();
+      routing_state_.service_map_current = false;
+    }
+    struct Read {
+      size_t open = 2;
+      bool succeeded = true;
+      TimePoint start = BootClock::now();
+    };
+    const auto read = std::make_shared<Read>();
+    for (RegistryMirror* it :
+         {replica_mirror_.get(), configuration_mirror_.get()}) {
+      it->Refresh([this, number, read](const absl::Status& status) {
+        read->succeeded &= status.ok();
+        if (--read->open == 0) {
+          // After the notification of what the refresh has changed.
+          asio::post(io_, [this, number, read] {
+            HandleNewsRead(number, read->succeeded, read->start);
+          });
+        }
+      });
+    }
+  }
+
+  void HandleNewsRead(uint64_t number, bool succeeded, TimePoint start) {
+    const TimePoint now = BootClock::now();
+    const bool ends_wait = standstill_check_.RecordRead(number, succeeded);
+    UpdateViewState();
+    if (!ends_wait) {
+      return;
+    }
+    JsonFields fields;
+    fields.Millis("standstill_ms", standstill_check_.standstill())
+        .Millis("read_ms", std::chrono::duration_cast<Duration>(now - start))
+        .Flag("read", succeeded);
+    log_.Log(kLogStandstillEnded, fields, now);
+    routing_state_.news_applied_at = now;
+    relay_.OnRoutingStateChanged();
+  }
+
   void HandleRegistryRestore(int64_t era, int64_t before) {
     JsonFields fields;
     fields.Integer("era", era).Integer("before", before);
@@ -448,6 +491,12 @@
 
   void RunMaintenance() {
     const TimePoint now = BootClock::now();
+    if (const auto read = standstill_check_.RecordTick(now)) {
+      ReadNews(*read);
+    }
+    if (!standstill_check_.awaits_news()) {
+      routing_state_.news_applied_at = now;
+    }
     UpdateViewState();
     for (const std::string& id : routing_state_.replicas.Expire(now)) {
       JsonFields fields;
@@ -553,6 +602,7 @@
   LoadExchange load_exchange_;
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
+  StandstillCheck standstill_check_;
   std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -188,7 +188,8 @@
     context.stream_versions.RecordReplicas(context.routing_state.replicas,
                                            BootClock::now());
   }
-  if (!context.routing_state.IsComplete()) {
+  if (!context.routing_state.IsComplete() ||
+      !context.routing_state.IsRecent(BootClock::now())) {
     return;
   }
   std::vector<std::weak_ptr<RelayExchange>> held_exchanges;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -64,19 +64,25 @@
 
 void RelayExchange::Start() {
   request_metadata_ = context_->protocol.DecodeRequest(request_.headers);
-  if (!context_->routing_state.IsComplete() &&
-      BootClock::now() < context_->startup_deadline) {
-    AwaitRoutingState();
+  const TimePoint now = BootClock::now();
+  if (!context_->routing_state.IsComplete()) {
+    if (now < context_->startup_deadline) {
+      AwaitRoutingState(context_->startup_deadline);
+      return;
+    }
+  } else if (!context_->routing_state.IsRecent(now)) {
+    // After a standstill, requests are read before the news.
+    AwaitRoutingState(now + context_->options.news_wait);
     return;
   }
   RouteRequest();
 }
 
-void RelayExchange::AwaitRoutingState() {
+void RelayExchange::AwaitRoutingState(TimePoint end) {
   phase_ = Phase::kAwaitingRoutingState;
   context_->exchanges_awaiting_routing_state.push_back(weak_from_this());
-  watchdog_timer_.expires_after(std::chrono::duration_cast<Duration>(
-      context_->startup_deadline - BootClock::now()));
+  watchdog_timer_.expires_after(
+      std::chrono::duration_cast<Duration>(end - BootClock::now()));
   const std::weak_ptr<RelayExchange> weak = weak_from_this();
   watchdog_timer_.async_wait([weak](error_code ec) {
     const auto self = weak.lock();
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -34,8 +34,8 @@
   void OnCallerDisconnect();
   // The process is about to exit: ends the exchange with what is known of it.
   void EndForShutdown();
-  // Ends the wait for the first complete routing state, either because it is
-  // there or because the startup deadline has passed.
+  // Ends the wait for a complete and recent routing state, either because it is
+  // there or because the time for it has passed.
   void StopAwaitingRoutingState();
 
  private:
@@ -81,7 +81,9 @@
     std::string body;
   };
 
-  void AwaitRoutingState();
+  // Holds the request until the routing state is complete and recent, or until
+  // `end`.
+  void AwaitRoutingState(TimePoint end);
   void RouteRequest();
   void Place();
   // Returns true if the caller takes up a stream that another attempt has
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -28,6 +28,10 @@
       {107, kInfo, "log_lines_suppressed",
        "Request lines beyond the bound of a second were counted, not written.",
        "None; the count tells how many of which event."},
+      {108, kWarn, "standstill_ended",
+       "The process stood still, and the registry was read again before "
+       "requests go on.",
+       "Look for suspended machines or missing processor time."},
       {201, kInfo, "request_refused",
        "A request ended with an error; the detail names the kind.",
        "See docs/errors.md for the kind."},
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -512,7 +512,12 @@
 
   void Begin(size_t number) {
     Instance& instance = instances_[number];
-    if (!instance.ready || instance.frozen) {
+    if (instance.frozen) {
+      // Woken by requests, which wait for the news.
+      instance.frozen = false;
+      Sync(number);
+    }
+    if (!instance.ready) {
       return;
     }
     constexpr int kStreams = 6;
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -785,6 +785,71 @@
   BOOST_TEST(!second().HasConnectionWithin(0));
 }
 
+// Guards against requests that are routed by what was known before the instance
+// stood still, since they are read before the news: to a replica that has left,
+// or by a route that was withdrawn.
+BOOST_AUTO_TEST_CASE(RequestsAfterAStandstillWaitForTheNews) {
+  RelayFixture fixture(Duration(0), std::chrono::hours(1));
+  const auto stand_still = [](RoutingState& state) {
+    state.news_applied_at = BootClock::now() - std::chrono::seconds(3);
+  };
+  const auto await_exchange = [&fixture] {
+    bool is_held = false;
+    while (!is_held) {
+      fixture.RunOnRelayThread([&](RoutingState&) {
+        is_held = fixture.relay().open_exchanges() == 1;
+      });
+    }
+  };
+  const auto end_wait = [&fixture](RoutingState& state) {
+    state.news_applied_at = BootClock::now();
+    fixture.relay().OnRoutingStateChanged();
+  };
+  fixture.RunOnRelayThread(stand_still);
+  TestConnection caller = fixture.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  await_exchange();
+  fixture.RunOnRelayThread([&](RoutingState& state) {
+    // The first of several changes.
+    fixture.relay().OnRoutingStateChanged();
+    Replica leaving = *state.replicas.Find("t1");
+    leaving.draining = true;
+    state.replicas.Put(leaving);
+    end_wait(state);
+  });
+  TestConnection target = fixture.second().Accept();
+  target.ReadMessage();
+  target.Send(SignedResponse("r1", "ok"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nok"));
+  BOOST_TEST(!fixture.first().HasConnectionWithin(0));
+
+  fixture.RunOnRelayThread(stand_still);
+  caller.Send(RequestHead("GET", "/safe/x", "r2"));
+  await_exchange();
+  fixture.RunOnRelayThread([&](RoutingState& state) {
+    auto map = std::make_shared<ServiceMap>(*state.service_map);
+    map->routes.erase(map->routes.begin());
+    state.service_map = map;
+    end_wait(state);
+  });
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 404 "));
+}
+
+// Guards against requests that are held until their deadline when the news
+// cannot be read.
+BOOST_FIXTURE_TEST_CASE(RequestsAfterAStandstillDoNotWaitForLong,
+                        RelayFixture) {
+  RunOnRelayThread([](RoutingState& state) {
+    state.news_applied_at = BootClock::now() - std::chrono::seconds(3);
+  });
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(SignedResponse("r1", "ok"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nok"));
+}
+
 // Guards against repeats beyond the common bound: a retry whose prompt is
 // prefilled on another engine again takes two calls of the budget, not one.
 BOOST_FIXTURE_TEST_CASE(RepeatedPrefillsConsumeRetryBudget, RelayFixture) {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -195,7 +195,7 @@
   thread_.join();
 }
 
-RelayFixture::RelayFixture(Duration startup_wait)
+RelayFixture::RelayFixture(Duration startup_wait, Duration news_wait)
     : first_(test_io_),
       second_(test_io_),
       work_guard_(asio::make_work_guard(io_)),
@@ -233,6 +233,7 @@
   options.location.failure_domain = "z";
   options.retry_bound.slack = 640;
   options.startup_wait = startup_wait;
+  options.news_wait = news_wait;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
   if (!relay_->Listen().ok()) {
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -83,7 +83,8 @@
 class RelayFixture {
  public:
   // By default, requests do not wait for the routing state after startup.
-  explicit RelayFixture(Duration startup_wait = Duration(0));
+  explicit RelayFixture(Duration startup_wait = Duration(0),
+                        Duration news_wait = Duration(0));
   ~RelayFixture();
 
   TestConnection Connect();
