--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -21,6 +21,7 @@
 #include "endiveyard/telemetry/json_log.h"
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
+#include "front/standstill_check.h"
 #include "front/version_recorder.h"
 #include "platform/http_registry_client.h"
 #include "platform/object_decoding.h"
@@ -239,10 +240,69 @@
 
   // Without the registry, the view is as good as that of the others only if
   // none of them has it.
+  bool IsViewCurrent() const {
+    return standstill_check_.is_confirmed() &&
+           (!registry_lost_ || !load_exchange_.HasPeerWithRegistry());
+  }
+
   void UpdateViewState() {
     load_exchange_.SetRegistryLost(registry_lost_);
-    relay_.stream_versions()->set_is_view_current(
-        !registry_lost_ || !load_exchange_.HasPeerWithRegistry());
+    relay_.stream_versions()->set_is_view_current(IsViewCurrent());
+  }
+
+  void RefreshReplicas(std::function<void(bool is_current)> done) {
+    if (registry_lost_) {
+      done(IsViewCurrent());
+      return;
+    }
+    replica_mirror_->Refresh(
+        [this, done = std::move(done)](const absl::Status& status) {
+          // After the notification of what the refresh has changed.
+          asio::post(io_, [this, done, is_read = status.ok()] {
+            done(is_read || (registry_lost_ && IsViewCurrent()));
+          });
+        });
+  }
+
+  void ReadNews(uint64_t number) {
+    if (standstill_check_.awaits_news()) {
+      service_map_confirmed_at_.reset();
+      routing_state_.service_map_current = false;
+    }
+    struct Read {
+      size_t open = 2;
+      bool succeeded = true;
+      TimePoint start = BootClock::now();
+    };
+    const auto read = std::make_shared<Read>();
+    for (RegistryMirror* it :
+         {replica_mirror_.get(), configuration_mirror_.get()}) {
+      it->Refresh([this, number, read](const absl::Status& status) {
+        read->succeeded &= status.ok();
+        if (--read->open == 0) {
+          // After the notification of what the refresh has changed.
+          asio::post(io_, [this, number, read] {
+            HandleNewsRead(number, read->succeeded, read->start);
+          });
+        }
+      });
+    }
+  }
+
+  void HandleNewsRead(uint64_t number, bool succeeded, TimePoint start) {
+    const TimePoint now = BootClock::now();
+    const bool ends_wait = standstill_check_.RecordRead(number, succeeded);
+    UpdateViewState();
+    if (!ends_wait) {
+      return;
+    }
+    JsonFields fields;
+    fields.Millis("standstill_ms", standstill_check_.standstill())
+        .Millis("read_ms", std::chrono::duration_cast<Duration>(now - start))
+        .Flag("read", succeeded);
+    log_.Log(kLogStandstillEnded, fields, now);
+    routing_state_.news_applied_at = now;
+    relay_.OnRoutingStateChanged();
   }
 
   void HandleRegistryRestore(int64_t era, int64_t before) {
@@ -296,6 +356,9 @@
     configuration_mirror_ = std::make_unique<RegistryMirror>(
         &registry_client_, std::string(platform::kConfigurationKind), seed + 1,
         mirror_timing_, &registry_era_, std::move(configuration));
+    routing_state_.refresh_replicas = [this](std::function<void(bool)> done) {
+      RefreshReplicas(std::move(done));
+    };
     configuration_mirror_->Start();
     replica_mirror_->Start();
     StartVersionRecorder();
@@ -367,6 +430,7 @@
 
   void HandleReplicaChange(const RegistryObject& object) {
     const TimePoint now = BootClock::now();
+    const auto before = UsableReplica(object.name);
     if (auto replica = ParseReplicaObject(object)) {
       routing_state_.replicas.Put(*replica);
       JsonFields fields;
@@ -383,9 +447,19 @@
           .Flag("kept", routing_state_.replicas.Find(object.name) != nullptr);
       log_.Log(kLogReplicaRemoved, fields, now);
     }
+    const auto after = UsableReplica(object.name);
+    relay_.stream_versions()->RecordChange(before ? &*before : nullptr,
+                                           after ? &*after : nullptr);
     NotifyRoutingStateChanged();
   }
 
+  // Returns the replica if it accepts new work.
+  std::optional<Replica> UsableReplica(const std::string& id) const {
+    const Replica* replica = routing_state_.replicas.Find(id);
+    return replica == nullptr || replica->draining ? std::nullopt
+                                                   : std::optional(*replica);
+  }
+
   // Notifies the relay once for all changes of the present iteration of the
   // event loop: the work of a notification grows with the number of replicas.
   void NotifyRoutingStateChanged() {
@@ -432,6 +506,12 @@
 
   void RunMaintenance() {
     const TimePoint now = BootClock::now();
+    if (const auto read = standstill_check_.RecordTick(now)) {
+      ReadNews(*read);
+    }
+    if (!standstill_check_.awaits_news()) {
+      routing_state_.news_applied_at = now;
+    }
     UpdateViewState();
     for (const std::string& id : routing_state_.replicas.Expire(now)) {
       JsonFields fields;
@@ -540,6 +620,7 @@
   LoadExchange load_exchange_;
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
+  StandstillCheck standstill_check_;
   std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -10,9 +10,7 @@
 // An instance that has lost its links to the targets, and the other instance,
 // whose part the test plays.
 struct StrandedInstance {
-  StrandedInstance()
-      : peer(io),
-        relay(Duration(0), TargetClientOptions().peer_timeout, peer.port()) {
+  StrandedInstance() : peer(io), relay(WithPeerPort(peer.port())) {
     relay.LoseLinks();
     relay.LearnOfPeer();
   }
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -768,6 +768,142 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "data: b"));
 }
 
+// Guards against streams that hold events of two software versions: an instance
+// that has just gone on after it stood still reads the request before the news
+// that another version has joined.
+BOOST_FIXTURE_TEST_CASE(StreamsAreNotTakenUpAtAnOldView, RelayFixture) {
+  NotifyRoutingStateChanged();
+  bool is_current = true;
+  std::function<void(bool)> pending;
+  const auto apply_news = [this](const std::string& version) {
+    return [this, version](RoutingState& state) {
+      Replica replica = *state.replicas.Find("t2");
+      replica.version = version;
+      state.replicas.Put(replica);
+      relay().OnRoutingStateChanged();
+    };
+  };
+  std::function<void(RoutingState&)> news = apply_news("");
+  RunOnRelayThread([&](RoutingState& state) {
+    relay().stream_versions()->RecordPast(
+        {{"svc",
+          {{BootClock::now() - std::chrono::minutes(1), {{"", {2, 2}}}}}}});
+    state.refresh_replicas =
+        [&, &state = state](const std::function<void(bool)>& done) {
+          news(state);
+          done(is_current);
+        };
+  });
+  const std::string take_up = RequestHead(
+      "POST", "/stream/x", "r1b", "Content-Length: 0\r\nLast-Event-Id: 1\r\n");
+  {
+    TestConnection caller = Connect();
+    caller.Send(take_up);
+    TestConnection run = first().Accept();
+    run.ReadMessage();
+    run.Send(StreamResponseHead("r1b") + EncodeChunk("id: 2\ndata: b\n\n") +
+             "0\r\n\r\n");
+    BOOST_TEST(Contains(caller.ReadMessage(), "data: b"));
+  }
+  // The registry does not answer.
+  RunOnRelayThread([&](RoutingState&) { is_current = false; });
+  TestConnection refused = Connect();
+  refused.Send(take_up);
+  BOOST_TEST(Contains(refused.ReadMessage(), "HTTP/1.1 503 "));
+  RunOnRelayThread([&](RoutingState&) {
+    is_current = true;
+    news = apply_news("v2");
+  });
+  TestConnection caller = Connect();
+  caller.Send(take_up);
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+  // A caller that leaves while the registry is read.
+  RunOnRelayThread([&](RoutingState& state) {
+    state.refresh_replicas = [&pending](std::function<void(bool)> done) {
+      pending = std::move(done);
+    };
+  });
+  TestConnection leaving = Connect();
+  leaving.Send(take_up);
+  bool is_asked = false;
+  while (!is_asked) {
+    RunOnRelayThread([&](RoutingState&) { is_asked = pending != nullptr; });
+  }
+  leaving.Close();
+  while (!Contains(metrics().Serialize(), "caller_left")) {
+  }
+  RunOnRelayThread([&](RoutingState&) { pending(true); });
+  BOOST_TEST(!first().HasConnectionWithin(0));
+  BOOST_TEST(!second().HasConnectionWithin(0));
+}
+
+// Guards against requests that are routed by what was known before the instance
+// stood still, since they are read before the news: to a replica that has left,
+// or by a route that was withdrawn.
+BOOST_AUTO_TEST_CASE(RequestsAfterAStandstillWaitForTheNews) {
+  RelayFixtureOptions options;
+  options.news_wait = std::chrono::hours(1);
+  RelayFixture fixture(options);
+  const auto stand_still = [](RoutingState& state) {
+    state.news_applied_at = BootClock::now() - std::chrono::seconds(3);
+  };
+  const auto await_exchange = [&fixture] {
+    bool is_held = false;
+    while (!is_held) {
+      fixture.RunOnRelayThread([&](RoutingState&) {
+        is_held = fixture.relay().open_exchanges() == 1;
+      });
+    }
+  };
+  const auto end_wait = [&fixture](RoutingState& state) {
+    state.news_applied_at = BootClock::now();
+    fixture.relay().OnRoutingStateChanged();
+  };
+  fixture.RunOnRelayThread(stand_still);
+  TestConnection caller = fixture.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  await_exchange();
+  fixture.RunOnRelayThread([&](RoutingState& state) {
+    // The first of several changes.
+    fixture.relay().OnRoutingStateChanged();
+    Replica leaving = *state.replicas.Find("t1");
+    leaving.draining = true;
+    state.replicas.Put(leaving);
+    end_wait(state);
+  });
+  TestConnection target = fixture.second().Accept();
+  target.ReadMessage();
+  target.Send(SignedResponse("r1", "ok"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nok"));
+  BOOST_TEST(!fixture.first().HasConnectionWithin(0));
+
+  fixture.RunOnRelayThread(stand_still);
+  caller.Send(RequestHead("GET", "/safe/x", "r2"));
+  await_exchange();
+  fixture.RunOnRelayThread([&](RoutingState& state) {
+    auto map = std::make_shared<ServiceMap>(*state.service_map);
+    map->routes.erase(map->routes.begin());
+    state.service_map = map;
+    end_wait(state);
+  });
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 404 "));
+}
+
+// Guards against requests that are held until their deadline when the news
+// cannot be read.
+BOOST_FIXTURE_TEST_CASE(RequestsAfterAStandstillDoNotWaitForLong,
+                        RelayFixture) {
+  RunOnRelayThread([](RoutingState& state) {
+    state.news_applied_at = BootClock::now() - std::chrono::seconds(3);
+  });
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(SignedResponse("r1", "ok"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nok"));
+}
+
 // Guards against repeats beyond the common bound: a retry whose prompt is
 // prefilled on another engine again takes two calls of the budget, not one.
 BOOST_FIXTURE_TEST_CASE(RepeatedPrefillsConsumeRetryBudget, RelayFixture) {
@@ -861,7 +997,13 @@
 }
 
 struct StartingRelayFixture : RelayFixture {
-  StartingRelayFixture() : RelayFixture(std::chrono::hours(1)) {}
+  StartingRelayFixture() : RelayFixture(Options()) {}
+
+  static RelayFixtureOptions Options() {
+    RelayFixtureOptions options;
+    options.startup_wait = std::chrono::hours(1);
+    return options;
+  }
 };
 
 // All instances start at once, and requests arrive before the lists are loaded
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -242,9 +242,7 @@
   thread_.join();
 }
 
-RelayFixture::RelayFixture(Duration startup_wait,
-                           Duration peer_timeout,
-                           uint16_t peer_port)
+RelayFixture::RelayFixture(const RelayFixtureOptions& fixture_options)
     : first_(test_io_),
       second_(test_io_),
       work_guard_(asio::make_work_guard(io_)),
@@ -281,9 +279,10 @@
   options.ip = kLoopback;
   options.location.failure_domain = "z";
   options.retry_bound.slack = 640;
-  options.startup_wait = startup_wait;
-  options.peer_port = peer_port;
-  options.target_client.peer_timeout = peer_timeout;
+  options.startup_wait = fixture_options.startup_wait;
+  options.news_wait = fixture_options.news_wait;
+  options.peer_port = fixture_options.peer_port;
+  options.target_client.peer_timeout = fixture_options.peer_timeout;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
   if (!relay_->Listen().ok()) {
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -89,18 +89,28 @@
   std::thread thread_;
 };
 
+struct RelayFixtureOptions {
+  // See RelayOptions. By default, requests do not wait for the routing state.
+  Duration startup_wait = Duration(0);
+  Duration news_wait = Duration(0);
+  Duration peer_timeout = TargetClientOptions().peer_timeout;
+  // Requests are forwarded to other instances at this port of the loopback
+  // address.
+  uint16_t peer_port = 0;
+};
+
+inline RelayFixtureOptions WithPeerPort(uint16_t port) {
+  RelayFixtureOptions options;
+  options.peer_port = port;
+  return options;
+}
+
 // A relay on the loopback address with its own thread. The service `svc` has
 // two targets, `t1` and `t2`; the host "h" has the routes /safe/, /unsafe/,
 // /stream/ (resumable) and /once/ (a stream that is not resumable).
 class RelayFixture {
  public:
-  // By default, requests do not wait for the routing state after startup.
-  // Requests are forwarded to other instances at `peer_port` of the loopback
-  // address.
-  explicit RelayFixture(
-      Duration startup_wait = Duration(0),
-      Duration peer_timeout = TargetClientOptions().peer_timeout,
-      uint16_t peer_port = 0);
+  explicit RelayFixture(const RelayFixtureOptions& options = {});
   ~RelayFixture();
 
   TestConnection Connect();
--- a/tests/platform/silent_peer_test.cc
+++ b/tests/platform/silent_peer_test.cc
@@ -20,7 +20,13 @@
 constexpr milliseconds kSilence(1500);
 
 struct ShortTimeoutsFixture : RelayFixture {
-  ShortTimeoutsFixture() : RelayFixture(Duration(0), kShortPeerTimeout) {}
+  ShortTimeoutsFixture() : RelayFixture(Options()) {}
+
+  static RelayFixtureOptions Options() {
+    RelayFixtureOptions options;
+    options.peer_timeout = kShortPeerTimeout;
+    return options;
+  }
 };
 
 void ChangeServiceMap(RelayFixture* fixture,
