Soak: take up streams, two versions, copies of refusals

Clients now take up streams that broke off (Last-Event-Id, Resumes) and repeat refused requests, half of them with the same id, at any process. Each event names the run that wrote it. The ledger checks over all tries of a client: each event once and in order, a new run only at the last event, no end before the last event, no events of two software versions; and that a stream does not go on at another replica while the run before works 400 ms later (TWICE, for runs whose answers no client has read as well). Stand-ins drop a run when its connection closes, and prefill and decode engines reject the wrong stage.

New faults: refuse_again_before_next and answer_again_before_next send a copy where the answer to the next request on the connection is due; refuse_again_rejoined and answer_again_rejoined do so after the replica has registered under another id (engines: another stage) at its address, with its connections open. Refusals with 421 are copied too. "late" now also stalls streams.

--- a/tools/soak/http_peer.cc
+++ b/tools/soak/http_peer.cc
@@ -184,6 +184,12 @@
   return ended_;
 }
 
+bool HttpPeer::WaitForEnd(int ms) {
+  pollfd closed{fd_, POLLRDHUP, 0};
+  ended_ = ended_ || poll(&closed, 1, ms) == 1;
+  return ended_;
+}
+
 void HttpPeer::Close() {
   if (fd_ >= 0) {
     close(fd_);
--- a/tools/soak/http_peer.h
+++ b/tools/soak/http_peer.h
@@ -45,6 +45,8 @@
   HttpMessage Read(int timeout_ms);
   // True if the connection has ended, as seen by the last Read() or now.
   bool HasEnded();
+  // Waits for `ms` or until the peer closes the connection, which returns true.
+  bool WaitForEnd(int ms);
   // Bytes that arrived after the last message.
   size_t surplus_bytes() const { return buffer_.size(); }
   void Close();
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -33,19 +33,37 @@
   uint64_t seed = 1;
   int seconds = 20;
   int fronts = 3;
+  int plain_replicas = 8;
+  int prefill_engines = 2;
+  int decode_engines = 5;
   int clients = 24;
   int timeout_ms = 2000;  // of the routes and the clients
   int max_work_ms = 120;  // of a replica on one request, before its answer
+  int max_attempts = 2;   // of the routes
   double fault_rate = 0.15;
   std::vector<ReplicaFault> faults;
   double pipeline_rate = 0;
   int max_pause_ms = 30;  // of a client between two requests
+  // Share of the requests that are repeated with the same id, among those that
+  // were refused as not run.
+  double same_id_rate = 0.5;
+  int max_change_ms = 1700;  // between two changes of replicas at most
   bool signals = true;
   // Interval at which one process after the other is killed and started again,
   // instead of other signals; 0 for none.
   int kill_every_ms = 0;
 };
 
+struct ClientRequest {
+  std::string id;
+  std::string first_id;  // see ClientResult
+  int begun_after = 0;
+  std::string target;
+  std::string prompt;  // header lines
+  std::string body;
+  int64_t sent_ms = 0;
+};
+
 class Soak {
  public:
   explicit Soak(const SoakOptions& options)
@@ -75,14 +93,27 @@
                FrontProcess* front,
                HttpPeer* peer,
                std::mt19937_64* random);
-  ClientResult ReadResult(const std::string& id,
-                          const std::string& target,
-                          int64_t sent_ms,
+  static std::string ServiceOf(const std::string& target) {
+    return IsStream(KindOf(target)) ? "chat" : "orders";
+  }
+  std::string BytesOf(const ClientRequest& request) const;
+  // Reads and records the answer.
+  ClientResult ReadResult(const ClientRequest& request,
                           FrontProcess* front,
                           HttpPeer* peer);
+  // Repeats a request that was refused, and takes up a stream that broke off,
+  // at any process.
+  void Repeat(ClientRequest request,
+              ClientResult result,
+              FrontProcess* front,
+              std::mt19937_64* random);
   void DisturbFront(size_t number);
   void KillInTurn();
   void ChangeReplicas();
+  // Starts a replica again and registers it under its new id. Engines change
+  // their stages in pairs.
+  void Rejoin(size_t number);
+  void Replace(size_t number, const std::string& stage);
   bool Ended() const { return NowMs() >= end_ms_; }
   void SleepUntilEnd(int64_t ms) const {
     SleepMs(std::max<int64_t>(0, std::min(ms, end_ms_ - NowMs())));
@@ -98,25 +129,24 @@
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::string summary_;
+  std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
   double peak_memory_mb_ = 0;  // of any process
 };
 
 void Soak::StartReplicas() {
-  constexpr int kPlainReplicas = 8;
-  constexpr int kPrefillEngines = 2;
-  constexpr int kDecodeEngines = 5;
-  for (int n = 0; n < kPlainReplicas + kPrefillEngines + kDecodeEngines; ++n) {
+  const int plain = options_.plain_replicas;
+  const int prefill = options_.prefill_engines;
+  for (int n = 0; n < plain + prefill + options_.decode_engines; ++n) {
     ReplicaStandin::Options options;
     options.ip = Ip(10 + n);
-    options.service = n < kPlainReplicas ? "orders" : "chat";
-    options.stage = n < kPlainReplicas                     ? ""
-                    : n < kPlainReplicas + kPrefillEngines ? "prefill"
-                                                           : "decode";
+    options.service = n < plain ? "orders" : "chat";
+    options.stage = n < plain ? "" : n < plain + prefill ? "prefill" : "decode";
     options.seed = RandomFor(static_cast<uint64_t>(n))();
     options.fault_rate = options_.fault_rate;
     options.faults = options_.faults;
     options.max_work_ms = options_.max_work_ms;
+    options.rejoin = [this, n] { Rejoin(static_cast<size_t>(n)); };
     replicas_.push_back(
         std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
     registry_.Put("servers", replicas_.back()->id(),
@@ -133,7 +163,8 @@
               R"(/","kind":")" + kind + R"(","timeout_ms":)" +
               std::to_string(options_.timeout_ms) +
               R"(,"target_latency_ms":800,"priority":1,"service":")" + service +
-              R"(","max_attempts":2)" + more + "}";
+              R"(","max_attempts":)" + std::to_string(options_.max_attempts) +
+              more + "}";
   };
   const std::string stream = R"(,"session_affinity":true,"target_gap_ms":300)";
   add("order", "unsafe", "orders", "");
@@ -181,32 +212,94 @@
   }
 }
 
-ClientResult Soak::ReadResult(const std::string& id,
-                              const std::string& target,
-                              int64_t sent_ms,
+ClientResult Soak::ReadResult(const ClientRequest& request,
                               FrontProcess* front,
                               HttpPeer* peer) {
   constexpr int kSlackMs = 1500;
   const HttpMessage answer = peer->Read(options_.timeout_ms + kSlackMs);
   ClientResult result;
-  result.id = id;
-  result.kind = KindOf(target);
+  result.id = request.id;
+  result.first_id = request.first_id;
+  result.begun_after = request.begun_after;
+  result.kind = KindOf(request.target);
+  result.sent_ms = request.sent_ms;
   result.status = answer.headers.empty() ? 0 : answer.Status();
   result.complete = answer.complete;
   result.connection_ended = peer->HasEnded();
   result.signed_by_target =
-      answer.Header("Endiveyard-Response-Signature") == "sig-" + id;
+      answer.Header("Endiveyard-Response-Signature") == "sig-" + request.id;
   result.answered_id = answer.Header("Endiveyard-Request-Id");
   result.body = answer.body;
-  const int64_t now = NowMs();
-  result.in_time = now - sent_ms < options_.timeout_ms;
-  result.process_disturbed = front->WasDisturbed(sent_ms, now);
+  result.answered_ms = NowMs();
+  result.in_time = result.answered_ms - result.sent_ms < options_.timeout_ms;
+  result.process_disturbed =
+      front->WasDisturbed(result.sent_ms, result.answered_ms);
   if (!result.complete || answer.Header("Connection") == "close") {
     peer->Close();
   }
+  ledger_.RecordResult(result);
   return result;
 }
 
+std::string Soak::BytesOf(const ClientRequest& request) const {
+  const std::string take_up =
+      request.first_id == request.id
+          ? ""
+          : "Last-Event-Id: " + std::to_string(request.begun_after) +
+                "\r\nResumes: " + request.first_id + "\r\n";
+  return "POST " + request.target + " HTTP/1.1\r\nHost: " + kHost +
+         "\r\nEndiveyard-Request-Id: " + request.id +
+         "\r\nEndiveyard-Deadline-Ms: " + std::to_string(options_.timeout_ms) +
+         "\r\n" + request.prompt + take_up +
+         "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" +
+         request.body;
+}
+
+void Soak::Repeat(ClientRequest request,
+                  ClientResult result,
+                  FrontProcess* front,
+                  std::mt19937_64* random) {
+  constexpr int kMaxRepeats = 4;
+  constexpr int kMaxPauseMs = 100;
+  const std::string base = request.id;
+  for (int n = 1; n <= kMaxRepeats && !Ended(); ++n) {
+    const bool refused = result.status == 429 || result.status == 503;
+    const bool broken_off = result.kind == RequestKind::kResumableStream &&
+                            result.status == 200 && !result.complete;
+    if (broken_off) {
+      const int last = LastEventOf(result.body, request.begun_after);
+      request.first_id =
+          request.begun_after == 0 && last > 0 ? request.id : request.first_id;
+      request.begun_after = last;
+    }
+    const bool take_up = request.begun_after > 0;
+    if (!broken_off && !refused) {
+      return;
+    }
+    if (broken_off || std::uniform_real_distribution<double>()(*random) >=
+                          options_.same_id_rate) {
+      request.id = base + "-" + std::to_string(n);
+    }
+    if (!take_up) {
+      request.first_id = request.id;
+    }
+    SleepMs(1 + static_cast<int64_t>(random->operator()() % kMaxPauseMs));
+    // Often at the same process, which may still have the connection on which
+    // the request was refused.
+    if (random->operator()() % 2 == 0) {
+      front = fronts_[random->operator()() % fronts_.size()].get();
+    }
+    const auto peer = HttpPeer::Connect(front->ip(), front->port());
+    if (!peer) {
+      return;
+    }
+    ledger_.RecordRequest(ServiceOf(request.target), request.id);
+    request.sent_ms = NowMs();
+    peer->Send(BytesOf(request));
+    result = ReadResult(request, front, peer.get());
+  }
+}
+
 void Soak::SendOne(int number,
                    int count,
                    FrontProcess* front,
@@ -217,40 +310,40 @@
   };
   const char* const paths[] = {"/order/", "/order/", "/lookup/", "/once/",
                                "/chat/"};
-  const auto request = [&](const std::string& id, const std::string& path) {
-    // Few different first parts, so that requests share caches.
-    const std::string prompt =
-        IsStream(KindOf(path))
-            ? "Endiveyard-Model: m\r\nEndiveyard-Token-Count: 8000,40\r\n"
-              "Endiveyard-Prompt-Prefix: a" +
-                  std::to_string(draw(3)) + ":2000,b" + std::to_string(number) +
-                  std::to_string(count) + ":6000\r\n"
-            : "";
-    const std::string body(static_cast<size_t>(draw(2000)), 'q');
-    return "POST " + path + " HTTP/1.1\r\nHost: " + kHost +
-           "\r\nEndiveyard-Request-Id: " + id + "\r\nEndiveyard-Deadline-Ms: " +
-           std::to_string(options_.timeout_ms) + "\r\n" + prompt +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  };
   const double pipelined = std::uniform_real_distribution<double>()(*random);
   const int requests = pipelined < options_.pipeline_rate ? 2 + draw(1) : 1;
-  std::vector<std::pair<std::string, std::string>> sent;
+  std::vector<ClientRequest> sent;
   std::string bytes;
   for (int n = 0; n < requests; ++n) {
-    const std::string id = "c" + std::to_string(number) + "-" +
-                           std::to_string(count) + "-" + std::to_string(n);
-    sent.emplace_back(id, paths[draw(4)] + id);
-    bytes += request(id, sent.back().second);
-    ledger_.RecordRequest(IsStream(KindOf(sent.back().second)) ? "chat"
-                                                               : "orders");
+    ClientRequest request;
+    request.id = "c" + std::to_string(number) + "-" + std::to_string(count) +
+                 "-" + std::to_string(n);
+    request.first_id = request.id;
+    request.target = paths[draw(4)] + request.id;
+    if (IsStream(KindOf(request.target))) {
+      // Few different first parts, so that requests share caches.
+      request.prompt =
+          "Endiveyard-Model: m\r\nEndiveyard-Token-Count: 8000,40\r\n"
+          "Endiveyard-Prompt-Prefix: a" +
+          std::to_string(draw(3)) + ":2000,b" + std::to_string(number) +
+          std::to_string(count) + ":6000\r\n";
+    }
+    request.body = std::string(static_cast<size_t>(draw(2000)), 'q');
+    bytes += BytesOf(request);
+    ledger_.RecordRequest(ServiceOf(request.target), request.id);
+    sent.push_back(request);
   }
   const int64_t sent_ms = NowMs();
   peer->Send(bytes);
-  for (const auto& [id, target] : sent) {
-    if (peer->HasEnded() && id != sent.front().first) {
+  for (ClientRequest& it : sent) {
+    if (peer->HasEnded() && it.id != sent.front().id) {
       return;  // not answered, as the answer before closed the connection
     }
-    ledger_.RecordResult(ReadResult(id, target, sent_ms, front, peer));
+    it.sent_ms = sent_ms;
+    const ClientResult result = ReadResult(it, front, peer);
+    if (requests == 1) {
+      Repeat(it, result, front, random);
+    }
   }
 }
 
@@ -362,22 +455,56 @@
   }
 }
 
+void Soak::Replace(size_t number, const std::string& stage) {
+  ReplicaStandin& replica = *replicas_[number];
+  registry_.Delete("servers", replica.id());
+  replica.Restart(stage);
+  registry_.Put("servers", replica.id(), replica.Spec("ready"));
+}
+
+void Soak::Rejoin(size_t number) {
+  const std::lock_guard<std::mutex> lock(replacing_);
+  const std::string stage = replicas_[number]->stage();
+  for (size_t n = 0; !stage.empty() && n < replicas_.size(); ++n) {
+    const size_t other = (number + n) % replicas_.size();
+    const std::string other_stage = replicas_[other]->stage();
+    if (!other_stage.empty() && other_stage != stage) {
+      Replace(other, stage);
+      Replace(number, other_stage);
+      return;
+    }
+  }
+  Replace(number, stage);
+}
+
 void Soak::ChangeReplicas() {
   std::mt19937_64 random = RandomFor(3000);
   int version = 8;
   while (!Ended()) {
-    SleepUntilEnd(static_cast<int64_t>(200 + random() % 1500));
+    constexpr int kMinChangeMs = 200;
+    SleepUntilEnd(kMinChangeMs + static_cast<int64_t>(
+                                     random() % static_cast<uint64_t>(std::max(
+                                                    1, options_.max_change_ms -
+                                                           kMinChangeMs))));
     if (random() % 3 == 0) {
       PutConfiguration(version += 1 + static_cast<int>(random() % 5));
       continue;
     }
-    ReplicaStandin& replica = *replicas_[random() % replicas_.size()];
+    const size_t number = random() % replicas_.size();
+    ReplicaStandin& replica = *replicas_[number];
     const std::string id = replica.id();
-    registry_.Put("servers", id, replica.Spec("draining"));
-    SleepUntilEnd(static_cast<int64_t>(random() % 3000));
-    registry_.Delete("servers", id);
-    replica.Restart();
-    registry_.Put("servers", replica.id(), replica.Spec("ready"));
+    const int64_t drain_ms = static_cast<int64_t>(random() % 3000);
+    {
+      const std::lock_guard<std::mutex> lock(replacing_);
+      if (replica.id() == id) {
+        registry_.Put("servers", id, replica.Spec("draining"));
+      }
+    }
+    SleepUntilEnd(drain_ms);
+    const std::lock_guard<std::mutex> lock(replacing_);
+    if (replica.id() == id) {
+      Replace(number, replica.stage());
+    }
   }
 }
 
@@ -471,6 +598,17 @@
       "fault of the replicas; may be repeated; default: all")(
       "pipeline-rate", po::value(&soak.pipeline_rate),
       "share of the turns of a client that send two or three requests at once")(
+      "max-attempts", po::value(&soak.max_attempts),
+      "replicas that get one request at most")(
+      "same-id-rate", po::value(&soak.same_id_rate),
+      "share of the repeats of refused requests that have the same id")(
+      "max-change-ms", po::value(&soak.max_change_ms),
+      "pause between two changes of replicas at most")(
+      "plain-replicas", po::value(&soak.plain_replicas),
+      "replicas of the plain service")("prefill-engines",
+                                       po::value(&soak.prefill_engines),
+                                       "engines that only prefill")(
+      "decode-engines", po::value(&soak.decode_engines), "engines that decode")(
       "max-pause-ms", po::value(&soak.max_pause_ms),
       "pause of a client between two requests at most")(
       "kill-every-ms", po::value(&soak.kill_every_ms),
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <utility>
 
 namespace endiveyard::soak {
 namespace {
@@ -19,6 +20,8 @@
                    "refuse_twice",
                    "refuse_twice_without_id",
                    "late_refusal_without_id",
+                   "refuse_again_before_next",
+                   "refuse_again_rejoined",
                    "reset_before_run",
                    "close_before_run",
                    "reset_after_run",
@@ -29,6 +32,8 @@
                    "reset_in_body",
                    "answer_twice",
                    "answer_twice_late",
+                   "answer_again_before_next",
+                   "answer_again_rejoined",
                    "surplus_bytes",
                    "no_http",
                    "late",
@@ -70,9 +75,22 @@
          "Endiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+std::string Misdirected(const std::string& id) {
+  return "HTTP/1.1 421 Misdirected Request\r\n" +
+         (id.empty() ? "" : "Endiveyard-Request-Id: " + id + "\r\n") +
+         "Content-Length: 0\r\n\r\n";
+}
+
+bool IsRefusal(ReplicaFault fault) {
+  return fault >= ReplicaFault::kRefuse &&
+         fault <= ReplicaFault::kRefuseAgainRejoined;
+}
+
 bool RunsToTheEnd(ReplicaFault fault) {
   return fault == ReplicaFault::kNone || fault == ReplicaFault::kAnswerTwice ||
          fault == ReplicaFault::kAnswerTwiceLate ||
+         fault == ReplicaFault::kAnswerAgainBeforeNext ||
+         fault == ReplicaFault::kAnswerAgainRejoined ||
          fault == ReplicaFault::kSurplusBytes ||
          fault == ReplicaFault::kUnframed;
 }
@@ -116,12 +134,14 @@
     : options_(options),
       ledger_(ledger),
       handles_(handles),
+      stage_(options.stage),
       random_(options.seed),
       listener_(options.ip, [this](HttpPeer& peer) { Serve(peer); }) {}
 
-void ReplicaStandin::Restart() {
+void ReplicaStandin::Restart(const std::string& stage) {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++incarnation_;
+  stage_ = stage;
 }
 
 std::string ReplicaStandin::id() const {
@@ -130,15 +150,28 @@
          std::to_string(incarnation_);
 }
 
+std::string ReplicaStandin::stage() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return stage_;
+}
+
+std::string ReplicaStandin::VersionOf(const std::string& ip, int incarnation) {
+  constexpr int kVersions = 2;
+  const int number = std::atoi(ip.c_str() + ip.rfind('.') + 1) + incarnation;
+  return "v" + std::to_string(1 + number % kVersions);
+}
+
 std::string ReplicaStandin::Spec(const std::string& state) const {
-  const bool is_engine = !options_.stage.empty();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const bool is_engine = !stage_.empty();
   return R"({"service":")" + options_.service + R"(","address":")" +
          options_.ip + ":" + std::to_string(listener_.port()) +
-         R"(","zone":"zone-a","version":"v1","slots":)" +
+         R"(","zone":"zone-a","version":")" +
+         VersionOf(options_.ip, incarnation_) + R"(","slots":)" +
          (is_engine ? "64" : "6") + R"(,"state":")" + state +
          R"(","cold_remaining_ms":0)" +
          (is_engine
-              ? R"(,"stage":")" + options_.stage +
+              ? R"(,"stage":")" + stage_ +
                     R"(","models":[{"name":"m","version":1,"adapters":[]}])"
               : "") +
          R"(,"sequence":1,"born":)" +
@@ -161,32 +194,48 @@
 
 void ReplicaStandin::Serve(HttpPeer& peer) {
   constexpr int kIdleMs = 60000;
+  Connection connection{peer, ""};
   while (true) {
     const HttpMessage request = peer.Read(kIdleMs);
-    if (!request.complete || !Handle(peer, request)) {
+    if (!request.complete || !peer.Send(std::exchange(connection.copy, "")) ||
+        !Handle(connection, request)) {
       return;
     }
   }
 }
 
-bool ReplicaStandin::Handle(HttpPeer& peer, const HttpMessage& request) {
-  const std::string id = request.Header("Endiveyard-Request-Id");
+bool ReplicaStandin::Work(HttpPeer& peer, int max_ms) {
+  return !peer.WaitForEnd(DrawNumber(max_ms));
+}
+
+bool ReplicaStandin::Handle(Connection& connection,
+                            const HttpMessage& request) {
+  HttpPeer& peer = connection.peer;
+  Run run;
+  run.id = request.Header("Endiveyard-Request-Id");
   if (request.start_line.compare(0, 7, "DELETE ") == 0) {
     return peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   }
-  if (request.Header("Endiveyard-Expect-Instance") != this->id()) {
-    return peer.Send(
-        "HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Request-Id: " + id +
-        "\r\nContent-Length: 0\r\n\r\n");
+  std::string stage;
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    run.version = VersionOf(options_.ip, incarnation_);
+    stage = stage_;
+  }
+  run.replica = this->id();
+  const bool prefills = request.Header("Endiveyard-Stage") == "prefill";
+  if (request.Header("Endiveyard-Expect-Instance") != run.replica ||
+      (!stage.empty() && prefills != (stage == "prefill"))) {
+    return Refuse(connection, Misdirected(run.id), Misdirected(""),
+                  DrawFault());
   }
-  if (request.Header("Endiveyard-Stage") == "prefill") {
-    return Prefill(peer, request);
+  if (prefills) {
+    return Prefill(connection, request);
   }
-  ledger_->RecordArrival(id, options_.service, false, false);
+  ledger_->RecordArrival(run.id, options_.service, false, false);
   const ReplicaFault fault = DrawFault();
-  if (fault >= ReplicaFault::kRefuse &&
-      fault <= ReplicaFault::kLateRefusalWithoutId) {
-    return Refuse(peer, id, fault);
+  if (IsRefusal(fault)) {
+    return Refuse(connection, Refusal(run.id), Refusal(""), fault);
   }
   if (fault == ReplicaFault::kResetBeforeRun) {
     peer.Reset();
@@ -200,44 +249,69 @@
     const std::string owner =
         handles_->Take(source.substr(source.find('/') + 1));
     if (owner.empty()) {
-      return peer.Send(Refusal(id));
+      return peer.Send(Refusal(run.id));
     }
-    if (owner != id) {
-      ledger_->RecordViolation("MIXED, request " + id +
+    if (owner != run.id) {
+      ledger_->RecordViolation("MIXED, request " + run.id +
                                " goes on from the handle of " + owner);
     }
   }
-  ledger_->RecordRun(id, this->id(), RunsToTheEnd(fault));
-  SleepMs(DrawNumber(options_.max_work_ms));
-  return IsStream(KindOf(request.Target())) ? AnswerStream(peer, request, fault)
-                                            : Answer(peer, request, fault);
+  run.kind = KindOf(request.Target());
+  run.begun_after = std::atoi(request.Header("Last-Event-Id").c_str());
+  run.sound = RunsToTheEnd(fault);
+  run = ledger_->RecordRun(run);
+  const bool keeps =
+      Work(peer, options_.max_work_ms) &&
+      (IsStream(run.kind) ? AnswerStream(connection, request, run, fault)
+                          : Answer(connection, request, fault));
+  ledger_->RecordRunEnd(run.number);
+  return keeps;
 }
 
-bool ReplicaStandin::Refuse(HttpPeer& peer,
-                            const std::string& id,
+bool ReplicaStandin::Refuse(Connection& connection,
+                            const std::string& refusal,
+                            const std::string& without_id,
                             ReplicaFault fault) {
-  peer.Send(Refusal(id));
-  if (fault == ReplicaFault::kRefuse) {
-    return true;
-  }
-  if (fault != ReplicaFault::kRefuseTwiceWithoutId) {
-    SleepMs(DrawNumber(kMaxCopyDelayMs));
+  HttpPeer& peer = connection.peer;
+  switch (fault) {
+    case ReplicaFault::kRefuseTwice:
+    case ReplicaFault::kLateRefusalWithoutId:
+      peer.Send(refusal);
+      SleepMs(DrawNumber(kMaxCopyDelayMs));
+      return peer.Send(fault == ReplicaFault::kRefuseTwice ? refusal
+                                                           : without_id);
+    case ReplicaFault::kRefuseTwiceWithoutId:
+      return peer.Send(refusal + without_id);
+    case ReplicaFault::kRefuseAgainRejoined:
+      Rejoin();
+      [[fallthrough]];
+    case ReplicaFault::kRefuseAgainBeforeNext:
+      connection.copy = refusal;
+      [[fallthrough]];
+    default:
+      return peer.Send(refusal);
   }
-  return peer.Send(Refusal(fault == ReplicaFault::kRefuseTwice ? id : ""));
 }
 
-bool ReplicaStandin::Prefill(HttpPeer& peer, const HttpMessage& request) {
+void ReplicaStandin::Rejoin() {
+  // Callers know the new registration when the answer arrives.
+  constexpr int kNoticeMs = 20;
+  options_.rejoin();
+  SleepMs(kNoticeMs);
+}
+
+bool ReplicaStandin::Prefill(Connection& connection,
+                             const HttpMessage& request) {
+  HttpPeer& peer = connection.peer;
   const std::string id = request.Header("Endiveyard-Request-Id");
   const ReplicaFault fault = DrawFault();
   const bool accepted =
       fault == ReplicaFault::kNone || fault > ReplicaFault::kCloseBeforeRun;
   ledger_->RecordArrival(id, options_.service, true, accepted);
+  if (IsRefusal(fault)) {
+    return Refuse(connection, Refusal(id), Refusal(""), fault);
+  }
   switch (fault) {
-    case ReplicaFault::kRefuse:
-    case ReplicaFault::kRefuseTwice:
-    case ReplicaFault::kRefuseTwiceWithoutId:
-    case ReplicaFault::kLateRefusalWithoutId:
-      return Refuse(peer, id, fault);
     case ReplicaFault::kResetBeforeRun:
     case ReplicaFault::kResetAfterRun:
       peer.Reset();
@@ -248,22 +322,33 @@
     default:
       break;
   }
-  SleepMs(DrawNumber(options_.max_work_ms));
+  if (!Work(peer, options_.max_work_ms)) {
+    return false;
+  }
   const std::string body = R"({"kv_handle":")" + handles_->Add(id) +
                            R"(","tokens":6000,"version":1})";
   const std::string answer =
       "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  if (fault == ReplicaFault::kCutHead || fault == ReplicaFault::kCutBody) {
-    peer.Send(answer.substr(0, static_cast<size_t>(DrawNumber(
-                                   static_cast<int>(answer.size()) - 1))));
-    return false;
-  }
-  if (fault == ReplicaFault::kAnswerTwiceLate) {
-    peer.Send(answer);
-    SleepMs(DrawNumber(kMaxCopyDelayMs));
+  switch (fault) {
+    case ReplicaFault::kCutHead:
+    case ReplicaFault::kCutBody:
+      peer.Send(answer.substr(0, static_cast<size_t>(DrawNumber(
+                                     static_cast<int>(answer.size()) - 1))));
+      return false;
+    case ReplicaFault::kAnswerTwiceLate:
+      peer.Send(answer);
+      SleepMs(DrawNumber(kMaxCopyDelayMs));
+      return peer.Send(answer);
+    case ReplicaFault::kAnswerAgainRejoined:
+      Rejoin();
+      [[fallthrough]];
+    case ReplicaFault::kAnswerAgainBeforeNext:
+      connection.copy = answer;
+      [[fallthrough]];
+    default:
+      return peer.Send(answer);
   }
-  return peer.Send(answer);
 }
 
 void ReplicaStandin::SendWithoutEnd(HttpPeer& peer, const std::string& head) {
@@ -276,11 +361,12 @@
   }
 }
 
-bool ReplicaStandin::Answer(HttpPeer& peer,
+bool ReplicaStandin::Answer(Connection& connection,
                             const HttpMessage& request,
                             ReplicaFault fault) {
+  HttpPeer& peer = connection.peer;
   const std::string id = request.Header("Endiveyard-Request-Id");
-  const std::string body = ExpectedBody(KindOf(request.Target()), id);
+  const std::string body = BodyOf(id);
   const std::string answer = WithLength(id, body);
   const size_t head_size = answer.size() - body.size();
   const auto cut_at = [this](size_t begin, size_t end) {
@@ -309,13 +395,18 @@
       peer.Send(answer);
       SleepMs(DrawNumber(kMaxCopyDelayMs));
       return peer.Send(answer);
+    case ReplicaFault::kAnswerAgainRejoined:
+      Rejoin();
+      [[fallthrough]];
+    case ReplicaFault::kAnswerAgainBeforeNext:
+      connection.copy = answer;
+      return peer.Send(answer);
     case ReplicaFault::kSurplusBytes:
       return peer.Send(answer + "HTTP/1.1 200 OK\r\n");
     case ReplicaFault::kNoHttp:
       return peer.Send("this is no answer\r\n\r\n");
     case ReplicaFault::kLate:
-      SleepMs(DrawNumber(kMaxLateMs));
-      return peer.Send(answer);
+      return Work(peer, kMaxLateMs) && peer.Send(answer);
     case ReplicaFault::kFail500:
       return peer.Send(Failure(id, "500 Internal Server Error"));
     case ReplicaFault::kFail503:
@@ -347,11 +438,12 @@
   }
 }
 
-bool ReplicaStandin::AnswerStream(HttpPeer& peer,
+bool ReplicaStandin::AnswerStream(Connection& connection,
                                   const HttpMessage& request,
+                                  const Run& run,
                                   ReplicaFault fault) {
-  const std::string id = request.Header("Endiveyard-Request-Id");
-  const int begun_after = std::atoi(request.Header("Last-Event-Id").c_str());
+  HttpPeer& peer = connection.peer;
+  const std::string& id = run.id;
   const bool unframed =
       fault == ReplicaFault::kUnframed || fault == ReplicaFault::kUnframedReset;
   const std::string type = "Content-Type: text/event-stream\r\n";
@@ -362,6 +454,8 @@
     case ReplicaFault::kLate:
     case ReplicaFault::kAnswerTwice:
     case ReplicaFault::kAnswerTwiceLate:
+    case ReplicaFault::kAnswerAgainBeforeNext:
+    case ReplicaFault::kAnswerAgainRejoined:
     case ReplicaFault::kSurplusBytes:
     case ReplicaFault::kWrongEventId:
     case ReplicaFault::kCutBody:
@@ -379,14 +473,17 @@
       SendWithoutEnd(peer, HeadOf(id, type));
       return false;
     default:
-      return Answer(peer, request, fault);
+      return Answer(connection, request, fault);
   }
   const int special = DrawNumber(kEventsOfStream);
   std::string sent;
-  for (int n = begun_after + 1; n <= kEventsOfStream; ++n) {
+  for (int n = run.begun_after + 1; n <= kEventsOfStream; ++n) {
     constexpr int kMaxEventIntervalMs = 20;
-    SleepMs(DrawNumber(kMaxEventIntervalMs));
-    std::string event = EventOf(n, id);
+    const bool stalls = fault == ReplicaFault::kLate && n == special;
+    if (!Work(peer, stalls ? kMaxLateMs : kMaxEventIntervalMs)) {
+      return false;
+    }
+    std::string event = EventOf(n, run);
     // A wrong first id cannot be told from a right one.
     if (n == special && n > 1 && fault == ReplicaFault::kWrongEventId) {
       const std::string ids[] = {"id: " + std::to_string(n + 3),
@@ -420,6 +517,14 @@
     SleepMs(DrawNumber(kMaxCopyDelayMs));
     return peer.Send(head + sent + end);
   }
+  if (fault == ReplicaFault::kAnswerAgainRejoined) {
+    Rejoin();
+  }
+  if (fault == ReplicaFault::kAnswerAgainRejoined ||
+      fault == ReplicaFault::kAnswerAgainBeforeNext) {
+    connection.copy = head + sent + end;
+    return peer.Send(end);
+  }
   if (fault == ReplicaFault::kAnswerTwice) {
     return peer.Send(end + head + sent + end);
   }
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -2,6 +2,7 @@
 #define ENDIVEYARD_TOOLS_SOAK_REPLICA_STANDIN_H_
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -36,6 +37,11 @@
   kRefuseTwice,           // the second copy late, with the request id
   kRefuseTwiceWithoutId,  // neither copy is late; the second one has no id
   kLateRefusalWithoutId,  // the second copy is late and has no id
+  // The second copy has the request id and comes where the answer to the next
+  // request on the connection is due.
+  kRefuseAgainBeforeNext,
+  // As before, by a replica that is meanwhile registered under another id.
+  kRefuseAgainRejoined,
   kResetBeforeRun,
   kCloseBeforeRun,
   kResetAfterRun,
@@ -46,6 +52,8 @@
   kResetInBody,
   kAnswerTwice,
   kAnswerTwiceLate,
+  kAnswerAgainBeforeNext,
+  kAnswerAgainRejoined,
   kSurplusBytes,
   kNoHttp,
   kLate,
@@ -77,29 +85,50 @@
     double fault_rate = 0;
     std::vector<ReplicaFault> faults;  // one of them is drawn
     int max_work_ms = 0;
+    // Has the replica started again and registered under its new id.
+    std::function<void()> rejoin;
   };
 
   ReplicaStandin(const Options& options,
                  RunLedger* ledger,
                  HandleTable* handles);
 
-  // Starts a new incarnation with another id at the same address.
-  void Restart();
+  // Starts a new incarnation with another id, and another version of the
+  // software, at the same address. Connections stay open.
+  void Restart(const std::string& stage);
   std::string id() const;
+  std::string stage() const;  // empty for a plain service
   // Its entry in the registry.
   std::string Spec(const std::string& state) const;
   void set_faulty(bool faulty) { faulty_ = faulty; }
 
  private:
+  struct Connection {
+    HttpPeer& peer;
+    // Copy of the last answer, sent when the next request arrives.
+    std::string copy;
+  };
+
   void Serve(HttpPeer& peer);
   // Returns false when the connection is to be closed.
-  bool Handle(HttpPeer& peer, const HttpMessage& request);
-  bool Prefill(HttpPeer& peer, const HttpMessage& request);
-  bool Refuse(HttpPeer& peer, const std::string& id, ReplicaFault fault);
-  bool Answer(HttpPeer& peer, const HttpMessage& request, ReplicaFault fault);
-  bool AnswerStream(HttpPeer& peer,
+  bool Handle(Connection& connection, const HttpMessage& request);
+  bool Prefill(Connection& connection, const HttpMessage& request);
+  // Sends a refusal, `without_id` in the copies that have none.
+  bool Refuse(Connection& connection,
+              const std::string& refusal,
+              const std::string& without_id,
+              ReplicaFault fault);
+  bool Answer(Connection& connection,
+              const HttpMessage& request,
+              ReplicaFault fault);
+  bool AnswerStream(Connection& connection,
                     const HttpMessage& request,
+                    const Run& run,
                     ReplicaFault fault);
+  void Rejoin();
+  // Works for up to `max_ms`. Returns false if the peer leaves meanwhile.
+  bool Work(HttpPeer& peer, int max_ms);
+  static std::string VersionOf(const std::string& ip, int incarnation);
   // Sends bytes until the peer closes the connection.
   static void SendWithoutEnd(HttpPeer& peer, const std::string& head);
   ReplicaFault DrawFault();
@@ -109,6 +138,7 @@
   RunLedger* const ledger_;
   HandleTable* const handles_;
   mutable std::mutex mutex_;
+  std::string stage_;
   std::mt19937_64 random_;
   int incarnation_ = 1;
   std::atomic<bool> faulty_{false};
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -1,13 +1,19 @@
 #include "soak/run_ledger.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <limits>
+#include <string_view>
 
 #include "soak/http_peer.h"
 
 namespace endiveyard::soak {
 namespace {
 
+constexpr std::string_view kEventEnd = "\n\n";
+// Stands before the number of the run in each event.
+constexpr std::string_view kRunField = ", run ";
+
 // Statuses that callers take for the promise that a request has not run.
 bool IsPromise(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -50,32 +56,56 @@
   return kind == RequestKind::kUnsafe || kind == RequestKind::kOnceStream;
 }
 
-std::string EventOf(int number, const std::string& id) {
+std::string EventOf(int number, const Run& run) {
   return "id: " + std::to_string(number) + "\ndata: piece " +
-         std::to_string(number) + " of " + id + "\n\n";
+         std::to_string(number) + " of " + run.id + std::string(kRunField) +
+         std::to_string(run.number) + "\n\n";
 }
 
-std::string ExpectedBody(RequestKind kind, const std::string& id) {
-  if (!IsStream(kind)) {
-    return "done " + id;
-  }
-  std::string body;
-  for (int n = 1; n <= kEventsOfStream; ++n) {
-    body += EventOf(n, id);
+int LastEventOf(const std::string& body, int begun_after) {
+  for (size_t at = body.find(kEventEnd); at != std::string::npos;
+       at = body.find(kEventEnd, at + kEventEnd.size())) {
+    ++begun_after;
   }
-  return body;
+  return begun_after;
+}
+
+std::string BodyOf(const std::string& id) {
+  return "done " + id;
+}
+
+Run RunLedger::RecordRun(Run run) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  run.number = static_cast<int64_t>(runs_.size());
+  run_numbers_[run.id].push_back(run.number);
+  runs_.push_back({run, NowMs(), std::nullopt});
+  return run;
 }
 
-void RunLedger::RecordRun(const std::string& id,
-                          const std::string& replica,
-                          bool sound) {
+void RunLedger::RecordRunEnd(int64_t number) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  runs_[id].push_back({replica, sound});
+  runs_[static_cast<size_t>(number)].end_ms = NowMs();
 }
 
-void RunLedger::RecordRequest(const std::string& service) {
+std::vector<const RunLedger::RunRecord*> RunLedger::RunsOf(
+    const std::string& id) const {
+  std::vector<const RunRecord*> runs;
+  if (const auto it = run_numbers_.find(id); it != run_numbers_.end()) {
+    for (const int64_t number : it->second) {
+      runs.push_back(&runs_[static_cast<size_t>(number)]);
+    }
+  }
+  return runs;
+}
+
+void RunLedger::RecordRequest(const std::string& service,
+                              const std::string& id) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  traffic_[service].requests.push_back(NowMs());
+  Traffic& traffic = traffic_[service];
+  traffic.requests.push_back(NowMs());
+  // What arrives from now on belongs to this request.
+  traffic.arrived.erase(id);
+  traffic.read.erase(id);
 }
 
 void RunLedger::RecordArrival(const std::string& id,
@@ -134,6 +164,7 @@
 void RunLedger::RecordResult(const ClientResult& result) {
   const std::lock_guard<std::mutex> lock(mutex_);
   results_.push_back(result);
+  sent_ms_[result.id].push_back(result.sent_ms);
 }
 
 void RunLedger::RecordViolation(const std::string& text) {
@@ -141,35 +172,171 @@
   violations_.push_back(text);
 }
 
+std::string RunLedger::Describe(const std::string& text,
+                                const ClientResult& result) const {
+  std::string line = text + ": request " + result.id + " (" +
+                     std::string(NameOf(result.kind)) + "), status " +
+                     std::to_string(result.status) + ", " +
+                     std::to_string(result.body.size()) + " bytes";
+  if (result.first_id != result.id) {
+    line += ", goes on after event " + std::to_string(result.begun_after) +
+            " of " + result.first_id;
+  }
+  line += ", ran at";
+  for (const RunRecord* it : RunsOf(result.id)) {
+    line += " " + it->run.replica + " (" + it->run.version + ")";
+  }
+  return line;
+}
+
+std::string RunLedger::CheckEvents(const ClientResult& result,
+                                   std::set<std::string>* versions) const {
+  int last = result.begun_after;
+  size_t begin = 0;
+  const Run* current = nullptr;
+  for (size_t end = result.body.find(kEventEnd); end != std::string::npos;
+       end = result.body.find(kEventEnd, begin)) {
+    end += kEventEnd.size();
+    const std::string event = result.body.substr(begin, end - begin);
+    begin = end;
+    const size_t field = event.find(kRunField);
+    const size_t number =
+        field == std::string::npos
+            ? runs_.size()
+            : std::strtoul(event.c_str() + field + kRunField.size(), nullptr,
+                           10);
+    if (number >= runs_.size() || runs_[number].run.id != result.id) {
+      return "MIXED, event of another request";
+    }
+    const Run& run = runs_[number].run;
+    if (event != EventOf(last + 1, run)) {
+      return "ORDER, event " + std::to_string(last + 1) + " is expected";
+    }
+    if (&run != current && run.begun_after != last) {
+      return "ORDER, events of a run that does not go on after the last event";
+    }
+    if (&run != current && current != nullptr &&
+        result.kind != RequestKind::kResumableStream) {
+      return "ORDER, events of two runs";
+    }
+    current = &run;
+    versions->insert(run.version);
+    ++last;
+  }
+  if (result.complete) {
+    return begin == result.body.size() && last == kEventsOfStream
+               ? ""
+               : "ORDER, ends as complete before its last event";
+  }
+  const std::string rest = result.body.substr(begin);
+  const auto continues = [&](const Run& run) {
+    return EventOf(last + 1, run).compare(0, rest.size(), rest) == 0;
+  };
+  bool known = rest.empty() || (current != nullptr && continues(*current));
+  for (const RunRecord* it : RunsOf(result.id)) {
+    known = known || (it->run.begun_after == last && continues(it->run));
+  }
+  return known ? "" : "ORDER, breaks off in an event that no run has written";
+}
+
+void RunLedger::CheckRepeatedRuns() {
+  // Requests that were open while their process was disturbed, and those whose
+  // answers no client has waited for.
+  std::set<std::string> excused;
+  std::set<std::string> answered;
+  for (const ClientResult& it : results_) {
+    answered.insert(it.id);
+    if (it.process_disturbed) {
+      excused.insert(it.id);
+    }
+  }
+  for (const auto& [id, numbers] : run_numbers_) {
+    const std::vector<const RunRecord*> runs = RunsOf(id);
+    if (runs.size() < 2) {
+      continue;
+    }
+    std::string line = ": request " + id + " (" +
+                       std::string(NameOf(runs.front()->run.kind)) +
+                       "), ran at";
+    for (const RunRecord* it : runs) {
+      line += " " + it->run.replica + " from " +
+              std::to_string(it->begin_ms - runs.front()->begin_ms) + " to " +
+              (it->end_ms ? std::to_string(*it->end_ms - runs.front()->begin_ms)
+                          : "the end") +
+              " ms";
+    }
+    if (MayRunOnce(runs.front()->run.kind)) {
+      violations_.push_back("TWICE, ran more than once" + line);
+      continue;
+    }
+    if (!IsStream(runs.front()->run.kind) || answered.count(id) == 0 ||
+        excused.count(id) > 0) {
+      continue;
+    }
+    for (size_t n = 1; n < runs.size(); ++n) {
+      constexpr int64_t kMaxOverlapMs = 400;
+      const RunRecord& before = *runs[n - 1];
+      if (!before.end_ms ||
+          *before.end_ms > runs[n]->begin_ms + kMaxOverlapMs) {
+        violations_.push_back("TWICE, goes on while the run before works" +
+                              line);
+        break;
+      }
+    }
+  }
+}
+
+void RunLedger::CheckTakeUps() {
+  std::map<std::string, std::set<std::string>> versions;  // by first request
+  for (const ClientResult& it : results_) {
+    if (!IsStream(it.kind) || it.status != 200) {
+      continue;
+    }
+    std::set<std::string>& seen = versions[it.first_id];
+    const size_t known = seen.size();
+    CheckEvents(it, &seen);
+    if (known < 2 && seen.size() > 1) {
+      violations_.push_back(
+          Describe("ORDER, events of two software versions", it));
+    }
+  }
+}
+
 void RunLedger::Check(const ClientResult& result) {
-  const std::vector<Run>& runs = runs_[result.id];
+  std::vector<const RunRecord*> runs = RunsOf(result.id);
+  // Without the runs of earlier and later requests with this id.
+  const int64_t next_ms = NextSentMs(result);
+  runs.erase(std::remove_if(runs.begin(), runs.end(),
+                            [&](const RunRecord* it) {
+                              return it->begin_ms < result.sent_ms ||
+                                     it->begin_ms >= next_ms;
+                            }),
+             runs.end());
   const auto report = [&](const std::string& text) {
-    std::string line = text + ": request " + result.id + " (" +
-                       std::string(NameOf(result.kind)) + "), status " +
-                       std::to_string(result.status) + ", " +
-                       std::to_string(result.body.size()) + " bytes, ran at";
-    for (const Run& it : runs) {
-      line += " " + it.replica;
-    }
-    violations_.push_back(line);
+    violations_.push_back(Describe(text, result));
   };
-  if (MayRunOnce(result.kind) && runs.size() > 1) {
-    report("TWICE, ran more than once");
-  }
   if (MayRunOnce(result.kind) && IsPromise(result.status) && !runs.empty()) {
     report("REFUSED, ran although the client was told that it had not");
   }
-  const std::string expected = ExpectedBody(result.kind, result.id);
   if (!result.answered_id.empty() && result.answered_id != result.id) {
     report("MIXED, answer to " + result.answered_id);
   }
-  if (result.status == 200 && result.complete) {
-    if (!result.signed_by_target || result.body != expected) {
-      report("MIXED or ORDER, complete success with another body");
+  if (result.status == 200 && result.complete && !result.signed_by_target) {
+    report("MIXED, complete success without a signature");
+  }
+  if (result.status == 200 && IsStream(result.kind)) {
+    std::set<std::string> versions;
+    const std::string problem = CheckEvents(result, &versions);
+    if (!problem.empty()) {
+      report(problem);
+    }
+  } else if (result.status == 200) {
+    const std::string expected = BodyOf(result.id);
+    if (result.complete
+            ? result.body != expected
+            : expected.compare(0, result.body.size(), result.body) != 0) {
+      report("MIXED, success with another body");
     }
-  } else if (result.status == 200 &&
-             expected.compare(0, result.body.size(), result.body) != 0) {
-    report("ORDER, begins in another way than the answer");
   }
   if (result.status >= 300 && result.status < 500 &&
       !IsPromise(result.status)) {
@@ -179,7 +346,7 @@
     return;
   }
   if (result.status == 0 && result.connection_ended && result.in_time &&
-      runs.size() == 1 && runs.front().sound) {
+      runs.size() == 1 && runs.front()->run.sound) {
     report("LOST, closed without an answer");
   }
   if (result.status == 0 && !result.connection_ended) {
@@ -187,12 +354,28 @@
   }
 }
 
+int64_t RunLedger::NextSentMs(const ClientResult& result) const {
+  int64_t next = std::numeric_limits<int64_t>::max();
+  const auto it = sent_ms_.find(result.id);
+  if (it != sent_ms_.end()) {
+    for (const int64_t sent : it->second) {
+      if (sent > result.sent_ms) {
+        next = std::min(next, sent);
+      }
+    }
+  }
+  return next;
+}
+
 std::vector<std::string> RunLedger::Violations() {
   const std::lock_guard<std::mutex> lock(mutex_);
   for (const ClientResult& it : results_) {
     Check(it);
   }
+  CheckRepeatedRuns();
+  CheckTakeUps();
   results_.clear();
+  run_numbers_.clear();
   if (const RepeatPeak peak = FindRepeatPeak(); peak.beyond_bound > 0) {
     violations_.push_back("BUDGET, " + std::to_string(peak.repeats) +
                           " repeats in 10 s at " + peak.service + ", " +
@@ -205,7 +388,14 @@
 std::string RunLedger::Summary() {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::map<std::string, int> counts;
+  int take_ups = 0;
+  int gone_on = 0;
+  int same_id = 0;
   for (const ClientResult& it : results_) {
+    if (it.first_id != it.id) {
+      ++take_ups;
+      gone_on += it.status == 200 ? 1 : 0;
+    }
     std::string name(NameOf(it.kind));
     name += " " + std::to_string(it.status);
     name += it.complete ? "" : it.status == 0 ? " unanswered" : " broken off";
@@ -215,7 +405,12 @@
   for (const auto& [name, count] : counts) {
     text += ", " + name + " " + std::to_string(count);
   }
-  return text;
+  for (const auto& it : sent_ms_) {
+    same_id += static_cast<int>(it.second.size()) - 1;
+  }
+  return text + "; " + std::to_string(gone_on) + " of " +
+         std::to_string(take_ups) + " streams taken up go on; " +
+         std::to_string(same_id) + " requests with an id sent before";
 }
 
 }  // namespace endiveyard::soak
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,15 +25,37 @@
 inline constexpr int64_t kRetryWindowMs = 10000;
 
 inline constexpr int kEventsOfStream = 12;
-// The whole body of the answer to the request `id`.
-std::string ExpectedBody(RequestKind kind, const std::string& id);
-// Event `number` of the stream for the request `id`.
-std::string EventOf(int number, const std::string& id);
+// The whole body of the answer to the request `id`, unless it is a stream.
+std::string BodyOf(const std::string& id);
 
-// What a client got for a request.
+// A request that a replica has begun to work on.
+struct Run {
+  int64_t number = 0;  // given by the ledger
+  std::string id;      // of the request
+  RequestKind kind = RequestKind::kSafe;
+  std::string replica;
+  std::string version;  // of the software of the replica
+  int begun_after = 0;  // last event of the stream that the caller has
+  bool sound = false;   // answers completely if it is not cut off
+};
+
+// Event `number` of the stream of `run`.
+std::string EventOf(int number, const Run& run);
+// Number of the last event in `body` that is whole; `begun_after` if there is
+// none.
+int LastEventOf(const std::string& body, int begun_after);
+
+// What a client got for a request. A client may send several with one id, one
+// after the other.
 struct ClientResult {
   std::string id;
+  // Request that brought the first event of the stream; `id` unless the request
+  // takes up a stream.
+  std::string first_id;
+  int begun_after = 0;  // last event of the stream that the client has
   RequestKind kind = RequestKind::kSafe;
+  int64_t sent_ms = 0;
+  int64_t answered_ms = 0;
   int status = 0;  // 0 without a head
   bool complete = false;
   bool connection_ended = false;
@@ -48,10 +71,13 @@
 // Thread-safe.
 class RunLedger {
  public:
-  // `sound` means that the replica answers completely if it is not cut off.
-  void RecordRun(const std::string& id, const std::string& replica, bool sound);
-  // A client sends a request for `service`.
-  void RecordRequest(const std::string& service);
+  // Returns the run with its number.
+  Run RecordRun(Run run);
+  // The replica no longer works on the run.
+  void RecordRunEnd(int64_t number);
+  // A client sends a request for `service`, perhaps with an id that it has sent
+  // before.
+  void RecordRequest(const std::string& service, const std::string& id);
   // A call for the request `id` reached a replica of `service`. `read_only`
   // calls only have the prompt read; the first one that is accepted is no
   // repeat.
@@ -72,9 +98,10 @@
   std::string Summary();
 
  private:
-  struct Run {
-    std::string replica;
-    bool sound;
+  struct RunRecord {
+    Run run;
+    int64_t begin_ms = 0;
+    std::optional<int64_t> end_ms;
   };
 
   // Arrivals at a service and the requests for it, in ms.
@@ -91,14 +118,29 @@
   };
 
   void Check(const ClientResult& result);
+  // Returns what is wrong with the events of a stream; empty if nothing is.
+  // Adds the versions of the software that they come from.
+  std::string CheckEvents(const ClientResult& result,
+                          std::set<std::string>* versions) const;
+  // Checks the requests that were run more than once.
+  void CheckRepeatedRuns();
+  // Checks the streams that clients took up.
+  void CheckTakeUps();
+  std::string Describe(const std::string& text,
+                       const ClientResult& result) const;
+  std::vector<const RunRecord*> RunsOf(const std::string& id) const;
+  // When the client has sent the next request with the same id.
+  int64_t NextSentMs(const ClientResult& result) const;
   // Returns the window in which a service came closest to the retry bound, or
   // exceeded it most.
   RepeatPeak FindRepeatPeak() const;
 
   std::mutex mutex_;
-  std::map<std::string, std::vector<Run>> runs_;
+  std::vector<RunRecord> runs_;                              // by number
+  std::map<std::string, std::vector<int64_t>> run_numbers_;  // by request
   std::map<std::string, Traffic> traffic_;
   std::vector<ClientResult> results_;
+  std::map<std::string, std::vector<int64_t>> sent_ms_;  // by request
   std::vector<std::string> violations_;
 };
 
