Soak: never give one process the same port twice

One run stopped with "a process is not ready after 10 s": the settings of front-0 had port 36499 for callers and for /readyz, and it ended with "cannot listen: Address already in use". Each port was drawn and freed before the next was drawn; the control port, drawn once, was not kept free either. Ports of a process now differ from each other.

--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -24,8 +24,8 @@
 
 FrontProcess::FrontProcess(const Options& options)
     : options_(options),
-      port_(FindFreePort(options.ip)),
-      ready_port_(FindFreePort(options.ip)) {
+      port_(FindFreePort(options.ip, {options.control_port})),
+      ready_port_(FindFreePort(options.ip, {options.control_port, port_})) {
   WriteSettings();
 }
 
--- a/tools/soak/http_peer.cc
+++ b/tools/soak/http_peer.cc
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <stdexcept>
@@ -231,9 +232,12 @@
   close(fd_);
 }
 
-uint16_t FindFreePort(const std::string& ip) {
+uint16_t FindFreePort(const std::string& ip,
+                      const std::vector<uint16_t>& taken) {
   uint16_t port = 0;
-  close(BindSocket(ip, &port));
+  do {
+    close(BindSocket(ip, &port));
+  } while (std::find(taken.begin(), taken.end(), port) != taken.end());
   return port;
 }
 
--- a/tools/soak/http_peer.h
+++ b/tools/soak/http_peer.h
@@ -80,8 +80,9 @@
   std::thread thread_;
 };
 
-// Returns a port that is free on `ip`.
-uint16_t FindFreePort(const std::string& ip);
+// Returns a port that is free on `ip` and not among `taken`.
+uint16_t FindFreePort(const std::string& ip,
+                      const std::vector<uint16_t>& taken);
 
 }  // namespace endiveyard::soak
 
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -185,7 +185,7 @@
 
 void Soak::StartFronts() {
   // Processes report to each other at one port.
-  const uint16_t control_port = FindFreePort(Ip(100));
+  const uint16_t control_port = FindFreePort(Ip(100), {});
   constexpr int kMaxSeeds = 3;
   std::vector<std::string> seeds;
   seeds.reserve(kMaxSeeds);
