Soak: processes that lose their links to all replicas

Processes connect from one loopback address, so each has its own view of the registry with its own port of each replica. What a process has sent on a connection that hangs is lost if it closes the connection before the end of the cut. The kernel still acknowledges bytes on these connections, unlike on a cut link, so that keep-alive probes and TCP_USER_TIMEOUT are not exercised.

Check (RECOVER, only with this option): from 4 s after the cut, first tries there are served at least two thirds as often as elsewhere, unless ten or fewer fail.

--- a/tools/soak/http_peer.cc
+++ b/tools/soak/http_peer.cc
@@ -24,16 +24,26 @@
   return address;
 }
 
-// Returns a socket that is bound to `ip` and a free port.
+constexpr int kBacklog = 512;
+
+// Returns a socket that is bound to `ip` and `port`, or to a free port if that
+// is 0.
 int BindSocket(const std::string& ip, uint16_t* port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = AddressOf(ip, 0);
+  const int on = 1;
+  // A port that is drawn is to be free; one that is taken again may have
+  // connections.
+  if (*port != 0) {
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  }
+  sockaddr_in address = AddressOf(ip, *port);
   socklen_t size = sizeof address;
   if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
       getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
     throw std::runtime_error("cannot bind to " + ip);
   }
   *port = ntohs(address.sin_port);
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   return fd;
 }
 
@@ -85,7 +95,20 @@
   return peer;
 }
 
+void HttpPeer::WaitWhileHanging() {
+  constexpr int kIntervalMs = 10;
+  if (hangs_ == nullptr || !*hangs_) {
+    return;
+  }
+  while (*hangs_) {
+    SleepMs(kIntervalMs);
+  }
+  pollfd closed{fd_, POLLRDHUP, 0};
+  ended_ = ended_ || poll(&closed, 1, 0) == 1;
+}
+
 bool HttpPeer::Send(const std::string& bytes) {
+  WaitWhileHanging();
   size_t sent = 0;
   while (fd_ >= 0 && sent < bytes.size()) {
     const ssize_t n =
@@ -104,6 +127,10 @@
   if (ended_ || left <= 0 || poll(&readable, 1, static_cast<int>(left)) != 1) {
     return false;
   }
+  WaitWhileHanging();
+  if (ended_) {
+    return false;
+  }
   char buf[16384];
   const ssize_t n = recv(fd_, buf, sizeof buf, 0);
   if (n <= 0) {
@@ -187,11 +214,24 @@
 
 bool HttpPeer::WaitForEnd(int ms) {
   pollfd closed{fd_, POLLRDHUP, 0};
-  ended_ = ended_ || poll(&closed, 1, ms) == 1;
+  const bool closes = !ended_ && poll(&closed, 1, ms) == 1;
+  WaitWhileHanging();
+  ended_ = ended_ || closes;
   return ended_;
 }
 
+void HttpPeer::Abort() {
+  const std::lock_guard<std::mutex> lock(close_mutex_);
+  if (fd_ >= 0) {
+    // The thread that uses the connection sees its end and closes it.
+    const linger option{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &option, sizeof option);
+    shutdown(fd_, SHUT_RD);
+  }
+}
+
 void HttpPeer::Close() {
+  const std::lock_guard<std::mutex> lock(close_mutex_);
   if (fd_ >= 0) {
     close(fd_);
     fd_ = -1;
@@ -207,27 +247,94 @@
 
 HttpListener::HttpListener(const std::string& ip,
                            std::function<void(HttpPeer&)> serve)
-    : fd_(BindSocket(ip, &port_)) {
-  constexpr int kBacklog = 512;
+    : ip_(ip), serve_(std::move(serve)), fd_(BindSocket(ip, &port_)) {
   if (listen(fd_, kBacklog) != 0) {
     throw std::runtime_error("cannot listen on " + ip);
   }
-  thread_ = std::thread([this, serve = std::move(serve)] {
-    while (!stopped_) {
-      const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
-      if (fd >= 0) {
-        std::thread([serve, fd] {
-          HttpPeer peer(fd);
-          serve(peer);
-        }).detach();
+  thread_ = std::thread([this] { Accept(); });
+}
+
+void HttpListener::Accept() {
+  constexpr int kWaitMs = 100;
+  constexpr int kPauseMs = 10;
+  while (!stopped_) {
+    pollfd readable{-1, POLLIN, 0};
+    if (!connections_->hang) {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      readable.fd = fd_;
+    }
+    if (readable.fd < 0 || poll(&readable, 1, kWaitMs) != 1) {
+      SleepMs(readable.fd < 0 ? kPauseMs : 0);
+      continue;
+    }
+    int fd = -1;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      if (fd_ == readable.fd && !connections_->hang) {
+        fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
       }
     }
-  });
+    if (fd < 0) {
+      SleepMs(kPauseMs);
+      continue;
+    }
+    std::thread([serve = serve_, connections = connections_, fd] {
+      HttpPeer peer(fd, &connections->hang);
+      {
+        const std::lock_guard<std::mutex> lock(connections->mutex);
+        connections->open.insert(&peer);
+      }
+      serve(peer);
+      const std::lock_guard<std::mutex> lock(connections->mutex);
+      connections->open.erase(&peer);
+    }).detach();
+  }
+}
+
+void HttpListener::Hang() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  connections_->hang = true;
+  // Once the queue of the socket is full, further SYNs are dropped.
+  constexpr int kFillers = 2;
+  listen(fd_, 0);
+  const sockaddr_in address = AddressOf(ip_, port_);
+  for (int n = 0; n < kFillers; ++n) {
+    fillers_.push_back(
+        socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    static_cast<void>(connect(fillers_.back(),
+                              reinterpret_cast<const sockaddr*>(&address),
+                              sizeof address));
+  }
+}
+
+void HttpListener::Refuse() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  close(fd_);
+  fd_ = -1;
+}
+
+void HttpListener::ResetConnections() {
+  const std::lock_guard<std::mutex> lock(connections_->mutex);
+  for (HttpPeer* it : connections_->open) {
+    it->Abort();
+  }
+}
+
+void HttpListener::Heal() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  for (const int it : fillers_) {
+    close(it);
+  }
+  fillers_.clear();
+  if (fd_ < 0) {
+    fd_ = BindSocket(ip_, &port_);
+  }
+  listen(fd_, kBacklog);
+  connections_->hang = false;
 }
 
 HttpListener::~HttpListener() {
   stopped_ = true;
-  shutdown(fd_, SHUT_RDWR);
   thread_.join();
   close(fd_);
 }
--- a/tools/soak/http_peer.h
+++ b/tools/soak/http_peer.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -30,7 +32,8 @@
 // A blocking HTTP/1.1 connection on loopback.
 class HttpPeer {
  public:
-  explicit HttpPeer(int fd) : fd_(fd) {}
+  explicit HttpPeer(int fd, const std::atomic<bool>* hangs = nullptr)
+      : fd_(fd), hangs_(hangs) {}
   ~HttpPeer();
   HttpPeer(const HttpPeer&) = delete;
   HttpPeer& operator=(const HttpPeer&) = delete;
@@ -51,13 +54,20 @@
   size_t surplus_bytes() const { return buffer_.size(); }
   void Close();
   void Reset();  // closes with a TCP reset
+  // Ends the connection with a reset. May be called by another thread.
+  void Abort();
 
  private:
+  // Waits while nothing passes on the connection. What the peer has sent is
+  // lost if it closes the connection meanwhile.
+  void WaitWhileHanging();
   bool Fill(int64_t until_ms);
   bool ReadLine(int64_t until_ms, std::string* line);
   bool ReadBytes(int64_t until_ms, size_t size, std::string* bytes);
 
+  std::mutex close_mutex_;  // held while `fd_` is closed
   int fd_;
+  const std::atomic<bool>* const hangs_;
   std::string buffer_;
   bool ended_ = false;
 };
@@ -73,9 +83,33 @@
 
   uint16_t port() const { return port_; }
 
+  // New connections are neither accepted nor refused, and nothing passes on
+  // open ones.
+  void Hang();
+  // New connections are refused.
+  void Refuse();
+  void ResetConnections();
+  // Ends Hang() and Refuse().
+  void Heal();
+
  private:
+  // Outlives the listener, as connections may.
+  struct Connections {
+    std::mutex mutex;
+    std::set<HttpPeer*> open;
+    std::atomic<bool> hang{false};
+  };
+
+  void Accept();
+
+  const std::string ip_;
+  const std::function<void(HttpPeer&)> serve_;
+  const std::shared_ptr<Connections> connections_ =
+      std::make_shared<Connections>();
   uint16_t port_ = 0;  // set while `fd_` is bound
-  const int fd_;
+  std::mutex mutex_;   // held while `fd_` changes
+  int fd_;             // -1 while connections are refused
+  std::vector<int> fillers_;
   std::atomic<bool> stopped_{false};
   std::thread thread_;
 };
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -1,12 +1,17 @@
 #include <sys/resource.h>
 
+#include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <numeric>
 #include <random>
+#include <set>
 #include <thread>
 
 #include <boost/program_options.hpp>
@@ -26,6 +31,7 @@
 // Faults begin once estimates of the service times exist.
 constexpr int64_t kCalmMs = 2000;
 constexpr int kGraceMs = 8000;
+constexpr int64_t kStableMs = 4000;
 
 struct SoakOptions {
   std::string binary;
@@ -49,6 +55,9 @@
   double same_id_rate = 0.5;
   int max_change_ms = 1700;  // between two changes of replicas at most
   bool signals = true;
+  // How processes lose their links to all replicas, one way after the other:
+  // none if it is empty.
+  std::vector<std::string> stranded;
   // Interval at which one process after the other is killed and started again,
   // instead of other signals; 0 for none.
   int kill_every_ms = 0;
@@ -67,7 +76,9 @@
 class Soak {
  public:
   explicit Soak(const SoakOptions& options)
-      : options_(options), network_(NetworkOf(getpid())), registry_(Ip(1)) {}
+      : options_(options),
+        network_(NetworkOf(getpid())),
+        registry_(Ip(1), ViewCount()) {}
 
   // Returns the violations.
   std::vector<std::string> Run();
@@ -84,6 +95,11 @@
     std::seed_seq seed{options_.seed, part};
     return std::mt19937_64(seed);
   }
+  // Each process has its own view of the registry, with its own addresses of
+  // the replicas, if links between processes and replicas can be cut.
+  size_t ViewCount() const {
+    return options_.stranded.empty() ? 1 : static_cast<size_t>(options_.fronts);
+  }
   void StartReplicas();
   void StartFronts();
   void PutConfiguration(int version);
@@ -114,6 +130,12 @@
   // their stages in pairs.
   void Rejoin(size_t number);
   void Replace(size_t number, const std::string& stage);
+  // Cuts the links of half of the processes again and again.
+  void StrandFronts();
+  // Returns what was counted, and records what breaks the bound.
+  std::string CheckFirstTries();
+  // Counts a client's first try while links are cut.
+  void CountFirstTry(const FrontProcess& front, int64_t sent_ms, bool served);
   bool Ended() const { return NowMs() >= end_ms_; }
   void SleepUntilEnd(int64_t ms) const {
     SleepMs(std::max<int64_t>(0, std::min(ms, end_ms_ - NowMs())));
@@ -129,6 +151,16 @@
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::string summary_;
+  struct Tries {
+    int all = 0;
+    int served = 0;
+  };
+  // Since when links are cut; 0 while none are.
+  std::atomic<int64_t> stranded_since_ms_{0};
+  // Guarded by `mutex_`.
+  std::set<const FrontProcess*> stranded_;
+  std::string strand_mode_;
+  std::map<std::string, std::pair<Tries, Tries>> tries_;  // cut off, others
   std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
   double peak_memory_mb_ = 0;  // of any process
@@ -140,6 +172,7 @@
   for (int n = 0; n < plain + prefill + options_.decode_engines; ++n) {
     ReplicaStandin::Options options;
     options.ip = Ip(10 + n);
+    options.views = ViewCount();
     options.service = n < plain ? "orders" : "chat";
     options.stage = n < plain ? "" : n < plain + prefill ? "prefill" : "decode";
     options.seed = RandomFor(static_cast<uint64_t>(n))();
@@ -150,7 +183,7 @@
     replicas_.push_back(
         std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
     registry_.Put("servers", replicas_.back()->id(),
-                  replicas_.back()->Spec("ready"));
+                  replicas_.back()->Specs("ready"));
   }
 }
 
@@ -198,7 +231,9 @@
     options.name = "front-" + std::to_string(n);
     options.ip = Ip(100 + n);
     options.folder = options_.folder;
-    options.registry_address = Ip(1) + ":" + std::to_string(registry_.port());
+    options.registry_address =
+        Ip(1) + ":" +
+        std::to_string(registry_.port(static_cast<size_t>(n) % ViewCount()));
     options.seed_addresses = seeds;
     options.control_port = control_port;
     fronts_.push_back(std::make_unique<FrontProcess>(options));
@@ -341,6 +376,7 @@
     }
     it.sent_ms = sent_ms;
     const ClientResult result = ReadResult(it, front, peer);
+    CountFirstTry(*front, sent_ms, result.status == 200 && result.complete);
     if (requests == 1) {
       Repeat(it, result, front, random);
     }
@@ -357,6 +393,7 @@
       peer = HttpPeer::Connect(front->ip(), front->port());
       if (!peer) {
         constexpr int kRetryMs = 50;
+        CountFirstTry(*front, NowMs(), false);
         SleepMs(kRetryMs);
         continue;
       }
@@ -459,7 +496,7 @@
   ReplicaStandin& replica = *replicas_[number];
   registry_.Delete("servers", replica.id());
   replica.Restart(stage);
-  registry_.Put("servers", replica.id(), replica.Spec("ready"));
+  registry_.Put("servers", replica.id(), replica.Specs("ready"));
 }
 
 void Soak::Rejoin(size_t number) {
@@ -497,7 +534,7 @@
     {
       const std::lock_guard<std::mutex> lock(replacing_);
       if (replica.id() == id) {
-        registry_.Put("servers", id, replica.Spec("draining"));
+        registry_.Put("servers", id, replica.Specs("draining"));
       }
     }
     SleepUntilEnd(drain_ms);
@@ -508,6 +545,89 @@
   }
 }
 
+void Soak::StrandFronts() {
+  constexpr int64_t kPauseMs = 3000;
+  constexpr int64_t kStrandedMs = 9000;
+  std::mt19937_64 random = RandomFor(4000);
+  for (size_t round = 0; !Ended(); ++round) {
+    const std::string mode =
+        options_.stranded[round % options_.stranded.size()];
+    std::vector<size_t> numbers(fronts_.size());
+    std::iota(numbers.begin(), numbers.end(), size_t{0});
+    std::shuffle(numbers.begin(), numbers.end(), random);
+    numbers.resize(std::max<size_t>(1, numbers.size() / 2));
+    const auto for_each_link = [&](const auto& apply) {
+      for (const size_t n : numbers) {
+        for (const auto& it : replicas_) {
+          apply(it->listener(n));
+        }
+      }
+    };
+    for_each_link([&](HttpListener& it) {
+      if (mode == "hang") {
+        it.Hang();
+        return;
+      }
+      it.Refuse();
+      if (mode == "reset") {
+        it.ResetConnections();
+      }
+    });
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      strand_mode_ = mode;
+      for (const size_t n : numbers) {
+        stranded_.insert(fronts_[n].get());
+      }
+      stranded_since_ms_ = NowMs();
+    }
+    SleepUntilEnd(kStrandedMs);
+    stranded_since_ms_ = 0;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      stranded_.clear();
+    }
+    for_each_link([](HttpListener& it) { it.Heal(); });
+    SleepUntilEnd(kPauseMs);
+  }
+}
+
+void Soak::CountFirstTry(const FrontProcess& front,
+                         int64_t sent_ms,
+                         bool served) {
+  const int64_t since = stranded_since_ms_;
+  if (since == 0 || sent_ms < since + kStableMs ||
+      front.WasDisturbed(sent_ms - kStableMs, NowMs())) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  auto& [cut_off, others] = tries_[strand_mode_];
+  Tries& tries = stranded_.count(&front) > 0 ? cut_off : others;
+  ++tries.all;
+  tries.served += served ? 1 : 0;
+}
+
+std::string Soak::CheckFirstTries() {
+  std::string text;
+  for (const auto& [mode, tries] : tries_) {
+    const auto& [cut_off, others] = tries;
+    const std::string line =
+        "links cut (" + mode + "): served " + std::to_string(cut_off.served) +
+        " of " + std::to_string(cut_off.all) + " first tries, elsewhere " +
+        std::to_string(others.served) + " of " + std::to_string(others.all);
+    // Clients wait for answers, so that there are few tries where these are
+    // late: the share of all tries that the rule allows to fail isn't granted.
+    constexpr int kMaxFailed = 10;
+    // Compares the shares without dividing by zero.
+    if (3.0 * cut_off.served * others.all < 2.0 * others.served * cut_off.all &&
+        cut_off.all - cut_off.served > kMaxFailed) {
+      ledger_.RecordViolation("RECOVER, " + line);
+    }
+    text += "; " + line;
+  }
+  return text;
+}
+
 std::vector<std::string> Soak::Run() {
   StartReplicas();
   PutConfiguration(7);
@@ -534,6 +654,9 @@
   if (options_.signals) {
     disturbers.emplace_back([this] { ChangeReplicas(); });
   }
+  if (!options_.stranded.empty()) {
+    disturbers.emplace_back([this] { StrandFronts(); });
+  }
   for (std::thread& it : clients) {
     it.join();
   }
@@ -547,7 +670,8 @@
   }
   summary_ = ledger_.Summary() + "; " + ledger_.RepeatSummary() +
              "; peak memory of a process " +
-             std::to_string(static_cast<int>(peak_memory_mb_)) + " MB";
+             std::to_string(static_cast<int>(peak_memory_mb_)) + " MB" +
+             CheckFirstTries();
   return ledger_.Violations();
 }
 
@@ -598,6 +722,10 @@
       "fault of the replicas; may be repeated; default: all")(
       "pipeline-rate", po::value(&soak.pipeline_rate),
       "share of the turns of a client that send two or three requests at once")(
+      "stranded", po::value(&soak.stranded)->composing(),
+      "half of the processes lose their links to all replicas for 9 s at a "
+      "time; connections hang (hang), are reset (reset), or live on while new "
+      "ones are refused (live_on); may be repeated")(
       "max-attempts", po::value(&soak.max_attempts),
       "replicas that get one request at most")(
       "same-id-rate", po::value(&soak.same_id_rate),
@@ -625,6 +753,11 @@
     }
     po::notify(values);
     soak.faults = endiveyard::soak::FaultsNamed(fault_names);
+    for (const std::string& it : soak.stranded) {
+      if (it != "hang" && it != "reset" && it != "live_on") {
+        throw std::runtime_error("links are not cut in the way " + it);
+      }
+    }
     std::signal(SIGPIPE, SIG_IGN);
     const bool temporary = folder.empty();
     if (temporary) {
--- a/tools/soak/registry_standin.cc
+++ b/tools/soak/registry_standin.cc
@@ -23,35 +23,56 @@
 
 }  // namespace
 
-RegistryStandin::RegistryStandin(const std::string& ip)
-    : listener_(ip, [this](HttpPeer& peer) { Serve(peer); }) {}
+RegistryStandin::RegistryStandin(const std::string& ip, size_t views) {
+  for (size_t n = 0; n < views; ++n) {
+    listeners_.push_back(std::make_unique<HttpListener>(
+        ip, [this, n](HttpPeer& peer) { Serve(peer, n); }));
+  }
+}
 
 void RegistryStandin::Put(const std::string& kind,
                           const std::string& name,
                           const std::string& spec) {
-  Record(kind, name, spec, false);
+  Record(kind, name, {spec}, false);
+}
+
+void RegistryStandin::Put(const std::string& kind,
+                          const std::string& name,
+                          const std::vector<std::string>& specs) {
+  Record(kind, name, specs, false);
 }
 
 void RegistryStandin::Delete(const std::string& kind, const std::string& name) {
-  Record(kind, name, "null", true);
+  Record(kind, name, {"null"}, true);
 }
 
 void RegistryStandin::Record(const std::string& kind,
                              const std::string& name,
-                             const std::string& spec,
+                             const std::vector<std::string>& specs,
                              bool deleted) {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++revision_;
-  changes_.push_back({revision_, kind, name,
-                      R"({"metadata":{"name":")" + name + R"(","revision":)" +
-                          std::to_string(revision_) +
-                          R"(,"created":1,"finalizers":[],"deleting":false},)" +
-                          R"("spec":)" + spec + R"(,"status":null})",
-                      deleted});
+  std::vector<std::string> objects;
+  objects.reserve(specs.size());
+  for (const std::string& it : specs) {
+    std::string object = R"({"metadata":{"name":")" + name +
+                         R"(","revision":)" + std::to_string(revision_) +
+                         R"(,"created":1,"finalizers":[],"deleting":false},)"
+                         R"("spec":)";
+    object += it;
+    object += R"(,"status":null})";
+    objects.push_back(std::move(object));
+  }
+  changes_.push_back({revision_, kind, name, std::move(objects), deleted});
   changed_.notify_all();
 }
 
-std::string RegistryStandin::Read(const std::string& target) {
+const std::string& RegistryStandin::ObjectIn(const Change& change,
+                                             size_t view) {
+  return change.objects[change.objects.size() == 1 ? 0 : view];
+}
+
+std::string RegistryStandin::Read(const std::string& target, size_t view) {
   const std::string prefix = "/objects/";
   const std::string kind =
       target.substr(prefix.size(), target.find('?') - prefix.size());
@@ -67,7 +88,7 @@
       if (it.kind == kind && it.deleted) {
         objects.erase(it.name);
       } else if (it.kind == kind) {
-        objects[it.name] = it.object;
+        objects[it.name] = ObjectIn(it, view);
       }
     }
     for (const auto& it : objects) {
@@ -80,7 +101,7 @@
     for (const Change& it : changes_) {
       if (it.kind == kind && it.revision > watch) {
         append(std::string(R"({"deleted":)") + (it.deleted ? "true" : "false") +
-               R"(,"object":)" + it.object + "}");
+               R"(,"object":)" + ObjectIn(it, view) + "}");
       }
     }
     return !entries.empty();
@@ -92,7 +113,8 @@
 }
 
 std::optional<std::string> RegistryStandin::HandleObject(
-    const HttpMessage& request) {
+    const HttpMessage& request,
+    size_t view) {
   const std::string prefix = "/objects/";
   const std::string path = request.Target().substr(prefix.size());
   const size_t slash = path.find('/');
@@ -110,7 +132,7 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   for (auto it = changes_.rbegin(); it != changes_.rend(); ++it) {
     if (it->kind == kind && it->name == path.substr(slash + 1)) {
-      return Response("200 OK", it->object);
+      return Response("200 OK", ObjectIn(*it, view));
     }
   }
   return Response("404 Not Found", "{}");
@@ -137,24 +159,24 @@
       return Response("409 Conflict", "{}");
     }
   }
-  Record(kind, name, body.substr(spec, body.rfind('}') - spec), false);
+  Record(kind, name, {body.substr(spec, body.rfind('}') - spec)}, false);
   return Response("200 OK", "{}");
 }
 
-void RegistryStandin::Serve(HttpPeer& peer) {
+void RegistryStandin::Serve(HttpPeer& peer, size_t view) {
   constexpr int kIdleMs = 60000;
   while (true) {
     const HttpMessage request = peer.Read(kIdleMs);
     if (!request.complete) {
       return;
     }
-    if (const auto answer = HandleObject(request)) {
+    if (const auto answer = HandleObject(request, view)) {
       if (!peer.Send(*answer)) {
         return;
       }
       continue;
     }
-    if (!peer.Send(Response("200 OK", Read(request.Target())))) {
+    if (!peer.Send(Response("200 OK", Read(request.Target(), view)))) {
       return;
     }
   }
--- a/tools/soak/registry_standin.h
+++ b/tools/soak/registry_standin.h
@@ -3,6 +3,7 @@
 
 #include <condition_variable>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -15,13 +16,18 @@
 // The platform's store: lists, and watches that wait.
 class RegistryStandin {
  public:
-  explicit RegistryStandin(const std::string& ip);
+  // Serves `views` of the objects, each at a port of its own.
+  RegistryStandin(const std::string& ip, size_t views);
 
-  uint16_t port() const { return listener_.port(); }
+  uint16_t port(size_t view) const { return listeners_[view]->port(); }
   // Writes an object. `spec` is JSON.
   void Put(const std::string& kind,
            const std::string& name,
            const std::string& spec);
+  // Writes an object that differs between the views.
+  void Put(const std::string& kind,
+           const std::string& name,
+           const std::vector<std::string>& specs);
   void Delete(const std::string& kind, const std::string& name);
 
  private:
@@ -29,28 +35,30 @@
     int64_t revision;
     std::string kind;
     std::string name;
-    std::string object;
+    std::vector<std::string> objects;  // by view, or one for all
     bool deleted;
   };
 
-  void Serve(HttpPeer& peer);
-  std::string Read(const std::string& target);
+  void Serve(HttpPeer& peer, size_t view);
+  std::string Read(const std::string& target, size_t view);
+  static const std::string& ObjectIn(const Change& change, size_t view);
   // Reads or writes one object. Returns the response, or nullopt for a request
   // that lists or watches.
-  std::optional<std::string> HandleObject(const HttpMessage& request);
+  std::optional<std::string> HandleObject(const HttpMessage& request,
+                                          size_t view);
   std::string WriteObject(const std::string& kind,
                           const std::string& name,
                           const std::string& body);
   void Record(const std::string& kind,
               const std::string& name,
-              const std::string& spec,
+              const std::vector<std::string>& specs,
               bool deleted);
 
   std::mutex mutex_;
   std::condition_variable changed_;
   std::vector<Change> changes_;
   int64_t revision_ = 100;
-  HttpListener listener_;
+  std::vector<std::unique_ptr<HttpListener>> listeners_;
 };
 
 }  // namespace endiveyard::soak
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -135,8 +135,12 @@
       ledger_(ledger),
       handles_(handles),
       stage_(options.stage),
-      random_(options.seed),
-      listener_(options.ip, [this](HttpPeer& peer) { Serve(peer); }) {}
+      random_(options.seed) {
+  for (size_t n = 0; n < options.views; ++n) {
+    listeners_.push_back(std::make_unique<HttpListener>(
+        options.ip, [this](HttpPeer& peer) { Serve(peer); }));
+  }
+}
 
 void ReplicaStandin::Restart(const std::string& stage) {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -161,21 +165,26 @@
   return "v" + std::to_string(1 + number % kVersions);
 }
 
-std::string ReplicaStandin::Spec(const std::string& state) const {
+std::vector<std::string> ReplicaStandin::Specs(const std::string& state) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const bool is_engine = !stage_.empty();
-  return R"({"service":")" + options_.service + R"(","address":")" +
-         options_.ip + ":" + std::to_string(listener_.port()) +
-         R"(","zone":"zone-a","version":")" +
-         VersionOf(options_.ip, incarnation_) + R"(","slots":)" +
-         (is_engine ? "64" : "6") + R"(,"state":")" + state +
-         R"(","cold_remaining_ms":0)" +
-         (is_engine
-              ? R"(,"stage":")" + stage_ +
-                    R"(","models":[{"name":"m","version":1,"adapters":[]}])"
-              : "") +
-         R"(,"sequence":1,"born":)" +
-         std::to_string(1790000000000 + incarnation_) + "}";
+  std::vector<std::string> specs;
+  for (const auto& it : listeners_) {
+    specs.push_back(
+        R"({"service":")" + options_.service + R"(","address":")" +
+        options_.ip + ":" + std::to_string(it->port()) +
+        R"(","zone":"zone-a","version":")" +
+        VersionOf(options_.ip, incarnation_) + R"(","slots":)" +
+        (is_engine ? "64" : "6") + R"(,"state":")" + state +
+        R"(","cold_remaining_ms":0)" +
+        (is_engine
+             ? R"(,"stage":")" + stage_ +
+                   R"(","models":[{"name":"m","version":1,"adapters":[]}])"
+             : "") +
+        R"(,"sequence":1,"born":)" +
+        std::to_string(1790000000000 + incarnation_) + "}");
+  }
+  return specs;
 }
 
 int ReplicaStandin::DrawNumber(int max) {
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -79,6 +79,7 @@
  public:
   struct Options {
     std::string ip;
+    size_t views = 1;  // of the registry
     std::string service;
     std::string stage;  // empty for a plain service
     uint64_t seed = 0;
@@ -98,8 +99,11 @@
   void Restart(const std::string& stage);
   std::string id() const;
   std::string stage() const;  // empty for a plain service
-  // Its entry in the registry.
-  std::string Spec(const std::string& state) const;
+  // Its entry in the registry, by view.
+  std::vector<std::string> Specs(const std::string& state) const;
+  // The address at which the processes with this view of the registry reach the
+  // replica.
+  HttpListener& listener(size_t view) { return *listeners_[view]; }
   void set_faulty(bool faulty) { faulty_ = faulty; }
 
  private:
@@ -142,7 +146,7 @@
   std::mt19937_64 random_;
   int incarnation_ = 1;
   std::atomic<bool> faulty_{false};
-  HttpListener listener_;
+  std::vector<std::unique_ptr<HttpListener>> listeners_;
 };
 
 }  // namespace endiveyard::soak
