--- a/tools/soak/front_process.h
+++ b/tools/soak/front_process.h
@@ -43,6 +43,7 @@
   // class.
   std::optional<std::string> EndByItself();
 
+  const std::string& name() const { return options_.name; }
   const std::string& ip() const { return options_.ip; }
   uint16_t port() const { return port_; }
   // True if the process was killed, frozen or down for a moment from `begin_ms`
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -257,6 +257,7 @@
   result.first_id = request.first_id;
   result.begun_after = request.begun_after;
   result.kind = KindOf(request.target);
+  result.process = front->name();
   result.sent_ms = request.sent_ms;
   result.status = answer.headers.empty() ? 0 : answer.Status();
   result.complete = answer.complete;
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -1,6 +1,7 @@
 #include "soak/run_ledger.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdlib>
 #include <limits>
 #include <string_view>
@@ -189,6 +190,32 @@
   return line;
 }
 
+std::string RunLedger::DescribeTries(const std::string& first_id) const {
+  const int64_t unix_offset_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count() -
+      NowMs();
+  std::string text;
+  for (const ClientResult& it : results_) {
+    if (it.first_id != first_id) {
+      continue;
+    }
+    text += "\n    " + it.id + " at " + it.process + " from " +
+            std::to_string(it.sent_ms + unix_offset_ms) + " to " +
+            std::to_string(it.answered_ms + unix_offset_ms) + ", status " +
+            std::to_string(it.status) + ", events " +
+            std::to_string(it.begun_after) + " to " +
+            std::to_string(LastEventOf(it.body, it.begun_after)) +
+            (it.process_disturbed ? ", process disturbed" : "");
+    for (const RunRecord* run : RunsOf(it.id)) {
+      text += ", run at " + run->run.replica + " (" + run->run.version +
+              ") from " + std::to_string(run->begin_ms + unix_offset_ms);
+    }
+  }
+  return text;
+}
+
 std::string RunLedger::CheckEvents(const ClientResult& result,
                                    std::set<std::string>* versions) const {
   int last = result.begun_after;
@@ -297,7 +324,8 @@
     CheckEvents(it, &seen);
     if (known < 2 && seen.size() > 1) {
       violations_.push_back(
-          Describe("ORDER, events of two software versions", it));
+          Describe("ORDER, events of two software versions", it) +
+          DescribeTries(it.first_id));
     }
   }
 }
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -54,6 +54,7 @@
   std::string first_id;
   int begun_after = 0;  // last event of the stream that the client has
   RequestKind kind = RequestKind::kSafe;
+  std::string process;  // that the client asked
   int64_t sent_ms = 0;
   int64_t answered_ms = 0;
   int status = 0;  // 0 without a head
@@ -128,6 +129,8 @@
   void CheckTakeUps();
   std::string Describe(const std::string& text,
                        const ClientResult& result) const;
+  // Lists the tries of a client for one stream, with times as in the logs.
+  std::string DescribeTries(const std::string& first_id) const;
   std::vector<const RunRecord*> RunsOf(const std::string& id) const;
   // When the client has sent the next request with the same id.
   int64_t NextSentMs(const ClientResult& result) const;
