--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -123,6 +123,9 @@
               ClientResult result,
               FrontProcess* front,
               std::mt19937_64* random);
+  // Lets the last requests, and runs of requests that were refused, end. To be
+  // called by threads that have started processes, which end with them.
+  void Settle() const { SleepMs(int64_t{2} * options_.timeout_ms); }
   void DisturbFront(size_t number);
   void KillInTurn();
   void ChangeReplicas();
@@ -472,10 +475,7 @@
         break;
     }
   }
-  // The process ends with the thread that started it. The last requests, and
-  // runs of requests that were refused, end before.
-  const int settle_ms = 2 * options_.timeout_ms;
-  SleepMs(settle_ms);
+  Settle();
   sample_memory();
   if (const auto end = front.EndByItself()) {
     ledger_.RecordViolation("LOST, process " + std::to_string(number) +
@@ -491,6 +491,7 @@
     front.WaitForEnd(kGraceMs);
     front.Start();
   }
+  Settle();
 }
 
 void Soak::Replace(size_t number, const std::string& stage) {
