Forward requests from the address that the reports name

On a host with several addresses, the kernel chose the one from which requests are forwarded.

Connections to other instances are bound to the own address. RequestsAreForwardedFromTheOwnAddress is new.

--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -39,6 +39,9 @@
   // Port at which all instances take requests that others forward; 0 if they
   // do not.
   uint16_t peer_port = 0;
+  // Address from which this instance forwards requests, by which the others
+  // know it; empty to let the kernel choose.
+  std::string peer_ip;
   // Limit on open caller connections; further ones wait in the kernel's accept
   // queue. Two thirds of the file descriptors, which leaves the rest for
   // connections to targets.
--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -79,6 +79,8 @@
   // retransmission 3 s after a request was written.
   Duration peer_timeout = std::chrono::milliseconds(4000);
   size_t max_idle_connections = 400;
+  // Address to connect from; empty to let the kernel choose.
+  std::string local_ip;
   // Bounds the request ids that are kept for each connection.
   size_t max_requests_per_connection = 1000;
 };
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -71,6 +71,7 @@
   options.max_view_delay = settings.max_staleness;
   options.may_replace_process = true;
   options.peer_port = settings.peer_port;
+  options.peer_ip = settings.own_ip;
   const size_t descriptors =
       settings.max_descriptors > kReservedDescriptors
           ? settings.max_descriptors - kReservedDescriptors
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -37,13 +37,20 @@
         placer(options.location),
         retry_budget(options.retry_bound),
         target_client(io, protocol, options.target_client),
-        peer_client(io, protocol, options.target_client) {
+        peer_client(io, protocol, MakePeerClientOptions(options)) {
     placer.availability().set_seed(Digest64(options.ip, options.port));
     if (options.may_replace_process) {
       retry_budget.RecordStart(BootClock::now());
     }
   }
 
+  static TargetClientOptions MakePeerClientOptions(
+      const RelayOptions& options) {
+    TargetClientOptions peer_options = options.target_client;
+    peer_options.local_ip = options.peer_ip;
+    return peer_options;
+  }
+
   boost::asio::io_context& io;
   const RelayOptions options;
   const WireProtocol& protocol;
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -203,6 +203,12 @@
     if (!ec) {
       connection_->socket.open(address.is_v6() ? tcp::v6() : tcp::v4(), ec);
     }
+    if (!ec && !options_.local_ip.empty()) {
+      constexpr uint16_t kAnyPort = 0;
+      connection_->socket.bind(
+          tcp::endpoint(asio::ip::make_address(options_.local_ip), kAnyPort),
+          ec);
+    }
     if (ec) {
       asio::post(io_, [self = shared_from_this(), ec] {
         self->End(TransportStatus::kNotSent, ec.message());
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -346,6 +346,21 @@
   BOOST_TEST(!has_evidence);
 }
 
+// Guards against receivers that do not know the sender, since it connects from
+// another of its addresses than the one that its reports come from (RECOVER).
+BOOST_AUTO_TEST_CASE(RequestsAreForwardedFromTheOwnAddress) {
+  boost::asio::io_context io;
+  TestTarget peer(io);
+  RelayFixtureOptions options = WithPeerPort(peer.port());
+  options.peer_ip = "127.0.0.3";
+  RelayFixture relay(options);
+  relay.LoseLinks();
+  relay.LearnOfPeer();
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  BOOST_TEST(peer.Accept().RemoteIp() == "127.0.0.3");
+}
+
 // Guards against a receiver that resumes a stream by itself, so that its sender
 // cannot count the runs (BUDGET).
 BOOST_FIXTURE_TEST_CASE(ReceiversDoNotResumeStreams, RelayFixture) {
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -282,6 +282,7 @@
   options.startup_wait = fixture_options.startup_wait;
   options.news_wait = fixture_options.news_wait;
   options.peer_port = fixture_options.peer_port;
+  options.peer_ip = fixture_options.peer_ip;
   options.target_client.peer_timeout = fixture_options.peer_timeout;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -47,6 +47,10 @@
   // in this direction, until ReceiveAgain(). Nothing is acknowledged.
   void DiscardIncoming();
   void ReceiveAgain();
+  // Returns the IP address of the other side.
+  std::string RemoteIp() {
+    return socket_.remote_endpoint().address().to_string();
+  }
   int native_handle() { return socket_.native_handle(); }
 
  private:
@@ -97,6 +101,7 @@
   // Requests are forwarded to other instances at this port of the loopback
   // address.
   uint16_t peer_port = 0;
+  std::string peer_ip;
 };
 
 inline RelayFixtureOptions WithPeerPort(uint16_t port) {
