--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -45,6 +45,7 @@
   // in this direction, until ReceiveAgain(). Nothing is acknowledged.
   void DiscardIncoming();
   void ReceiveAgain();
+  int fd() { return socket_.native_handle(); }
 
  private:
   boost::asio::ip::tcp::socket socket_;
@@ -60,6 +61,7 @@
   // Returns true if a connection arrives within `ms`, or waits already.
   bool HasConnectionWithin(int ms);
   uint16_t port() const;
+  int fd() { return acceptor_.native_handle(); }
 
  private:
   boost::asio::io_context& io_;
