Soak: prompts that share no part

Which version begins a stream follows from the shared parts of its prompt or, without any, from the id of its first attempt. All prompts of the soak shared one of four parts, so that take-ups by the id in Resumes were not exercised. Half of them share none now.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -360,12 +360,15 @@
     request.first_id = request.id;
     request.target = paths[draw(4)] + request.id;
     if (IsStream(KindOf(request.target))) {
-      // Few different first parts, so that requests share caches.
+      // Half of the prompts have one of few first parts, so that requests share
+      // caches. Of streams with the same one, the same version begins all.
+      const std::string shared =
+          draw(1) == 0 ? "a" + std::to_string(draw(3)) + ":2000," : "";
       request.prompt =
           "Endiveyard-Model: m\r\nEndiveyard-Token-Count: 8000,40\r\n"
-          "Endiveyard-Prompt-Prefix: a" +
-          std::to_string(draw(3)) + ":2000,b" + std::to_string(number) +
-          std::to_string(count) + ":6000\r\n";
+          "Endiveyard-Prompt-Prefix: " +
+          shared + "b" + std::to_string(number) + std::to_string(count) +
+          (shared.empty() ? ":8000\r\n" : ":6000\r\n");
     }
     request.body = std::string(static_cast<size_t>(draw(2000)), 'q');
     bytes += BytesOf(request);
