Soak: state the time that is left over all tries

Each try of a client stated the whole time anew, where callers on the platform state what they will still wait: the age of a stream follows from that.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -71,6 +71,9 @@
   std::string prompt;  // header lines
   std::string body;
   int64_t sent_ms = 0;
+  // When the first try was sent, from which the deadline of all tries counts;
+  // 0 before.
+  int64_t first_sent_ms = 0;
 };
 
 class Soak {
@@ -112,6 +115,8 @@
   static std::string ServiceOf(const std::string& target) {
     return IsStream(KindOf(target)) ? "chat" : "orders";
   }
+  // Returns the time until the client gives up its request, over all tries.
+  int64_t TimeLeftMs(const ClientRequest& request) const;
   std::string BytesOf(const ClientRequest& request) const;
   // Reads and records the answer.
   ClientResult ReadResult(const ClientRequest& request,
@@ -280,6 +285,13 @@
   return result;
 }
 
+int64_t Soak::TimeLeftMs(const ClientRequest& request) const {
+  constexpr int kTimeoutsOfAllTries = 3;
+  const int64_t waited =
+      request.first_sent_ms == 0 ? 0 : NowMs() - request.first_sent_ms;
+  return kTimeoutsOfAllTries * options_.timeout_ms - waited;
+}
+
 std::string Soak::BytesOf(const ClientRequest& request) const {
   const std::string take_up =
       request.first_id == request.id
@@ -288,7 +300,7 @@
                 "\r\nResumes: " + request.first_id + "\r\n";
   return "POST " + request.target + " HTTP/1.1\r\nHost: " + kHost +
          "\r\nEndiveyard-Request-Id: " + request.id +
-         "\r\nEndiveyard-Deadline-Ms: " + std::to_string(options_.timeout_ms) +
+         "\r\nEndiveyard-Deadline-Ms: " + std::to_string(TimeLeftMs(request)) +
          "\r\n" + request.prompt + take_up +
          "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" +
          request.body;
@@ -328,8 +340,9 @@
     if (random->operator()() % 2 == 0) {
       front = fronts_[random->operator()() % fronts_.size()].get();
     }
+    constexpr int kMinTimeLeftMs = 100;
     const auto peer = HttpPeer::Connect(front->ip(), front->port());
-    if (!peer) {
+    if (!peer || TimeLeftMs(request) < kMinTimeLeftMs) {
       return;
     }
     ledger_.RecordRequest(ServiceOf(request.target), request.id);
@@ -381,7 +394,7 @@
     if (peer->HasEnded() && it.id != sent.front().id) {
       return;  // not answered, as the answer before closed the connection
     }
-    it.sent_ms = sent_ms;
+    it.sent_ms = it.first_sent_ms = sent_ms;
     const ClientResult result = ReadResult(it, front, peer);
     CountFirstTry(*front, sent_ms, result.status == 200 && result.complete);
     if (requests == 1) {
