Reject response heads that are made up of two

A copy of an earlier response that is cut off in its head, and the response after it, were read as one head: the status line and first headers of the copy, the request id of the response, since both are one field line apart.

Evidence: CopiesCutOffBeforeAResponseAreNotItsHead puts every beginning of three copies in front of a response. A cut at the end of a line was rejected before: a status line is no header.

Cause: any bytes may stand where a response is due, so its id says that the end of the head is the target's, not that its beginning is.

Fix: a status line within the reason phrase or a header value shows that a head began there, and the call ends with an unknown outcome. A cut in a name or in the version of a status line cannot be parsed. A header that quotes a status line, such as "Via: HTTP/1.1 200 x", is rejected too; Via with a plain protocol and name is not.

--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -67,6 +67,34 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+// Returns true if a status line begins within `text`.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kProtocol = "HTTP/1.";
+  constexpr size_t kRestBytes = 5;  // minor version, space, status
+  for (size_t n = text.find(kProtocol); n != std::string_view::npos;
+       n = text.find(kProtocol, n + 1)) {
+    const std::string_view rest = text.substr(n + kProtocol.size(), kRestBytes);
+    if (rest.size() == kRestBytes && IsDigit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.end(), IsDigit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Returns true if the head was parsed from two: bytes that belong to no request
+// and that break off within a line, and the response that follows them.
+bool IsMergedHead(const TargetResponseHead& head) {
+  return ContainsStatusLine(head.reason) ||
+         std::any_of(
+             head.headers.begin(), head.headers.end(),
+             [](const auto& it) { return ContainsStatusLine(it.second); });
+}
+
 }  // namespace
 
 class TargetClient::Impl : public std::enable_shared_from_this<Impl> {
@@ -318,6 +346,18 @@
 
   bool HandleHead() {
     const auto& message = parser_->get();
+    response_head_.status = static_cast<int>(message.result_int());
+    response_head_.reason = std::string(message.reason());
+    response_head_.headers.clear();
+    for (const auto& it : message) {
+      response_head_.headers.emplace_back(std::string(it.name_string()),
+                                          std::string(it.value()));
+    }
+    if (IsMergedHead(response_head_)) {
+      End(TransportStatus::kInvalidResponse,
+          "status line within a line of the head");
+      return true;
+    }
     if (message.result_int() >= 100 && message.result_int() < 200) {
       if (++interim_responses_ > kMaxInterimResponses) {
         End(TransportStatus::kInvalidResponse, "too many interim responses");
@@ -326,13 +366,6 @@
       parser_.reset();
       return ParseHead();
     }
-    response_head_.status = static_cast<int>(message.result_int());
-    response_head_.reason = std::string(message.reason());
-    response_head_.headers.clear();
-    for (const auto& it : message) {
-      response_head_.headers.emplace_back(std::string(it.name_string()),
-                                          std::string(it.value()));
-    }
     response_head_.ends_with_connection = parser_->need_eof();
     skipping_response_ = false;
     if (!request_.request_id.empty()) {
--- a/tests/platform/faulty_target_test.cc
+++ b/tests/platform/faulty_target_test.cc
@@ -255,4 +255,49 @@
   BOOST_TEST(Contains(retried, "\r\n\r\nok"));
 }
 
+// Guards against a head that is made up of two: the beginning of an earlier
+// response, sent once more and cut off, and the response itself. A request that
+// has run counted as refused by the status and headers of the former, and a
+// failure as a success.
+BOOST_FIXTURE_TEST_CASE(CopiesCutOffBeforeAResponseAreNotItsHead,
+                        RelayFixture) {
+  UseOneTarget();
+  const std::string unrun = "Endiveyard-Not-Executed: 1\r\nRetry-After: 1\r\n";
+  const std::string id = "Endiveyard-Request-Id: r1\r\n";
+  const std::string end = "Content-Length: 0\r\n\r\n";
+  const struct {
+    std::string copy;
+    std::string response;
+    const char* wrong_status;
+  } cases[] = {
+      {"HTTP/1.1 503 Service Unavailable\r\n" + unrun + id + end,
+       SignedResponse("r2", "ok"), "HTTP/1.1 503 "},
+      {"HTTP/1.1 421 Misdirected Request\r\n" + id + unrun + end,
+       SignedResponse("r2", "ok"), "HTTP/1.1 503 "},
+      {"HTTP/1.1 200 OK\r\nEndiveyard-Response-Signature: s\r\n" + id + end,
+       SignedResponse("r2", "no", "500 Internal Server Error"),
+       "HTTP/1.1 200 "},
+  };
+  for (const auto& it : cases) {
+    for (size_t n = 1; n < it.copy.size(); ++n) {
+      TestConnection caller = Connect();
+      caller.Send(
+          RequestHead("POST", "/unsafe/x", "r1", "Content-Length: 0\r\n"));
+      TestConnection target = first().Accept();
+      target.ReadMessage();
+      target.Send(SignedResponse("r1", "first"));
+      caller.ReadMessage();
+      caller.Send(
+          RequestHead("POST", "/unsafe/x", "r2", "Content-Length: 0\r\n"));
+      target.ReadMessage();
+      target.Send(it.copy.substr(0, n) + it.response);
+      const std::string response = caller.ReadMessage();
+      BOOST_TEST(!Contains(response, it.wrong_status),
+                 "after: " << it.copy.substr(0, n));
+      RestartTargets();
+      UseOneTarget();
+    }
+  }
+}
+
 }  // namespace endiveyard
