Forget the version of attempts that sent no event

The version of a run is recorded before its first event, so that others are told in time, and own memory comes first. It is dropped now when the exchange ends without an event for the caller. Others that were told of both attempts refuse the stream, as before. With one id an attempt, as sound callers send them, nothing changes.

RefusedAttemptsDoNotDecideTheVersion fails without it.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -139,6 +139,9 @@
                    const StreamId& stream,
                    const std::string& version,
                    TimePoint now);
+  // Records that the attempt has ended without any event, so that the stream, if
+  // another attempt with the same id has begun it, may be of another version.
+  void RecordNotBegun(const StreamId& stream);
 
   // Records what another instance tells of its streams.
   void ApplyReport(const StreamReport& report, TimePoint now);
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -363,6 +363,10 @@
   }
 }
 
+void StreamVersions::RecordNotBegun(const StreamId& stream) {
+  begun_.erase(stream.attempt);
+}
+
 void StreamVersions::ApplyReport(const StreamReport& report, TimePoint now) {
   RemoveOld(now);
   if (told_.size() >= kMaxToldStreams) {
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -323,6 +323,8 @@
   // Software version of the replica that sent the first event of the stream.
   // What another version writes does not continue it.
   std::optional<std::string> stream_version_;
+  // The version of a run was recorded, and no event was sent to the caller.
+  bool version_record_unused_ = false;
   // Calls that were written to a target, except successful prefill calls. Any
   // run after the first of them has to be covered by the retry budget.
   int delivered_calls_ = 0;
--- a/src/relay/relay_exchange_end.cc
+++ b/src/relay/relay_exchange_end.cc
@@ -257,6 +257,10 @@
                              ? std::chrono::duration_cast<Duration>(
                                    *first_output_at_ - request_.received)
                              : Duration(-1);
+  if (version_record_unused_) {
+    context_->stream_versions.RecordNotBegun(
+        StreamIdOf(request_metadata_.request_id));
+  }
   const std::string route_name = route_ == nullptr ? "" : route_->name;
   context_->metrics.ObserveRequest(service_, route_name, std::string(outcome),
                                    Duration(-1), first, total);
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -228,6 +228,7 @@
 
 void RelayExchange::RecordForwardedVersion() {
   stream_version_ = forwarding_->response->version;
+  version_record_unused_ = false;
   if (route_->resumable) {
     // Replaces what this instance remembers of an own run that did not begin.
     context_->stream_versions.RecordBegun(
@@ -277,6 +278,7 @@
   ended.head = std::move(forwarding_->head);
   ended.body = std::move(forwarding_->body);
   const std::optional<ForwardedResponse> response = forwarding_->response;
+  ended.replica.id = response ? response->replica_id : "";
   excluded_peers_.insert(forwarding_->peer);
   if (ended.outcome == CallOutcome::kNotSent) {
     context_->forwarding_peers.RecordNotTaken(forwarding_->peer);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -28,6 +28,7 @@
   }
   if (route_->kind == RouteKind::kStreaming && route_->resumable) {
     // Before the first event, so that other instances are told in time.
+    version_record_unused_ = !ResponseBegun();
     context_->stream_versions.RecordBegun(
         service_, StreamIdOf(request_metadata_.request_id),
         placement.target.version, BootClock::now());
@@ -237,6 +238,7 @@
   if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
     first_output_at_ = BootClock::now();
     stream_version_ = active_call_->replica.version;
+    version_record_unused_ = false;
     // This run has used the KV cache.
     kv_handle_.reset();
     response_ = std::move(*unsent).Begin(
@@ -497,7 +499,12 @@
   }
   std::get<UnsentResponse>(std::exchange(response_, EndedResponse()))
       .Respond(caller_head, body);
-  End(head.status >= 500 ? "target_failed" : "answered", head.status);
+  if (head.status < 500) {
+    End("answered", head.status);
+  } else {
+    End(ended.replica.id.empty() ? "peer_failed" : "target_failed",
+        head.status);
+  }
 }
 
 }  // namespace endiveyard
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -737,6 +737,42 @@
   BOOST_TEST(begun_at_second < 12);
 }
 
+// Guards against a stream that goes on at the version of an earlier attempt
+// with the same id, which was refused: another instance may have begun it
+// since.
+BOOST_FIXTURE_TEST_CASE(RefusedAttemptsDoNotDecideTheVersion, RelayFixture) {
+  SetVersion("t1", "v1");
+  SetVersion("t2", "v2");
+  NotifyRoutingStateChanged();
+  // An id whose stream begins at v1, and is in doubt once all replicas are v2.
+  std::string id;
+  RunOnRelayThread([&](RoutingState&) {
+    const StreamVersions& versions = *relay().stream_versions();
+    for (int n = 0; id.empty(); ++n) {
+      const std::string candidate = "r" + std::to_string(n);
+      if (versions.Choose("svc", MakeStreamId("svc", candidate, {})) == "v1") {
+        id = candidate;
+      }
+    }
+  });
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/stream/x", id));
+  TestConnection run = first().Accept();
+  run.ReadUntil("\r\n\r\n");
+  run.Send("HTTP/1.1 503 Full\r\nEndiveyard-Request-Id: " + id +
+           "\r\nEndiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+  SetVersion("t1", "v2");
+  NotifyRoutingStateChanged();
+  std::optional<std::string> found;
+  RunOnRelayThread([&](RoutingState&) {
+    found = relay().stream_versions()->Find("svc", MakeStreamId("svc", id, {}),
+                                            std::chrono::seconds(60),
+                                            BootClock::now());
+  });
+  BOOST_TEST(!found.has_value());
+}
+
 // Guards against streams that are joined from two software versions when the
 // process that took up knows nothing of their beginning: they are refused as
 // not run, also if the caller names no attempt, or several.
