Refuse take-ups in doubt without reading the registry

Cause: the read was made for every take-up that nobody remembers. A read only adds periods, and so possible versions: what is in doubt before it is in doubt after it. Only a version that the view yields has to be confirmed.

Ruled out: more refusals.

StreamsAreNotTakenUpAtAnOldView asks for the leaving caller before the replicas change, since a take-up in doubt no longer waits.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -166,7 +166,8 @@
 
 void RelayExchange::TakeUpStream() {
   const auto& refresh = context_->routing_state.refresh_replicas;
-  if (!refresh || FindRememberedVersion()) {
+  // What is in doubt stays so: further changes only add possible versions.
+  if (!refresh || FindRememberedVersion() || !FindStreamVersion()) {
     OnReplicasRefreshed(true);
     return;
   }
@@ -183,14 +184,29 @@
 }
 
 void RelayExchange::OnReplicasRefreshed(bool is_current) {
-  if (!FindStreamVersion(is_current)) {
-    EndInFailure("version_unknown", RetryAfterWithJitter(kNotReadyRetryAfter));
+  stream_version_ = is_current ? FindStreamVersion() : FindRememberedVersion();
+  if (!stream_version_) {
+    RefuseTakeUp(is_current);
     return;
   }
   ArmWatchdog();
   Place();
 }
 
+void RelayExchange::RefuseTakeUp(bool is_view_current) {
+  JsonFields fields;
+  fields.Text("request", request_metadata_.request_id)
+      .Text("route", route_->name)
+      .Text("reason", "version_unknown")
+      .Text("resumes", request_metadata_.resumed_request_id)
+      .Integer("after_event", *request_metadata_.last_event_id)
+      .Flag("view_current", is_view_current)
+      .Millis("stream_age_ms", LongestStreamAge())
+      .Millis("left_ms", TimeLeft());
+  context_->log.Log(kLogPlacementRefused, fields, BootClock::now());
+  EndInFailure("version_unknown", RetryAfterWithJitter(kNotReadyRetryAfter));
+}
+
 void RelayExchange::OnCallerDisconnect() {
   if (phase_ == Phase::kEnded) {
     return;
@@ -244,33 +260,14 @@
       BootClock::now());
 }
 
-bool RelayExchange::FindStreamVersion(bool is_view_current) {
+std::optional<std::string> RelayExchange::FindStreamVersion() const {
   const TimePoint now = BootClock::now();
   const Duration age = LongestStreamAge();
   const std::string& first_attempt = request_metadata_.resumed_request_id;
   const StreamVersions& versions = context_->stream_versions;
-  if (!is_view_current) {
-    stream_version_ = FindRememberedVersion();
-  } else if (route_->resumable && !first_attempt.empty()) {
-    stream_version_ =
-        versions.Find(service_, StreamIdOf(first_attempt), age, now);
-  } else {
-    stream_version_ = versions.FindOnly(service_, age, now);
-  }
-  if (stream_version_) {
-    return true;
-  }
-  JsonFields fields;
-  fields.Text("request", request_metadata_.request_id)
-      .Text("route", route_->name)
-      .Text("reason", "version_unknown")
-      .Text("resumes", first_attempt)
-      .Integer("after_event", *request_metadata_.last_event_id)
-      .Flag("view_current", is_view_current)
-      .Millis("stream_age_ms", age)
-      .Millis("left_ms", TimeLeft());
-  context_->log.Log(kLogPlacementRefused, fields, now);
-  return false;
+  return route_->resumable && !first_attempt.empty()
+             ? versions.Find(service_, StreamIdOf(first_attempt), age, now)
+             : versions.FindOnly(service_, age, now);
 }
 
 std::optional<std::string> RelayExchange::RequiredVersion() const {
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -97,9 +97,9 @@
   StreamId StreamIdOf(std::string_view attempt) const;
   // Returns true if the caller has the beginning of the stream.
   bool ContinuesStream() const { return TakesUpStream() || ResponseBegun(); }
-  // Finds the software version that has begun the stream that the caller takes
-  // up. Returns false if that is in doubt.
-  bool FindStreamVersion(bool is_view_current);
+  // Returns the software version that has begun the stream that the caller
+  // takes up, as far as the present view tells; nullopt if that is in doubt.
+  std::optional<std::string> FindStreamVersion() const;
   // Returns the version if some instance remembers it.
   std::optional<std::string> FindRememberedVersion() const;
   // Returns how long ago the stream may have begun at an instance with any view
@@ -109,6 +109,7 @@
   // version has begun it.
   void TakeUpStream();
   void OnReplicasRefreshed(bool is_current);
+  void RefuseTakeUp(bool is_view_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
   // Returns the priority of the calls: that of the route, or the highest one if
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -758,15 +758,10 @@
   TestConnection refused = Connect();
   refused.Send(take_up);
   BOOST_TEST(Contains(refused.ReadMessage(), "HTTP/1.1 503 "));
-  RunOnRelayThread([&](RoutingState&) {
-    is_current = true;
-    news = apply_news("v2");
-  });
-  TestConnection caller = Connect();
-  caller.Send(take_up);
-  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
   // A caller that leaves while the registry is read.
+  std::function<void(std::function<void(bool)>)> refresh;
   RunOnRelayThread([&](RoutingState& state) {
+    refresh = state.refresh_replicas;
     state.refresh_replicas = [&pending](std::function<void(bool)> done) {
       pending = std::move(done);
     };
@@ -780,7 +775,17 @@
   leaving.Close();
   while (!Contains(metrics().Serialize(), "caller_left")) {
   }
-  RunOnRelayThread([&](RoutingState&) { pending(true); });
+  RunOnRelayThread([&](RoutingState& state) {
+    pending(true);
+    state.refresh_replicas = refresh;
+  });
+  RunOnRelayThread([&](RoutingState&) {
+    is_current = true;
+    news = apply_news("v2");
+  });
+  TestConnection caller = Connect();
+  caller.Send(take_up);
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
   BOOST_TEST(!first().HasConnectionWithin(0));
   BOOST_TEST(!second().HasConnectionWithin(0));
 }
