Close connections of callers when their relay ends

Cause: CallerConnection owns its exchange, and the exchange owns the connection. The cycle is broken when the exchange or the connection ends, and neither does once the event loop is gone. No caller of ours has seen it: `endiveyard front` ends the process after its drain.

Relay's destructor drops the exchanges now and closes the connections.

Evidence: RelaysCloseTheirConnectionsWhenTheyEnd fails before (the caller's connection is still open) and passes after. Sanitized relay, platform and front tests pass twice in a row; before, the platform test passed once and failed once, by the leak.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -403,6 +403,11 @@
   }
 }
 
+void CallerConnection::Drop() {
+  exchange_.reset();
+  Close();
+}
+
 void CallerConnection::Write(std::string bytes) {
   unsent_bytes_ += bytes.size();
   pending_writes_.push_back(std::move(bytes));
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -63,6 +63,9 @@
   // Answers the request that is in progress or partly received, as the process
   // is about to exit, and closes the connection.
   void EndForShutdown();
+  // Closes the connection and gives up the request in progress, without an
+  // answer.
+  void Drop();
 
  private:
   // Exchanges send their response through these types, which keep the order of
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -68,6 +68,17 @@
     });
   }
 
+  // Closes all connections. Connections and their exchanges refer to each
+  // other, so that they would outlive the relay.
+  void Close() {
+    StopAccepting();
+    for (const auto& it : connections_) {
+      if (const auto connection = it.lock()) {
+        connection->Drop();
+      }
+    }
+  }
+
   RelayContext& context() { return *context_; }
 
  private:
@@ -170,7 +181,9 @@
                                                                   log,
                                                                   metrics))) {}
 
-Relay::~Relay() = default;
+Relay::~Relay() {
+  impl_->Close();
+}
 
 absl::Status Relay::Listen() {
   return impl_->Listen();
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -69,6 +69,21 @@
   BOOST_TEST(Contains(caller.ReadUntilClose(), "HTTP/1.1 400 "));
 }
 
+// Guards against exchanges that outlive their relay, with their sockets: a
+// connection and its exchange refer to each other.
+BOOST_AUTO_TEST_CASE(RelaysCloseTheirConnectionsWhenTheyEnd) {
+  auto fixture = std::make_unique<RelayFixture>();
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(
+      {boost::asio::ip::address_v4::loopback(), fixture->relay().port()});
+  TestConnection caller(std::move(socket));
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  fixture->first().Accept().ReadMessage();
+  fixture.reset();
+  BOOST_TEST(caller.ReadUntilClose().empty());
+}
+
 // Guards against work for a caller that has disconnected: the connection to the
 // target is closed while the request is in progress.
 BOOST_FIXTURE_TEST_CASE(CallerDisconnectClosesTheTargetConnection,
