--- a/src/placement/replica_load.cc
+++ b/src/placement/replica_load.cc
@@ -59,9 +59,6 @@
   recent_calls_ += 1;
   switch (result) {
     case CallResult::kCompleted:
-      backoff_until_ = {};
-      consecutive_failures_ = 0;
-      return;
     case CallResult::kRejected:
       consecutive_failures_ = 0;
       return;
