--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -96,7 +96,17 @@
     });
   }
 
-  void Stop() { link_prober_->Stop(); }
+  // Closes all connections. Connections and their exchanges refer to each
+  // other, so that they would outlive the relay.
+  void Close() {
+    link_prober_->Stop();
+    StopAccepting();
+    for (const auto& it : connections_) {
+      if (const auto connection = it.lock()) {
+        connection->Drop();
+      }
+    }
+  }
 
   RelayContext& context() { return *context_; }
 
@@ -238,7 +248,7 @@
 }
 
 Relay::~Relay() {
-  impl_->Stop();
+  impl_->Close();
 }
 
 absl::Status Relay::Listen() {
