Forget services without replicas after two minutes

Callers: nothing. Found by reading: StreamVersions kept one entry for each name of a service until the process ended, also after its replicas had left, so that its memory was not bounded (docs/stream-versions.md, "What remains").

A service whose last replica left longer ago than streams are remembered is dropped. If it comes back, it is known to have had no replicas for that time, and nothing is known of the time before, as for other periods that have been dropped.

ServicesWithoutReplicasAreForgotten fails without the change (1,001 services kept of 1,001, fewer than 130 expected).

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -150,6 +150,7 @@
   // instance has started, which was not told.
   void TellAgain();
 
+  size_t remembered_services() const { return services_.size(); }
   size_t remembered_streams() const { return begun_.size() + told_.size(); }
 
  private:
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -134,7 +134,8 @@
   for (auto& [name, current] : counts) {
     Periods& periods = services_[name];
     if (periods.empty() && *first_view_at_ < now) {
-      periods.push_back({*first_view_at_, {}});
+      // The service had no replicas, or was forgotten after kMemory.
+      periods.push_back({std::max(*first_view_at_, now - kMemory), {}});
     }
     if (const auto recent = recent_.find(name);
         recent != recent_.end() &&
@@ -153,6 +154,9 @@
     while (periods.size() > 1 && now - periods[1].since > kMemory) {
       periods.pop_front();
     }
+    if (periods.back().counts.empty() && now - periods.back().since > kMemory) {
+      services_.erase(name);
+    }
   }
   recent_.clear();
   RemoveOld(now);
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -250,6 +250,28 @@
   BOOST_TEST(versions.Choose(kService, MakeStream(1)).has_value());
 }
 
+// Guards against memory that grows with the names of services whose replicas
+// have left, and against a service that comes back as if it had never had other
+// versions.
+BOOST_AUTO_TEST_CASE(ServicesWithoutReplicasAreForgotten) {
+  StreamVersions versions;
+  versions.RecordReplicas(MakeView(1, 0), At(0));
+  for (int n = 0; n < 1000; ++n) {
+    Replica replica = MakeReplica(0, "v1");
+    replica.service = "service-" + std::to_string(n);
+    ReplicaView view;
+    view.Reset({replica}, At(n));
+    versions.RecordReplicas(view, At(n));
+  }
+  BOOST_TEST(versions.remembered_services() < 130u);
+  versions.RecordReplicas(MakeView(0, 1), At(1000));
+  const StreamId stream = MakeStream(1);
+  BOOST_TEST((versions.Find(kService, stream, kSecond, At(1002)) == "v2"));
+  BOOST_TEST(
+      (versions.Find(kService, stream, 100 * kSecond, At(1002)) == "v2"));
+  BOOST_TEST(!versions.Find(kService, stream, 130 * kSecond, At(1002)));
+}
+
 // Guards against a caller's first attempt that is taken for more recent than it
 // is.
 BOOST_AUTO_TEST_CASE(AgeOfStreamsFollowsFromTheTimeThatCallersHaveLeft) {
