--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -8,7 +8,6 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "relay/header_rules.h"
 #include "relay/relay_exchange.h"
-#include "relay/retry_after.h"
 
 // Requests that this instance cannot send to any target and forwards to another
 // instance, and those that others forward to it. One hop: a forwarded request
