Do not take the silence of all peers for an outage of the registry

An instance that is cut off from the registry and from all other instances, while its callers and the targets reach it, counted its view as current two seconds later, as no peer said any more that it has the registry. Streams that others had begun at a newer version would go on at the old one (ORDER).

Now others have to say that they lost the registry, unless no other is known. An answer of the registry that may be older than a standstill does not confirm the service map either.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -59,9 +59,9 @@
   void SetTakesRequests(bool takes_requests);
   // Returns the digest of the own region, as in reports.
   uint16_t region() const;
-  // Returns true if another instance has told lately that it can read the
-  // registry.
-  bool HasPeerWithRegistry() const;
+  // Returns true if others have told lately that they cannot read the registry,
+  // and none that it can. Also true if no other instance is known.
+  bool IsRegistryLostByAll() const;
   // Returns the number of datagrams that were no valid report.
   uint64_t rejected_datagrams() const;
 
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -243,7 +243,7 @@
   // none of them has it.
   bool IsViewCurrent() const {
     return standstill_check_.is_confirmed() &&
-           (!registry_lost_ || !load_exchange_.HasPeerWithRegistry());
+           (!registry_lost_ || load_exchange_.IsRegistryLostByAll());
   }
 
   void UpdateViewState() {
@@ -335,6 +335,9 @@
     const auto record_success = configuration.on_success;
     configuration.on_success = [this, record_success] {
       record_success();
+      if (standstill_check_.awaits_news()) {
+        return;  // the answer may be older than the standstill
+      }
       service_map_confirmed_at_ = BootClock::now();
       routing_state_.service_map_current = service_maps_.is_registry_current();
     };
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -12,6 +12,7 @@
 #include "endiveyard/base/digest.h"
 #include "endiveyard/load_exchange/peer_directory.h"
 #include "endiveyard/load_exchange/peer_load_report.h"
+#include "endiveyard/load_exchange/peer_registry_state.h"
 
 namespace endiveyard {
 namespace {
@@ -31,9 +32,6 @@
 constexpr size_t kMaxLeavingReplicasPerReport = 32;
 // Limit on the streams in one report: half a kilobyte.
 constexpr size_t kMaxStreamsPerReport = 32;
-// Reports say this long whether their sender can read the registry: four of the
-// reports that are sent without any change.
-constexpr Duration kPeerStateMemory = std::chrono::seconds(2);
 // An instance that has just started does not know the others yet. Until then,
 // it takes as much of a rate limit as if there were this many.
 constexpr Duration kJoiningTime = std::chrono::seconds(2);
@@ -134,9 +132,8 @@
 
   uint16_t region() const { return region_; }
 
-  bool HasPeerWithRegistry() const {
-    return last_peer_with_registry_ &&
-           BootClock::now() - *last_peer_with_registry_ < kPeerStateMemory;
+  bool IsRegistryLostByAll() const {
+    return peer_registry_state_.IsLostByAll(InstanceCount(), BootClock::now());
   }
 
   void Stop() {
@@ -203,9 +200,7 @@
           placer_.availability().Digest(kMaxLeavingReplicasPerReport, now);
       Send(welcome, {report->sender});
     }
-    if (!report->registry_lost) {
-      last_peer_with_registry_ = now;
-    }
+    peer_registry_state_.RecordReport(report->registry_lost, now);
     forwarding_peers_.RecordReport(
         report->sender,
         {report->takes_requests && !report->leaving, report->region}, now);
@@ -478,7 +473,7 @@
   bool leaving_ = false;
   bool registry_lost_ = false;
   bool takes_requests_ = false;
-  std::optional<TimePoint> last_peer_with_registry_;
+  PeerRegistryState peer_registry_state_;
   TimePoint started_at_{};
   uint64_t sequence_ = 0;
   uint64_t rejected_datagrams_ = 0;
@@ -536,8 +531,8 @@
   return impl_->region();
 }
 
-bool LoadExchange::HasPeerWithRegistry() const {
-  return impl_->HasPeerWithRegistry();
+bool LoadExchange::IsRegistryLostByAll() const {
+  return impl_->IsRegistryLostByAll();
 }
 
 uint64_t LoadExchange::rejected_datagrams() const {
