Name the request in refusals before it is handled

An instance that refuses a forwarded request before it is handled did not name its id, so that on a connection that was in use before the response counted as one to an earlier request: 502 for a request that nobody had run, where another instance could have taken it. Every error response bears the id now as soon as the headers were read.

Two more places of the forwarding: a connection that has carried the id is no open connection for the request, and after a standstill, missing reports of a receiver prove nothing.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -114,7 +114,9 @@
                                     TargetCallHandlers handlers);
 
   // Returns true if a call to the address would use an open connection.
-  bool HasIdleConnection(const std::string& ip, uint16_t port) const;
+  bool HasIdleConnection(const std::string& ip,
+                         uint16_t port,
+                         const std::string& request_id) const;
 
   // Called with the outcome of each attempt to connect to "IP:PORT", before the
   // handlers of the call.
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -168,7 +168,7 @@
     if (!parser_->is_done() && request_body_bytes_ > 0 &&
         context_->buffered_body_bytes >
             context_->options.max_body_bytes_in_flight) {
-      RespondWithErrorAndClose(503, "overloaded");
+      RespondWithErrorAndClose(503, "overloaded", ParsedHeaders());
       return;
     }
     if (ec == http::error::need_more) {
@@ -200,11 +200,11 @@
   fields.Text("detail", ec.message());
   context_->log.Log(kLogRequestMalformed, fields, BootClock::now());
   if (ec == http::error::body_limit) {
-    RespondWithErrorAndClose(413, "body_too_large");
+    RespondWithErrorAndClose(413, "body_too_large", ParsedHeaders());
   } else if (ec == http::error::header_limit) {
-    RespondWithErrorAndClose(431, "headers_too_large");
+    RespondWithErrorAndClose(431, "headers_too_large", {});
   } else {
-    RespondWithErrorAndClose(400, "bad_request");
+    RespondWithErrorAndClose(400, "bad_request", ParsedHeaders());
   }
 }
 
@@ -222,18 +222,18 @@
                                  std::string(it.value()));
   }
   if (HasAmbiguousFraming(request.headers)) {
-    RespondWithErrorAndClose(400, "doubtful_framing");
+    RespondWithErrorAndClose(400, "doubtful_framing", request.headers);
     return;
   }
   if (kind_ == CallerKind::kPeer &&
       (!IsFromKnownPeer() || !TakeForwardedState(&request))) {
-    RespondWithErrorAndClose(kNotTakenStatus, "not_forwarded");
+    RespondWithErrorAndClose(kNotTakenStatus, "not_forwarded", request.headers);
     return;
   }
   const auto target = ParseRequestTarget(
       std::string_view(message.target().data(), message.target().size()));
   if (!target) {
-    RespondWithErrorAndClose(400, "bad_request");
+    RespondWithErrorAndClose(400, "bad_request", request.headers);
     return;
   }
   request.path_and_query = std::string(target->path_and_query);
@@ -277,14 +277,35 @@
   return true;
 }
 
+HeaderList CallerConnection::ParsedHeaders() const {
+  HeaderList headers;
+  if (parser_ && parser_->is_header_done()) {
+    for (const auto& it : parser_->get()) {
+      headers.emplace_back(std::string(it.name_string()),
+                           std::string(it.value()));
+    }
+  }
+  return headers;
+}
+
 void CallerConnection::RespondWithErrorAndClose(int status,
-                                                std::string_view reason) {
+                                                std::string_view reason,
+                                                const HeaderList& headers) {
   keep_alive_ = false;
   const std::string body = "{\"error\":\"" + std::string(reason) + "\"}";
   CallerResponseHead head;
   head.status = status;
   head.length = body.size();
   head.headers = {{"Content-Type", "application/json"}};
+  // Another instance could not tell the response from one to an earlier request
+  // without the id.
+  const std::string id = context_->protocol.DecodeRequest(headers).request_id;
+  const auto id_header =
+      std::find_if(headers.begin(), headers.end(),
+                   [&id](const auto& it) { return it.second == id; });
+  if (!id.empty() && id_header != headers.end()) {
+    head.headers.push_back(*id_header);
+  }
   SendHead(head);
   SendBody(body);
   Finish();
@@ -312,11 +333,12 @@
           self->read_timer_.async_wait([self, generation](error_code body_ec) {
             if (!body_ec && !self->closed_ &&
                 generation == self->timer_generation_ && !self->exchange_) {
-              self->RespondWithErrorAndClose(408, "request_timeout");
+              self->RespondWithErrorAndClose(408, "request_timeout",
+                                             self->ParsedHeaders());
             }
           });
         } else {
-          self->RespondWithErrorAndClose(408, "request_timeout");
+          self->RespondWithErrorAndClose(408, "request_timeout", {});
         }
       });
 }
@@ -440,7 +462,7 @@
     const std::shared_ptr<RelayExchange> exchange = exchange_;
     exchange->EndForShutdown();
   } else if (request_started_) {
-    RespondWithErrorAndClose(503, "shutting_down");
+    RespondWithErrorAndClose(503, "shutting_down", ParsedHeaders());
   } else if (!writing_) {
     Close();
   }
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -106,7 +106,13 @@
   // Moves what another instance states of its request from the headers.
   // Returns false if it is missing or malformed.
   bool TakeForwardedState(CallerRequest* request);
-  void RespondWithErrorAndClose(int status, std::string_view reason);
+  // `headers` are those of the request, as far as they were read.
+  void RespondWithErrorAndClose(int status,
+                                std::string_view reason,
+                                const HeaderList& headers);
+  // Returns the headers of the request that is being received, if all of them
+  // were read.
+  HeaderList ParsedHeaders() const;
   void ArmReadTimer();
   // Closes the connection when the queued bytes are written, or after the idle
   // timeout if the caller does not read them.
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -52,7 +52,8 @@
 bool RelayExchange::ForwardsInsteadOf(const Placement& placement,
                                       TimePoint now) const {
   const auto has_connection = [this](const Replica& replica) {
-    return context_->target_client.HasIdleConnection(replica.ip, replica.port);
+    return context_->target_client.HasIdleConnection(
+        replica.ip, replica.port, request_metadata_.request_id);
   };
   return LinksLost() && !request_.forwarded && ChoosePeer(now) &&
          (!has_connection(placement.target) ||
@@ -294,7 +295,8 @@
 
 void RelayExchange::CheckForwarding(TimePoint now) {
   // An instance that stands still acknowledges what it gets.
-  if (IsRetryable(*route_) && !ResponseBegun() &&
+  if (context_->routing_state.IsRecent(now) && IsRetryable(*route_) &&
+      !ResponseBegun() &&
       context_->forwarding_peers.IsOverdue(forwarding_->peer, now)) {
     EndForwarding(TransportStatus::kNoResponse,
                   "the other instance has stopped reporting");
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -164,13 +164,16 @@
     }
   }
 
-  bool HasIdle(const std::string& address) const {
+  bool HasIdle(const std::string& address, uint64_t request_digest) const {
     const auto it = idle_.find(address);
-    if (it == idle_.end() || it->second.empty()) {
-      return false;
-    }
-    const Connection& newest = *it->second.back();
-    return BootClock::now() - newest.idle_since < newest.idle_limit;
+    const TimePoint now = BootClock::now();
+    return it != idle_.end() &&
+           std::any_of(it->second.begin(), it->second.end(),
+                       [now, request_digest](const auto& connection) {
+                         return now - connection->idle_since <
+                                    connection->idle_limit &&
+                                !connection->HasCarried(request_digest);
+                       });
   }
 
  private:
@@ -642,8 +645,10 @@
 }
 
 bool TargetClient::HasIdleConnection(const std::string& ip,
-                                     uint16_t port) const {
-  return impl_->HasIdle(ip + ":" + std::to_string(port));
+                                     uint16_t port,
+                                     const std::string& request_id) const {
+  return !request_id.empty() &&
+         impl_->HasIdle(ip + ":" + std::to_string(port), Digest64(request_id));
 }
 
 void TargetClient::set_connect_observer(ConnectObserver observer) {
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -238,7 +238,10 @@
   LearnOfPeer();
   TestConnection caller = ConnectAsPeer();
   caller.Send(RequestHead("GET", "/safe/x", "r1"));
-  BOOST_TEST(Contains(caller.ReadUntilClose(), "HTTP/1.1 421 "));
+  const std::string refusal = caller.ReadUntilClose();
+  BOOST_TEST(Contains(refusal, "HTTP/1.1 421 "));
+  // On a connection that was in use before, only the id tells whose it is.
+  BOOST_TEST(Contains(refusal, "Endiveyard-Request-Id: r1\r\n"));
 }
 
 // Guards against responses that no target has given: a refusal by an instance
