Wait for replicas in a phase of its own

A request that was held after a standstill, went on without news and then waited for a read of the replicas was in the same phase as before, so that the arrival of the news routed it a second time; its route could belong to a service map that was gone (found by the review, by reading).

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -101,6 +101,7 @@
   // False while other instances may see changes of the replicas that this one
   // does not. Then, the numbers of replicas say nothing.
   void set_is_view_current(bool is_current) { is_view_current_ = is_current; }
+  bool is_view_current() const { return is_view_current_; }
   // Records what is known of the time before the first call of
   // RecordReplicas(). What the last period of a service became until that call
   // is not known, so that it is joined with what this instance saw first.
@@ -139,8 +140,9 @@
                    const StreamId& stream,
                    const std::string& version,
                    TimePoint now);
-  // Records that the attempt has ended without any event, so that the stream, if
-  // another attempt with the same id has begun it, may be of another version.
+  // Records that the attempt has ended without any event, so that the stream,
+  // if another attempt with the same id has begun it, may be of another
+  // version.
   void RecordNotBegun(const StreamId& stream);
 
   // Records what another instance tells of its streams.
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -92,6 +92,9 @@
 
 void RelayExchange::AwaitRoutingState(TimePoint end) {
   phase_ = Phase::kAwaitingRoutingState;
+  if (request_metadata_.time_left) {
+    end = std::min(end, request_.received + *request_metadata_.time_left);
+  }
   context_->exchanges_awaiting_routing_state.push_back(weak_from_this());
   watchdog_timer_.expires_after(
       std::chrono::duration_cast<Duration>(end - BootClock::now()));
@@ -113,6 +116,7 @@
 }
 
 void RelayExchange::RouteRequest() {
+  route_ = nullptr;
   service_map_ = context_->routing_state.service_map;
   // Without a deadline from the caller, the route's timeout applies, see below.
   // One hour stands in for it until the route is known.
@@ -195,17 +199,20 @@
 
 void RelayExchange::TakeUpStream() {
   const auto& refresh = context_->routing_state.refresh_replicas;
-  // What is in doubt stays so: further changes only add possible versions.
-  if (!refresh || FindRememberedVersion() || !FindStreamVersion()) {
-    OnReplicasRefreshed(true);
+  const bool is_view_current = context_->stream_versions.is_view_current();
+  // What is in doubt at a current view stays so: further changes only add
+  // possible versions.
+  if (!refresh || FindRememberedVersion() ||
+      (is_view_current && !FindStreamVersion())) {
+    OnReplicasRefreshed(is_view_current);
     return;
   }
   // Other instances may have begun the stream at a version that has joined
   // since the last answer of the registry.
-  phase_ = Phase::kAwaitingRoutingState;
+  phase_ = Phase::kAwaitingReplicas;
   refresh([weak = weak_from_this()](bool is_current) {
     const auto self = weak.lock();
-    if (self && self->phase_ == Phase::kAwaitingRoutingState) {
+    if (self && self->phase_ == Phase::kAwaitingReplicas) {
       self->phase_ = Phase::kPlacing;
       self->OnReplicasRefreshed(is_current);
     }
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -42,6 +42,7 @@
  private:
   enum class Phase {
     kAwaitingRoutingState,
+    kAwaitingReplicas,
     kPlacing,
     kAwaitingTurn,
     kPrefilling,
