--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -107,7 +108,7 @@
 class TargetClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context& io, const WireProtocol& protocol, Options options)
-      : io_(io), protocol_(protocol), options_(options) {}
+      : io_(io), protocol_(protocol), options_(std::move(options)) {}
 
   // Returns a connection that has not carried a request with the same id: a
   // copy of the earlier response could not be told from the response.
@@ -612,7 +613,7 @@
 TargetClient::TargetClient(asio::io_context& io,
                            const WireProtocol& protocol,
                            Options options)
-    : impl_(std::make_shared<Impl>(io, protocol, options)) {}
+    : impl_(std::make_shared<Impl>(io, protocol, std::move(options))) {}
 
 TargetClient::~TargetClient() = default;
 
