--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
   // Port at which all instances take requests that others forward; 0 if they
   // do not.
   uint16_t peer_port = 0;
+  // Address from which this instance forwards requests, by which the others
+  // know it; empty to let the kernel choose.
+  std::string peer_ip;
   // Limit on open caller connections; further ones wait in the kernel's accept
   // queue. Two thirds of the file descriptors, which leaves the rest for
   // connections to targets.
@@ -49,8 +53,15 @@
   // to this long after startup. Loading the lists from the registry takes 20 to
   // 100 ms, which is less than a retry by the caller would take.
   Duration startup_wait = std::chrono::milliseconds(500);
+  // Requests that arrive after a standstill of the process are held for up to
+  // this long until the routing state is recent again.
+  Duration news_wait = std::chrono::milliseconds(300);
 };
 
+// The routing state is recent if all news that had arrived this long ago are
+// applied.
+inline constexpr Duration kMaxNewsAge = std::chrono::milliseconds(500);
+
 // Routes and replicas that the relay routes by. The owner keeps it current and
 // calls Relay::OnRoutingStateChanged() after each change.
 struct RoutingState {
@@ -59,8 +70,19 @@
   bool service_map_current = false;
   ReplicaView replicas;
   bool replicas_known = false;  // set by the first complete list
+  // Brings `replicas` up to date. `done` runs once, later or at once: with true
+  // if they include all changes that any instance may have acted on before the
+  // call. If it is empty, they always do.
+  std::function<void(std::function<void(bool is_current)> done)>
+      refresh_replicas;
+
+  // When all news that had arrived were applied; always, if it is empty.
+  std::optional<TimePoint> news_applied_at;
 
   bool IsComplete() const { return service_map != nullptr && replicas_known; }
+  bool IsRecent(TimePoint now) const {
+    return !news_applied_at || now - *news_applied_at <= kMaxNewsAge;
+  }
 };
 
 // Reverse proxy between callers and targets: reads requests, selects targets
@@ -87,6 +109,9 @@
   uint16_t peer_port() const;
   // Returns false if no target can be connected to.
   bool HasLinks() const;
+  // Returns true if this instance has its links, and room for connections of
+  // others.
+  bool TakesForwardedRequests() const;
   // Sets the region as peers state it, see ForwardingState.
   void set_own_region(uint16_t region);
 
--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -24,8 +24,9 @@
   std::shared_ptr<const std::string> body;  // may be null
   // When set, a response that carries another request id belongs to an earlier
   // request on the connection and is skipped. One that carries none is only
-  // accepted as the first one on a new connection. A request without an id has
-  // a connection of its own.
+  // accepted as the first one on a new connection. No connection carries two
+  // requests with the same id. A request without an id has a connection of its
+  // own.
   std::string request_id;
   // A longer body ends the call as kTruncated; 0 for no limit.
   uint64_t max_response_bytes = 0;
@@ -40,6 +41,7 @@
   // The body has neither a length nor chunks and ends with the connection, so
   // that its end does not show whether it is complete.
   bool ends_with_connection = false;
+  int earlier_requests = 0;  // that the connection carried before this one
 };
 
 // How far the HTTP exchange of a call got before it ended.
@@ -48,6 +50,9 @@
   kNoResponse,       // written, but the connection ended without a response
   kInvalidResponse,  // the bytes received are not the expected HTTP response
   kTruncated,        // the head was received, but not the whole body
+  // Written, but the target's kernel acknowledged nothing for the peer timeout:
+  // the target or a link to it is down, and nobody closed the connection.
+  kSilent,
   kComplete,
 };
 
@@ -70,8 +75,14 @@
   Duration max_idle_time = std::chrono::milliseconds(4000);
   // A target whose kernel acknowledges nothing for this long is considered
   // dead, in the middle of a response too (TCP keep-alive, TCP_USER_TIMEOUT).
-  Duration peer_timeout = std::chrono::milliseconds(2000);
+  // Links may be silent for up to two seconds: three probes fit, and the
+  // retransmission 3 s after a request was written.
+  Duration peer_timeout = std::chrono::milliseconds(4000);
   size_t max_idle_connections = 400;
+  // Address to connect from; empty to let the kernel choose.
+  std::string local_ip;
+  // Bounds the request ids that are kept for each connection.
+  size_t max_requests_per_connection = 1000;
 };
 
 // A request to a target that is in progress.
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -97,11 +97,17 @@
   void RecordBodyBytes(size_t size);
   void HandleParseError(boost::system::error_code ec);
   void HandleRequest();
+  // Returns true if the connection comes from an instance that has reported
+  // lately.
+  bool IsFromKnownPeer() const;
   // Moves what another instance states of its request from the headers.
   // Returns false if it is missing or malformed.
   bool TakeForwardedState(CallerRequest* request);
   void RespondWithErrorAndClose(int status, std::string_view reason);
   void ArmReadTimer();
+  // Closes the connection when the queued bytes are written, or after the idle
+  // timeout if the caller does not read them.
+  void CloseWhenWritten();
   void Write(std::string bytes);
   void WriteNext();
   void Close();
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -74,20 +74,27 @@
     delivered_calls_ = forwarded.delivered_calls;
     possible_runs_ = forwarded.possible_runs;
     counted_in_budget_ = forwarded.counted;
+    prompt_prefilled_ = forwarded.prefilled;
   }
-  if (!context_->routing_state.IsComplete() &&
-      BootClock::now() < context_->startup_deadline) {
-    AwaitRoutingState();
+  const TimePoint now = BootClock::now();
+  if (!context_->routing_state.IsComplete()) {
+    if (now < context_->startup_deadline) {
+      AwaitRoutingState(context_->startup_deadline);
+      return;
+    }
+  } else if (!context_->routing_state.IsRecent(now)) {
+    // After a standstill, requests are read before the news.
+    AwaitRoutingState(now + context_->options.news_wait);
     return;
   }
   RouteRequest();
 }
 
-void RelayExchange::AwaitRoutingState() {
+void RelayExchange::AwaitRoutingState(TimePoint end) {
   phase_ = Phase::kAwaitingRoutingState;
   context_->exchanges_awaiting_routing_state.push_back(weak_from_this());
-  watchdog_timer_.expires_after(std::chrono::duration_cast<Duration>(
-      context_->startup_deadline - BootClock::now()));
+  watchdog_timer_.expires_after(
+      std::chrono::duration_cast<Duration>(end - BootClock::now()));
   const std::weak_ptr<RelayExchange> weak = weak_from_this();
   watchdog_timer_.async_wait([weak](error_code ec) {
     const auto self = weak.lock();
@@ -120,6 +127,11 @@
     EndInFailure("overloaded", RetryAfterWithJitter(kNotReadyRetryAfter));
     return;
   }
+  if (request_.forwarded &&
+      service_map_->version < request_.forwarded->map_version) {
+    RefuseForwarded("configuration_older");
+    return;
+  }
   const std::string_view path =
       std::string_view(request_.path_and_query)
           .substr(0, request_.path_and_query.find('?'));
@@ -155,23 +167,55 @@
       UnitHash(TakesUpStream() && !request_metadata_.resumed_request_id.empty()
                    ? request_metadata_.resumed_request_id
                    : request_metadata_.request_id));
-  if (request_.forwarded || !LinksLost()) {
-    // Otherwise, the instance that it is forwarded to counts it.
+  if (request_.forwarded && request_.forwarded->service &&
+      *request_.forwarded->service != service_) {
+    RefuseForwarded("other_service");
+    return;
+  }
+  if (!request_.forwarded && !LinksLost()) {
+    // Otherwise, the instance that sends it to a target counts it.
     CountInBudget();
   }
   forwarded_headers_ = WithoutHopByHopHeaders(request_.headers);
   if (request_metadata_.last_event_id) {
     sse_splitter_.StartAfter(*request_metadata_.last_event_id);
   }
-  if (TakesUpStream() && !stream_version_ && !FindStreamVersion()) {
-    EndInFailure("version_unknown", RetryAfterWithJitter(kNotReadyRetryAfter));
+  ArmDeadline();
+  if (TakesUpStream() && !stream_version_) {
+    TakeUpStream();
     return;
   }
   if (!TakesUpStream() && request_metadata_.time_left && !request_.forwarded) {
     context_->caller_patience.Record(route_->name,
                                      *request_metadata_.time_left);
   }
-  ArmDeadline();
+  ArmWatchdog();
+  Place();
+}
+
+void RelayExchange::TakeUpStream() {
+  const auto& refresh = context_->routing_state.refresh_replicas;
+  if (!refresh || FindRememberedVersion()) {
+    OnReplicasRefreshed(true);
+    return;
+  }
+  // Other instances may have begun the stream at a version that has joined
+  // since the last answer of the registry.
+  phase_ = Phase::kAwaitingRoutingState;
+  refresh([weak = weak_from_this()](bool is_current) {
+    const auto self = weak.lock();
+    if (self && self->phase_ == Phase::kAwaitingRoutingState) {
+      self->phase_ = Phase::kPlacing;
+      self->OnReplicasRefreshed(is_current);
+    }
+  });
+}
+
+void RelayExchange::OnReplicasRefreshed(bool is_current) {
+  if (!FindStreamVersion(is_current)) {
+    EndInFailure("version_unknown", RetryAfterWithJitter(kNotReadyRetryAfter));
+    return;
+  }
   ArmWatchdog();
   Place();
 }
@@ -220,18 +264,35 @@
   return MakeStreamId(service_, attempt, request_metadata_.prompt);
 }
 
-bool RelayExchange::FindStreamVersion() {
+Duration RelayExchange::LongestStreamAge() const {
+  return context_->caller_patience.LongestAge(route_->name, route_->timeout,
+                                              request_metadata_.time_left) +
+         context_->options.max_view_delay;
+}
+
+std::optional<std::string> RelayExchange::FindRememberedVersion() const {
+  const std::string& first_attempt = request_metadata_.resumed_request_id;
+  if (!route_->resumable || first_attempt.empty()) {
+    return std::nullopt;
+  }
+  return context_->stream_versions.FindRemembered(
+      service_, StreamIdOf(first_attempt), LongestStreamAge(),
+      BootClock::now());
+}
+
+bool RelayExchange::FindStreamVersion(bool is_view_current) {
   const TimePoint now = BootClock::now();
-  const Duration age =
-      context_->caller_patience.LongestAge(route_->name, route_->timeout,
-                                           request_metadata_.time_left) +
-      context_->options.max_view_delay;
+  const Duration age = LongestStreamAge();
   const std::string& first_attempt = request_metadata_.resumed_request_id;
   const StreamVersions& versions = context_->stream_versions;
-  stream_version_ =
-      route_->resumable && !first_attempt.empty()
-          ? versions.Find(service_, StreamIdOf(first_attempt), age, now)
-          : versions.FindOnly(service_, age, now);
+  if (!is_view_current) {
+    stream_version_ = FindRememberedVersion();
+  } else if (route_->resumable && !first_attempt.empty()) {
+    stream_version_ =
+        versions.Find(service_, StreamIdOf(first_attempt), age, now);
+  } else {
+    stream_version_ = versions.FindOnly(service_, age, now);
+  }
   if (stream_version_) {
     return true;
   }
@@ -241,6 +302,7 @@
       .Text("reason", "version_unknown")
       .Text("resumes", first_attempt)
       .Integer("after_event", *request_metadata_.last_event_id)
+      .Flag("view_current", is_view_current)
       .Millis("stream_age_ms", age)
       .Millis("left_ms", TimeLeft());
   context_->log.Log(kLogPlacementRefused, fields, now);
@@ -324,6 +386,13 @@
     result.placement.reset();
     refusal = "placements_used_up";
   }
+  if (!result.placement && may_place && LinksLost() && !request_.forwarded) {
+    if (const auto peer = ChoosePeer(now)) {
+      // The refusal comes from what this instance sees of the targets.
+      StartForwarding(*peer);
+      return;
+    }
+  }
   if (!result.placement) {
     expected_first_output_ = result.refusal.expected_first_output;
     JsonFields fields;
@@ -392,6 +461,11 @@
 
 void RelayExchange::StartPlacement(const Placement& placement) {
   const TimePoint now = BootClock::now();
+  if (LinksLost() && MayRefuseForwarded()) {
+    context_->placer.RecordNotSent(placement, now);
+    RefuseForwarded("links_lost");
+    return;
+  }
   if (ForwardsInsteadOf(placement, now)) {
     context_->placer.RecordNotSent(placement, now);
     StartForwarding(*ChoosePeer(now));
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -35,8 +35,8 @@
   void OnCallerDisconnect();
   // The process is about to exit: ends the exchange with what is known of it.
   void EndForShutdown();
-  // Ends the wait for the first complete routing state, either because it is
-  // there or because the startup deadline has passed.
+  // Ends the wait for a complete and recent routing state, either because it is
+  // there or because the time for it has passed.
   void StopAwaitingRoutingState();
 
  private:
@@ -77,6 +77,9 @@
     CallOutcome outcome = CallOutcome::kNotSent;
     int status = 0;
     bool output_started = false;
+    Replica replica;  // of a call to a target
+    Duration took{};
+    int earlier_requests = 0;  // on the connection of the call
     // The whole response, unless parts of it were forwarded as they arrived.
     // Present if the outcome is kCompleted or kErrorResponse.
     TargetResponseHead head;
@@ -91,14 +94,23 @@
     std::string body;         // collected until it is sent as one response
     bool is_success = false;  // a complete body is a response of a target
     bool streaming = false;   // events are forwarded as they arrive
-    std::optional<std::string> stream_version;
+    // Missing if the other instance has not begun to handle the request.
+    std::optional<ForwardedResponse> response;
   };
 
-  void AwaitRoutingState();
+  // Holds the request until the routing state is complete and recent, or until
+  // `end`.
+  void AwaitRoutingState(TimePoint end);
   void RouteRequest();
   // Lets the request add to the retry budget of its service, once.
   void CountInBudget();
   void Place();
+  // Returns true if this instance may continue the stream whose beginning the
+  // caller has. A receiver leaves that to the instance that has forwarded the
+  // request, which counts the runs.
+  bool MayContinueStream() const {
+    return sse_splitter_.is_position_known() && !request_.forwarded;
+  }
   // Returns true if the caller takes up a stream that another attempt has
   // begun.
   bool TakesUpStream() const {
@@ -112,7 +124,16 @@
   bool ContinuesStream() const { return TakesUpStream() || ResponseBegun(); }
   // Finds the software version that has begun the stream that the caller takes
   // up. Returns false if that is in doubt.
-  bool FindStreamVersion();
+  bool FindStreamVersion(bool is_view_current);
+  // Returns the version if some instance remembers it.
+  std::optional<std::string> FindRememberedVersion() const;
+  // Returns how long ago the stream may have begun at an instance with any view
+  // of the replicas.
+  Duration LongestStreamAge() const;
+  // Goes on with a stream that the caller takes up, once it is known which
+  // version has begun it.
+  void TakeUpStream();
+  void OnReplicasRefreshed(bool is_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
   // Returns the priority of the calls: that of the route, or the highest one if
@@ -151,8 +172,14 @@
   bool EndedWithoutAnswer() const;
   // Records what the head of the response states about the replica.
   void RecordResponseHead();
+  // Records the limit on requests per second that the replica states.
+  void RecordRateLimit(const Replica& replica,
+                       int status,
+                       const ResponseMetadata& metadata);
   // Records whether the replica says that it takes new work.
-  void RecordAvailability();
+  void RecordAvailability(const Replica& replica,
+                          int status,
+                          const ResponseMetadata& metadata);
   // Records the speed of the target of a completed run.
   void ObserveCompletedRun(const ActiveCall& call);
   // Decides what follows a call. The active call has been closed before;
@@ -166,8 +193,7 @@
   // Sends the head of the active call's response and what was collected of the
   // body. The rest is forwarded as it arrives.
   void BeginLargeResponse();
-  void SendCompleteResponse(const TargetResponseHead& head,
-                            const std::string& body);
+  void SendCompleteResponse(const EndedCall& ended);
 
   // Evidence about requests that crash replicas (relay_crash_evidence.cc).
   // Records a response of the replica of the active call.
@@ -198,9 +224,22 @@
   void StartForwarding(uint32_t peer);
   bool OnPeerHead(const TargetResponseHead& head);
   void OnPeerBody(std::string_view bytes);
+  // Remembers the version that has begun the stream.
+  void RecordForwardedVersion();
+  // Returns the head to send for the response of a target. `replica` has
+  // responded, and may have run the request.
+  CallerResponseHead ResponseHeadFrom(const TargetResponseHead& head,
+                                      const Replica& replica) const;
+  // Tells the instance that has forwarded the request what was done for it.
+  // `replica` has responded; null if the response is of this instance.
+  void AddForwardedResponse(CallerResponseHead* head,
+                            const Replica* replica) const;
   void OnPeerEnd(TransportStatus transport_status, std::string_view detail);
+  CallOutcome OutcomeOfForwarding(TransportStatus transport_status) const;
   // Ends the call to the other instance and decides what follows.
   void EndForwarding(TransportStatus transport_status, std::string_view detail);
+  // Goes on elsewhere if the other instance has fallen silent.
+  void CheckForwarding(TimePoint now);
   void CloseForwarding();
   // Tells the instance that has forwarded the request that this one does not
   // take it and has done nothing for it.
@@ -210,6 +249,7 @@
   bool MayRefuseForwarded() const {
     return request_.forwarded.has_value() &&
            delivered_calls_ == request_.forwarded->delivered_calls &&
+           prompt_prefilled_ == request_.forwarded->prefilled &&
            std::holds_alternative<UnsentResponse>(response_);
   }
 
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -89,44 +89,50 @@
 
 void RelayExchange::RecordResponseHead() {
   RecordSignOfLife();
-  RecordAvailability();
-  const ResponseMetadata& metadata = active_call_->response_metadata;
-  if (active_call_->status == kMisdirectedRequest ||
-      metadata.has_invalid_rate_limit ||
-      (!metadata.requests_per_second &&
-       (metadata.not_run || active_call_->status >= 500))) {
+  RecordAvailability(active_call_->replica, active_call_->status,
+                     active_call_->response_metadata);
+  RecordRateLimit(active_call_->replica, active_call_->status,
+                  active_call_->response_metadata);
+}
+
+void RelayExchange::RecordRateLimit(const Replica& replica,
+                                    int status,
+                                    const ResponseMetadata& metadata) {
+  if (status == kMisdirectedRequest || metadata.has_invalid_rate_limit ||
+      (!metadata.requests_per_second && (metadata.not_run || status >= 500))) {
     // From another replica at this address, or perhaps not from a replica. What
     // was stated before stays in force.
     return;
   }
   const TimePoint now = BootClock::now();
   ReplicaRateLimits& limits = context_->placer.rate_limits();
-  const uint64_t key = EngineKey(active_call_->replica);
+  const uint64_t key = EngineKey(replica);
   const std::optional<double> before = limits.LimitOf(key, now);
   if (limits.RecordResponse(key, metadata.requests_per_second, now)) {
     constexpr double kNone = -1;
     JsonFields fields;
-    fields.Text("replica", active_call_->replica.id)
+    fields.Text("replica", replica.id)
         .Number("requests_per_s", metadata.requests_per_second.value_or(kNone))
         .Number("before", before.value_or(kNone))
         .Text("request", request_metadata_.request_id)
-        .Integer("status", active_call_->status);
+        .Integer("status", status);
     context_->log.Log(kLogReplicaRateLimitChanged, fields, now);
   }
 }
 
-void RelayExchange::RecordAvailability() {
-  if (active_call_->status == kMisdirectedRequest) {
+void RelayExchange::RecordAvailability(const Replica& replica,
+                                       int status,
+                                       const ResponseMetadata& metadata) {
+  if (status == kMisdirectedRequest) {
     return;  // from another replica at this address
   }
   const TimePoint now = BootClock::now();
-  const ResponseMetadata& metadata = active_call_->response_metadata;
   TargetAvailability& availability = context_->placer.availability();
-  const uint64_t key = EngineKey(active_call_->replica);
+  const uint64_t key = EngineKey(replica);
   JsonFields fields;
-  fields.Text("replica", active_call_->replica.id)
+  fields.Text("replica", replica.id)
       .Text("request", request_metadata_.request_id)
-      .Integer("status", active_call_->status);
+      .Integer("status", status);
   if (!metadata.invalid_header.empty() &&
       context_->invalid_headers_log.Allow(key, now)) {
     JsonFields invalid = fields;
@@ -233,12 +239,8 @@
     stream_version_ = active_call_->replica.version;
     // This run has used the KV cache.
     kv_handle_.reset();
-    CallerResponseHead head = CallerHeadFrom(active_call_->head);
-    if (request_.forwarded) {
-      head.headers.emplace_back(std::string(kForwardedVersionHeader),
-                                EncodeVersion(*stream_version_));
-    }
-    response_ = std::move(*unsent).Begin(head);
+    response_ = std::move(*unsent).Begin(
+        ResponseHeadFrom(active_call_->head, active_call_->replica));
   }
   std::get<BegunResponse>(response_).SendBody(events);
   const TimePoint now = BootClock::now();
@@ -258,6 +260,10 @@
   ended.outcome = outcome;
   ended.status = active_call_->status;
   ended.output_started = active_call_->output_started_at.has_value();
+  ended.replica = active_call_->replica;
+  ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
+                                                    active_call_->sent_at);
+  ended.earlier_requests = active_call_->head.earlier_requests;
   CloseActiveCall(CallResult::kFailed);
   ++delivered_calls_;
   if (outcome != CallOutcome::kNotRun) {
@@ -279,6 +285,11 @@
     case TransportStatus::kNoResponse:
     case TransportStatus::kInvalidResponse:
       return CallOutcome::kMayHaveRun;
+    case TransportStatus::kSilent:
+      if (active_call_->status == 0) {
+        return CallOutcome::kMayHaveRun;
+      }
+      [[fallthrough]];
     case TransportStatus::kTruncated:
       return active_call_->response_metadata.not_run
                  ? CallOutcome::kNotRun
@@ -342,6 +353,10 @@
   ended.outcome = outcome;
   ended.status = active_call_->status;
   ended.output_started = active_call_->output_started_at.has_value();
+  ended.replica = active_call_->replica;
+  ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
+                                                    active_call_->sent_at);
+  ended.earlier_requests = active_call_->head.earlier_requests;
   ended.head = std::move(active_call_->head);
   ended.body = std::move(active_call_->body);
   CloseActiveCall(result);
@@ -389,7 +404,7 @@
   attempt.outcome = outcome;
   attempt.targets_that_may_have_run = possible_runs_;
   attempt.response_started = ResponseBegun();
-  attempt.is_position_known = sse_splitter_.is_position_known();
+  attempt.is_position_known = MayContinueStream();
   attempt.budget_left = context_->retry_budget.Remaining(service_, now) >= 1;
   attempt.time_left = TimeLeft();
   attempt.may_crash_targets = JudgeByCrashes() != CrashVerdict::kNone;
@@ -401,6 +416,8 @@
         .Text("replica", last_replica_id_)
         .Text("call", "run")
         .Integer("status", ended.status)
+        .Millis("took_ms", ended.took)
+        .Integer("earlier_requests", ended.earlier_requests)
         .Text("outcome", NameOf(outcome))
         .Text("next", NameOf(step))
         .Flag("output_started", ended.output_started)
@@ -429,7 +446,7 @@
             .Finish();
         End("answered", ended.status);
       } else {
-        SendCompleteResponse(ended.head, ended.body);
+        SendCompleteResponse(ended);
       }
       return;
     case NextStep::kRefuseNotRun:
@@ -459,17 +476,18 @@
   }
   BegunResponse begun =
       std::get<UnsentResponse>(std::exchange(response_, EndedResponse()))
-          .Begin(CallerHeadFrom(active_call_->head));
+          .Begin(ResponseHeadFrom(active_call_->head, active_call_->replica));
   begun.SendBody(body);
   response_ = std::move(begun);
 }
 
-void RelayExchange::SendCompleteResponse(const TargetResponseHead& head,
-                                         const std::string& body) {
+void RelayExchange::SendCompleteResponse(const EndedCall& ended) {
+  const TargetResponseHead& head = ended.head;
+  const std::string& body = ended.body;
   if (!first_output_at_) {
     first_output_at_ = BootClock::now();
   }
-  CallerResponseHead caller_head = CallerHeadFrom(head);
+  CallerResponseHead caller_head = ResponseHeadFrom(head, ended.replica);
   caller_head.length = body.size();
   if (request_.method == "HEAD") {
     // A HEAD response states the length of the body that a GET would return.
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -10,7 +10,7 @@
 // An instance that has lost its links to the targets, and the other instance,
 // whose part the test plays.
 struct StrandedInstance {
-  StrandedInstance() : peer(io), relay(Duration(0), peer.port()) {
+  StrandedInstance() : peer(io), relay(WithPeerPort(peer.port())) {
     relay.LoseLinks();
     relay.LearnOfPeer();
   }
@@ -32,6 +32,33 @@
                          EncodeForwardedRequest(state) + "\r\n" + more_headers);
 }
 
+// `message` with what an instance tells about the replica that has responded.
+std::string WithForwardedResponse(std::string message,
+                                  int runs = 1,
+                                  const std::string& version = "v2",
+                                  const std::string& replica = "t9") {
+  ForwardedResponse response;
+  response.delivered_calls = response.possible_runs = runs;
+  response.replica_id = replica;
+  response.version = version;
+  return message.insert(message.find("\r\n") + 2,
+                        std::string(kForwardedResponseHeader) + ": " +
+                            EncodeForwardedResponse(response) + "\r\n");
+}
+
+// Accepts the next call to a target, whose request is read. Probes, which send
+// nothing, are left out.
+TestConnection AcceptCall(TestTarget* target) {
+  while (true) {
+    TestConnection connection = target->Accept();
+    try {
+      connection.ReadUntil("\r\n\r\n");
+      return connection;
+    } catch (const std::runtime_error&) {
+    }
+  }
+}
+
 std::string NotTaken(const std::string& id) {
   return "HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Request-Id: " + id +
          "\r\nContent-Length: 0\r\n\r\n";
@@ -54,18 +81,22 @@
   BOOST_TEST(Contains(request, "POST /unsafe/%2e/x?y HTTP/1.1\r\n"));
   BOOST_TEST(Contains(request, "X-Own: kept\r\n"));
   BOOST_TEST(Contains(request, "\r\n\r\nbody"));
-  BOOST_TEST(Contains(request, "calls=0;runs=0;counted=0\r\n"));
+  BOOST_TEST(
+      Contains(request, "calls=0;runs=0;counted=0;prefilled=0;map=1\r\n"));
   BOOST_TEST(!Contains(request, "forged"));
-  other.Send(SignedResponse("r1", "done", "201 Created"));
+  other.Send(
+      WithForwardedResponse(SignedResponse("r1", "done", "201 Created")));
   const std::string response = caller.ReadMessage();
   BOOST_TEST(Contains(response, "HTTP/1.1 201 Created\r\n"));
   BOOST_TEST(Contains(response, "Endiveyard-Response-Signature: sig-r1\r\n"));
+  BOOST_TEST(!Contains(response, std::string(kForwardedResponseHeader)));
 
   caller.Send(RequestHead("GET", "/safe/x", "r2"));
   other.ReadMessage();
-  other.Send(
+  other.Send(WithForwardedResponse(
       "HTTP/1.1 503 Service Unavailable\r\nEndiveyard-Request-Id: r2\r\n"
-      "Retry-After: 0.70\r\nContent-Length: 2\r\n\r\n{}");
+      "Retry-After: 0.70\r\nContent-Length: 2\r\n\r\n{}",
+      0));
   const std::string refusal = caller.ReadMessage();
   BOOST_TEST(Contains(refusal, "HTTP/1.1 503 "));
   BOOST_TEST(Contains(refusal, "Retry-After: 0.70\r\n"));
@@ -99,7 +130,8 @@
   caller.Send(RequestHead("GET", "/stream/x", "r1"));
   TestConnection other = peer.Accept();
   other.ReadUntil("\r\n\r\n");
-  other.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
+  other.Send(WithForwardedResponse(StreamResponseHead("r1")) +
+             EncodeChunk("id: 1\ndata: a\n\n"));
   caller.ReadUntil("data: a\n\n");
   other.Send(EncodeChunk("id: 2\ndata: b\n\nid: 3\ndata: c"));
   other.Close();
@@ -117,6 +149,31 @@
   BOOST_TEST(serving.IsClosedWithin(5000));
 }
 
+// Guards against a stream that another instance has begun and that its caller
+// takes up here at another software version: what this instance remembers of
+// its own attempt, which reached no target, must not decide (ORDER).
+BOOST_FIXTURE_TEST_CASE(ForwardedStreamsAreTakenUpAtTheirVersion,
+                        StrandedInstance) {
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/stream/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  relay.RunOnRelayThread([this](RoutingState&) {
+    relay.relay().stream_versions()->RecordBegun(
+        "svc", MakeStreamId("svc", "r1", std::nullopt), "v1", BootClock::now());
+  });
+  other.Send(WithForwardedResponse(StreamResponseHead("r1")) +
+             EncodeChunk("id: 1\ndata: a\n\n"));
+  caller.ReadUntil("data: a\n\n");
+  std::optional<std::string> version;
+  relay.RunOnRelayThread([this, &version](RoutingState&) {
+    version = relay.relay().stream_versions()->Find(
+        "svc", MakeStreamId("svc", "r1", std::nullopt), std::chrono::seconds(1),
+        BootClock::now());
+  });
+  BOOST_TEST(version.value_or("unknown") == "v2");
+}
+
 // Guards against a stream that is continued by another instance at an event
 // that the caller has, or at another software version.
 BOOST_FIXTURE_TEST_CASE(BrokenStreamsContinueThroughPeers, RelayFixture) {
@@ -138,8 +195,11 @@
               "0\r\n\r\n");
   const std::string response = other.ReadMessage();
   BOOST_TEST(Contains(response, "data: e"));
-  BOOST_TEST(Contains(response, std::string(kForwardedVersionHeader) + ": " +
-                                    EncodeVersion("v2") + "\r\n"));
+  ForwardedResponse told;
+  told.delivered_calls = told.possible_runs = 2;
+  told.replica_id = "t2";
+  told.version = "v2";
+  BOOST_TEST(Contains(response, EncodeForwardedResponse(told)));
 }
 
 // Guards against a promise that a forwarded request has not run although it may
@@ -169,14 +229,150 @@
 }
 
 // Guards against callers that use the listener of the instances: without what
-// an instance states, and from unknown addresses, nothing is served.
+// an instance states, and from unknown addresses, nothing is served. Neither
+// may look as if the request had run.
 BOOST_FIXTURE_TEST_CASE(OnlyInstancesForwardRequests, RelayFixture) {
   TestConnection stranger = ConnectAsPeer();
-  BOOST_TEST(stranger.ReadUntilClose().empty());
+  stranger.Send(ForwardedHead("GET", "/safe/x", "r1"));
+  BOOST_TEST(Contains(stranger.ReadUntilClose(), "HTTP/1.1 421 "));
   LearnOfPeer();
   TestConnection caller = ConnectAsPeer();
   caller.Send(RequestHead("GET", "/safe/x", "r1"));
-  BOOST_TEST(Contains(caller.ReadUntilClose(), "HTTP/1.1 400 "));
+  BOOST_TEST(Contains(caller.ReadUntilClose(), "HTTP/1.1 421 "));
+}
+
+// Guards against responses that no target has given: a refusal by an instance
+// that has not read the request must not reach the caller (DENIED), and neither
+// may a success that does not come from a target (MIXED).
+BOOST_FIXTURE_TEST_CASE(OnlyResponsesOfTargetsArePassedOn, StrandedInstance) {
+  for (const auto& [response, status] :
+       {std::pair("HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\n{}",
+                  "HTTP/1.1 503 "),
+        std::pair("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+                  "HTTP/1.1 502 ")}) {
+    relay.LearnOfPeer();
+    TestConnection caller = relay.Connect();
+    caller.Send(RequestHead("POST", "/unsafe/x", "r1"));
+    TestConnection other = peer.Accept();
+    other.ReadUntil("\r\n\r\n");
+    other.Send(response);
+    other.Close();
+    BOOST_TEST(Contains(caller.ReadMessage(), status));
+  }
+}
+
+// Guards against runs beyond the attempts of a route (BUDGET), since the sender
+// does not count those of the receiver. The text of a failure does not continue
+// the stream (MIXED).
+BOOST_FIXTURE_TEST_CASE(RunsAtOtherInstancesAreCounted, StrandedInstance) {
+  TestTarget next_peer(io, "127.0.0.2", peer.port());
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/stream/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  relay.LearnOfPeer("127.0.0.2");
+  other.Send(WithForwardedResponse(StreamResponseHead("r1")) +
+             EncodeChunk("id: 1\ndata: a\n\n"));
+  caller.ReadUntil("data: a\n\n");
+  other.Close();
+  TestConnection next = next_peer.Accept();
+  const std::string request = next.ReadUntil("\r\n\r\n");
+  BOOST_TEST(
+      Contains(request, "calls=1;runs=1;counted=1;prefilled=0;map=1;after=1"));
+  next.Send(WithForwardedResponse(
+      "HTTP/1.1 502 Bad Gateway\r\nEndiveyard-Request-Id: r1\r\n"
+      "Content-Length: 7\r\n\r\nFAILURE",
+      2));
+  const std::string rest = caller.ReadUntilClose();
+  BOOST_TEST(!Contains(rest, "FAILURE"));
+  BOOST_TEST(!Contains(rest, "0\r\n\r\n"));
+}
+
+// Guards against a request that is handled by an older configuration than the
+// one by which it was routed, or by another service than the one that has begun
+// its stream (CONFIG, ROUTE).
+BOOST_FIXTURE_TEST_CASE(ReceiversRefuseWhatTheyWouldRouteDifferently,
+                        RelayFixture) {
+  LearnOfPeer();
+  TestConnection other = ConnectAsPeer();
+  ForwardedRequest newer;
+  newer.map_version = 2;
+  other.Send(ForwardedHead("GET", "/safe/x", "r1", newer));
+  BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 421 "));
+  ForwardedRequest moved;
+  moved.last_event_id = 1;
+  moved.service = "other";
+  other.Send(ForwardedHead("GET", "/stream/x", "r2", moved));
+  BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 421 "));
+}
+
+// Guards against new work for a replica that has said, through another
+// instance, that it is leaving (DRAIN).
+BOOST_FIXTURE_TEST_CASE(LeavingReplicasAreLearntThroughPeers,
+                        StrandedInstance) {
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  std::string response = SignedResponse("r1", "ok");
+  response.insert(response.find("\r\n") + 2, "Server-Leaving: 1\r\n");
+  other.Send(WithForwardedResponse(response, 1, "v1", "t1"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+  bool leaving = false;
+  relay.RunOnRelayThread([&](RoutingState& routing_state) {
+    leaving = relay.relay().placer()->availability().IsLeaving(
+        EngineKey(*routing_state.replicas.Find("t1")), BootClock::now());
+  });
+  BOOST_TEST(leaving);
+}
+
+// Guards against calls that an instance loses together with its links and that
+// count as crashes of the targets, so that sound requests are refused.
+BOOST_FIXTURE_TEST_CASE(CallsLostWithTheLinksAreNoCrashes, RelayFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/unsafe/x", "r1",
+                          "Endiveyard-Token-Count: 4000,80\r\n"
+                          "Endiveyard-Prompt-Prefix: aa11:3000,bb22:1000\r\n"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  LoseLinks();
+  target.Reset();
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
+  bool has_evidence = true;
+  RunOnRelayThread([&](RoutingState&) {
+    has_evidence = !relay().crash_suspects()->empty();
+  });
+  BOOST_TEST(!has_evidence);
+}
+
+// Guards against receivers that do not know the sender, since it connects from
+// another of its addresses than the one that its reports come from (RECOVER).
+BOOST_AUTO_TEST_CASE(RequestsAreForwardedFromTheOwnAddress) {
+  boost::asio::io_context io;
+  TestTarget peer(io);
+  RelayFixtureOptions options = WithPeerPort(peer.port());
+  options.peer_ip = "127.0.0.3";
+  RelayFixture relay(options);
+  relay.LoseLinks();
+  relay.LearnOfPeer();
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  BOOST_TEST(peer.Accept().RemoteIp() == "127.0.0.3");
+}
+
+// Guards against a receiver that resumes a stream by itself, so that its sender
+// cannot count the runs (BUDGET).
+BOOST_FIXTURE_TEST_CASE(ReceiversDoNotResumeStreams, RelayFixture) {
+  LearnOfPeer();
+  TestConnection other = ConnectAsPeer();
+  other.Send(ForwardedHead("GET", "/stream/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  target.Send(StreamResponseHead("r1") + EncodeChunk("id: 1\ndata: a\n\n"));
+  other.ReadUntil("data: a\n\n");
+  target.Close();
+  BOOST_TEST(!Contains(other.ReadUntilClose(), "0\r\n\r\n"));
 }
 
 // Guards against an instance that goes on forwarding after its links are back.
@@ -190,14 +386,7 @@
   }
   TestConnection caller = relay.Connect();
   caller.Send(RequestHead("GET", "/safe/x", "r1"));
-  while (true) {
-    TestConnection target = relay.first().Accept();
-    if (!target.IsClosedWithin(0)) {  // not a probe
-      target.ReadUntil("\r\n\r\n");
-      target.Send(SignedResponse("r1", "ok"));
-      break;
-    }
-  }
+  AcceptCall(&relay.first()).Send(SignedResponse("r1", "ok"));
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
 }
 
@@ -211,16 +400,22 @@
   state.counted = true;
   state.last_event_id = 12;
   state.stream_version = "v;1=\n";
-  BOOST_CHECK(DecodeForwardedRequest(EncodeForwardedRequest(state)) == state);
-  for (const char* it :
-       {"", "left_us=1", "left_us=1;waited_us=0;calls=0;runs=1;counted=0",
-        "left_us=-1;waited_us=0;calls=0;runs=0;counted=0",
-        "left_us=1;waited_us=0;calls=0;runs=0;counted=2",
-        "left_us=1;left_us=1;waited_us=0;calls=0;runs=0;counted=0",
-        "left_us=1;waited_us=0;calls=0;runs=0;counted=0;after=x",
-        "left_us=1;waited_us=0;calls=0;runs=0;counted=0;version=0g"}) {
-    BOOST_TEST(!DecodeForwardedRequest(it).has_value(), it);
+  state.service = "svc";
+  state.map_version = 3;
+  const std::string text = EncodeForwardedRequest(state);
+  BOOST_CHECK(DecodeForwardedRequest(text) == state);
+  // Each change of one field makes the value unreadable.
+  for (const auto& [from, to] :
+       {std::pair("left_us=", "left_us=-"), std::pair("left_us=", "x="),
+        std::pair("runs=1", "runs=3"), std::pair("counted=1", "counted=2"),
+        std::pair("calls=2", "calls="), std::pair("after=12", "after=x"),
+        std::pair("version=", "version=0g"), std::pair("map=3", "map=3;map=3"),
+        std::pair("map=3", "map=99999999999999999999")}) {
+    std::string changed = text;
+    changed.replace(changed.find(from), std::string(from).size(), to);
+    BOOST_TEST(!DecodeForwardedRequest(changed).has_value(), changed);
   }
+  BOOST_TEST(!DecodeForwardedRequest("").has_value());
 }
 
 }  // namespace endiveyard
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -1,6 +1,7 @@
 #include "relay_fixture.h"
 
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -67,6 +68,20 @@
   return sent;
 }
 
+void TestConnection::SendUntilBlocked(const std::string& bytes) {
+  constexpr int kBlockedMs = 300;
+  pollfd peer{socket_.native_handle(), POLLOUT, 0};
+  size_t sent = 0;
+  while (poll(&peer, 1, kBlockedMs) > 0) {
+    const ssize_t n = send(peer.fd, bytes.data() + sent, bytes.size() - sent,
+                           MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (n <= 0) {
+      throw std::runtime_error("the connection was closed");
+    }
+    sent = (sent + static_cast<size_t>(n)) % bytes.size();
+  }
+}
+
 void TestConnection::TrickleUntilClosed(const std::string& bytes) {
   constexpr int kIntervalMs = 50;
   constexpr int kMaxWrites = 200;
@@ -152,6 +167,21 @@
   socket_.close(ec);
 }
 
+void TestConnection::DiscardIncoming() {
+  sock_filter discard_all = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{1, &discard_all};
+  if (setsockopt(socket_.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER,
+                 &program, sizeof program) != 0) {
+    throw std::runtime_error("cannot attach a socket filter");
+  }
+}
+
+void TestConnection::ReceiveAgain() {
+  const int unused = 0;
+  setsockopt(socket_.native_handle(), SOL_SOCKET, SO_DETACH_FILTER, &unused,
+             sizeof unused);
+}
+
 TestTarget::TestTarget(asio::io_context& io)
     : io_(io),
       acceptor_(io, tcp::endpoint(asio::ip::make_address(kLoopback), 0)) {}
@@ -161,6 +191,11 @@
   return poll(&listener, 1, ms) == 1;
 }
 
+TestTarget::TestTarget(asio::io_context& io,
+                       const std::string& ip,
+                       uint16_t port)
+    : io_(io), acceptor_(io, tcp::endpoint(asio::ip::make_address(ip), port)) {}
+
 TestConnection TestTarget::Accept() {
   if (!HasConnectionWithin(10000)) {
     throw std::runtime_error("target got no connection within 10 s");
@@ -170,6 +205,18 @@
   return TestConnection(std::move(socket));
 }
 
+std::unique_ptr<TestConnection> TestTarget::AcceptUnlessUsed(
+    TestConnection* kept) {
+  constexpr int kTimeoutMs = 10000;
+  pollfd sockets[] = {{acceptor_.native_handle(), POLLIN, 0},
+                      {kept->native_handle(), POLLIN, 0}};
+  if (poll(sockets, 2, kTimeoutMs) <= 0) {
+    throw std::runtime_error("target got no request within 10 s");
+  }
+  return sockets[1].revents != 0 ? nullptr
+                                 : std::make_unique<TestConnection>(Accept());
+}
+
 uint16_t TestTarget::port() const {
   return acceptor_.local_endpoint().port();
 }
@@ -195,7 +242,7 @@
   thread_.join();
 }
 
-RelayFixture::RelayFixture(Duration startup_wait, uint16_t peer_port)
+RelayFixture::RelayFixture(const RelayFixtureOptions& fixture_options)
     : first_(test_io_),
       second_(test_io_),
       work_guard_(asio::make_work_guard(io_)),
@@ -232,8 +279,11 @@
   options.ip = kLoopback;
   options.location.failure_domain = "z";
   options.retry_bound.slack = 640;
-  options.startup_wait = startup_wait;
-  options.peer_port = peer_port;
+  options.startup_wait = fixture_options.startup_wait;
+  options.news_wait = fixture_options.news_wait;
+  options.peer_port = fixture_options.peer_port;
+  options.peer_ip = fixture_options.peer_ip;
+  options.target_client.peer_timeout = fixture_options.peer_timeout;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
   if (!relay_->Listen().ok()) {
@@ -306,13 +356,12 @@
   }
 }
 
-void RelayFixture::LearnOfPeer() {
-  RunOnRelayThread([this](RoutingState&) {
+void RelayFixture::LearnOfPeer(const std::string& ip) {
+  RunOnRelayThread([this, &ip](RoutingState&) {
     ForwardingState state;
     state.takes_requests = true;
     relay_->forwarding_peers()->RecordReport(
-        asio::ip::make_address_v4(kLoopback).to_uint(), state,
-        BootClock::now());
+        asio::ip::make_address_v4(ip).to_uint(), state, BootClock::now());
   });
 }
 
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -26,6 +26,8 @@
   // Sends `bytes` repeatedly until the peer closes the connection or `limit`
   // bytes were sent. Returns the number of bytes sent.
   size_t SendUntilClosed(const std::string& bytes, size_t limit);
+  // Sends `bytes` repeatedly until the peer stops reading.
+  void SendUntilBlocked(const std::string& bytes);
   // Sends `bytes` every 50 ms until the peer closes the connection. Throws
   // after ten seconds.
   void TrickleUntilClosed(const std::string& bytes);
@@ -41,6 +43,15 @@
   void Close();
   // Closes with a TCP reset instead of an orderly shutdown.
   void Reset();
+  // Makes the kernel discard all segments that arrive, like a link that is cut
+  // in this direction, until ReceiveAgain(). Nothing is acknowledged.
+  void DiscardIncoming();
+  void ReceiveAgain();
+  // Returns the IP address of the other side.
+  std::string RemoteIp() {
+    return socket_.remote_endpoint().address().to_string();
+  }
+  int native_handle() { return socket_.native_handle(); }
 
  private:
   boost::asio::ip::tcp::socket socket_;
@@ -51,8 +62,13 @@
 class TestTarget {
  public:
   explicit TestTarget(boost::asio::io_context& io);
+  // Listens at another address of the loopback network.
+  TestTarget(boost::asio::io_context& io, const std::string& ip, uint16_t port);
 
   TestConnection Accept();
+  // Waits until a request arrives on `kept` or a new connection is opened.
+  // Returns the new connection, or null if `kept` was used.
+  std::unique_ptr<TestConnection> AcceptUnlessUsed(TestConnection* kept);
   // Returns true if a connection arrives within `ms`, or waits already.
   bool HasConnectionWithin(int ms);
   uint16_t port() const;
@@ -77,16 +93,29 @@
   std::thread thread_;
 };
 
+struct RelayFixtureOptions {
+  // See RelayOptions. By default, requests do not wait for the routing state.
+  Duration startup_wait = Duration(0);
+  Duration news_wait = Duration(0);
+  Duration peer_timeout = TargetClientOptions().peer_timeout;
+  // Requests are forwarded to other instances at this port of the loopback
+  // address.
+  uint16_t peer_port = 0;
+  std::string peer_ip;
+};
+
+inline RelayFixtureOptions WithPeerPort(uint16_t port) {
+  RelayFixtureOptions options;
+  options.peer_port = port;
+  return options;
+}
+
 // A relay on the loopback address with its own thread. The service `svc` has
 // two targets, `t1` and `t2`; the host "h" has the routes /safe/, /unsafe/,
 // /stream/ (resumable) and /once/ (a stream that is not resumable).
 class RelayFixture {
  public:
-  // By default, requests do not wait for the routing state after startup.
-  // Requests are forwarded to other instances at `peer_port` of the loopback
-  // address.
-  explicit RelayFixture(Duration startup_wait = Duration(0),
-                        uint16_t peer_port = 0);
+  explicit RelayFixture(const RelayFixtureOptions& options = {});
   ~RelayFixture();
 
   TestConnection Connect();
@@ -97,8 +126,8 @@
   // Replaces the targets by ones that refuse connections, and returns when the
   // relay has noticed that it cannot connect to any target.
   void LoseLinks();
-  // Lets the relay know of an instance at the loopback address.
-  void LearnOfPeer();
+  // Lets the relay know of an instance at an address of the loopback network.
+  void LearnOfPeer(const std::string& ip = "127.0.0.1");
   // Listens for forwarded requests, and returns a connection of another
   // instance.
   TestConnection ConnectAsPeer();
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -1,12 +1,17 @@
 #include <sys/resource.h>
 
+#include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <numeric>
 #include <random>
+#include <set>
 #include <thread>
 
 #include <boost/program_options.hpp>
@@ -26,6 +31,7 @@
 // Faults begin once estimates of the service times exist.
 constexpr int64_t kCalmMs = 2000;
 constexpr int kGraceMs = 8000;
+constexpr int64_t kStableMs = 4000;
 
 struct SoakOptions {
   std::string binary;
@@ -33,23 +39,46 @@
   uint64_t seed = 1;
   int seconds = 20;
   int fronts = 3;
+  int plain_replicas = 8;
+  int prefill_engines = 2;
+  int decode_engines = 5;
   int clients = 24;
   int timeout_ms = 2000;  // of the routes and the clients
   int max_work_ms = 120;  // of a replica on one request, before its answer
+  int max_attempts = 2;   // of the routes
   double fault_rate = 0.15;
   std::vector<ReplicaFault> faults;
   double pipeline_rate = 0;
   int max_pause_ms = 30;  // of a client between two requests
+  // Share of the requests that are repeated with the same id, among those that
+  // were refused as not run.
+  double same_id_rate = 0.5;
+  int max_change_ms = 1700;  // between two changes of replicas at most
   bool signals = true;
+  // How processes lose their links to all replicas, one way after the other:
+  // none if it is empty.
+  std::vector<std::string> stranded;
   // Interval at which one process after the other is killed and started again,
   // instead of other signals; 0 for none.
   int kill_every_ms = 0;
 };
 
+struct ClientRequest {
+  std::string id;
+  std::string first_id;  // see ClientResult
+  int begun_after = 0;
+  std::string target;
+  std::string prompt;  // header lines
+  std::string body;
+  int64_t sent_ms = 0;
+};
+
 class Soak {
  public:
   explicit Soak(const SoakOptions& options)
-      : options_(options), network_(NetworkOf(getpid())), registry_(Ip(1)) {}
+      : options_(options),
+        network_(NetworkOf(getpid())),
+        registry_(Ip(1), ViewCount()) {}
 
   // Returns the violations.
   std::vector<std::string> Run();
@@ -66,6 +95,11 @@
     std::seed_seq seed{options_.seed, part};
     return std::mt19937_64(seed);
   }
+  // Each process has its own view of the registry, with its own addresses of
+  // the replicas, if links between processes and replicas can be cut.
+  size_t ViewCount() const {
+    return options_.stranded.empty() ? 1 : static_cast<size_t>(options_.fronts);
+  }
   void StartReplicas();
   void StartFronts();
   void PutConfiguration(int version);
@@ -75,14 +109,36 @@
                FrontProcess* front,
                HttpPeer* peer,
                std::mt19937_64* random);
-  ClientResult ReadResult(const std::string& id,
-                          const std::string& target,
-                          int64_t sent_ms,
+  static std::string ServiceOf(const std::string& target) {
+    return IsStream(KindOf(target)) ? "chat" : "orders";
+  }
+  std::string BytesOf(const ClientRequest& request) const;
+  // Reads and records the answer.
+  ClientResult ReadResult(const ClientRequest& request,
                           FrontProcess* front,
                           HttpPeer* peer);
+  // Repeats a request that was refused, and takes up a stream that broke off,
+  // at any process.
+  void Repeat(ClientRequest request,
+              ClientResult result,
+              FrontProcess* front,
+              std::mt19937_64* random);
+  // Lets the last requests, and runs of requests that were refused, end. To be
+  // called by threads that have started processes, which end with them.
+  void Settle() const { SleepMs(int64_t{2} * options_.timeout_ms); }
   void DisturbFront(size_t number);
   void KillInTurn();
   void ChangeReplicas();
+  // Starts a replica again and registers it under its new id. Engines change
+  // their stages in pairs.
+  void Rejoin(size_t number);
+  void Replace(size_t number, const std::string& stage);
+  // Cuts the links of half of the processes again and again.
+  void StrandFronts();
+  // Returns what was counted, and records what breaks the bound.
+  std::string CheckFirstTries();
+  // Counts a client's first try while links are cut.
+  void CountFirstTry(const FrontProcess& front, int64_t sent_ms, bool served);
   bool Ended() const { return NowMs() >= end_ms_; }
   void SleepUntilEnd(int64_t ms) const {
     SleepMs(std::max<int64_t>(0, std::min(ms, end_ms_ - NowMs())));
@@ -98,29 +154,39 @@
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::string summary_;
+  struct Tries {
+    int all = 0;
+    int served = 0;
+  };
+  // Since when links are cut; 0 while none are.
+  std::atomic<int64_t> stranded_since_ms_{0};
+  // Guarded by `mutex_`.
+  std::set<const FrontProcess*> stranded_;
+  std::string strand_mode_;
+  std::map<std::string, std::pair<Tries, Tries>> tries_;  // cut off, others
+  std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
   double peak_memory_mb_ = 0;  // of any process
 };
 
 void Soak::StartReplicas() {
-  constexpr int kPlainReplicas = 8;
-  constexpr int kPrefillEngines = 2;
-  constexpr int kDecodeEngines = 5;
-  for (int n = 0; n < kPlainReplicas + kPrefillEngines + kDecodeEngines; ++n) {
+  const int plain = options_.plain_replicas;
+  const int prefill = options_.prefill_engines;
+  for (int n = 0; n < plain + prefill + options_.decode_engines; ++n) {
     ReplicaStandin::Options options;
     options.ip = Ip(10 + n);
-    options.service = n < kPlainReplicas ? "orders" : "chat";
-    options.stage = n < kPlainReplicas                     ? ""
-                    : n < kPlainReplicas + kPrefillEngines ? "prefill"
-                                                           : "decode";
+    options.views = ViewCount();
+    options.service = n < plain ? "orders" : "chat";
+    options.stage = n < plain ? "" : n < plain + prefill ? "prefill" : "decode";
     options.seed = RandomFor(static_cast<uint64_t>(n))();
     options.fault_rate = options_.fault_rate;
     options.faults = options_.faults;
     options.max_work_ms = options_.max_work_ms;
+    options.rejoin = [this, n] { Rejoin(static_cast<size_t>(n)); };
     replicas_.push_back(
         std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
     registry_.Put("servers", replicas_.back()->id(),
-                  replicas_.back()->Spec("ready"));
+                  replicas_.back()->Specs("ready"));
   }
 }
 
@@ -133,7 +199,8 @@
               R"(/","kind":")" + kind + R"(","timeout_ms":)" +
               std::to_string(options_.timeout_ms) +
               R"(,"target_latency_ms":800,"priority":1,"service":")" + service +
-              R"(","max_attempts":2)" + more + "}";
+              R"(","max_attempts":)" + std::to_string(options_.max_attempts) +
+              more + "}";
   };
   const std::string stream = R"(,"session_affinity":true,"target_gap_ms":300)";
   add("order", "unsafe", "orders", "");
@@ -154,7 +221,7 @@
 
 void Soak::StartFronts() {
   // Processes report to each other at one port.
-  const uint16_t control_port = FindFreePort(Ip(100));
+  const uint16_t control_port = FindFreePort(Ip(100), {});
   constexpr int kMaxSeeds = 3;
   std::vector<std::string> seeds;
   seeds.reserve(kMaxSeeds);
@@ -167,7 +234,9 @@
     options.name = "front-" + std::to_string(n);
     options.ip = Ip(100 + n);
     options.folder = options_.folder;
-    options.registry_address = Ip(1) + ":" + std::to_string(registry_.port());
+    options.registry_address =
+        Ip(1) + ":" +
+        std::to_string(registry_.port(static_cast<size_t>(n) % ViewCount()));
     options.seed_addresses = seeds;
     options.control_port = control_port;
     fronts_.push_back(std::make_unique<FrontProcess>(options));
@@ -181,32 +250,95 @@
   }
 }
 
-ClientResult Soak::ReadResult(const std::string& id,
-                              const std::string& target,
-                              int64_t sent_ms,
+ClientResult Soak::ReadResult(const ClientRequest& request,
                               FrontProcess* front,
                               HttpPeer* peer) {
   constexpr int kSlackMs = 1500;
   const HttpMessage answer = peer->Read(options_.timeout_ms + kSlackMs);
   ClientResult result;
-  result.id = id;
-  result.kind = KindOf(target);
+  result.id = request.id;
+  result.first_id = request.first_id;
+  result.begun_after = request.begun_after;
+  result.kind = KindOf(request.target);
+  result.process = front->name();
+  result.sent_ms = request.sent_ms;
   result.status = answer.headers.empty() ? 0 : answer.Status();
   result.complete = answer.complete;
   result.connection_ended = peer->HasEnded();
   result.signed_by_target =
-      answer.Header("Endiveyard-Response-Signature") == "sig-" + id;
+      answer.Header("Endiveyard-Response-Signature") == "sig-" + request.id;
   result.answered_id = answer.Header("Endiveyard-Request-Id");
   result.body = answer.body;
-  const int64_t now = NowMs();
-  result.in_time = now - sent_ms < options_.timeout_ms;
-  result.process_disturbed = front->WasDisturbed(sent_ms, now);
+  result.answered_ms = NowMs();
+  result.in_time = result.answered_ms - result.sent_ms < options_.timeout_ms;
+  result.process_disturbed =
+      front->WasDisturbed(result.sent_ms, result.answered_ms);
   if (!result.complete || answer.Header("Connection") == "close") {
     peer->Close();
   }
+  ledger_.RecordResult(result);
   return result;
 }
 
+std::string Soak::BytesOf(const ClientRequest& request) const {
+  const std::string take_up =
+      request.first_id == request.id
+          ? ""
+          : "Last-Event-Id: " + std::to_string(request.begun_after) +
+                "\r\nResumes: " + request.first_id + "\r\n";
+  return "POST " + request.target + " HTTP/1.1\r\nHost: " + kHost +
+         "\r\nEndiveyard-Request-Id: " + request.id +
+         "\r\nEndiveyard-Deadline-Ms: " + std::to_string(options_.timeout_ms) +
+         "\r\n" + request.prompt + take_up +
+         "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" +
+         request.body;
+}
+
+void Soak::Repeat(ClientRequest request,
+                  ClientResult result,
+                  FrontProcess* front,
+                  std::mt19937_64* random) {
+  constexpr int kMaxRepeats = 4;
+  constexpr int kMaxPauseMs = 100;
+  const std::string base = request.id;
+  for (int n = 1; n <= kMaxRepeats && !Ended(); ++n) {
+    const bool refused = result.status == 429 || result.status == 503;
+    const bool broken_off = result.kind == RequestKind::kResumableStream &&
+                            result.status == 200 && !result.complete;
+    if (broken_off) {
+      const int last = LastEventOf(result.body, request.begun_after);
+      request.first_id =
+          request.begun_after == 0 && last > 0 ? request.id : request.first_id;
+      request.begun_after = last;
+    }
+    const bool take_up = request.begun_after > 0;
+    if (!broken_off && !refused) {
+      return;
+    }
+    if (broken_off || std::uniform_real_distribution<double>()(*random) >=
+                          options_.same_id_rate) {
+      request.id = base + "-" + std::to_string(n);
+    }
+    if (!take_up) {
+      request.first_id = request.id;
+    }
+    SleepMs(1 + static_cast<int64_t>(random->operator()() % kMaxPauseMs));
+    // Often at the same process, which may still have the connection on which
+    // the request was refused.
+    if (random->operator()() % 2 == 0) {
+      front = fronts_[random->operator()() % fronts_.size()].get();
+    }
+    const auto peer = HttpPeer::Connect(front->ip(), front->port());
+    if (!peer) {
+      return;
+    }
+    ledger_.RecordRequest(ServiceOf(request.target), request.id);
+    request.sent_ms = NowMs();
+    peer->Send(BytesOf(request));
+    result = ReadResult(request, front, peer.get());
+  }
+}
+
 void Soak::SendOne(int number,
                    int count,
                    FrontProcess* front,
@@ -217,40 +349,41 @@
   };
   const char* const paths[] = {"/order/", "/order/", "/lookup/", "/once/",
                                "/chat/"};
-  const auto request = [&](const std::string& id, const std::string& path) {
-    // Few different first parts, so that requests share caches.
-    const std::string prompt =
-        IsStream(KindOf(path))
-            ? "Endiveyard-Model: m\r\nEndiveyard-Token-Count: 8000,40\r\n"
-              "Endiveyard-Prompt-Prefix: a" +
-                  std::to_string(draw(3)) + ":2000,b" + std::to_string(number) +
-                  std::to_string(count) + ":6000\r\n"
-            : "";
-    const std::string body(static_cast<size_t>(draw(2000)), 'q');
-    return "POST " + path + " HTTP/1.1\r\nHost: " + kHost +
-           "\r\nEndiveyard-Request-Id: " + id + "\r\nEndiveyard-Deadline-Ms: " +
-           std::to_string(options_.timeout_ms) + "\r\n" + prompt +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  };
   const double pipelined = std::uniform_real_distribution<double>()(*random);
   const int requests = pipelined < options_.pipeline_rate ? 2 + draw(1) : 1;
-  std::vector<std::pair<std::string, std::string>> sent;
+  std::vector<ClientRequest> sent;
   std::string bytes;
   for (int n = 0; n < requests; ++n) {
-    const std::string id = "c" + std::to_string(number) + "-" +
-                           std::to_string(count) + "-" + std::to_string(n);
-    sent.emplace_back(id, paths[draw(4)] + id);
-    bytes += request(id, sent.back().second);
-    ledger_.RecordRequest(IsStream(KindOf(sent.back().second)) ? "chat"
-                                                               : "orders");
+    ClientRequest request;
+    request.id = "c" + std::to_string(number) + "-" + std::to_string(count) +
+                 "-" + std::to_string(n);
+    request.first_id = request.id;
+    request.target = paths[draw(4)] + request.id;
+    if (IsStream(KindOf(request.target))) {
+      // Few different first parts, so that requests share caches.
+      request.prompt =
+          "Endiveyard-Model: m\r\nEndiveyard-Token-Count: 8000,40\r\n"
+          "Endiveyard-Prompt-Prefix: a" +
+          std::to_string(draw(3)) + ":2000,b" + std::to_string(number) +
+          std::to_string(count) + ":6000\r\n";
+    }
+    request.body = std::string(static_cast<size_t>(draw(2000)), 'q');
+    bytes += BytesOf(request);
+    ledger_.RecordRequest(ServiceOf(request.target), request.id);
+    sent.push_back(request);
   }
   const int64_t sent_ms = NowMs();
   peer->Send(bytes);
-  for (const auto& [id, target] : sent) {
-    if (peer->HasEnded() && id != sent.front().first) {
+  for (ClientRequest& it : sent) {
+    if (peer->HasEnded() && it.id != sent.front().id) {
       return;  // not answered, as the answer before closed the connection
     }
-    ledger_.RecordResult(ReadResult(id, target, sent_ms, front, peer));
+    it.sent_ms = sent_ms;
+    const ClientResult result = ReadResult(it, front, peer);
+    CountFirstTry(*front, sent_ms, result.status == 200 && result.complete);
+    if (requests == 1) {
+      Repeat(it, result, front, random);
+    }
   }
 }
 
@@ -264,6 +397,7 @@
       peer = HttpPeer::Connect(front->ip(), front->port());
       if (!peer) {
         constexpr int kRetryMs = 50;
+        CountFirstTry(*front, NowMs(), false);
         SleepMs(kRetryMs);
         continue;
       }
@@ -341,10 +475,7 @@
         break;
     }
   }
-  // The process ends with the thread that started it. The last requests, and
-  // runs of requests that were refused, end before.
-  const int settle_ms = 2 * options_.timeout_ms;
-  SleepMs(settle_ms);
+  Settle();
   sample_memory();
   if (const auto end = front.EndByItself()) {
     ledger_.RecordViolation("LOST, process " + std::to_string(number) +
@@ -360,25 +491,143 @@
     front.WaitForEnd(kGraceMs);
     front.Start();
   }
+  Settle();
+}
+
+void Soak::Replace(size_t number, const std::string& stage) {
+  ReplicaStandin& replica = *replicas_[number];
+  registry_.Delete("servers", replica.id());
+  replica.Restart(stage);
+  registry_.Put("servers", replica.id(), replica.Specs("ready"));
+}
+
+void Soak::Rejoin(size_t number) {
+  const std::lock_guard<std::mutex> lock(replacing_);
+  const std::string stage = replicas_[number]->stage();
+  for (size_t n = 0; !stage.empty() && n < replicas_.size(); ++n) {
+    const size_t other = (number + n) % replicas_.size();
+    const std::string other_stage = replicas_[other]->stage();
+    if (!other_stage.empty() && other_stage != stage) {
+      Replace(other, stage);
+      Replace(number, other_stage);
+      return;
+    }
+  }
+  Replace(number, stage);
 }
 
 void Soak::ChangeReplicas() {
   std::mt19937_64 random = RandomFor(3000);
   int version = 8;
   while (!Ended()) {
-    SleepUntilEnd(static_cast<int64_t>(200 + random() % 1500));
+    constexpr int kMinChangeMs = 200;
+    SleepUntilEnd(kMinChangeMs + static_cast<int64_t>(
+                                     random() % static_cast<uint64_t>(std::max(
+                                                    1, options_.max_change_ms -
+                                                           kMinChangeMs))));
     if (random() % 3 == 0) {
       PutConfiguration(version += 1 + static_cast<int>(random() % 5));
       continue;
     }
-    ReplicaStandin& replica = *replicas_[random() % replicas_.size()];
+    const size_t number = random() % replicas_.size();
+    ReplicaStandin& replica = *replicas_[number];
     const std::string id = replica.id();
-    registry_.Put("servers", id, replica.Spec("draining"));
-    SleepUntilEnd(static_cast<int64_t>(random() % 3000));
-    registry_.Delete("servers", id);
-    replica.Restart();
-    registry_.Put("servers", replica.id(), replica.Spec("ready"));
+    const int64_t drain_ms = static_cast<int64_t>(random() % 3000);
+    {
+      const std::lock_guard<std::mutex> lock(replacing_);
+      if (replica.id() == id) {
+        registry_.Put("servers", id, replica.Specs("draining"));
+      }
+    }
+    SleepUntilEnd(drain_ms);
+    const std::lock_guard<std::mutex> lock(replacing_);
+    if (replica.id() == id) {
+      Replace(number, replica.stage());
+    }
+  }
+}
+
+void Soak::StrandFronts() {
+  constexpr int64_t kPauseMs = 3000;
+  constexpr int64_t kStrandedMs = 9000;
+  std::mt19937_64 random = RandomFor(4000);
+  for (size_t round = 0; !Ended(); ++round) {
+    const std::string mode =
+        options_.stranded[round % options_.stranded.size()];
+    std::vector<size_t> numbers(fronts_.size());
+    std::iota(numbers.begin(), numbers.end(), size_t{0});
+    std::shuffle(numbers.begin(), numbers.end(), random);
+    numbers.resize(std::max<size_t>(1, numbers.size() / 2));
+    const auto for_each_link = [&](const auto& apply) {
+      for (const size_t n : numbers) {
+        for (const auto& it : replicas_) {
+          apply(it->listener(n));
+        }
+      }
+    };
+    for_each_link([&](HttpListener& it) {
+      if (mode == "hang") {
+        it.Hang();
+        return;
+      }
+      it.Refuse();
+      if (mode == "reset") {
+        it.ResetConnections();
+      }
+    });
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      strand_mode_ = mode;
+      for (const size_t n : numbers) {
+        stranded_.insert(fronts_[n].get());
+      }
+      stranded_since_ms_ = NowMs();
+    }
+    SleepUntilEnd(kStrandedMs);
+    stranded_since_ms_ = 0;
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      stranded_.clear();
+    }
+    for_each_link([](HttpListener& it) { it.Heal(); });
+    SleepUntilEnd(kPauseMs);
+  }
+}
+
+void Soak::CountFirstTry(const FrontProcess& front,
+                         int64_t sent_ms,
+                         bool served) {
+  const int64_t since = stranded_since_ms_;
+  if (since == 0 || sent_ms < since + kStableMs ||
+      front.WasDisturbed(sent_ms - kStableMs, NowMs())) {
+    return;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
+  auto& [cut_off, others] = tries_[strand_mode_];
+  Tries& tries = stranded_.count(&front) > 0 ? cut_off : others;
+  ++tries.all;
+  tries.served += served ? 1 : 0;
+}
+
+std::string Soak::CheckFirstTries() {
+  std::string text;
+  for (const auto& [mode, tries] : tries_) {
+    const auto& [cut_off, others] = tries;
+    const std::string line =
+        "links cut (" + mode + "): served " + std::to_string(cut_off.served) +
+        " of " + std::to_string(cut_off.all) + " first tries, elsewhere " +
+        std::to_string(others.served) + " of " + std::to_string(others.all);
+    // Clients wait for answers, so that there are few tries where these are
+    // late: the share of all tries that the rule allows to fail isn't granted.
+    constexpr int kMaxFailed = 10;
+    // Compares the shares without dividing by zero.
+    if (3.0 * cut_off.served * others.all < 2.0 * others.served * cut_off.all &&
+        cut_off.all - cut_off.served > kMaxFailed) {
+      ledger_.RecordViolation("RECOVER, " + line);
+    }
+    text += "; " + line;
   }
+  return text;
 }
 
 std::vector<std::string> Soak::Run() {
@@ -407,6 +656,9 @@
   if (options_.signals) {
     disturbers.emplace_back([this] { ChangeReplicas(); });
   }
+  if (!options_.stranded.empty()) {
+    disturbers.emplace_back([this] { StrandFronts(); });
+  }
   for (std::thread& it : clients) {
     it.join();
   }
@@ -420,7 +672,8 @@
   }
   summary_ = ledger_.Summary() + "; " + ledger_.RepeatSummary() +
              "; peak memory of a process " +
-             std::to_string(static_cast<int>(peak_memory_mb_)) + " MB";
+             std::to_string(static_cast<int>(peak_memory_mb_)) + " MB" +
+             CheckFirstTries();
   return ledger_.Violations();
 }
 
@@ -471,6 +724,21 @@
       "fault of the replicas; may be repeated; default: all")(
       "pipeline-rate", po::value(&soak.pipeline_rate),
       "share of the turns of a client that send two or three requests at once")(
+      "stranded", po::value(&soak.stranded)->composing(),
+      "half of the processes lose their links to all replicas for 9 s at a "
+      "time; connections hang (hang), are reset (reset), or live on while new "
+      "ones are refused (live_on); may be repeated")(
+      "max-attempts", po::value(&soak.max_attempts),
+      "replicas that get one request at most")(
+      "same-id-rate", po::value(&soak.same_id_rate),
+      "share of the repeats of refused requests that have the same id")(
+      "max-change-ms", po::value(&soak.max_change_ms),
+      "pause between two changes of replicas at most")(
+      "plain-replicas", po::value(&soak.plain_replicas),
+      "replicas of the plain service")("prefill-engines",
+                                       po::value(&soak.prefill_engines),
+                                       "engines that only prefill")(
+      "decode-engines", po::value(&soak.decode_engines), "engines that decode")(
       "max-pause-ms", po::value(&soak.max_pause_ms),
       "pause of a client between two requests at most")(
       "kill-every-ms", po::value(&soak.kill_every_ms),
@@ -487,6 +755,11 @@
     }
     po::notify(values);
     soak.faults = endiveyard::soak::FaultsNamed(fault_names);
+    for (const std::string& it : soak.stranded) {
+      if (it != "hang" && it != "reset" && it != "live_on") {
+        throw std::runtime_error("links are not cut in the way " + it);
+      }
+    }
     std::signal(SIGPIPE, SIG_IGN);
     const bool temporary = folder.empty();
     if (temporary) {
