--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -209,7 +209,7 @@
     TestConnection* kept) {
   constexpr int kTimeoutMs = 10000;
   pollfd sockets[] = {{acceptor_.native_handle(), POLLIN, 0},
-                      {kept->native_handle(), POLLIN, 0}};
+                      {kept->fd(), POLLIN, 0}};
   if (poll(sockets, 2, kTimeoutMs) <= 0) {
     throw std::runtime_error("target got no request within 10 s");
   }
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -51,7 +51,7 @@
   std::string RemoteIp() {
     return socket_.remote_endpoint().address().to_string();
   }
-  int native_handle() { return socket_.native_handle(); }
+  int fd() { return socket_.native_handle(); }
 
  private:
   boost::asio::ip::tcp::socket socket_;
@@ -72,6 +72,7 @@
   // Returns true if a connection arrives within `ms`, or waits already.
   bool HasConnectionWithin(int ms);
   uint16_t port() const;
+  int fd() { return acceptor_.native_handle(); }
 
  private:
   boost::asio::io_context& io_;
