--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -69,6 +69,21 @@
   BOOST_TEST(Contains(caller.ReadUntilClose(), "HTTP/1.1 400 "));
 }
 
+// Guards against exchanges that outlive their relay, with their sockets: a
+// connection and its exchange refer to each other.
+BOOST_AUTO_TEST_CASE(RelaysCloseTheirConnectionsWhenTheyEnd) {
+  auto fixture = std::make_unique<RelayFixture>();
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket socket(io);
+  socket.connect(
+      {boost::asio::ip::address_v4::loopback(), fixture->relay().port()});
+  TestConnection caller(std::move(socket));
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  fixture->first().Accept().ReadMessage();
+  fixture.reset();
+  BOOST_TEST(caller.ReadUntilClose().empty());
+}
+
 // Guards against work for a caller that has disconnected: the connection to the
 // target is closed while the request is in progress.
 BOOST_FIXTURE_TEST_CASE(CallerDisconnectClosesTheTargetConnection,
@@ -737,6 +752,42 @@
   BOOST_TEST(begun_at_second < 12);
 }
 
+// Guards against a stream that goes on at the version of an earlier attempt
+// with the same id, which was refused: another instance may have begun it
+// since.
+BOOST_FIXTURE_TEST_CASE(RefusedAttemptsDoNotDecideTheVersion, RelayFixture) {
+  SetVersion("t1", "v1");
+  SetVersion("t2", "v2");
+  NotifyRoutingStateChanged();
+  // An id whose stream begins at v1, and is in doubt once all replicas are v2.
+  std::string id;
+  RunOnRelayThread([&](RoutingState&) {
+    const StreamVersions& versions = *relay().stream_versions();
+    for (int n = 0; id.empty(); ++n) {
+      const std::string candidate = "r" + std::to_string(n);
+      if (versions.Choose("svc", MakeStreamId("svc", candidate, {})) == "v1") {
+        id = candidate;
+      }
+    }
+  });
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/stream/x", id));
+  TestConnection run = first().Accept();
+  run.ReadUntil("\r\n\r\n");
+  run.Send("HTTP/1.1 503 Full\r\nEndiveyard-Request-Id: " + id +
+           "\r\nEndiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+  SetVersion("t1", "v2");
+  NotifyRoutingStateChanged();
+  std::optional<std::string> found;
+  RunOnRelayThread([&](RoutingState&) {
+    found = relay().stream_versions()->Find("svc", MakeStreamId("svc", id, {}),
+                                            std::chrono::seconds(60),
+                                            BootClock::now());
+  });
+  BOOST_TEST(!found.has_value());
+}
+
 // Guards against streams that are joined from two software versions when the
 // process that took up knows nothing of their beginning: they are refused as
 // not run, also if the caller names no attempt, or several.
@@ -810,15 +861,10 @@
   TestConnection refused = Connect();
   refused.Send(take_up);
   BOOST_TEST(Contains(refused.ReadMessage(), "HTTP/1.1 503 "));
-  RunOnRelayThread([&](RoutingState&) {
-    is_current = true;
-    news = apply_news("v2");
-  });
-  TestConnection caller = Connect();
-  caller.Send(take_up);
-  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
   // A caller that leaves while the registry is read.
+  std::function<void(std::function<void(bool)>)> refresh;
   RunOnRelayThread([&](RoutingState& state) {
+    refresh = state.refresh_replicas;
     state.refresh_replicas = [&pending](std::function<void(bool)> done) {
       pending = std::move(done);
     };
@@ -832,7 +878,17 @@
   leaving.Close();
   while (!Contains(metrics().Serialize(), "caller_left")) {
   }
-  RunOnRelayThread([&](RoutingState&) { pending(true); });
+  RunOnRelayThread([&](RoutingState& state) {
+    pending(true);
+    state.refresh_replicas = refresh;
+  });
+  RunOnRelayThread([&](RoutingState&) {
+    is_current = true;
+    news = apply_news("v2");
+  });
+  TestConnection caller = Connect();
+  caller.Send(take_up);
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
   BOOST_TEST(!first().HasConnectionWithin(0));
   BOOST_TEST(!second().HasConnectionWithin(0));
 }
