Do not let another instance lower the counts of runs

What a receiver states of calls and possible runs replaced what the sender knows. A receiver that states less than it was told would turn a request that may have run into one that has not. The higher count holds. Found on reading the change again.

--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -286,9 +286,12 @@
   CloseForwarding();
   if (ended.outcome != CallOutcome::kNotSent) {
     counted_in_budget_ = true;  // by the other instance
+    // Never less than what is known here.
     delivered_calls_ =
-        response ? response->delivered_calls : delivered_calls_ + 1;
-    possible_runs_ = response ? response->possible_runs : possible_runs_ + 1;
+        std::max(delivered_calls_,
+                 response ? response->delivered_calls : delivered_calls_ + 1);
+    possible_runs_ = std::max(possible_runs_, response ? response->possible_runs
+                                                       : possible_runs_ + 1);
   }
   ContinueAfterCall(ended, detail);
 }
