Soak: replicas that are processes and are killed

The replicas of the soak are threads of its own process. They close one connection at a time, as a fault, so that nothing showed what callers get when the kernel closes all connections of a killed replica at an arbitrary point of its responses.

Clients check that every response which ends as complete is whole, and, if nobody is killed, that all are.

The configuration and the start of the processes, which both soaks need, are in soak_configuration.cc.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -19,15 +19,17 @@
 #include "soak/front_process.h"
 #include "soak/http_peer.h"
 #include "soak/registry_standin.h"
+#include "soak/replica_kills.h"
+#include "soak/replica_process.h"
 #include "soak/replica_standin.h"
 #include "soak/run_ledger.h"
+#include "soak/soak_configuration.h"
 
 // Runs processes of endiveyard against stand-ins that misbehave, sends signals
 // to the processes, and checks from outside what ran and what clients got.
 namespace endiveyard::soak {
 namespace {
 
-constexpr const char* kHost = "soak.example";
 // Faults begin once estimates of the service times exist.
 constexpr int64_t kCalmMs = 2000;
 constexpr int kGraceMs = 8000;
@@ -88,11 +90,6 @@
   std::string summary() { return summary_; }
 
  private:
-  static std::string NetworkOf(pid_t pid) {
-    constexpr int kNets = 250;
-    return "127." + std::to_string(1 + pid / kNets % kNets) + "." +
-           std::to_string(1 + pid % kNets) + ".";
-  }
   std::string Ip(int n) const { return network_ + std::to_string(n); }
   std::mt19937_64 RandomFor(uint64_t part) const {
     std::seed_seq seed{options_.seed, part};
@@ -104,7 +101,6 @@
     return options_.stranded.empty() ? 1 : static_cast<size_t>(options_.fronts);
   }
   void StartReplicas();
-  void StartFronts();
   void PutConfiguration(int version);
   void RunClient(int number);
   void SendOne(int number,
@@ -196,63 +192,9 @@
 }
 
 void Soak::PutConfiguration(int version) {
-  std::string routes;
-  const auto add = [&](const std::string& name, const std::string& kind,
-                       const std::string& service, const std::string& more) {
-    routes += std::string(routes.empty() ? "" : ",") + R"({"name":")" + name +
-              R"(","host":")" + kHost + R"(","path_prefix":"/)" + name +
-              R"(/","kind":")" + kind + R"(","timeout_ms":)" +
-              std::to_string(options_.timeout_ms) +
-              R"(,"target_latency_ms":800,"priority":1,"service":")" + service +
-              R"(","max_attempts":)" + std::to_string(options_.max_attempts) +
-              more + "}";
-  };
-  const std::string stream = R"(,"session_affinity":true,"target_gap_ms":300)";
-  add("order", "unsafe", "orders", "");
-  add("lookup", "safe", "orders", "");
-  add("once", "streaming", "chat", stream + R"(,"resumable":false)");
-  add("chat", "streaming", "chat", stream + R"(,"resumable":true)");
-  add("added" + std::to_string(version), "safe", "orders", "");
   registry_.Put(
       "config", "main",
-      R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
-          R"(],"services":[{"name":"orders","health_path":"/healthz",)"
-          R"("max_connections":110},{"name":"chat","health_path":"/healthz",)"
-          R"("max_connections":370,"engine":{"slots":64,"kv_tokens":540532,)"
-          R"("kv_bytes":35136,"link_mbps":1100000,"handle_ttl_s":5}}],)"
-          R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
-          R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})");
-}
-
-void Soak::StartFronts() {
-  // Processes report to each other at one port.
-  const uint16_t control_port = FindFreePort(Ip(100), {});
-  constexpr int kMaxSeeds = 3;
-  std::vector<std::string> seeds;
-  seeds.reserve(kMaxSeeds);
-  for (int n = 0; n < std::min(options_.fronts, kMaxSeeds); ++n) {
-    seeds.push_back(Ip(100 + n) + ":" + std::to_string(control_port));
-  }
-  for (int n = 0; n < options_.fronts; ++n) {
-    FrontProcess::Options options;
-    options.binary = options_.binary;
-    options.name = "front-" + std::to_string(n);
-    options.ip = Ip(100 + n);
-    options.folder = options_.folder;
-    options.registry_address =
-        Ip(1) + ":" +
-        std::to_string(registry_.port(static_cast<size_t>(n) % ViewCount()));
-    options.seed_addresses = seeds;
-    options.control_port = control_port;
-    fronts_.push_back(std::make_unique<FrontProcess>(options));
-    fronts_.back()->Start();
-  }
-  constexpr int kReadyMs = 10000;
-  for (const auto& it : fronts_) {
-    if (!it->WaitUntilReady(kReadyMs)) {
-      throw std::runtime_error("a process is not ready after 10 s");
-    }
-  }
+      ConfigurationSpec(version, options_.timeout_ms, options_.max_attempts));
 }
 
 ClientResult Soak::ReadResult(const ClientRequest& request,
@@ -649,7 +591,8 @@
 std::vector<std::string> Soak::Run() {
   StartReplicas();
   PutConfiguration(7);
-  StartFronts();
+  fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
+                                options_.fronts, registry_, ViewCount());
   begin_ms_ = NowMs();
   end_ms_ = begin_ms_ + int64_t{1000} * options_.seconds;
   std::vector<std::thread> clients;
@@ -715,9 +658,17 @@
 }  // namespace endiveyard::soak
 
 int main(int argc, char** argv) {
+  using endiveyard::soak::ReplicaProcess;
+  constexpr int kReplicaArguments = 5;
+  if (argc == kReplicaArguments &&
+      std::string(argv[1]) == ReplicaProcess::kRoleArgument) {
+    return ReplicaProcess::Serve(argv[2], argv[3], argv[4]);
+  }
   namespace po = boost::program_options;
   using endiveyard::soak::Soak;
   endiveyard::soak::SoakOptions soak;
+  endiveyard::soak::ReplicaKillOptions kills;
+  std::string framing = "connection";
   std::string folder;
   std::vector<std::string> fault_names;
   po::options_description options("soak");
@@ -761,7 +712,15 @@
       "interval at which one process after the other is killed and started "
       "again, instead of other signals")(
       "signals", po::value(&soak.signals),
-      "signals to processes, changes of replicas and configuration");
+      "signals to processes, changes of replicas and configuration")(
+      "replica-processes", po::value(&kills.replicas),
+      "plays another soak, with this number of replicas that are processes, "
+      "answer without faults and are killed in turn")(
+      "replica-kill-ms", po::value(&kills.kill_every_ms),
+      "interval at which one of these replicas is killed; 0 for never")(
+      "framing", po::value(&framing),
+      "how the responses of these replicas end: with their connection "
+      "(connection) or with the last chunk (chunks)");
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
@@ -787,11 +746,25 @@
       folder = pattern;
     }
     soak.folder = folder;
-    // Replicas and clients use threads that outlive Run(); the program ends
-    // without waiting for them.
-    auto* run = new Soak(soak);
-    const std::vector<std::string> violations = run->Run();
-    std::cout << "seed " << soak.seed << ": " << run->summary() << "\n";
+    std::string summary;
+    std::vector<std::string> violations;
+    if (kills.replicas > 0) {
+      kills.binary = soak.binary;
+      kills.folder = folder;
+      kills.seed = soak.seed;
+      kills.seconds = soak.seconds;
+      kills.fronts = soak.fronts;
+      kills.clients = soak.clients;
+      kills.framing = endiveyard::soak::FramingNamed(framing);
+      violations = endiveyard::soak::RunReplicaKills(kills, &summary);
+    } else {
+      // Replicas and clients use threads that outlive Run(); the program ends
+      // without waiting for them.
+      auto* run = new Soak(soak);
+      violations = run->Run();
+      summary = run->summary();
+    }
+    std::cout << "seed " << soak.seed << ": " << summary << "\n";
     for (const std::string& it : violations) {
       std::cout << "  " << it << "\n";
     }
