Log how responses were framed and which events were passed on

The logs of an instance could not tell a stream that was cut off between two events from a whole one: both end with 903 "answered".

The response head says how the body is framed, of which the end with the connection was one case. The fixture of the relay keeps the log for tests.

--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -34,13 +34,22 @@
   Duration timeout{};
 };
 
+// How a response shows where its body ends.
+enum class BodyFraming {
+  kLength,  // including responses that have no body
+  kChunks,
+  // Neither a length nor chunks: the body ends with the connection, so that its
+  // end does not show whether it is complete.
+  kConnection,
+};
+
+std::string_view NameOf(BodyFraming framing);
+
 struct TargetResponseHead {
   int status = 0;
   std::string reason;
   HeaderList headers;
-  // The body has neither a length nor chunks and ends with the connection, so
-  // that its end does not show whether it is complete.
-  bool ends_with_connection = false;
+  BodyFraming framing = BodyFraming::kLength;
   int earlier_requests = 0;  // that the connection carried before this one
 };
 
--- a/src/relay/relay_crash_evidence.cc
+++ b/src/relay/relay_crash_evidence.cc
@@ -66,7 +66,7 @@
       transport_status == TransportStatus::kNoResponse ||
       transport_status == TransportStatus::kTruncated ||
       (transport_status == TransportStatus::kComplete &&
-       active_call_->head.ends_with_connection &&
+       active_call_->head.framing == BodyFraming::kConnection &&
        OutcomeOf(transport_status) == CallOutcome::kIncompleteResponse);
   if (!connection_lost || answer_survived_ ||
       context_->links.state() != LinkMonitor::State::kConnected ||
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -15,6 +15,9 @@
 
 namespace endiveyard {
 
+// Stands in log lines for the id of an event if there was none.
+inline constexpr int64_t kNoEvent = -1;
+
 // Handles one request of a caller from its arrival to the end of the response.
 // The request is placed on a target (relay_exchange.cc), or forwarded to
 // another instance if no target can be reached (relay_forwarding.cc). If the
@@ -322,6 +325,8 @@
   std::optional<Replica> kv_holder_;
   std::set<std::string> excluded_replica_ids_;
   SseSplitter sse_splitter_;
+  // Of the last response of a target, or of another instance.
+  std::optional<BodyFraming> response_framing_;
   // Software version of the replica that sent the first event of the stream.
   // What another version writes does not continue it.
   std::optional<std::string> stream_version_;
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -137,6 +137,7 @@
   const ResponseMetadata metadata =
       context_->protocol.DecodeResponse(head.status, head.headers);
   forwarding_->head = head;
+  response_framing_ = head.framing;
   forwarding_->head.headers =
       WithoutHeader(head.headers, kForwardedResponseHeader);
   if (const auto text = FindHeader(head.headers, kForwardedResponseHeader)) {
@@ -249,7 +250,7 @@
     TransportStatus transport_status) const {
   const int status = forwarding_->head.status;
   const bool complete = transport_status == TransportStatus::kComplete &&
-                        !forwarding_->head.ends_with_connection;
+                        forwarding_->head.framing != BodyFraming::kConnection;
   if (transport_status == TransportStatus::kNotSent ||
       (complete && IsNotTaken(status, forwarding_->response))) {
     return CallOutcome::kNotSent;
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -71,6 +71,7 @@
   }
   active_call_->head = head;
   active_call_->status = head.status;
+  response_framing_ = head.framing;
   active_call_->last_progress_at = BootClock::now();
   context_->links.RecordResponse(active_call_->last_progress_at);
   active_call_->response_metadata =
@@ -276,7 +277,7 @@
 }
 
 bool RelayExchange::EndedWithoutAnswer() const {
-  return active_call_->head.ends_with_connection &&
+  return active_call_->head.framing == BodyFraming::kConnection &&
          !active_call_->output_started_at;
 }
 
@@ -423,6 +424,7 @@
         .Text("outcome", NameOf(outcome))
         .Text("next", NameOf(step))
         .Flag("output_started", ended.output_started)
+        .Integer("last_event", sse_splitter_.last_id().value_or(kNoEvent))
         .Integer("may_have_run", possible_runs_)
         .Number("budget_left", context_->retry_budget.Remaining(service_, now))
         .Millis("left_ms", attempt.time_left)
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -122,6 +122,9 @@
   }
   is_last_id_confirmed_ = last_id_.has_value();
   last_id_ = fields.id;
+  if (!first_id_) {
+    first_id_ = fields.id;
+  }
   return true;
 }
 
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -408,7 +408,9 @@
       parser_.reset();
       return ParseHead();
     }
-    response_head_.ends_with_connection = parser_->need_eof();
+    response_head_.framing = parser_->need_eof()  ? BodyFraming::kConnection
+                             : parser_->chunked() ? BodyFraming::kChunks
+                                                  : BodyFraming::kLength;
     skipping_response_ = false;
     if (!request_.request_id.empty()) {
       const ResponseMetadata metadata = protocol_.DecodeResponse(
@@ -610,6 +612,18 @@
   bool ended_ = false;
 };
 
+std::string_view NameOf(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunks:
+      return "chunks";
+    case BodyFraming::kConnection:
+      return "connection";
+  }
+  return "unknown";
+}
+
 TargetClient::TargetClient(asio::io_context& io,
                            const WireProtocol& protocol,
                            Options options)
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -1,8 +1,8 @@
 #include "relay_fixture.h"
 
-#include <fcntl.h>
 #include <linux/filter.h>
 #include <poll.h>
+#include <sys/mman.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -251,7 +251,7 @@
     : first_(test_io_),
       second_(test_io_),
       work_guard_(asio::make_work_guard(io_)),
-      log_fd_(open("/dev/null", O_WRONLY | O_CLOEXEC)) {
+      log_fd_(memfd_create("relay log", MFD_CLOEXEC)) {
   JsonLogOptions log_options;
   log_options.fd = log_fd_;
   log_ = std::make_unique<JsonLog>("test", log_options);
@@ -317,6 +317,14 @@
   return replica;
 }
 
+std::string RelayFixture::LogText() {
+  RunOnRelayThread([this](RoutingState&) { log_->Flush(BootClock::now()); });
+  std::string text(static_cast<size_t>(lseek(log_fd_, 0, SEEK_END)), '\0');
+  const ssize_t n = pread(log_fd_, text.data(), text.size(), 0);
+  text.resize(static_cast<size_t>(std::max<ssize_t>(0, n)));
+  return text;
+}
+
 TestConnection RelayFixture::Connect() {
   tcp::socket socket(test_io_);
   socket.connect(
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -73,6 +73,8 @@
   std::unique_ptr<TestConnection> AcceptUnlessUsed(TestConnection* kept);
   // Returns true if a connection arrives within `ms`, or waits already.
   bool HasConnectionWithin(int ms);
+  // Refuses connections from now on, as after the end of the process.
+  void StopListening() { acceptor_.close(); }
   uint16_t port() const;
   int fd() { return acceptor_.native_handle(); }
 
@@ -150,6 +152,8 @@
   TestTarget& second() { return second_; }
   Relay& relay() { return *relay_; }
   const Metrics& metrics() const { return metrics_; }
+  // Returns the lines that the relay has logged.
+  std::string LogText();
 
  private:
   Replica MakeReplica(const std::string& id, uint16_t port) const;
