Events: nothing follows the largest id

An event whose id is 2^63 - 1 made the check of the next id overflow (undefined; in this build it took -2^63 for the next id, and the stream went on). Any target can send it. Found by writing the property test of the splitter; NothingFollowsTheLargestId fails in 2 checks before.

--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -53,6 +53,11 @@
   return fields;
 }
 
+// Returns true if `id` is one above `last_id`, without overflow.
+bool Follows(int64_t id, int64_t last_id) {
+  return id > last_id && id - 1 == last_id;
+}
+
 // Returns the end of the first event that ends after `from`, with its empty
 // line, or npos if there is none. `from` has to be at or before the newline
 // that precedes the empty line.
@@ -115,7 +120,7 @@
     is_position_known_ = is_position_known_ && !fields.has_data;
     return true;
   }
-  if (!fields.id || (last_id_ && *fields.id != *last_id_ + 1)) {
+  if (!fields.id || (last_id_ && !Follows(*fields.id, *last_id_))) {
     is_position_known_ =
         is_position_known_ && (!last_id_ || is_last_id_confirmed_);
     return false;
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -76,6 +76,18 @@
   BOOST_TEST(!unnumbered.is_position_known());
 }
 
+// Guards against an overflow after the largest id, which any target can send:
+// nothing follows it.
+BOOST_AUTO_TEST_CASE(NothingFollowsTheLargestId) {
+  const std::string largest = "id: 9223372036854775807\n\n";
+  for (const char* next : {"id: -9223372036854775808\n\n", "id: 0\n\n"}) {
+    SseSplitter splitter;
+    BOOST_TEST(splitter.Feed(largest) == largest);
+    BOOST_TEST(splitter.Feed(next).empty());
+    BOOST_TEST(splitter.has_gap());
+  }
+}
+
 // Guards against a partial event of a failed target being merged with the
 // stream of the next target.
 BOOST_AUTO_TEST_CASE(PartialEventsOfALostTargetAreDropped) {
