Events: the last id of an event counts

An event with a number and then another id ("id: 2", "id: x") was passed on with the position 2, while its caller, which keeps the last one as the standard says, had none or another. A stream resumed or taken up there goes on at different events. TheLastIdOfAnEventCounts fails in 4 checks before.

--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -9,7 +9,7 @@
 struct EventFields {
   bool has_data = false;
   bool has_id = false;
-  std::optional<int64_t> id;  // absent if the id is no number
+  std::optional<int64_t> id;  // absent if the last id is no number
 };
 
 // Returns the value of `line` if it is that of the field `name`.
@@ -45,9 +45,10 @@
       int64_t id = 0;
       const char* const value_end = value->data() + value->size();
       const auto parsed = std::from_chars(value->data(), value_end, id);
-      if (parsed.ec == std::errc() && parsed.ptr == value_end) {
-        fields.id = id;
-      }
+      // The last id of an event counts, as for the caller.
+      fields.id = parsed.ec == std::errc() && parsed.ptr == value_end
+                      ? std::optional<int64_t>(id)
+                      : std::nullopt;
     }
   }
   return fields;
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -88,6 +88,20 @@
   }
 }
 
+// Guards against a position other than that of the caller, for whom the last id
+// of an event counts.
+BOOST_AUTO_TEST_CASE(TheLastIdOfAnEventCounts) {
+  SseSplitter corrected;
+  corrected.Feed("id: 1\n\nid: 9\nid: 2\n\n");
+  BOOST_TEST(!corrected.has_gap());
+  BOOST_TEST(corrected.last_id().value_or(0) == 2);
+  for (const char* wrong : {"id: 2\nid: x\n\n", "id: 2\nid\n\n"}) {
+    SseSplitter splitter;
+    BOOST_TEST(splitter.Feed("id: 1\n\n" + std::string(wrong)) == "id: 1\n\n");
+    BOOST_TEST(splitter.has_gap());
+  }
+}
+
 // Guards against a partial event of a failed target being merged with the
 // stream of the next target.
 BOOST_AUTO_TEST_CASE(PartialEventsOfALostTargetAreDropped) {
