Events: reads do not decide whether an event is too long

An event above 64 KB passed if its end came with the read that made it too long, and broke the stream off otherwise; the same bytes had either end depending on how they arrived. The limit now is on the event without its end, wherever it is split.

--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -13,8 +13,9 @@
 // an event can be resumed on another target after the last complete one.
 class SseSplitter {
  public:
-  // Limit on the size of one event. Events hold some tokens each, a few hundred
-  // bytes; the limit bounds the memory that a faulty target can take.
+  // Limit on the size of one event without its end. Events hold some tokens
+  // each, a few hundred bytes; the limit bounds the memory that a faulty target
+  // can take.
   static constexpr size_t kMaxEventBytes = 65536;
 
   // Appends bytes of the stream and returns the events that are now complete.
@@ -43,8 +44,8 @@
   // above the id before it.
   bool has_gap() const { return has_gap_; }
   bool has_partial_event() const { return !partial_event_.empty(); }
-  // True after a Feed() that left a partial event above `kMaxEventBytes`. The
-  // bytes are not kept, and the rest of the stream cannot be split.
+  // True after a Feed() that met an event above `kMaxEventBytes`. Its bytes are
+  // not kept, and the rest of the stream cannot be split.
   bool is_overlong() const { return is_overlong_; }
 
  private:
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -78,6 +78,8 @@
 
 // Longest end of an event: a newline and an empty line.
 constexpr size_t kMaxEventEndBytes = 3;
+constexpr size_t kMaxWholeEventBytes =
+    SseSplitter::kMaxEventBytes + kMaxEventEndBytes;
 
 }  // namespace
 
@@ -88,8 +90,10 @@
   const std::string_view all = partial_event_;
   size_t complete = 0;
   size_t end = FindEventEnd(all, scanned_);
-  while (end != std::string_view::npos && !has_gap_) {
-    if (RecordEvent(all.substr(complete, end - complete))) {
+  while (end != std::string_view::npos && !has_gap_ && !is_overlong_) {
+    if (end - complete > kMaxWholeEventBytes) {
+      is_overlong_ = true;
+    } else if (RecordEvent(all.substr(complete, end - complete))) {
       complete = end;
       end = FindEventEnd(all, complete);
     } else {
@@ -98,11 +102,11 @@
   }
   std::string events = partial_event_.substr(0, complete);
   partial_event_.erase(0, complete);
-  if (has_gap_) {
+  // An event without its end is too long already.
+  is_overlong_ = !has_gap_ &&
+                 (is_overlong_ || partial_event_.size() >= kMaxWholeEventBytes);
+  if (has_gap_ || is_overlong_) {
     DropPartialEvent();
-  } else if (partial_event_.size() > kMaxEventBytes) {
-    DropPartialEvent();
-    is_overlong_ = true;
   }
   // The next bytes may complete an end that begins in the last bytes.
   scanned_ = partial_event_.size() -
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -142,4 +142,27 @@
   BOOST_TEST((forwarded == event + "\n\n"));
 }
 
+// Guards against events that pass or not depending on the reads in which they
+// arrive: one that is too long never does, also if it comes as a whole.
+BOOST_AUTO_TEST_CASE(ReadsDoNotDecideWhetherAnEventIsTooLong) {
+  const std::string first = "id: 1\n\n";
+  std::string event = "id: 2\ndata: ";
+  event.append(SseSplitter::kMaxEventBytes - event.size(), 'y');
+  for (const bool too_long : {false, true}) {
+    const std::string sent = event + (too_long ? "yy\n\n" : "\r\n\n");
+    const std::string stream = first + sent;
+    for (const size_t size : {size_t{1}, size_t{16384}, stream.size()}) {
+      SseSplitter splitter;
+      std::string forwarded;
+      for (size_t n = 0; n < stream.size() && !splitter.is_overlong();
+           n += size) {
+        forwarded += splitter.Feed(stream.substr(n, size));
+      }
+      BOOST_TEST((forwarded == (too_long ? first : stream)));
+      BOOST_TEST(splitter.is_overlong() == too_long);
+      BOOST_TEST(!splitter.has_partial_event());
+    }
+  }
+}
+
 }  // namespace endiveyard
