Events: a further empty line is no partial event

A whole stream with more than one empty line after its last event counted as ending inside an event: it was broken off at the caller, or resumed with nothing left. An empty line now ends an event of its own, which is passed on. SurplusEmptyLinesAreNoPartialEvent fails in 9 checks before.

--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -10,7 +10,8 @@
 
 // Splits a stream of server-sent events (SSE) at event boundaries. Only
 // complete events are forwarded, so that a stream that fails in the middle of
-// an event can be resumed on another target after the last complete one.
+// an event can be resumed on another target after the last complete one. An
+// empty line ends an event, also one without lines.
 class SseSplitter {
  public:
   // Limit on the size of one event without its end. Events hold some tokens
@@ -57,7 +58,8 @@
   // `last_id_` follows the id before it, or was set by StartAfter().
   bool is_last_id_confirmed_ = false;
   bool is_position_known_ = true;
-  // Bytes of `partial_event_` that contain no end of an event.
+  size_t line_begin_ = 0;  // of the last line of `partial_event_`
+  // Bytes of `partial_event_` in which there is no further line end.
   size_t scanned_ = 0;
   bool has_gap_ = false;
   bool is_overlong_ = false;
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -59,23 +59,6 @@
   return id > last_id && id - 1 == last_id;
 }
 
-// Returns the end of the first event that ends after `from`, with its empty
-// line, or npos if there is none. `from` has to be at or before the newline
-// that precedes the empty line.
-size_t FindEventEnd(std::string_view bytes, size_t from) {
-  for (size_t n = bytes.find('\n', from); n != std::string_view::npos;
-       n = bytes.find('\n', n + 1)) {
-    const std::string_view rest = bytes.substr(n + 1);
-    if (rest.substr(0, 1) == "\n") {
-      return n + 2;
-    }
-    if (rest.substr(0, 2) == "\r\n") {
-      return n + 3;
-    }
-  }
-  return std::string_view::npos;
-}
-
 // Longest end of an event: a newline and an empty line.
 constexpr size_t kMaxEventEndBytes = 3;
 constexpr size_t kMaxWholeEventBytes =
@@ -89,33 +72,43 @@
   is_overlong_ = false;
   const std::string_view all = partial_event_;
   size_t complete = 0;
-  size_t end = FindEventEnd(all, scanned_);
-  while (end != std::string_view::npos && !has_gap_ && !is_overlong_) {
-    if (end - complete > kMaxWholeEventBytes) {
+  while (!has_gap_ && !is_overlong_) {
+    const size_t newline = all.find('\n', scanned_);
+    if (newline == std::string_view::npos) {
+      scanned_ = all.size();
+      break;
+    }
+    const std::string_view line =
+        all.substr(line_begin_, newline - line_begin_);
+    line_begin_ = scanned_ = newline + 1;
+    if (!line.empty() && line != "\r") {
+      continue;
+    }
+    const std::string_view event = all.substr(complete, line_begin_ - complete);
+    if (event.size() > kMaxWholeEventBytes) {
       is_overlong_ = true;
-    } else if (RecordEvent(all.substr(complete, end - complete))) {
-      complete = end;
-      end = FindEventEnd(all, complete);
+    } else if (RecordEvent(event)) {
+      complete = line_begin_;
     } else {
       has_gap_ = true;
     }
   }
   std::string events = partial_event_.substr(0, complete);
   partial_event_.erase(0, complete);
+  line_begin_ -= complete;
+  scanned_ -= complete;
   // An event without its end is too long already.
   is_overlong_ = !has_gap_ &&
                  (is_overlong_ || partial_event_.size() >= kMaxWholeEventBytes);
   if (has_gap_ || is_overlong_) {
     DropPartialEvent();
   }
-  // The next bytes may complete an end that begins in the last bytes.
-  scanned_ = partial_event_.size() -
-             std::min(partial_event_.size(), kMaxEventEndBytes - 1);
   return events;
 }
 
 void SseSplitter::DropPartialEvent() {
   partial_event_.clear();
+  line_begin_ = 0;
   scanned_ = 0;
 }
 
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -165,4 +165,18 @@
   }
 }
 
+// Guards against a whole stream that counts as broken off in an event, because
+// more than one empty line follows its last event.
+BOOST_AUTO_TEST_CASE(SurplusEmptyLinesAreNoPartialEvent) {
+  const std::string event = "id: 1\ndata: a\n\n";
+  for (const char* surplus : {"\n", "\r\n", "\n\n\n"}) {
+    SseSplitter splitter;
+    BOOST_TEST(splitter.Feed(event + surplus) == event + surplus);
+    BOOST_TEST(!splitter.has_partial_event());
+    BOOST_TEST(splitter.is_position_known());
+    BOOST_TEST(splitter.Feed("id: 2\n\n") == "id: 2\n\n");
+    BOOST_TEST(!splitter.has_gap());
+  }
+}
+
 }  // namespace endiveyard
