Events: a carriage return ends a line, as in the standard

The standard has lines end with CR LF, LF or CR. Streams with CR alone were collected up to 64 KB and broken off. In streams with LF, an id line after a CR was not read, so that the position kept was not that of the caller. An event that ends with CR is passed on at once; a LF that follows later is passed on as an empty line. Only where the lines before end with CR LF, an empty line waits for its LF. The size of an event is now counted to the end of its last text, which doesn't depend on its line ends.

CarriageReturnsEndLines fails in 8 checks before.

--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -11,7 +11,8 @@
 // Splits a stream of server-sent events (SSE) at event boundaries. Only
 // complete events are forwarded, so that a stream that fails in the middle of
 // an event can be resumed on another target after the last complete one. An
-// empty line ends an event, also one without lines.
+// empty line ends an event, also one without lines. As in the standard, lines
+// end with a newline, a carriage return or both.
 class SseSplitter {
  public:
   // Limit on the size of one event without its end. Events hold some tokens
@@ -61,6 +62,9 @@
   size_t line_begin_ = 0;  // of the last line of `partial_event_`
   // Bytes of `partial_event_` in which there is no further line end.
   size_t scanned_ = 0;
+  // The last line with text ended with two bytes. An empty line that ends with
+  // a carriage return is then complete with the next byte only.
+  bool uses_crlf_ = false;
   bool has_gap_ = false;
   bool is_overlong_ = false;
 };
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -29,15 +29,28 @@
   return line;
 }
 
+// Returns the end of the line that goes on at `from`, without its line end.
+size_t FindLineEnd(std::string_view bytes, size_t from) {
+  return std::min(bytes.find_first_of("\r\n", from), bytes.size());
+}
+
+// Returns the length of the line end at `at`: a newline, a carriage return or
+// both; 0 if none is there, or if the next byte is needed to tell.
+size_t LineEndLength(std::string_view bytes, size_t at) {
+  const std::string_view end = bytes.substr(at, 2);
+  if (end.empty() || end == "\r") {
+    return 0;
+  }
+  return end == "\r\n" ? 2 : 1;
+}
+
+// Precondition: `event` ends with a line end.
 EventFields ParseFields(std::string_view event) {
   EventFields fields;
   while (!event.empty()) {
-    const size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-    if (!line.empty() && line.back() == '\r') {
-      line.remove_suffix(1);
-    }
+    const size_t end = FindLineEnd(event, 0);
+    const std::string_view line = event.substr(0, end);
+    event.remove_prefix(end + std::max<size_t>(LineEndLength(event, end), 1));
     if (FieldValue(line, "data")) {
       fields.has_data = true;
     } else if (const auto value = FieldValue(line, "id")) {
@@ -59,11 +72,6 @@
   return id > last_id && id - 1 == last_id;
 }
 
-// Longest end of an event: a newline and an empty line.
-constexpr size_t kMaxEventEndBytes = 3;
-constexpr size_t kMaxWholeEventBytes =
-    SseSplitter::kMaxEventBytes + kMaxEventEndBytes;
-
 }  // namespace
 
 std::string SseSplitter::Feed(std::string_view bytes) {
@@ -73,21 +81,20 @@
   const std::string_view all = partial_event_;
   size_t complete = 0;
   while (!has_gap_ && !is_overlong_) {
-    const size_t newline = all.find('\n', scanned_);
-    if (newline == std::string_view::npos) {
-      scanned_ = all.size();
+    const size_t line_end = FindLineEnd(all, scanned_);
+    const size_t length = LineEndLength(all, line_end);
+    const bool is_empty = line_end == line_begin_;
+    is_overlong_ = !is_empty && line_end - complete > kMaxEventBytes;
+    if (is_overlong_ ||
+        (length == 0 && !(is_empty && line_end < all.size() && !uses_crlf_))) {
+      scanned_ = line_end;
       break;
     }
-    const std::string_view line =
-        all.substr(line_begin_, newline - line_begin_);
-    line_begin_ = scanned_ = newline + 1;
-    if (!line.empty() && line != "\r") {
-      continue;
-    }
-    const std::string_view event = all.substr(complete, line_begin_ - complete);
-    if (event.size() > kMaxWholeEventBytes) {
-      is_overlong_ = true;
-    } else if (RecordEvent(event)) {
+    // A newline that follows a carriage return later is an empty line.
+    line_begin_ = scanned_ = line_end + std::max<size_t>(length, 1);
+    if (!is_empty) {
+      uses_crlf_ = length == 2;
+    } else if (RecordEvent(all.substr(complete, line_begin_ - complete))) {
       complete = line_begin_;
     } else {
       has_gap_ = true;
@@ -97,9 +104,6 @@
   partial_event_.erase(0, complete);
   line_begin_ -= complete;
   scanned_ -= complete;
-  // An event without its end is too long already.
-  is_overlong_ = !has_gap_ &&
-                 (is_overlong_ || partial_event_.size() >= kMaxWholeEventBytes);
   if (has_gap_ || is_overlong_) {
     DropPartialEvent();
   }
@@ -110,6 +114,7 @@
   partial_event_.clear();
   line_begin_ = 0;
   scanned_ = 0;
+  uses_crlf_ = false;
 }
 
 bool SseSplitter::RecordEvent(std::string_view event) {
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -179,4 +179,22 @@
   }
 }
 
+// Guards against streams that never pass because their lines end with carriage
+// returns, and against a position other than that of the caller, for whom a
+// carriage return in an event ends a line. No event waits for the next one.
+BOOST_AUTO_TEST_CASE(CarriageReturnsEndLines) {
+  SseSplitter splitter;
+  BOOST_TEST(splitter.Feed("id: 1\rdata: a\r\r") == "id: 1\rdata: a\r\r");
+  BOOST_TEST(!splitter.has_partial_event());
+  BOOST_TEST(splitter.Feed("id: 2\r\rid: 3\r") == "id: 2\r\r");
+  BOOST_TEST(splitter.Feed("\r") == "id: 3\r\r");
+  BOOST_TEST(splitter.last_id().value_or(0) == 3);
+  // The rest of a line end that came apart.
+  BOOST_TEST(splitter.Feed("\nid: 4\n\n") == "\nid: 4\n\n");
+  BOOST_TEST(!splitter.has_gap());
+  BOOST_TEST(splitter.Feed("data: b\rid: 5\n\n") == "data: b\rid: 5\n\n");
+  BOOST_TEST(splitter.last_id().value_or(0) == 5);
+  BOOST_TEST(splitter.is_position_known());
+}
+
 }  // namespace endiveyard
