Soak: replicas that leave out the first events of a stream

Fault late_first_id: a stream that nothing precedes begins with event 3. Not in the default set, since a process passes these streams on as whole; the default set and its draws are as before.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -638,7 +638,8 @@
 
 }  // namespace
 
-// Returns the faults with these names; all faults if there are no names.
+// Returns the faults with these names; if there are no names, all that a
+// process can always tell.
 std::vector<ReplicaFault> FaultsNamed(const std::vector<std::string>& names) {
   std::vector<ReplicaFault> faults;
   for (const std::string& it : names) {
@@ -650,7 +651,10 @@
   }
   for (int n = 1; names.empty() && n < static_cast<int>(ReplicaFault::kCount);
        ++n) {
-    faults.push_back(static_cast<ReplicaFault>(n));
+    const auto fault = static_cast<ReplicaFault>(n);
+    if (fault != ReplicaFault::kLateFirstId) {
+      faults.push_back(fault);
+    }
   }
   return faults;
 }
@@ -688,7 +692,8 @@
       "fault-rate", po::value(&soak.fault_rate),
       "share of the requests that a replica handles wrongly")(
       "fault", po::value(&fault_names)->composing(),
-      "fault of the replicas; may be repeated; default: all")(
+      "fault of the replicas; may be repeated; default: all but "
+      "late_first_id")(
       "pipeline-rate", po::value(&soak.pipeline_rate),
       "share of the turns of a client that send two or three requests at once")(
       "stranded", po::value(&soak.stranded)->composing(),
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -12,6 +12,8 @@
 // connection is expected.
 constexpr int kMaxCopyDelayMs = 60;
 constexpr int kMaxLateMs = 3000;
+// Events that are missing before the first one of a stream.
+constexpr int kSkippedEvents = 2;
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(ReplicaFault::kCount)>
@@ -45,7 +47,8 @@
                    "endless_failure",
                    "wrong_event_id",
                    "unframed",
-                   "unframed_reset"};
+                   "unframed_reset",
+                   "late_first_id"};
 
 std::string HeadOf(const std::string& id, const std::string& framing) {
   return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
@@ -471,6 +474,7 @@
     case ReplicaFault::kResetInBody:
     case ReplicaFault::kUnframed:
     case ReplicaFault::kUnframedReset:
+    case ReplicaFault::kLateFirstId:
       break;
     case ReplicaFault::kCutHead:
     case ReplicaFault::kResetInHead:
@@ -486,14 +490,17 @@
   }
   const int special = DrawNumber(kEventsOfStream);
   std::string sent;
-  for (int n = run.begun_after + 1; n <= kEventsOfStream; ++n) {
+  const bool skips =
+      fault == ReplicaFault::kLateFirstId && run.begun_after == 0;
+  for (int n = run.begun_after + (skips ? kSkippedEvents : 0) + 1;
+       n <= kEventsOfStream; ++n) {
     constexpr int kMaxEventIntervalMs = 20;
     const bool stalls = fault == ReplicaFault::kLate && n == special;
     if (!Work(peer, stalls ? kMaxLateMs : kMaxEventIntervalMs)) {
       return false;
     }
     std::string event = EventOf(n, run);
-    // A wrong first id cannot be told from a right one.
+    // For a wrong first id, see kLateFirstId.
     if (n == special && n > 1 && fault == ReplicaFault::kWrongEventId) {
       const std::string ids[] = {"id: " + std::to_string(n + 3),
                                  "id: " + std::to_string(n - 1), "id: x"};
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -66,6 +66,10 @@
   kWrongEventId,
   kUnframed,  // the body ends with the connection; sound
   kUnframedReset,
+  // A stream that nothing precedes begins after its first events. The first
+  // such streams that a process gets cannot be told from sound ones, so this is
+  // played only if it is asked for.
+  kLateFirstId,
   kCount
 };
 
