Streams without their first events are not passed on

Callers saw a stream that begins at event 3 as a whole answer: any first id was taken where nothing precedes it. Lost bytes, a run that goes on where an earlier one under that request id stood, or one that believes that the caller has the beginning, look like this.

Instances now learn where the streams of a service, software version and route begin, from replicas that agree (StreamStarts). One that begins above is a broken run: begun anew where the route may repeat it, otherwise 502. Nothing is refused before two replicas agree over two streams each, or one over eight, so streams that begin at 0 or 1,000 work from the first one on.

Ruled out: a fixed first id (a deployment that begins elsewhere gets no stream), the lowest id seen (one damaged id refuses all), and acceptance if a second replica answers the same request alike (two faults alike pass).

StreamsWithoutTheirFirstEventsAreNotPassedOn fails in 4 checks without the use of the decision.

--- /dev/null
+++ b/include/endiveyard/placement/stream_starts.h
@@ -0,0 +1,77 @@
+#ifndef ENDIVEYARD_PLACEMENT_STREAM_STARTS_H_
+#define ENDIVEYARD_PLACEMENT_STREAM_STARTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+
+#include "endiveyard/base/time_point.h"
+
+namespace endiveyard {
+
+// Limits on what is kept, and for how long after the last stream.
+inline constexpr size_t kMaxStreamGroups = 256;
+inline constexpr size_t kMaxReplicasOfStreamGroup = 512;
+inline constexpr Duration kStreamStartLifetime = std::chrono::minutes(10);
+// Streams after which a replica has a habit.
+inline constexpr int kStreamsOfHabit = 2;
+// Streams after which a habit counts beside a lower one.
+inline constexpr int kStreamsOfHigherHabit = 4;
+// Replicas with one habit whose streams show how streams begin.
+inline constexpr int kReplicasOfConvention = 2;
+// Streams of the only replica with a habit that show as much.
+inline constexpr int kStreamsOfLoneReplica = 8;
+
+// Streams that are expected to begin with the same event id.
+struct StreamGroup {
+  std::string service;
+  std::string version;  // of the software of the replica
+  std::string route;
+
+  bool operator<(const StreamGroup& other) const {
+    return std::tie(service, version, route) <
+           std::tie(other.service, other.version, other.route);
+  }
+};
+
+// Learns with which event id the streams of a group begin, and finds those
+// whose first events are missing. No page says where ids begin, so any first id
+// is taken until replicas agree. A habit is what two thirds of the streams of
+// one replica incarnation do. What two replicas have as a habit is right, also
+// beside another one, so that a new convention is taken over. Not thread-safe.
+class StreamStarts {
+ public:
+  // Records that a stream which nothing precedes began with `first_id` at the
+  // replica with this key, see EngineKey(). Returns false if the first events
+  // of the stream are missing: it begins above where streams of the group do.
+  bool Record(const StreamGroup& group,
+              uint64_t replica_key,
+              int64_t first_id,
+              TimePoint now);
+
+ private:
+  struct Replica {
+    int64_t first_id = 0;  // the most frequent one
+    int streams = 0;       // with `first_id`, of the last ones
+    int other_streams = 0;
+    TimePoint last_at{};
+  };
+  using Replicas = std::unordered_map<uint64_t, Replica>;
+
+  static bool HasHabit(const Replica& replica);
+  static void Count(Replica* replica, int64_t first_id, TimePoint now);
+  static bool IsLate(const Replicas& replicas, int64_t first_id);
+  // Returns the replicas of the group without old ones, or nullptr if too many
+  // groups are kept.
+  Replicas* ReplicasOf(const StreamGroup& group, TimePoint now);
+
+  std::map<StreamGroup, Replicas> groups_;
+};
+
+}  // namespace endiveyard
+
+#endif  // ENDIVEYARD_PLACEMENT_STREAM_STARTS_H_
--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -36,6 +36,15 @@
     is_last_id_confirmed_ = true;
   }
 
+  // Forgets the ids of events that were returned and are not passed on.
+  void ForgetIds() {
+    first_id_.reset();
+    last_id_.reset();
+    is_last_id_confirmed_ = false;
+  }
+
+  // Id of the first returned event that had one, if nothing precedes it.
+  std::optional<int64_t> first_id() const { return first_id_; }
   // Id of the last returned event that had one.
   std::optional<int64_t> last_id() const { return last_id_; }
   // False if `last_id()` may not be the position of the caller in the stream:
@@ -55,6 +64,7 @@
   bool RecordEvent(std::string_view event);
 
   std::string partial_event_;
+  std::optional<int64_t> first_id_;
   std::optional<int64_t> last_id_;
   // `last_id_` follows the id before it, or was set by StartAfter().
   bool is_last_id_confirmed_ = false;
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -12,6 +12,7 @@
 #include "endiveyard/placement/crash_suspects.h"
 #include "endiveyard/placement/forwarding_peers.h"
 #include "endiveyard/placement/link_monitor.h"
+#include "endiveyard/placement/stream_starts.h"
 #include "endiveyard/placement/stream_versions.h"
 #include "endiveyard/relay/relay.h"
 #include "endiveyard/telemetry/log_interval.h"
@@ -66,6 +67,7 @@
   LogInterval invalid_headers_log{std::chrono::minutes(1)};
   ServiceRetryBudget retry_budget;
   StreamVersions stream_versions;
+  StreamStarts stream_starts;
   CallerPatience caller_patience;
   LinkMonitor links;
   ForwardingPeers forwarding_peers;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -190,6 +190,9 @@
   void ForwardBody(std::string_view bytes);
   // Stops reading the response of `call` while the caller reads slowly.
   void PauseForSlowCaller(const std::shared_ptr<TargetCall>& call);
+  // Records the first id of a stream that nothing precedes. Returns false if
+  // the first events of the stream are missing.
+  bool RecordStreamStart();
   // Sends complete events of a stream, the first ones after the head.
   void ForwardEvents(const std::string& events);
   // Sends the head of the active call's response and what was collected of the
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -198,7 +198,19 @@
     RecordOutput();
     std::get<BegunResponse>(response_).SendBody(bytes);
   } else {
-    ForwardEvents(sse_splitter_.Feed(bytes));
+    const bool has_begun = sse_splitter_.last_id().has_value();
+    const std::string events = sse_splitter_.Feed(bytes);
+    if (!has_begun && !RecordStreamStart()) {
+      if (ResponseBegun()) {
+        sse_splitter_.ForgetIds();
+      } else {
+        sse_splitter_ = SseSplitter();
+      }
+      AbandonRun(CallOutcome::kIncompleteResponse,
+                 "first event id is above that of other streams");
+      return;
+    }
+    ForwardEvents(events);
     if (sse_splitter_.has_gap()) {
       // Events are missing, or they belong to another run of the request.
       AbandonRun(CallOutcome::kIncompleteResponse,
@@ -216,6 +228,14 @@
   }
 }
 
+bool RelayExchange::RecordStreamStart() {
+  const std::optional<int64_t> first_id = sse_splitter_.first_id();
+  const Replica& replica = active_call_->replica;
+  return !first_id || context_->stream_starts.Record(
+                          {service_, replica.version, route_->name},
+                          EngineKey(replica), *first_id, BootClock::now());
+}
+
 void RelayExchange::PauseForSlowCaller(
     const std::shared_ptr<TargetCall>& call) {
   if (caller_->unsent_bytes() <= kMaxUnsentBytes || !call) {
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -129,6 +129,9 @@
     return false;
   }
   is_last_id_confirmed_ = last_id_.has_value();
+  if (!last_id_) {
+    first_id_ = fields.id;
+  }
   last_id_ = fields.id;
   return true;
 }
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "endiveyard/placement/stream_starts.h"
 #include "relay_fixture.h"
 
 namespace endiveyard {
@@ -1032,6 +1033,44 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "data: a\n\n"));
 }
 
+// Guards against a stream that its caller gets as whole although its first
+// events are missing: once a target has shown where streams begin, it is begun
+// anew on another target, or fails where the request may not be repeated.
+BOOST_FIXTURE_TEST_CASE(StreamsWithoutTheirFirstEventsAreNotPassedOn,
+                        RelayFixture) {
+  const std::string late = ": c\n\nid: 8\ndata: late\n\n";
+  const std::string whole = "id: 7\ndata: a\n\nid: 8\ndata: b\n\n";
+  const auto stream_of = [](const std::string& events) {
+    return StreamResponseHead("r1") + EncodeChunk(events) + "0\r\n\r\n";
+  };
+  const TargetResponder near(&first(), [&](const std::string& request) {
+    return stream_of(Contains(request, "/late ") ? late : whole);
+  });
+  const TargetResponder far(&second(), [&](const std::string& request) {
+    return stream_of(Contains(request, "Last-Event-Id") ? "" : whole);
+  });
+  const auto call = [this](const std::string& path) {
+    TestConnection caller = Connect();
+    caller.Send(RequestHead("POST", path, "r1",
+                            "Content-Length: 0\r\nConnection: close\r\n"));
+    return caller.ReadUntilClose();
+  };
+  for (const std::string path : {"/stream/", "/once/"}) {
+    // The first streams begin where they like.
+    for (int n = 0; n < kStreamsOfLoneReplica; ++n) {
+      BOOST_TEST(Contains(call(path + "x"), whole));
+    }
+  }
+  const std::string begun_anew = call("/stream/late");
+  BOOST_TEST(Contains(begun_anew, whole));
+  BOOST_TEST(Contains(begun_anew, "\r\n0\r\n\r\n"));
+  BOOST_TEST(!Contains(begun_anew, "late"));
+  UseOneTarget();
+  const std::string failed = call("/once/late");
+  BOOST_TEST(Contains(failed, "HTTP/1.1 502 "));
+  BOOST_TEST(!Contains(failed, "data"));
+}
+
 // Guards against a 404 for a route that this instance may not have loaded yet,
 // and against routing without a configuration.
 BOOST_FIXTURE_TEST_CASE(UnknownRoutesGet404OnlyFromACurrentServiceMap,
