--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -10,11 +10,14 @@
 
 // Splits a stream of server-sent events (SSE) at event boundaries. Only
 // complete events are forwarded, so that a stream that fails in the middle of
-// an event can be resumed on another target after the last complete one.
+// an event can be resumed on another target after the last complete one. An
+// empty line ends an event, also one without lines. As in the standard, lines
+// end with a newline, a carriage return or both.
 class SseSplitter {
  public:
-  // Limit on the size of one event. Events hold some tokens each, a few hundred
-  // bytes; the limit bounds the memory that a faulty target can take.
+  // Limit on the size of one event without its end. Events hold some tokens
+  // each, a few hundred bytes; the limit bounds the memory that a faulty target
+  // can take.
   static constexpr size_t kMaxEventBytes = 65536;
 
   // Appends bytes of the stream and returns the events that are now complete.
@@ -33,7 +36,14 @@
     is_last_id_confirmed_ = true;
   }
 
-  // Id of the first returned event that had one.
+  // Forgets the ids of events that were returned and are not passed on.
+  void ForgetIds() {
+    first_id_.reset();
+    last_id_.reset();
+    is_last_id_confirmed_ = false;
+  }
+
+  // Id of the first returned event that had one, if nothing precedes it.
   std::optional<int64_t> first_id() const { return first_id_; }
   // Id of the last returned event that had one.
   std::optional<int64_t> last_id() const { return last_id_; }
@@ -45,8 +55,8 @@
   // above the id before it.
   bool has_gap() const { return has_gap_; }
   bool has_partial_event() const { return !partial_event_.empty(); }
-  // True after a Feed() that left a partial event above `kMaxEventBytes`. The
-  // bytes are not kept, and the rest of the stream cannot be split.
+  // True after a Feed() that met an event above `kMaxEventBytes`. Its bytes are
+  // not kept, and the rest of the stream cannot be split.
   bool is_overlong() const { return is_overlong_; }
 
  private:
@@ -59,8 +69,12 @@
   // `last_id_` follows the id before it, or was set by StartAfter().
   bool is_last_id_confirmed_ = false;
   bool is_position_known_ = true;
-  // Bytes of `partial_event_` that contain no end of an event.
+  size_t line_begin_ = 0;  // of the last line of `partial_event_`
+  // Bytes of `partial_event_` in which there is no further line end.
   size_t scanned_ = 0;
+  // The last line with text ended with two bytes. An empty line that ends with
+  // a carriage return is then complete with the next byte only.
+  bool uses_crlf_ = false;
   bool has_gap_ = false;
   bool is_overlong_ = false;
 };
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -9,7 +9,7 @@
 struct EventFields {
   bool has_data = false;
   bool has_id = false;
-  std::optional<int64_t> id;  // absent if the id is no number
+  std::optional<int64_t> id;  // absent if the last id is no number
 };
 
 // Returns the value of `line` if it is that of the field `name`.
@@ -29,15 +29,28 @@
   return line;
 }
 
+// Returns the end of the line that goes on at `from`, without its line end.
+size_t FindLineEnd(std::string_view bytes, size_t from) {
+  return std::min(bytes.find_first_of("\r\n", from), bytes.size());
+}
+
+// Returns the length of the line end at `at`: a newline, a carriage return or
+// both; 0 if none is there, or if the next byte is needed to tell.
+size_t LineEndLength(std::string_view bytes, size_t at) {
+  const std::string_view end = bytes.substr(at, 2);
+  if (end.empty() || end == "\r") {
+    return 0;
+  }
+  return end == "\r\n" ? 2 : 1;
+}
+
+// Precondition: `event` ends with a line end.
 EventFields ParseFields(std::string_view event) {
   EventFields fields;
   while (!event.empty()) {
-    const size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-    if (!line.empty() && line.back() == '\r') {
-      line.remove_suffix(1);
-    }
+    const size_t end = FindLineEnd(event, 0);
+    const std::string_view line = event.substr(0, end);
+    event.remove_prefix(end + std::max<size_t>(LineEndLength(event, end), 1));
     if (FieldValue(line, "data")) {
       fields.has_data = true;
     } else if (const auto value = FieldValue(line, "id")) {
@@ -45,34 +58,20 @@
       int64_t id = 0;
       const char* const value_end = value->data() + value->size();
       const auto parsed = std::from_chars(value->data(), value_end, id);
-      if (parsed.ec == std::errc() && parsed.ptr == value_end) {
-        fields.id = id;
-      }
+      // The last id of an event counts, as for the caller.
+      fields.id = parsed.ec == std::errc() && parsed.ptr == value_end
+                      ? std::optional<int64_t>(id)
+                      : std::nullopt;
     }
   }
   return fields;
 }
 
-// Returns the end of the first event that ends after `from`, with its empty
-// line, or npos if there is none. `from` has to be at or before the newline
-// that precedes the empty line.
-size_t FindEventEnd(std::string_view bytes, size_t from) {
-  for (size_t n = bytes.find('\n', from); n != std::string_view::npos;
-       n = bytes.find('\n', n + 1)) {
-    const std::string_view rest = bytes.substr(n + 1);
-    if (rest.substr(0, 1) == "\n") {
-      return n + 2;
-    }
-    if (rest.substr(0, 2) == "\r\n") {
-      return n + 3;
-    }
-  }
-  return std::string_view::npos;
+// Returns true if `id` is one above `last_id`, without overflow.
+bool Follows(int64_t id, int64_t last_id) {
+  return id > last_id && id - 1 == last_id;
 }
 
-// Longest end of an event: a newline and an empty line.
-constexpr size_t kMaxEventEndBytes = 3;
-
 }  // namespace
 
 std::string SseSplitter::Feed(std::string_view bytes) {
@@ -81,32 +80,41 @@
   is_overlong_ = false;
   const std::string_view all = partial_event_;
   size_t complete = 0;
-  size_t end = FindEventEnd(all, scanned_);
-  while (end != std::string_view::npos && !has_gap_) {
-    if (RecordEvent(all.substr(complete, end - complete))) {
-      complete = end;
-      end = FindEventEnd(all, complete);
+  while (!has_gap_ && !is_overlong_) {
+    const size_t line_end = FindLineEnd(all, scanned_);
+    const size_t length = LineEndLength(all, line_end);
+    const bool is_empty = line_end == line_begin_;
+    is_overlong_ = !is_empty && line_end - complete > kMaxEventBytes;
+    if (is_overlong_ ||
+        (length == 0 && !(is_empty && line_end < all.size() && !uses_crlf_))) {
+      scanned_ = line_end;
+      break;
+    }
+    // A newline that follows a carriage return later is an empty line.
+    line_begin_ = scanned_ = line_end + std::max<size_t>(length, 1);
+    if (!is_empty) {
+      uses_crlf_ = length == 2;
+    } else if (RecordEvent(all.substr(complete, line_begin_ - complete))) {
+      complete = line_begin_;
     } else {
       has_gap_ = true;
     }
   }
   std::string events = partial_event_.substr(0, complete);
   partial_event_.erase(0, complete);
-  if (has_gap_) {
+  line_begin_ -= complete;
+  scanned_ -= complete;
+  if (has_gap_ || is_overlong_) {
     DropPartialEvent();
-  } else if (partial_event_.size() > kMaxEventBytes) {
-    DropPartialEvent();
-    is_overlong_ = true;
   }
-  // The next bytes may complete an end that begins in the last bytes.
-  scanned_ = partial_event_.size() -
-             std::min(partial_event_.size(), kMaxEventEndBytes - 1);
   return events;
 }
 
 void SseSplitter::DropPartialEvent() {
   partial_event_.clear();
+  line_begin_ = 0;
   scanned_ = 0;
+  uses_crlf_ = false;
 }
 
 bool SseSplitter::RecordEvent(std::string_view event) {
@@ -115,16 +123,16 @@
     is_position_known_ = is_position_known_ && !fields.has_data;
     return true;
   }
-  if (!fields.id || (last_id_ && *fields.id != *last_id_ + 1)) {
+  if (!fields.id || (last_id_ && !Follows(*fields.id, *last_id_))) {
     is_position_known_ =
         is_position_known_ && (!last_id_ || is_last_id_confirmed_);
     return false;
   }
   is_last_id_confirmed_ = last_id_.has_value();
-  last_id_ = fields.id;
-  if (!first_id_) {
+  if (!last_id_) {
     first_id_ = fields.id;
   }
+  last_id_ = fields.id;
   return true;
 }
 
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -76,6 +76,32 @@
   BOOST_TEST(!unnumbered.is_position_known());
 }
 
+// Guards against an overflow after the largest id, which any target can send:
+// nothing follows it.
+BOOST_AUTO_TEST_CASE(NothingFollowsTheLargestId) {
+  const std::string largest = "id: 9223372036854775807\n\n";
+  for (const char* next : {"id: -9223372036854775808\n\n", "id: 0\n\n"}) {
+    SseSplitter splitter;
+    BOOST_TEST(splitter.Feed(largest) == largest);
+    BOOST_TEST(splitter.Feed(next).empty());
+    BOOST_TEST(splitter.has_gap());
+  }
+}
+
+// Guards against a position other than that of the caller, for whom the last id
+// of an event counts.
+BOOST_AUTO_TEST_CASE(TheLastIdOfAnEventCounts) {
+  SseSplitter corrected;
+  corrected.Feed("id: 1\n\nid: 9\nid: 2\n\n");
+  BOOST_TEST(!corrected.has_gap());
+  BOOST_TEST(corrected.last_id().value_or(0) == 2);
+  for (const char* wrong : {"id: 2\nid: x\n\n", "id: 2\nid\n\n"}) {
+    SseSplitter splitter;
+    BOOST_TEST(splitter.Feed("id: 1\n\n" + std::string(wrong)) == "id: 1\n\n");
+    BOOST_TEST(splitter.has_gap());
+  }
+}
+
 // Guards against a partial event of a failed target being merged with the
 // stream of the next target.
 BOOST_AUTO_TEST_CASE(PartialEventsOfALostTargetAreDropped) {
@@ -116,4 +142,59 @@
   BOOST_TEST((forwarded == event + "\n\n"));
 }
 
+// Guards against events that pass or not depending on the reads in which they
+// arrive: one that is too long never does, also if it comes as a whole.
+BOOST_AUTO_TEST_CASE(ReadsDoNotDecideWhetherAnEventIsTooLong) {
+  const std::string first = "id: 1\n\n";
+  std::string event = "id: 2\ndata: ";
+  event.append(SseSplitter::kMaxEventBytes - event.size(), 'y');
+  for (const bool too_long : {false, true}) {
+    const std::string sent = event + (too_long ? "yy\n\n" : "\r\n\n");
+    const std::string stream = first + sent;
+    for (const size_t size : {size_t{1}, size_t{16384}, stream.size()}) {
+      SseSplitter splitter;
+      std::string forwarded;
+      for (size_t n = 0; n < stream.size() && !splitter.is_overlong();
+           n += size) {
+        forwarded += splitter.Feed(stream.substr(n, size));
+      }
+      BOOST_TEST((forwarded == (too_long ? first : stream)));
+      BOOST_TEST(splitter.is_overlong() == too_long);
+      BOOST_TEST(!splitter.has_partial_event());
+    }
+  }
+}
+
+// Guards against a whole stream that counts as broken off in an event, because
+// more than one empty line follows its last event.
+BOOST_AUTO_TEST_CASE(SurplusEmptyLinesAreNoPartialEvent) {
+  const std::string event = "id: 1\ndata: a\n\n";
+  for (const char* surplus : {"\n", "\r\n", "\n\n\n"}) {
+    SseSplitter splitter;
+    BOOST_TEST(splitter.Feed(event + surplus) == event + surplus);
+    BOOST_TEST(!splitter.has_partial_event());
+    BOOST_TEST(splitter.is_position_known());
+    BOOST_TEST(splitter.Feed("id: 2\n\n") == "id: 2\n\n");
+    BOOST_TEST(!splitter.has_gap());
+  }
+}
+
+// Guards against streams that never pass because their lines end with carriage
+// returns, and against a position other than that of the caller, for whom a
+// carriage return in an event ends a line. No event waits for the next one.
+BOOST_AUTO_TEST_CASE(CarriageReturnsEndLines) {
+  SseSplitter splitter;
+  BOOST_TEST(splitter.Feed("id: 1\rdata: a\r\r") == "id: 1\rdata: a\r\r");
+  BOOST_TEST(!splitter.has_partial_event());
+  BOOST_TEST(splitter.Feed("id: 2\r\rid: 3\r") == "id: 2\r\r");
+  BOOST_TEST(splitter.Feed("\r") == "id: 3\r\r");
+  BOOST_TEST(splitter.last_id().value_or(0) == 3);
+  // The rest of a line end that came apart.
+  BOOST_TEST(splitter.Feed("\nid: 4\n\n") == "\nid: 4\n\n");
+  BOOST_TEST(!splitter.has_gap());
+  BOOST_TEST(splitter.Feed("data: b\rid: 5\n\n") == "data: b\rid: 5\n\n");
+  BOOST_TEST(splitter.last_id().value_or(0) == 5);
+  BOOST_TEST(splitter.is_position_known());
+}
+
 }  // namespace endiveyard
