Relay: a cut copy of an earlier answer is no evidence of a crash

What callers saw: nothing wrong in the answer itself, but each call whose answer came behind a cut copy of an earlier one counted as lost with its target. Three of them from different replicas, and sound requests with the same prompt parts are refused as crashing.

Cause: while a response to an earlier request is skipped, a body that cannot be parsed ended the call as truncated, as if the answer to this request had begun and its connection had broken. It is invalid, as the body over its limit there was already; an end of the connection is an answer that never came.

Evidence: cut_copies_test, copies cut at every byte (with a length, in chunks, streams) before the next answer. In no case did a caller get pieces of two answers, another answer, or events of a copy, nor anything but the outcome unknown where the connection ends behind the copy.

--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -298,7 +298,8 @@
       timeout_timer_.expires_after(request_.timeout);
       timeout_timer_.async_wait([self = shared_from_this()](error_code ec) {
         if (!ec) {
-          self->End(self->parser_ && self->parser_->is_header_done()
+          self->End(self->parser_ && self->parser_->is_header_done() &&
+                            !self->skipping_response_
                         ? TransportStatus::kTruncated
                         : TransportStatus::kNoResponse,
                     "timeout of the call");
@@ -470,7 +471,7 @@
       return;
     }
     if (connection_->buffer.size() > kMaxUnparsedBytes) {
-      End(TransportStatus::kTruncated, "framing of the body exceeds its limit");
+      EndInBody("framing of the body exceeds its limit");
       return;
     }
     auto self = shared_from_this();
@@ -487,7 +488,10 @@
             return;
           }
           if (ec) {
-            self->EndWithReadError(TransportStatus::kTruncated, ec);
+            self->EndWithReadError(self->skipping_response_
+                                       ? TransportStatus::kNoResponse
+                                       : TransportStatus::kTruncated,
+                                   ec);
             return;
           }
           self->connection_->buffer.commit(n);
@@ -508,16 +512,14 @@
     const size_t produced = body_buffer_.size() - body.size;
     made_progress_ = n > 0 || produced > 0;
     if (ec && ec != http::error::need_buffer && ec != http::error::need_more) {
-      End(TransportStatus::kTruncated, ec.message());
+      EndInBody(ec.message());
       return false;
     }
     const uint64_t limit =
         skipping_response_ ? kMaxSkippedBytes : request_.max_response_bytes;
     body_bytes_ += produced;
     if (limit > 0 && body_bytes_ > limit) {
-      End(skipping_response_ ? TransportStatus::kInvalidResponse
-                             : TransportStatus::kTruncated,
-          "body exceeds its limit");
+      EndInBody("body exceeds its limit");
       return false;
     }
     if (produced > 0 && !skipping_response_) {
@@ -527,6 +529,14 @@
     return !ended_;
   }
 
+  // Ends the call at what is not a body. In a response that is skipped, it says
+  // nothing about the one to this request.
+  void EndInBody(std::string_view detail) {
+    End(skipping_response_ ? TransportStatus::kInvalidResponse
+                           : TransportStatus::kTruncated,
+        detail);
+  }
+
   void FinishResponse() {
     if (skipping_response_) {
       out_of_sync_ = true;
