Relay: an answer that a cut copy swallows ends the wait for it

What callers saw: 504 at the deadline (7 s in the test) although their answer had arrived, and no second attempt where one is allowed before the watchdog.

Cause: an earlier response that a target sends once more and that is cut off in its body, in a chunk, behind the head of a HEAD response or in a trailer takes the answer behind it for its rest. If the rest is longer than the answer, the call waited for bytes that never come.

What changed: a status line and, behind it, the id of this request in what is skipped end the call with an unknown outcome, at once. A skipped body that happens to hold both costs a call its answer; without the late copy nothing is skipped.

Evidence: AnswersWithinACutCopyAreNoticed, 6 copies and 3 answers. After: none waits.

--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -522,13 +522,30 @@
       EndInBody("body exceeds its limit");
       return false;
     }
-    if (produced > 0 && !skipping_response_) {
+    if (produced > 0 && skipping_response_) {
+      skipped_body_.append(body_buffer_.data(), produced);
+      if (HasOwnAnswer(skipped_body_, produced)) {
+        EndInBody("response within the body of an earlier one");
+      }
+    } else if (produced > 0) {
       auto self = shared_from_this();
       handlers_.on_body(std::string_view(body_buffer_.data(), produced));
     }
     return !ended_;
   }
 
+  // Returns true if the head of a response with the id of this request, which
+  // ends in the last `produced` bytes, is in `skipped`: the earlier response
+  // was cut off, and what follows it counts as its body.
+  bool HasOwnAnswer(std::string_view skipped, size_t produced) const {
+    const size_t known = skipped.size() - produced;
+    const size_t at =
+        skipped.find(request_.request_id,
+                     known - std::min(known, request_.request_id.size() - 1));
+    return at != std::string_view::npos &&
+           ContainsStatusLine(skipped.substr(0, at));
+  }
+
   // Ends the call at what is not a body. In a response that is skipped, it says
   // nothing about the one to this request.
   void EndInBody(std::string_view detail) {
@@ -539,8 +556,16 @@
 
   void FinishResponse() {
     if (skipping_response_) {
+      const auto& message = parser_->get();
+      if (std::any_of(message.begin(), message.end(), [](const auto& it) {
+            return ContainsStatusLine(std::string(it.value()));
+          })) {
+        EndInBody("response within the trailers of an earlier one");
+        return;
+      }
       out_of_sync_ = true;
       body_bytes_ = 0;
+      skipped_body_.clear();
       parser_.reset();
       ReadHead();
       return;
@@ -607,7 +632,8 @@
   std::array<char, kReadBytes> body_buffer_{};
   int skipped_responses_ = 0;
   int interim_responses_ = 0;
-  uint64_t body_bytes_ = 0;  // of the current response
+  uint64_t body_bytes_ = 0;   // of the current response
+  std::string skipped_body_;  // so far, of a response to an earlier request
   error_code write_error_;
   bool connected_ = false;
   bool reused_connection_ = false;
--- a/tests/platform/cut_copies_test.cc
+++ b/tests/platform/cut_copies_test.cc
@@ -90,6 +90,41 @@
   }
 }
 
+// Guards against calls that wait until their deadline for the rest of a copy,
+// although what it swallows is their answer: with a length, in a chunk, as the
+// copy of a HEAD response, or in a trailer.
+BOOST_FIXTURE_TEST_CASE(AnswersWithinACutCopyAreNoticed, CutCopiesFixture) {
+  const std::string large(65536, 'x');
+  const std::string chunked = Head("r1") + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string copies[] = {
+      SignedResponse("r1", large).substr(0, 200),
+      SignedResponse("r1", large).substr(0, 60000),
+      chunked + EncodeChunk(large).substr(0, 6),
+      chunked + EncodeChunk(large).substr(0, 30000),
+      SignedResponse("r1", large)
+          .substr(0, SignedResponse("r1", large).size() - large.size()),
+      chunked + EncodeChunk("a") + "0\r\nTrailer: x",
+  };
+  for (const std::string& copy : copies) {
+    for (const std::string& answer :
+         {SignedResponse("r2", kNewBody), Chunked("r2", kNewBody),
+          SignedResponse("r2", "")}) {
+      BOOST_TEST_CONTEXT(copy.size() << " bytes of a copy") {
+        Begin("/unsafe/x", SignedResponse("r1", kOldBody));
+        target->Send(copy);
+        // In two pieces, so that the id may come in another one than the
+        // status.
+        target->Send(answer.substr(0, 40));
+        target->Send(answer.substr(40));
+        const std::string got = caller->ReadMessage();
+        BOOST_TEST(Contains(got, "HTTP/1.1 502 "), got);
+        CheckNoEvidence();
+        Forget();
+      }
+    }
+  }
+}
+
 // The same where the connection ends after the copy: nobody has answered r2, so
 // that it may have run.
 BOOST_FIXTURE_TEST_CASE(CutCopiesBeforeTheEndAreNoAnswer, CutCopiesFixture) {
