Relay: streams to HTTP/1.0 callers have no chunks

What callers saw: an HTTP/1.0 caller, which knows no chunks, got their sizes as part of the stream, and the connection stayed open behind its end.

Cause: a response without a length was sent in chunks whatever the version of the request. Now it ends with the connection; one that breaks off, or that the caller does not take in time, ends with a reset, since an orderly end would make it look complete. A connection of such a caller carries one request.

Evidence: caller_side_test, CallersOfTheOldProtocolGetTheBareStream: 4 checks fail before, none after. The other cases pass before and after: pipelined requests behind a stream (whole, and broken off), a caller that does not read while its target's connection ends, a stream open at a stop, and take-ups that name an event beyond the end, the largest and smallest number and -1.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -240,7 +240,9 @@
   if (target->authority) {
     ReplaceHost(*target->authority, &request);
   }
-  keep_alive_ = message.keep_alive();
+  constexpr unsigned kHttp11 = 11;
+  knows_chunks_ = message.version() >= kHttp11;
+  keep_alive_ = message.keep_alive() && knows_chunks_;
   method_ = request.method;
   if (!message.body().empty()) {
     request.body =
@@ -352,7 +354,10 @@
   }
   has_response_body_ =
       method_ != "HEAD" && head.status != 204 && head.status != 304;
-  chunked_response_ = !head.length && has_response_body_;
+  const bool has_no_length = !head.length && has_response_body_;
+  chunked_response_ = has_no_length && knows_chunks_;
+  // Without chunks, only the end of the connection ends the body.
+  reset_unless_whole_ = has_no_length && !knows_chunks_;
   std::string text =
       "HTTP/1.1 " + std::to_string(head.status) + " " +
       (head.reason.empty() ? std::string(ReasonPhrase(head.status))
@@ -396,6 +401,7 @@
     Write("0\r\n\r\n");
   }
   chunked_response_ = false;
+  finished_ = true;
   exchange_.reset();
   on_all_sent_ = nullptr;
   RecordBodyBytes(0);
@@ -531,7 +537,11 @@
   read_timer_.cancel();
   on_all_sent_ = nullptr;
   error_code ec;
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+  if (reset_unless_whole_ && !(finished_ && unsent_bytes_ == 0)) {
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+  } else {
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+  }
   socket_.close(ec);
 }
 
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -135,7 +135,11 @@
   size_t request_body_bytes_ = 0;
   bool writing_ = false;
   bool keep_alive_ = true;
+  bool knows_chunks_ = true;  // the caller, by its version of HTTP
   bool chunked_response_ = false;
+  // An orderly end would make the response look complete.
+  bool reset_unless_whole_ = false;
+  bool finished_ = false;  // the last response
   bool has_response_body_ = true;
   bool close_when_written_ = false;
   bool closed_ = false;
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -154,6 +154,7 @@
                                buffer_);
     }
     if (n <= 0) {
+      was_reset_ = n < 0 && errno == ECONNRESET;
       return std::move(buffer_);
     }
     buffer_.append(buf, static_cast<size_t>(n));
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -42,6 +42,8 @@
   std::string ReadMessage();
   // Reads until the peer closes the connection and returns what was read.
   std::string ReadUntilClose();
+  // Returns true if ReadUntilClose() met a reset instead of an orderly end.
+  bool WasReset() const { return was_reset_; }
   void Close();
   // Closes with a TCP reset instead of an orderly shutdown.
   void Reset();
@@ -58,6 +60,7 @@
  private:
   boost::asio::ip::tcp::socket socket_;
   std::string buffer_;
+  bool was_reset_ = false;
 };
 
 // A target whose connections the test accepts and whose responses it writes.
