Relay: nothing follows the largest event id

What callers saw: nothing that was reported. A take-up may name the largest number as its last event; adding one to it overflowed, which is undefined, and here made the smallest number the event that follows.

Evidence: NothingFollowsTheLargestId fails before (2 checks), passes after. Ids that a target sends are read the same way.

--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace endiveyard {
 namespace {
@@ -115,7 +116,11 @@
     is_position_known_ = is_position_known_ && !fields.has_data;
     return true;
   }
-  if (!fields.id || (last_id_ && *fields.id != *last_id_ + 1)) {
+  // Nothing follows the largest id, which a caller may name.
+  const bool follows =
+      !last_id_ || (*last_id_ != std::numeric_limits<int64_t>::max() &&
+                    fields.id == *last_id_ + 1);
+  if (!fields.id || !follows) {
     is_position_known_ =
         is_position_known_ && (!last_id_ || is_last_id_confirmed_);
     return false;
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -1,6 +1,7 @@
 #include "endiveyard/relay/sse_splitter.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <string>
 
 namespace endiveyard {
@@ -116,4 +117,13 @@
   BOOST_TEST((forwarded == event + "\n\n"));
 }
 
+// Guards against an event that is taken to follow the largest id, which a
+// caller may name.
+BOOST_AUTO_TEST_CASE(NothingFollowsTheLargestId) {
+  SseSplitter splitter;
+  splitter.StartAfter(std::numeric_limits<int64_t>::max());
+  BOOST_TEST(splitter.Feed("id: -9223372036854775808\n\n").empty());
+  BOOST_TEST(splitter.has_gap());
+}
+
 }  // namespace endiveyard
