--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -1,6 +1,7 @@
 #include "endiveyard/relay/sse_splitter.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <string>
 
 namespace endiveyard {
@@ -197,4 +198,12 @@
   BOOST_TEST(splitter.is_position_known());
 }
 
+// The same for the largest id, where a caller names it.
+BOOST_AUTO_TEST_CASE(NothingFollowsTheLargestIdThatACallerNames) {
+  SseSplitter splitter;
+  splitter.StartAfter(std::numeric_limits<int64_t>::max());
+  BOOST_TEST(splitter.Feed("id: -9223372036854775808\n\n").empty());
+  BOOST_TEST(splitter.has_gap());
+}
+
 }  // namespace endiveyard
