Soak: write down each first try that the check counts

It now writes first-tries.txt into its folder, one line each for the cuts, signals, starts and first tries that count: at which process, sent and answered when, how it ended (status and reason, refused, closed, timeout). Times are those of the logs, so that a try is found there by its id.

The check stays as it was. The summary counts the tries in touch apart.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -1,21 +1,19 @@
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <numeric>
 #include <random>
-#include <set>
 #include <thread>
 
 #include <boost/program_options.hpp>
 
+#include "soak/first_tries.h"
 #include "soak/front_process.h"
 #include "soak/http_peer.h"
 #include "soak/registry_standin.h"
@@ -33,7 +31,6 @@
 // Faults begin once estimates of the service times exist.
 constexpr int64_t kCalmMs = 2000;
 constexpr int kGraceMs = 8000;
-constexpr int64_t kStableMs = 4000;
 
 struct SoakOptions {
   std::string binary;
@@ -65,6 +62,19 @@
   int kill_every_ms = 0;
 };
 
+// How a request ended, in words.
+std::string EndOf(const ClientResult& result) {
+  constexpr size_t kMaxReasonBytes = 80;
+  std::string end = result.connection_ended ? "closed" : "timeout";
+  if (result.status == 0) {
+    return end;
+  }
+  return std::to_string(result.status) +
+         (result.complete ? "" : " broken off, " + end) +
+         (result.status == 200 ? ""
+                               : " " + result.body.substr(0, kMaxReasonBytes));
+}
+
 struct ClientRequest {
   std::string id;
   std::string first_id;  // see ClientResult
@@ -83,7 +93,8 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         network_(NetworkOf(getpid())),
-        registry_(Ip(1), ViewCount()) {}
+        registry_(Ip(1), ViewCount()),
+        first_tries_(options.folder + "/first-tries.txt") {}
 
   // Returns the violations.
   std::vector<std::string> Run();
@@ -127,6 +138,8 @@
   // Lets the last requests, and runs of requests that were refused, end. To be
   // called by threads that have started processes, which end with them.
   void Settle() const { SleepMs(int64_t{2} * options_.timeout_ms); }
+  void Signal(FrontProcess* front, int signal);
+  void Start(FrontProcess* front);
   void DisturbFront(size_t number);
   void KillInTurn();
   void ChangeReplicas();
@@ -136,10 +149,8 @@
   void Replace(size_t number, const std::string& stage);
   // Cuts the links of half of the processes again and again.
   void StrandFronts();
-  // Returns what was counted, and records what breaks the bound.
-  std::string CheckFirstTries();
   // Counts a client's first try while links are cut.
-  void CountFirstTry(const FrontProcess& front, int64_t sent_ms, bool served);
+  void CountFirstTry(const FrontProcess& front, FirstTry first_try);
   bool Ended() const { return NowMs() >= end_ms_; }
   void SleepUntilEnd(int64_t ms) const {
     SleepMs(std::max<int64_t>(0, std::min(ms, end_ms_ - NowMs())));
@@ -155,16 +166,7 @@
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::string summary_;
-  struct Tries {
-    int all = 0;
-    int served = 0;
-  };
-  // Since when links are cut; 0 while none are.
-  std::atomic<int64_t> stranded_since_ms_{0};
-  // Guarded by `mutex_`.
-  std::set<const FrontProcess*> stranded_;
-  std::string strand_mode_;
-  std::map<std::string, std::pair<Tries, Tries>> tries_;  // cut off, others
+  FirstTries first_tries_;
   std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
   double peak_memory_mb_ = 0;  // of any process
@@ -338,7 +340,9 @@
     }
     it.sent_ms = it.first_sent_ms = sent_ms;
     const ClientResult result = ReadResult(it, front, peer);
-    CountFirstTry(*front, sent_ms, result.status == 200 && result.complete);
+    CountFirstTry(*front,
+                  {"", false, it.id, sent_ms,
+                   result.status == 200 && result.complete, EndOf(result)});
     if (requests == 1) {
       Repeat(it, result, front, random);
     }
@@ -355,7 +359,7 @@
       peer = HttpPeer::Connect(front->ip(), front->port());
       if (!peer) {
         constexpr int kRetryMs = 50;
-        CountFirstTry(*front, NowMs(), false);
+        CountFirstTry(*front, {"", false, "", NowMs(), false, "refused"});
         SleepMs(kRetryMs);
         continue;
       }
@@ -366,6 +370,16 @@
   }
 }
 
+void Soak::Signal(FrontProcess* front, int signal) {
+  first_tries_.RecordSignal(front->name(), signal);
+  front->Signal(signal);
+}
+
+void Soak::Start(FrontProcess* front) {
+  first_tries_.RecordStart(front->name());
+  front->Start();
+}
+
 void Soak::DisturbFront(size_t number) {
   std::mt19937_64 random = RandomFor(2000 + number);
   FrontProcess& front = *fronts_[number];
@@ -373,13 +387,13 @@
     return std::uniform_int_distribution<int>(0, max)(random);
   };
   const auto freeze = [&](int64_t ms) {
-    front.Signal(SIGSTOP);
+    Signal(&front, SIGSTOP);
     SleepMs(ms);
-    front.Signal(SIGCONT);
+    Signal(&front, SIGCONT);
   };
   const auto restart = [&] {
     SleepMs(draw(500));
-    front.Start();
+    Start(&front);
   };
   const auto sample_memory = [&] {
     const double mb = front.SamplePeakMemory();
@@ -412,24 +426,24 @@
         break;
       }
       case 2:
-        front.Signal(SIGKILL);
+        Signal(&front, SIGKILL);
         front.WaitForEnd(kGraceMs);
         restart();
         break;
       case 3:
-        front.Signal(SIGTERM);
+        Signal(&front, SIGTERM);
         if (draw(2) == 0) {
           SleepMs(draw(2000));
           freeze(draw(300));
         }
         if (!front.WaitForEnd(kGraceMs)) {
-          front.Signal(SIGKILL);
+          Signal(&front, SIGKILL);
           front.WaitForEnd(kGraceMs);
         }
         restart();
         break;
       default:
-        front.Signal(SIGHUP);
+        Signal(&front, SIGHUP);
         break;
     }
   }
@@ -445,9 +459,9 @@
   for (size_t n = 0; !Ended(); ++n) {
     SleepUntilEnd(options_.kill_every_ms);
     FrontProcess& front = *fronts_[n % fronts_.size()];
-    front.Signal(SIGKILL);
+    Signal(&front, SIGKILL);
     front.WaitForEnd(kGraceMs);
-    front.Start();
+    Start(&front);
   }
   Settle();
 }
@@ -533,59 +547,24 @@
         it.ResetConnections();
       }
     });
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      strand_mode_ = mode;
-      for (const size_t n : numbers) {
-        stranded_.insert(fronts_[n].get());
-      }
-      stranded_since_ms_ = NowMs();
+    std::vector<std::string> names;
+    names.reserve(numbers.size());
+    for (const size_t n : numbers) {
+      names.push_back(fronts_[n]->name());
     }
+    first_tries_.RecordCut(mode, names);
     SleepUntilEnd(kStrandedMs);
-    stranded_since_ms_ = 0;
-    {
-      const std::lock_guard<std::mutex> lock(mutex_);
-      stranded_.clear();
-    }
+    first_tries_.RecordHeal();
     for_each_link([](HttpListener& it) { it.Heal(); });
     SleepUntilEnd(kPauseMs);
   }
 }
 
-void Soak::CountFirstTry(const FrontProcess& front,
-                         int64_t sent_ms,
-                         bool served) {
-  const int64_t since = stranded_since_ms_;
-  if (since == 0 || sent_ms < since + kStableMs ||
-      front.WasDisturbed(sent_ms - kStableMs, NowMs())) {
-    return;
-  }
-  const std::lock_guard<std::mutex> lock(mutex_);
-  auto& [cut_off, others] = tries_[strand_mode_];
-  Tries& tries = stranded_.count(&front) > 0 ? cut_off : others;
-  ++tries.all;
-  tries.served += served ? 1 : 0;
-}
-
-std::string Soak::CheckFirstTries() {
-  std::string text;
-  for (const auto& [mode, tries] : tries_) {
-    const auto& [cut_off, others] = tries;
-    const std::string line =
-        "links cut (" + mode + "): served " + std::to_string(cut_off.served) +
-        " of " + std::to_string(cut_off.all) + " first tries, elsewhere " +
-        std::to_string(others.served) + " of " + std::to_string(others.all);
-    // Clients wait for answers, so that there are few tries where these are
-    // late: the share of all tries that the rule allows to fail isn't granted.
-    constexpr int kMaxFailed = 10;
-    // Compares the shares without dividing by zero.
-    if (3.0 * cut_off.served * others.all < 2.0 * others.served * cut_off.all &&
-        cut_off.all - cut_off.served > kMaxFailed) {
-      ledger_.RecordViolation("RECOVER, " + line);
-    }
-    text += "; " + line;
-  }
-  return text;
+void Soak::CountFirstTry(const FrontProcess& front, FirstTry first_try) {
+  first_try.process = front.name();
+  first_try.process_calm =
+      !front.WasDisturbed(first_try.sent_ms - FirstTries::kStableMs, NowMs());
+  first_tries_.RecordTry(first_try);
 }
 
 std::vector<std::string> Soak::Run() {
@@ -632,7 +611,10 @@
   summary_ = ledger_.Summary() + "; " + ledger_.RepeatSummary() +
              "; peak memory of a process " +
              std::to_string(static_cast<int>(peak_memory_mb_)) + " MB" +
-             CheckFirstTries();
+             first_tries_.Summary();
+  for (const std::string& it : first_tries_.Violations()) {
+    ledger_.RecordViolation(it);
+  }
   return ledger_.Violations();
 }
 
