--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -15,6 +15,18 @@
 
 using Arguments = std::vector<std::string>;
 
+struct CommandEntry {
+  const char* name;
+  const char* summary;
+  int (*run)(const Arguments&);
+};
+
+// Runs the command that the first argument names, and returns the exit code of
+// the program.
+int RunProgram(const std::vector<CommandEntry>& commands,
+               int argc,
+               char** argv);
+
 // Parses `arguments` into `values`. Returns false if the command has to end
 // with
 // `*exit_code`, since the help text or an error message was printed.
