Avoid replicas that answer as misdirected

Callers got 503 not_run in bursts, at any process: a replica that is registered under an id it no longer has (or in a stage that it left) answers 421 at once. That counted as the answer of a working replica, which is idle and fast, so that it drew the next requests too, until the registry told of the change; retries were soon spent, and from then on each 421 refused its request (next: refuse_not_run).

Such a call now counts like a failure to connect: the replica is used only if the others are worse, for 250 ms, doubled up to 4 s. Calls that were under way together begin one backoff only, since a replica that changes its stage keeps its id and is soon registered as it is. Applies to runs and prefills.

New tests: MisdirectedCallsAreFailuresOfTheReplica fails before (failure rate 0 for run and prefill); MisdirectedReplicasAreAvoidedForAMoment.

--- a/include/endiveyard/placement/replica_load.h
+++ b/include/endiveyard/placement/replica_load.h
@@ -18,7 +18,15 @@
 
 // Result of a call to a replica, as evidence of the state of the replica.
 // kRejected is a response of a working replica and does not count as a failure.
-enum class CallResult { kCompleted, kFailed, kRejected, kUnreachable };
+// kMisdirected shows that the replica is not what it is registered as: another
+// one answers at its address, or it has another stage.
+enum class CallResult {
+  kCompleted,
+  kFailed,
+  kRejected,
+  kMisdirected,
+  kUnreachable
+};
 
 // Load of one replica incarnation as known to this instance: its local calls in
 // flight, the last reported load and recent failures.
@@ -28,9 +36,9 @@
   void RecordCallSent(double uncached);
   // Records that the prompt of a call was prefilled.
   void RecordPrefilled(double uncached);
-  // Records the end of a call. After two consecutive failures, or one failure
-  // to connect, the replica is in backoff for 250 ms, doubled by each further
-  // failure up to 4 s.
+  // Records the end of a call. After two consecutive failures, one failure to
+  // connect or one misdirected call, the replica is in backoff for 250 ms,
+  // doubled by each further failure up to 4 s.
   void RecordCallEnded(CallResult result, TimePoint now);
   void RecordReport(const ReportedLoad& load, TimePoint now);
 
--- a/src/placement/replica_load.cc
+++ b/src/placement/replica_load.cc
@@ -57,6 +57,7 @@
   recent_calls_ *= decay;
   last_call_ended_ = now;
   recent_calls_ += 1;
+  constexpr int kFailuresBeforeBackoff = 2;
   switch (result) {
     case CallResult::kCompleted:
     case CallResult::kRejected:
@@ -66,15 +67,23 @@
       recent_failures_ += 1;
       ++consecutive_failures_;
       break;
+    case CallResult::kMisdirected:
+      if (InBackoff(now)) {
+        // Was under way when the backoff began. The replica may soon be
+        // registered as it is, under the same id.
+        return;
+      }
+      [[fallthrough]];
     case CallResult::kUnreachable:
       recent_failures_ += 1;
-      // A single failure to connect starts the backoff.
-      consecutive_failures_ = std::max(2, consecutive_failures_ + 1);
+      // A single one starts the backoff.
+      consecutive_failures_ =
+          std::max(kFailuresBeforeBackoff, consecutive_failures_ + 1);
       break;
   }
-  if (consecutive_failures_ >= 2) {
-    const int doublings =
-        std::min(consecutive_failures_ - 2, kMaxBackoffDoublings);
+  if (consecutive_failures_ >= kFailuresBeforeBackoff) {
+    const int doublings = std::min(
+        consecutive_failures_ - kFailuresBeforeBackoff, kMaxBackoffDoublings);
     backoff_until_ = now + kInitialBackoff * (1 << doublings);
   }
 }
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -169,6 +169,9 @@
   // without a complete response.
   void AbandonRun(CallOutcome outcome, std::string_view detail);
   CallOutcome OutcomeOf(TransportStatus transport_status) const;
+  // What a response of the active call that says "not run" tells about its
+  // replica.
+  CallResult ResultOfRefusal() const;
   // Returns true if the target closed the connection of a response that ends
   // with it before any output.
   bool EndedWithoutAnswer() const;
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -85,7 +85,7 @@
     context_->placer.ObserveWait(service_, ended.call_class, ended.replica,
                                  ended.predicted_wait, took, now);
   } else if (ended.response_metadata.not_run) {
-    result = CallResult::kRejected;
+    result = ResultOfRefusal();
   } else if (transport_status == TransportStatus::kNotSent) {
     result = CallResult::kUnreachable;
   }
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -280,6 +280,11 @@
          !active_call_->output_started_at;
 }
 
+CallResult RelayExchange::ResultOfRefusal() const {
+  return active_call_->status == kMisdirectedRequest ? CallResult::kMisdirected
+                                                     : CallResult::kRejected;
+}
+
 CallOutcome RelayExchange::OutcomeOf(TransportStatus transport_status) const {
   switch (transport_status) {
     case TransportStatus::kNotSent:
@@ -337,7 +342,7 @@
       result = CallResult::kUnreachable;
       break;
     case CallOutcome::kNotRun:
-      result = CallResult::kRejected;
+      result = ResultOfRefusal();
       break;
     case CallOutcome::kCompleted:
       result = CallResult::kCompleted;
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -191,6 +191,34 @@
   BOOST_TEST(placer.Choose(view, query, At(10)).placement->target.id == "a");
 }
 
+// Guards against a replica that is registered wrongly and draws all requests,
+// since it turns them away at once.
+BOOST_AUTO_TEST_CASE(MisdirectedReplicasAreAvoidedForAMoment) {
+  ReplicaView view;
+  view.Reset({MakeReplica("a", Stage::kWhole), MakeReplica("b", Stage::kWhole)},
+             At(0));
+  Placer placer = MakePlacer();
+  PlacementQuery query;
+  query.service = "lm";
+  query.time_left = query.first_output_time_left = std::chrono::seconds(1);
+  placer.LoadOf(*view.Find("b")).RecordCallSent(0);
+  ReplicaLoad& load = placer.LoadOf(*view.Find("a"));
+  BOOST_TEST(placer.Choose(view, query, At(0)).placement->target.id == "a");
+  // Calls that were under way together prolong nothing.
+  for (int n = 0; n < 8; ++n) {
+    load.RecordCallEnded(CallResult::kMisdirected, At(n));
+  }
+  BOOST_TEST(placer.Choose(view, query, At(10)).placement->target.id == "b");
+  BOOST_TEST(load.InBackoff(At(249)));
+  BOOST_TEST(!load.InBackoff(At(250)));
+  load.RecordCallEnded(CallResult::kMisdirected, At(300));
+  BOOST_TEST(load.InBackoff(At(799)));
+  BOOST_TEST(!load.InBackoff(At(800)));
+  // The only remaining replica is used all the same.
+  query.excluded.insert("b");
+  BOOST_TEST(placer.Choose(view, query, At(310)).placement->target.id == "a");
+}
+
 // Guards against attributing the load and failures of a replica from before a
 // restart to its new incarnation with the same id.
 BOOST_AUTO_TEST_CASE(RestartedReplicaHasEmptyLoad) {
--- a/tests/platform/faulty_target_test.cc
+++ b/tests/platform/faulty_target_test.cc
@@ -301,4 +301,47 @@
   }
 }
 
+// Guards against a replica that is registered wrongly and draws the requests of
+// all callers, since it turns them away at once and counted as idle and sound.
+BOOST_FIXTURE_TEST_CASE(MisdirectedCallsAreFailuresOfTheReplica, RelayFixture) {
+  const auto failure_rate = [this](const std::string& id) {
+    double rate = 0;
+    RunOnRelayThread([&](RoutingState& routing_state) {
+      rate = relay()
+                 .placer()
+                 ->LoadOf(*routing_state.replicas.Find(id))
+                 .FailureRate(BootClock::now());
+    });
+    return rate;
+  };
+  const auto refusal = [](const std::string& id, const std::string& status) {
+    return "HTTP/1.1 " + status + "\r\nEndiveyard-Request-Id: " + id +
+           "\r\nEndiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  };
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(refusal("r1", "503 Service Unavailable"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+  BOOST_TEST(failure_rate("t1") == 0);
+  caller.Send(RequestHead("GET", "/safe/x", "r2"));
+  target.ReadMessage();
+  target.Send(refusal("r2", "421 Misdirected Request"));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+  BOOST_TEST(failure_rate("t1") > 0);
+
+  UseDisaggregatedTargets();
+  caller.Send(RequestHead("POST", "/stream/x", "r3",
+                          "Content-Length: 0\r\n"
+                          "Endiveyard-Token-Count: 6000,20\r\n"
+                          "Endiveyard-Prompt-Prefix: a1:4000,b2:2000\r\n"));
+  TestConnection prefill = second().Accept();
+  prefill.ReadMessage();
+  prefill.Send(refusal("r3", "421 Misdirected Request"));
+  target.ReadMessage();
+  BOOST_TEST(failure_rate("p1") > 0);
+}
+
 }  // namespace endiveyard
