Begin a stream at the version that was tried first

Meanwhile replicas had changed their versions, so that the version for the next try was chosen anew: front-1 forwarded the request to front-2 to begin it at v1, which brought two events and broke off. Its report had not reached front-0 when the client took the stream up there 143 ms after the run began; front-0 knew of v2 only, and went on at v2.

A run or forwarding before the first event now stays at the version of the run before, while another replica of it takes work. Else the version is chosen anew, as before.

Test: StreamsBeginAtTheVersionThatWasTriedFirst fails before.

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -318,10 +318,23 @@
       !route_->resumable) {
     return stream_version_;
   }
+  if (tried_version_ && HasOtherReplicaOf(*tried_version_)) {
+    return tried_version_;
+  }
   return context_->stream_versions.Choose(
       service_, StreamIdOf(request_metadata_.request_id));
 }
 
+bool RelayExchange::HasOtherReplicaOf(const std::string& version) const {
+  const TimePoint now = BootClock::now();
+  const auto replicas = context_->routing_state.replicas.Usable(service_);
+  return std::any_of(replicas.begin(), replicas.end(), [&](const Replica* it) {
+    return it->version == version && it->stage != Stage::kPrefill &&
+           excluded_replica_ids_.count(it->id) == 0 &&
+           context_->placer.availability().TakesWork(EngineKey(*it), now);
+  });
+}
+
 int RelayExchange::EffectivePriority() const {
   // What a stream has taken from engines is lost if the rest comes too late,
   // and its caller has less time left than others.
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -138,6 +138,8 @@
   void RefuseTakeUp(bool is_view_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
+  // Returns true if a replica of this version is left for the request.
+  bool HasOtherReplicaOf(const std::string& version) const;
   // Returns the priority of the calls: that of the route, or the highest one if
   // they continue a stream.
   int EffectivePriority() const;
@@ -328,6 +330,9 @@
   // Software version of the replica that sent the first event of the stream.
   // What another version writes does not continue it.
   std::optional<std::string> stream_version_;
+  // Version of the last run of a stream, which other instances may have been
+  // told.
+  std::optional<std::string> tried_version_;
   // The version of a run was recorded, and no event was sent to the caller.
   bool version_record_unused_ = false;
   // Calls that were written to a target, except successful prefill calls. Any
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -29,6 +29,7 @@
   if (route_->kind == RouteKind::kStreaming && route_->resumable) {
     // Before the first event, so that other instances are told in time.
     version_record_unused_ = !ResponseBegun();
+    tried_version_ = placement.target.version;
     context_->stream_versions.RecordBegun(
         service_, StreamIdOf(request_metadata_.request_id),
         placement.target.version, BootClock::now());
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -752,6 +752,39 @@
   BOOST_TEST(begun_at_second < 12);
 }
 
+// Guards against a stream that begins at another version than other instances
+// were told: its first run failed before any event, and the replicas changed.
+BOOST_FIXTURE_TEST_CASE(StreamsBeginAtTheVersionThatWasTriedFirst,
+                        RelayFixture) {
+  SetVersion("t1", "v1");
+  SetVersion("t2", "v1");
+  NotifyRoutingStateChanged();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/stream/x", "r1", "Content-Length: 0\r\n"));
+  while (!first().HasConnectionWithin(0) && !second().HasConnectionWithin(0)) {
+  }
+  const bool at_second = second().HasConnectionWithin(0);
+  TestConnection run = (at_second ? second() : first()).Accept();
+  run.ReadMessage();
+  RunOnRelayThread([](RoutingState& routing_state) {
+    constexpr int kOthers = 30;
+    Replica other = *routing_state.replicas.Find("t1");
+    other.version = "v2";
+    for (int n = 0; n < kOthers; ++n) {
+      other.id = "other" + std::to_string(n);
+      routing_state.replicas.Put(other);
+    }
+  });
+  NotifyRoutingStateChanged();
+  run.Reset();
+  while (!first().HasConnectionWithin(0) && !second().HasConnectionWithin(0)) {
+  }
+  TestTarget& next = second().HasConnectionWithin(0) ? second() : first();
+  BOOST_TEST(Contains(
+      next.Accept().ReadMessage(),
+      at_second ? "Expect-Instance: t1\r\n" : "Expect-Instance: t2\r\n"));
+}
+
 // Guards against a stream that goes on at the version of an earlier attempt
 // with the same id, which was refused: another instance may have begun it
 // since.
