--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -29,6 +29,7 @@
   if (route_->kind == RouteKind::kStreaming && route_->resumable) {
     // Before the first event, so that other instances are told in time.
     version_record_unused_ = !ResponseBegun();
+    tried_version_ = placement.target.version;
     context_->stream_versions.RecordBegun(
         service_, StreamIdOf(request_metadata_.request_id),
         placement.target.version, BootClock::now());
@@ -307,6 +308,11 @@
          !(active_call_->streaming && sse_splitter_.last_id());
 }
 
+CallResult RelayExchange::ResultOfRefusal() const {
+  return active_call_->status == kMisdirectedRequest ? CallResult::kMisdirected
+                                                     : CallResult::kRejected;
+}
+
 CallOutcome RelayExchange::OutcomeOf(TransportStatus transport_status) const {
   switch (transport_status) {
     case TransportStatus::kNotSent:
@@ -373,7 +379,7 @@
       result = CallResult::kUnreachable;
       break;
     case CallOutcome::kNotRun:
-      result = CallResult::kRejected;
+      result = ResultOfRefusal();
       break;
     case CallOutcome::kCompleted:
       result = CallResult::kCompleted;
