Soak: two builds of the program side by side

Violations, first tries of stranded processes and the summary say which build a process ran; each process then has its own view of the registry, so that a run at a replica says which process sent it. The summary counts streams that are taken up at another build. No check has changed.

--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -25,7 +25,8 @@
 FrontProcess::FrontProcess(const Options& options)
     : options_(options),
       port_(FindFreePort(options.ip, {options.control_port})),
-      ready_port_(FindFreePort(options.ip, {options.control_port, port_})) {
+      ready_port_(FindFreePort(options.ip, {options.control_port, port_})),
+      build_{options.binary, ""} {
   WriteSettings();
 }
 
@@ -66,9 +67,13 @@
   const std::string base = options_.folder + "/" + options_.name;
   const std::string setting = "ENDIVEYARD_CONFIG=" + base + ".conf";
   const std::string log = base + ".log";
-  const char* const arguments[] = {options_.binary.c_str(), "front",
+  const char* const arguments[] = {build_.binary.c_str(), "front",
                                    "--metrics-port", "0", nullptr};
   const char* const environment[] = {setting.c_str(), "LANG=C.UTF-8", nullptr};
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    starts_.emplace_back(NowMs(), build_.name);
+  }
   const pid_t parent = getpid();
   pid_ = fork();
   if (pid_ == 0) {
@@ -87,6 +92,20 @@
   }
 }
 
+std::string FrontProcess::BuildsDuring(int64_t begin_ms, int64_t end_ms) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::string names;
+  for (size_t n = 0; n < starts_.size(); ++n) {
+    const bool before_begin =
+        n + 1 < starts_.size() && starts_[n + 1].first <= begin_ms;
+    if (starts_[n].first <= end_ms && !before_begin &&
+        !starts_[n].second.empty()) {
+      names += (names.empty() ? "" : ", ") + starts_[n].second;
+    }
+  }
+  return names;
+}
+
 bool FrontProcess::WaitUntilReady(int timeout_ms) const {
   constexpr int kIntervalMs = 20;
   const int64_t until = NowMs() + timeout_ms;
--- a/tools/soak/front_process.h
+++ b/tools/soak/front_process.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endiveyard::soak {
@@ -24,12 +25,23 @@
     std::vector<std::string> seed_addresses;  // control addresses of all
     uint16_t control_port = 0;
   };
+  struct Build {
+    std::string binary;
+    std::string name;  // in reports; empty if there is only one build
+  };
 
   explicit FrontProcess(const Options& options);
   ~FrontProcess();
   FrontProcess(const FrontProcess&) = delete;
   FrontProcess& operator=(const FrontProcess&) = delete;
 
+  // Sets what Start() runs from now on, instead of the binary of the options.
+  void set_build(const Build& build) { build_ = build; }
+  const std::string& build() const { return build_.name; }
+  // Returns the names of the builds that ran from `begin_ms` to `end_ms`, each
+  // with a comma before the next one. Empty if there is only one build.
+  std::string BuildsDuring(int64_t begin_ms, int64_t end_ms) const;
+
   void Start();
   bool WaitUntilReady(int timeout_ms) const;
   // Sends a signal. SIGKILL, SIGSTOP and SIGCONT are recorded as disturbances.
@@ -63,10 +75,12 @@
   const Options options_;
   const uint16_t port_;
   const uint16_t ready_port_;
+  Build build_;
   pid_t pid_ = -1;
   double peak_memory_mb_ = 0;
   mutable std::mutex mutex_;
   std::vector<Span> disturbances_;
+  std::vector<std::pair<int64_t, std::string>> starts_;  // time and build
 };
 
 }  // namespace endiveyard::soak
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -16,6 +16,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "soak/build_plan.h"
 #include "soak/front_process.h"
 #include "soak/http_peer.h"
 #include "soak/registry_standin.h"
@@ -63,6 +64,9 @@
   // Interval at which one process after the other is killed and started again,
   // instead of other signals; 0 for none.
   int kill_every_ms = 0;
+  // A second build; empty for none.
+  std::string other_binary;
+  BuildChange build_change = BuildChange::kDrawn;
 };
 
 struct ClientRequest {
@@ -83,6 +87,9 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         network_(NetworkOf(getpid())),
+        builds_({options.binary, options.other_binary, options.build_change,
+                 options.seed, static_cast<size_t>(options.fronts),
+                 int64_t{1000} * options.seconds}),
         registry_(Ip(1), ViewCount()) {}
 
   // Returns the violations.
@@ -90,15 +97,37 @@
   std::string summary() { return summary_; }
 
  private:
+  struct Tries {
+    int all = 0;
+    int served = 0;
+  };
+
   std::string Ip(int n) const { return network_ + std::to_string(n); }
   std::mt19937_64 RandomFor(uint64_t part) const {
     std::seed_seq seed{options_.seed, part};
     return std::mt19937_64(seed);
   }
   // Each process has its own view of the registry, with its own addresses of
-  // the replicas, if links between processes and replicas can be cut.
+  // the replicas, if links between processes and replicas can be cut or reports
+  // are to say which build sent what.
   size_t ViewCount() const {
-    return options_.stranded.empty() ? 1 : static_cast<size_t>(options_.fronts);
+    return options_.stranded.empty() && !builds_.is_mixed()
+               ? 1
+               : static_cast<size_t>(options_.fronts);
+  }
+  void StartFronts();
+  // Starts the process, which has ended, with the build that is due.
+  void StartAgain(size_t number);
+  // Ends the process as a release does.
+  static void Terminate(FrontProcess& front) {
+    front.Signal(SIGTERM);
+    WaitOrKill(front);
+  }
+  static void WaitOrKill(FrontProcess& front) {
+    if (!front.WaitForEnd(kGraceMs)) {
+      front.Signal(SIGKILL);
+      front.WaitForEnd(kGraceMs);
+    }
   }
   void StartReplicas();
   void PutConfiguration(int version);
@@ -128,6 +157,8 @@
   // called by threads that have started processes, which end with them.
   void Settle() const { SleepMs(int64_t{2} * options_.timeout_ms); }
   void DisturbFront(size_t number);
+  // To be called by the thread that controls the process.
+  std::string DescribeEnd(size_t number, const std::string& end) const;
   void KillInTurn();
   void ChangeReplicas();
   // Starts a replica again and registers it under its new id. Engines change
@@ -136,6 +167,8 @@
   void Replace(size_t number, const std::string& stage);
   // Cuts the links of half of the processes again and again.
   void StrandFronts();
+  // Returns the tries by build; empty if there is only one build.
+  std::string DescribeBuilds(const Tries& tries) const;
   // Returns what was counted, and records what breaks the bound.
   std::string CheckFirstTries();
   // Counts a client's first try while links are cut.
@@ -150,24 +183,23 @@
   int64_t begin_ms_ = 0;
   int64_t end_ms_ = 0;
   RunLedger ledger_;
+  BuildPlan builds_;
   HandleTable handles_;
   RegistryStandin registry_;
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::string summary_;
-  struct Tries {
-    int all = 0;
-    int served = 0;
-  };
   // Since when links are cut; 0 while none are.
   std::atomic<int64_t> stranded_since_ms_{0};
   // Guarded by `mutex_`.
   std::set<const FrontProcess*> stranded_;
   std::string strand_mode_;
   std::map<std::string, std::pair<Tries, Tries>> tries_;  // cut off, others
+  std::map<const Tries*, std::map<std::string, Tries>> tries_by_build_;
   std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
-  double peak_memory_mb_ = 0;  // of any process
+  double peak_memory_mb_ = 0;          // of any process
+  std::map<std::string, int> starts_;  // of processes, by build
 };
 
 void Soak::StartReplicas() {
@@ -183,6 +215,12 @@
     options.fault_rate = options_.fault_rate;
     options.faults = options_.faults;
     options.max_work_ms = options_.max_work_ms;
+    if (builds_.is_mixed()) {
+      options.describe_caller = [this](size_t view) {
+        const FrontProcess& front = *fronts_[view];
+        return front.name() + " (" + front.BuildsDuring(NowMs(), NowMs()) + ")";
+      };
+    }
     options.rejoin = [this, n] { Rejoin(static_cast<size_t>(n)); };
     replicas_.push_back(
         std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
@@ -191,6 +229,28 @@
   }
 }
 
+void Soak::StartFronts() {
+  fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
+                                options_.fronts, registry_, ViewCount());
+  constexpr int kReadyMs = 10000;
+  for (size_t n = 0; builds_.is_mixed() && n < fronts_.size(); ++n) {
+    Terminate(*fronts_[n]);
+    StartAgain(n);
+    if (!fronts_[n]->WaitUntilReady(kReadyMs)) {
+      throw std::runtime_error("a process is not ready after 10 s");
+    }
+  }
+}
+
+void Soak::StartAgain(size_t number) {
+  const int64_t elapsed_ms = begin_ms_ == 0 ? 0 : NowMs() - begin_ms_;
+  const FrontProcess::Build build = builds_.ForStart(number, elapsed_ms);
+  fronts_[number]->set_build(build);
+  fronts_[number]->Start();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++starts_[build.name];
+}
+
 void Soak::PutConfiguration(int version) {
   registry_.Put(
       "config", "main",
@@ -218,6 +278,7 @@
   result.body = answer.body;
   result.answered_ms = NowMs();
   result.in_time = result.answered_ms - result.sent_ms < options_.timeout_ms;
+  result.build = front->BuildsDuring(result.sent_ms, result.answered_ms);
   result.process_disturbed =
       front->WasDisturbed(result.sent_ms, result.answered_ms);
   if (!result.complete || answer.Header("Connection") == "close") {
@@ -366,6 +427,12 @@
   }
 }
 
+std::string Soak::DescribeEnd(size_t number, const std::string& end) const {
+  const std::string& build = fronts_[number]->build();
+  return "LOST, process " + std::to_string(number) +
+         (build.empty() ? "" : " (" + build + ")") + " has ended " + end;
+}
+
 void Soak::DisturbFront(size_t number) {
   std::mt19937_64 random = RandomFor(2000 + number);
   FrontProcess& front = *fronts_[number];
@@ -379,7 +446,7 @@
   };
   const auto restart = [&] {
     SleepMs(draw(500));
-    front.Start();
+    StartAgain(number);
   };
   const auto sample_memory = [&] {
     const double mb = front.SamplePeakMemory();
@@ -389,9 +456,13 @@
   while (!Ended()) {
     SleepUntilEnd(300 + draw(1700));
     sample_memory();
+    if (!Ended() && builds_.IsDue(number, front.build(), NowMs() - begin_ms_)) {
+      Terminate(front);
+      restart();
+      continue;
+    }
     if (const auto end = front.EndByItself()) {
-      ledger_.RecordViolation("LOST, process " + std::to_string(number) +
-                              " has ended " + *end);
+      ledger_.RecordViolation(DescribeEnd(number, *end));
       restart();
     }
     if (Ended()) {
@@ -422,10 +493,7 @@
           SleepMs(draw(2000));
           freeze(draw(300));
         }
-        if (!front.WaitForEnd(kGraceMs)) {
-          front.Signal(SIGKILL);
-          front.WaitForEnd(kGraceMs);
-        }
+        WaitOrKill(front);
         restart();
         break;
       default:
@@ -436,8 +504,7 @@
   Settle();
   sample_memory();
   if (const auto end = front.EndByItself()) {
-    ledger_.RecordViolation("LOST, process " + std::to_string(number) +
-                            " has ended " + *end);
+    ledger_.RecordViolation(DescribeEnd(number, *end));
   }
 }
 
@@ -447,7 +514,7 @@
     FrontProcess& front = *fronts_[n % fronts_.size()];
     front.Signal(SIGKILL);
     front.WaitForEnd(kGraceMs);
-    front.Start();
+    StartAgain(n % fronts_.size());
   }
   Settle();
 }
@@ -563,8 +630,25 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   auto& [cut_off, others] = tries_[strand_mode_];
   Tries& tries = stranded_.count(&front) > 0 ? cut_off : others;
-  ++tries.all;
-  tries.served += served ? 1 : 0;
+  for (Tries* it :
+       {&tries,
+        &tries_by_build_[&tries][front.BuildsDuring(sent_ms, NowMs())]}) {
+    ++it->all;
+    it->served += served ? 1 : 0;
+  }
+}
+
+std::string Soak::DescribeBuilds(const Tries& tries) const {
+  std::string text;
+  const auto entry = tries_by_build_.find(&tries);
+  if (!builds_.is_mixed() || entry == tries_by_build_.end()) {
+    return text;
+  }
+  for (const auto& [build, it] : entry->second) {
+    text += (text.empty() ? " (" : "; ") + build + ": " +
+            std::to_string(it.served) + " of " + std::to_string(it.all);
+  }
+  return text + ")";
 }
 
 std::string Soak::CheckFirstTries() {
@@ -573,8 +657,10 @@
     const auto& [cut_off, others] = tries;
     const std::string line =
         "links cut (" + mode + "): served " + std::to_string(cut_off.served) +
-        " of " + std::to_string(cut_off.all) + " first tries, elsewhere " +
-        std::to_string(others.served) + " of " + std::to_string(others.all);
+        " of " + std::to_string(cut_off.all) + " first tries" +
+        DescribeBuilds(cut_off) + ", elsewhere " +
+        std::to_string(others.served) + " of " + std::to_string(others.all) +
+        DescribeBuilds(others);
     // Clients wait for answers, so that there are few tries where these are
     // late: the share of all tries that the rule allows to fail isn't granted.
     constexpr int kMaxFailed = 10;
@@ -591,8 +677,7 @@
 std::vector<std::string> Soak::Run() {
   StartReplicas();
   PutConfiguration(7);
-  fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
-                                options_.fronts, registry_, ViewCount());
+  StartFronts();
   begin_ms_ = NowMs();
   end_ms_ = begin_ms_ + int64_t{1000} * options_.seconds;
   std::vector<std::thread> clients;
@@ -633,6 +718,12 @@
              "; peak memory of a process " +
              std::to_string(static_cast<int>(peak_memory_mb_)) + " MB" +
              CheckFirstTries();
+  for (const auto& [build, count] : starts_) {
+    if (!build.empty()) {
+      summary_ +=
+          "; " + std::to_string(count) + " starts of processes with " + build;
+    }
+  }
   return ledger_.Violations();
 }
 
@@ -669,6 +760,7 @@
   endiveyard::soak::SoakOptions soak;
   endiveyard::soak::ReplicaKillOptions kills;
   std::string framing = "connection";
+  std::string upgrade;
   std::string folder;
   std::vector<std::string> fault_names;
   po::options_description options("soak");
@@ -713,6 +805,12 @@
       "again, instead of other signals")(
       "signals", po::value(&soak.signals),
       "signals to processes, changes of replicas and configuration")(
+      "other-binary", po::value(&soak.other_binary),
+      "a second build of the program: each process draws at each start which "
+      "of the two it runs")(
+      "upgrade", po::value(&upgrade),
+      "processes change from the other binary to the binary, one after the "
+      "other (there), and back in the second half of the time (back)")(
       "replica-processes", po::value(&kills.replicas),
       "plays another soak, with this number of replicas that are processes, "
       "answer without faults and are killed in turn")(
@@ -735,6 +833,12 @@
         throw std::runtime_error("links are not cut in the way " + it);
       }
     }
+    if (!upgrade.empty()) {
+      soak.build_change = endiveyard::soak::BuildChangeNamed(upgrade);
+      if (soak.other_binary.empty()) {
+        throw std::runtime_error("an upgrade needs another binary");
+      }
+    }
     std::signal(SIGPIPE, SIG_IGN);
     const bool temporary = folder.empty();
     if (temporary) {
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -138,7 +138,7 @@
       random_(options.seed) {
   for (size_t n = 0; n < options.views; ++n) {
     listeners_.push_back(std::make_unique<HttpListener>(
-        options.ip, [this](HttpPeer& peer) { Serve(peer); }));
+        options.ip, [this, n](HttpPeer& peer) { Serve(peer, n); }));
   }
 }
 
@@ -201,9 +201,9 @@
   return options_.faults[static_cast<size_t>(DrawNumber(last))];
 }
 
-void ReplicaStandin::Serve(HttpPeer& peer) {
+void ReplicaStandin::Serve(HttpPeer& peer, size_t view) {
   constexpr int kIdleMs = 60000;
-  Connection connection{peer, ""};
+  Connection connection{peer, view, ""};
   while (true) {
     const HttpMessage request = peer.Read(kIdleMs);
     if (!request.complete || !peer.Send(std::exchange(connection.copy, "")) ||
@@ -268,6 +268,9 @@
   run.kind = KindOf(request.Target());
   run.begun_after = std::atoi(request.Header("Last-Event-Id").c_str());
   run.sound = RunsToTheEnd(fault);
+  if (options_.describe_caller) {
+    run.caller = options_.describe_caller(connection.view);
+  }
   run = ledger_->RecordRun(run);
   const bool keeps =
       Work(peer, options_.max_work_ms) &&
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -86,6 +86,9 @@
     double fault_rate = 0;
     std::vector<ReplicaFault> faults;  // one of them is drawn
     int max_work_ms = 0;
+    // Returns the process with a view of the registry, for reports. May be
+    // empty if there is only one view.
+    std::function<std::string(size_t view)> describe_caller;
     // Has the replica started again and registered under its new id.
     std::function<void()> rejoin;
   };
@@ -109,11 +112,12 @@
  private:
   struct Connection {
     HttpPeer& peer;
+    size_t view;  // of the process
     // Copy of the last answer, sent when the next request arrives.
     std::string copy;
   };
 
-  void Serve(HttpPeer& peer);
+  void Serve(HttpPeer& peer, size_t view);
   // Returns false when the connection is to be closed.
   bool Handle(Connection& connection, const HttpMessage& request);
   bool Prefill(Connection& connection, const HttpMessage& request);
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -173,6 +173,11 @@
   violations_.push_back(text);
 }
 
+std::string RunLedger::DescribePlace(const Run& run) {
+  return run.replica + " (" + run.version + ")" +
+         (run.caller.empty() ? "" : " for " + run.caller);
+}
+
 std::string RunLedger::Describe(const std::string& text,
                                 const ClientResult& result) const {
   std::string line = text + ": request " + result.id + " (" +
@@ -183,9 +188,10 @@
     line += ", goes on after event " + std::to_string(result.begun_after) +
             " of " + result.first_id;
   }
-  line += ", ran at";
+  line += ", asked " + result.process +
+          (result.build.empty() ? "" : " (" + result.build + ")") + ", ran at";
   for (const RunRecord* it : RunsOf(result.id)) {
-    line += " " + it->run.replica + " (" + it->run.version + ")";
+    line += " " + DescribePlace(it->run);
   }
   return line;
 }
@@ -201,7 +207,8 @@
     if (it.first_id != first_id) {
       continue;
     }
-    text += "\n    " + it.id + " at " + it.process + " from " +
+    text += "\n    " + it.id + " at " + it.process +
+            (it.build.empty() ? "" : " (" + it.build + ")") + " from " +
             std::to_string(it.sent_ms + unix_offset_ms) + " to " +
             std::to_string(it.answered_ms + unix_offset_ms) + ", status " +
             std::to_string(it.status) + ", events " +
@@ -209,8 +216,8 @@
             std::to_string(LastEventOf(it.body, it.begun_after)) +
             (it.process_disturbed ? ", process disturbed" : "");
     for (const RunRecord* run : RunsOf(it.id)) {
-      text += ", run at " + run->run.replica + " (" + run->run.version +
-              ") from " + std::to_string(run->begin_ms + unix_offset_ms);
+      text += ", run at " + DescribePlace(run->run) + " from " +
+              std::to_string(run->begin_ms + unix_offset_ms);
     }
   }
   return text;
@@ -286,7 +293,7 @@
                        std::string(NameOf(runs.front()->run.kind)) +
                        "), ran at";
     for (const RunRecord* it : runs) {
-      line += " " + it->run.replica + " from " +
+      line += " " + DescribePlace(it->run) + " from " +
               std::to_string(it->begin_ms - runs.front()->begin_ms) + " to " +
               (it->end_ms ? std::to_string(*it->end_ms - runs.front()->begin_ms)
                           : "the end") +
@@ -419,10 +426,22 @@
   int take_ups = 0;
   int gone_on = 0;
   int same_id = 0;
+  std::map<std::string, std::string> builds;  // by request
+  std::map<std::string, int> asked;           // by build
+  for (const ClientResult& it : results_) {
+    builds[it.id] = it.build;
+    ++asked[it.build];
+  }
+  int across = 0;
+  int across_gone_on = 0;
   for (const ClientResult& it : results_) {
     if (it.first_id != it.id) {
       ++take_ups;
       gone_on += it.status == 200 ? 1 : 0;
+      if (builds[it.first_id] != it.build) {
+        ++across;
+        across_gone_on += it.status == 200 ? 1 : 0;
+      }
     }
     std::string name(NameOf(it.kind));
     name += " " + std::to_string(it.status);
@@ -436,9 +455,21 @@
   for (const auto& it : sent_ms_) {
     same_id += static_cast<int>(it.second.size()) - 1;
   }
-  return text + "; " + std::to_string(gone_on) + " of " +
-         std::to_string(take_ups) + " streams taken up go on; " +
-         std::to_string(same_id) + " requests with an id sent before";
+  text += "; " + std::to_string(gone_on) + " of " + std::to_string(take_ups) +
+          " streams taken up go on";
+  if (asked.size() > 1) {
+    text += ", " + std::to_string(across_gone_on) + " of " +
+            std::to_string(across) +
+            " of them at another build than that of the first request";
+  }
+  text += "; " + std::to_string(same_id) + " requests with an id sent before";
+  for (const auto& [build, count] : asked) {
+    if (!build.empty()) {
+      text += "; processes with " + build + " were asked " +
+              std::to_string(count) + " times";
+    }
+  }
+  return text;
 }
 
 }  // namespace endiveyard::soak
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -35,6 +35,7 @@
   RequestKind kind = RequestKind::kSafe;
   std::string replica;
   std::string version;  // of the software of the replica
+  std::string caller;   // process and build; empty if not known
   int begun_after = 0;  // last event of the stream that the caller has
   bool sound = false;   // answers completely if it is not cut off
 };
@@ -55,6 +56,7 @@
   int begun_after = 0;  // last event of the stream that the client has
   RequestKind kind = RequestKind::kSafe;
   std::string process;  // that the client asked
+  std::string build;    // that it ran; empty if there is only one
   int64_t sent_ms = 0;
   int64_t answered_ms = 0;
   int status = 0;  // 0 without a head
@@ -131,6 +133,8 @@
                        const ClientResult& result) const;
   // Lists the tries of a client for one stream, with times as in the logs.
   std::string DescribeTries(const std::string& first_id) const;
+  // Returns where `run` ran, and for which process.
+  static std::string DescribePlace(const Run& run);
   std::vector<const RunRecord*> RunsOf(const std::string& id) const;
   // When the client has sent the next request with the same id.
   int64_t NextSentMs(const ClientResult& result) const;
