--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -74,6 +74,11 @@
     const std::lock_guard<std::mutex> lock(mutex_);
     starts_.emplace_back(NowMs(), build_.name);
   }
+  if (!build_.name.empty()) {
+    // The process does not say which build it is.
+    std::ofstream(log, std::ios::app)
+        << R"({"soak":"start","build":")" << build_.name << "\"}\n";
+  }
   const pid_t parent = getpid();
   pid_ = fork();
   if (pid_ == 0) {
