--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -196,6 +196,7 @@
   std::string strand_mode_;
   std::map<std::string, std::pair<Tries, Tries>> tries_;  // cut off, others
   std::map<const Tries*, std::map<std::string, Tries>> tries_by_build_;
+  std::mutex upgrading_;  // held while a process changes its build
   std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
   double peak_memory_mb_ = 0;          // of any process
@@ -456,9 +457,14 @@
   while (!Ended()) {
     SleepUntilEnd(300 + draw(1700));
     sample_memory();
-    if (!Ended() && builds_.IsDue(number, front.build(), NowMs() - begin_ms_)) {
+    if (builds_.IsDue(number, front.build(), NowMs() - begin_ms_)) {
+      const std::lock_guard<std::mutex> lock(upgrading_);
+      if (Ended()) {
+        break;
+      }
       Terminate(front);
       restart();
+      front.WaitUntilReady(kGraceMs);
       continue;
     }
     if (const auto end = front.EndByItself()) {
