Do not compute versions of streams beside builds that begin them otherwise

Cause: builds before begin streams at any version and tell of none. The new build computed the version all the same, from numbers of replicas that had not decided it.

Reports of such builds lack the list of streams, which shows in the size of the message.

Ruled out: a new flag in the reports, which would lack as well. Not covered: a new process that takes a stream up before it has heard of the older one.

--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -69,6 +69,9 @@
   std::vector<RateLimitReport> rate_limits;
   std::vector<LeavingReport> leaving_replicas;
   std::vector<StreamReport> streams;
+  // False in reports of builds that know no field for streams. They begin
+  // streams at any version.
+  bool tells_streams = true;
   bool registry_lost = false;  // the sender cannot read the registry
   // The sender takes requests that others forward, see ForwardingState.
   bool takes_requests = false;
--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -145,6 +145,11 @@
   // version.
   void RecordNotBegun(const StreamId& stream);
 
+  // Records that an instance lives whose build begins streams at any version,
+  // and tells of none. Versions of streams that it may have begun cannot be
+  // computed.
+  void RecordPeerOfOtherRules(TimePoint now);
+
   // Records what another instance tells of its streams.
   void ApplyReport(const StreamReport& report, TimePoint now);
   // Returns own streams whose version others cannot be certain of, each some
@@ -197,6 +202,7 @@
   std::map<std::string, RecentCounts> recent_;
   bool is_view_current_ = true;
   std::optional<TimePoint> first_view_at_;
+  std::optional<TimePoint> other_rules_at_;  // when such a peer last lived
   std::unordered_map<uint64_t, BegunStream> begun_;
   std::unordered_map<uint64_t, ToldStream> told_;
   TimePoint next_removal_{};
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -204,6 +204,9 @@
     forwarding_peers_.RecordReport(
         report->sender,
         {report->takes_requests && !report->leaving, report->region}, now);
+    if (!report->tells_streams) {
+      stream_versions_.RecordPeerOfOtherRules(now);
+    }
     for (const StreamReport& it : report->streams) {
       stream_versions_.ApplyReport(it, now);
     }
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <tuple>
 
+#include <capnp/any.h>
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
@@ -25,6 +26,9 @@
 constexpr uint32_t kMaxPendingPrefillTokens = 5000000;
 constexpr uint32_t kMaxIntervalMs = 10000;
 
+// Lists in reports of builds that have the one of streams.
+constexpr size_t kListsWithStreams = 10;
+
 constexpr size_t kMemberBytes = 7;
 constexpr Duration kAgeUnit = std::chrono::milliseconds(250);
 constexpr int64_t kMaxAgeUnits = 255;
@@ -237,7 +241,7 @@
     return std::tie(it.sender, it.sequence, it.region, it.leaving, it.scope,
                     it.interval, it.work, it.cached, it.members, it.profiles,
                     it.crashes, it.rate_limits, it.leaving_replicas, it.streams,
-                    it.registry_lost, it.takes_requests);
+                    it.registry_lost, it.takes_requests, it.tells_streams);
   };
   return fields(*this) == fields(other);
 }
@@ -350,6 +354,9 @@
     for (const auto it : root.getStreams()) {
       report.streams.push_back({it.getKey(), it.getVersion()});
     }
+    report.tells_streams =
+        message.getRoot<capnp::AnyStruct>().getPointerSection().size() >=
+        kListsWithStreams;
     report.registry_lost = root.getRegistryLost();
     report.takes_requests = root.getTakesRequests();
     decoded = std::move(report);
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -61,6 +61,17 @@
   return choices;
 }
 
+// Returns the versions that had a replica.
+std::vector<std::string> VersionsIn(const VersionCounts& counts) {
+  std::vector<std::string> versions;
+  for (const auto& [version, count] : counts) {
+    if (count.most > 0) {
+      versions.push_back(version);
+    }
+  }
+  return versions;
+}
+
 // Extends the extremes by those of another time.
 void Join(VersionCounts* counts, const VersionCounts& others) {
   for (auto& [version, count] : *counts) {
@@ -286,8 +297,10 @@
     uint64_t choice,
     Duration max_age,
     TimePoint now) const {
+  const bool by_rank =
+      !other_rules_at_ || *other_rules_at_ + kViewDelay < now - max_age;
   if (const auto counts = CountsSince(service, now - max_age)) {
-    return ChoicesBetween(*counts, choice);
+    return by_rank ? ChoicesBetween(*counts, choice) : VersionsIn(*counts);
   }
   std::set<std::string> known;
   if (const auto it = services_.find(service); it != services_.end()) {
@@ -371,6 +384,10 @@
   begun_.erase(stream.attempt);
 }
 
+void StreamVersions::RecordPeerOfOtherRules(TimePoint now) {
+  other_rules_at_ = now;
+}
+
 void StreamVersions::ApplyReport(const StreamReport& report, TimePoint now) {
   RemoveOld(now);
   if (told_.size() >= kMaxToldStreams) {
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -141,7 +141,7 @@
 }
 
 // Guards against a report of an earlier build that is dropped, or whose sender
-// is taken for one that takes forwarded requests.
+// is taken for one that takes forwarded requests or tells of its streams.
 BOOST_AUTO_TEST_CASE(FieldsThatEarlierBuildsLackAreEmpty) {
   PeerLoadReport report = MakeReport();
   report.streams = {{21, 22}};
@@ -151,6 +151,7 @@
   report.takes_requests = false;
   PeerLoadReport expected = report;
   expected.streams.clear();
+  expected.tells_streams = false;
   const auto decoded = DecodePeerLoadReport(
       ReportOfOtherBuild(EncodePeerLoadReport(report), 0, -1));
   BOOST_REQUIRE(decoded);
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -185,6 +185,36 @@
   BOOST_TEST(!changing.Find(kService, MakeStream(1), 10 * kSecond, At(100)));
 }
 
+// Guards against streams of a build that chose versions otherwise being taken
+// up at the version that this build computes, and against streams of this build
+// that others cannot take up beside such a build.
+BOOST_AUTO_TEST_CASE(StreamsAreInDoubtBesideBuildsThatTellNone) {
+  constexpr Duration kMaxAge = 10 * kSecond;
+  const StreamId stream = MakeStream(1);
+  StreamVersions versions;
+  versions.RecordReplicas(MakeView(6, 6), At(0));
+  StreamVersions other = versions;
+  const std::string version = *versions.Choose(kService, stream);
+  BOOST_TEST((other.Find(kService, stream, kMaxAge, At(99)) == version));
+  for (StreamVersions* it : {&versions, &other}) {
+    it->RecordPeerOfOtherRules(At(100));
+  }
+  BOOST_TEST(!other.Find(kService, stream, kMaxAge, At(101)));
+  versions.RecordBegun(kService, stream, version, At(101));
+  for (const StreamReport& it : versions.TakeNews(8, At(101))) {
+    other.ApplyReport(it, At(101));
+  }
+  BOOST_TEST((other.Find(kService, stream, kMaxAge, At(102)) == version));
+  // Others are in doubt until no such stream can be taken up any more.
+  BOOST_TEST(!other.Find(kService, MakeStream(2), kMaxAge, At(114)));
+  BOOST_TEST(other.Find(kService, MakeStream(2), kMaxAge, At(116)).has_value());
+  // One version leaves no doubt.
+  StreamVersions single;
+  single.RecordReplicas(MakeView(6, 0), At(0));
+  single.RecordPeerOfOtherRules(At(100));
+  BOOST_TEST((single.Find(kService, stream, kMaxAge, At(101)) == "v1"));
+}
+
 // Guards against streams that are not told because the id of their attempt, and
 // not their document, is taken for what chose the version: exactly those are
 // told whose version others cannot compute.
