--- a/tools/soak/first_tries.cc
+++ b/tools/soak/first_tries.cc
@@ -69,8 +69,10 @@
   const bool is_cut_off = cut_off_.count(first_try.process) > 0;
   const auto count = [&](Comparison* comparison) {
     Tries& tries = is_cut_off ? comparison->cut_off : comparison->others;
-    ++tries.all;
-    tries.served += first_try.served ? 1 : 0;
+    Count(first_try, &tries);
+    if (!first_try.build.empty()) {
+      Count(first_try, &tries.by_build[first_try.build]);
+    }
   };
   Mode& mode = tries_[mode_];
   count(&mode.all);
@@ -80,6 +82,7 @@
     count(&mode.in_touch);
   }
   Write("try " + first_try.process +
+        (first_try.build.empty() ? "" : " " + first_try.build) +
         (is_cut_off ? " cut_off " : " elsewhere ") +
         (in_touch ? "in_touch " : "out_of_touch ") +
         (first_try.request.empty() ? "-" : first_try.request) + " sent " +
@@ -87,11 +90,26 @@
         (first_try.served ? " served " : " failed ") + first_try.end);
 }
 
+void FirstTries::Count(const FirstTry& first_try, Tries* tries) {
+  ++tries->all;
+  tries->served += first_try.served ? 1 : 0;
+}
+
+std::string FirstTries::DescribeBuilds(const Tries& tries) {
+  std::string text;
+  for (const auto& [build, it] : tries.by_build) {
+    text += (text.empty() ? " (" : "; ") + build + ": " +
+            std::to_string(it.served) + " of " + std::to_string(it.all);
+  }
+  return text.empty() ? "" : text + ")";
+}
+
 std::string FirstTries::TextOf(const Comparison& tries) {
   return std::to_string(tries.cut_off.served) + " of " +
-         std::to_string(tries.cut_off.all) + " first tries, elsewhere " +
+         std::to_string(tries.cut_off.all) + " first tries" +
+         DescribeBuilds(tries.cut_off) + ", elsewhere " +
          std::to_string(tries.others.served) + " of " +
-         std::to_string(tries.others.all);
+         std::to_string(tries.others.all) + DescribeBuilds(tries.others);
 }
 
 std::string FirstTries::LineOf(const std::string& mode, const Mode& tries) {
--- a/tools/soak/first_tries.h
+++ b/tools/soak/first_tries.h
@@ -15,6 +15,7 @@
 // The first try of a client at a process.
 struct FirstTry {
   std::string process;
+  std::string build;  // that the process ran; empty if there is only one
   // Undisturbed, from long enough before it was sent until now.
   bool process_calm = false;
   std::string request;  // empty if the connection was refused
@@ -52,6 +53,7 @@
   struct Tries {
     int all = 0;
     int served = 0;
+    std::map<std::string, Tries> by_build;
   };
   struct Comparison {
     Tries cut_off;
@@ -65,6 +67,9 @@
     Comparison in_touch;
   };
 
+  static void Count(const FirstTry& first_try, Tries* tries);
+  // Returns the tries by build; empty if there is only one build.
+  static std::string DescribeBuilds(const Tries& tries);
   static std::string TextOf(const Comparison& tries);
   static std::string LineOf(const std::string& mode, const Mode& tries);
   void Write(const std::string& line);
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -13,6 +13,7 @@
 
 #include <boost/program_options.hpp>
 
+#include "soak/build_plan.h"
 #include "soak/first_tries.h"
 #include "soak/front_process.h"
 #include "soak/http_peer.h"
@@ -60,6 +61,9 @@
   // Interval at which one process after the other is killed and started again,
   // instead of other signals; 0 for none.
   int kill_every_ms = 0;
+  // A second build; empty for none.
+  std::string other_binary;
+  BuildChange build_change = BuildChange::kDrawn;
 };
 
 // How a request ended, in words.
@@ -93,6 +97,9 @@
   explicit Soak(const SoakOptions& options)
       : options_(options),
         network_(NetworkOf(getpid())),
+        builds_({options.binary, options.other_binary, options.build_change,
+                 options.seed, static_cast<size_t>(options.fronts),
+                 int64_t{1000} * options.seconds}),
         registry_(Ip(1), ViewCount()),
         first_tries_(options.folder + "/first-tries.txt") {}
 
@@ -101,15 +108,37 @@
   std::string summary() { return summary_; }
 
  private:
+  struct Tries {
+    int all = 0;
+    int served = 0;
+  };
+
   std::string Ip(int n) const { return network_ + std::to_string(n); }
   std::mt19937_64 RandomFor(uint64_t part) const {
     std::seed_seq seed{options_.seed, part};
     return std::mt19937_64(seed);
   }
   // Each process has its own view of the registry, with its own addresses of
-  // the replicas, if links between processes and replicas can be cut.
+  // the replicas, if links between processes and replicas can be cut or reports
+  // are to say which build sent what.
   size_t ViewCount() const {
-    return options_.stranded.empty() ? 1 : static_cast<size_t>(options_.fronts);
+    return options_.stranded.empty() && !builds_.is_mixed()
+               ? 1
+               : static_cast<size_t>(options_.fronts);
+  }
+  void StartFronts();
+  // Starts the process, which has ended, with the build that is due.
+  void StartAgain(size_t number);
+  // Ends the process as a release does.
+  void Terminate(FrontProcess& front) {
+    Signal(&front, SIGTERM);
+    WaitOrKill(front);
+  }
+  void WaitOrKill(FrontProcess& front) {
+    if (!front.WaitForEnd(kGraceMs)) {
+      Signal(&front, SIGKILL);
+      front.WaitForEnd(kGraceMs);
+    }
   }
   void StartReplicas();
   void PutConfiguration(int version);
@@ -139,8 +168,9 @@
   // called by threads that have started processes, which end with them.
   void Settle() const { SleepMs(int64_t{2} * options_.timeout_ms); }
   void Signal(FrontProcess* front, int signal);
-  void Start(FrontProcess* front);
   void DisturbFront(size_t number);
+  // To be called by the thread that controls the process.
+  std::string DescribeEnd(size_t number, const std::string& end) const;
   void KillInTurn();
   void ChangeReplicas();
   // Starts a replica again and registers it under its new id. Engines change
@@ -161,15 +191,18 @@
   int64_t begin_ms_ = 0;
   int64_t end_ms_ = 0;
   RunLedger ledger_;
+  BuildPlan builds_;
   HandleTable handles_;
   RegistryStandin registry_;
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
   std::vector<std::unique_ptr<FrontProcess>> fronts_;
   std::string summary_;
   FirstTries first_tries_;
+  std::mutex upgrading_;  // held while a process changes its build
   std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
-  double peak_memory_mb_ = 0;  // of any process
+  double peak_memory_mb_ = 0;          // of any process
+  std::map<std::string, int> starts_;  // of processes, by build
 };
 
 void Soak::StartReplicas() {
@@ -185,6 +218,12 @@
     options.fault_rate = options_.fault_rate;
     options.faults = options_.faults;
     options.max_work_ms = options_.max_work_ms;
+    if (builds_.is_mixed()) {
+      options.describe_caller = [this](size_t view) {
+        const FrontProcess& front = *fronts_[view];
+        return front.name() + " (" + front.BuildsDuring(NowMs(), NowMs()) + ")";
+      };
+    }
     options.rejoin = [this, n] { Rejoin(static_cast<size_t>(n)); };
     replicas_.push_back(
         std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
@@ -193,6 +232,29 @@
   }
 }
 
+void Soak::StartFronts() {
+  fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
+                                options_.fronts, registry_, ViewCount());
+  constexpr int kReadyMs = 10000;
+  for (size_t n = 0; builds_.is_mixed() && n < fronts_.size(); ++n) {
+    Terminate(*fronts_[n]);
+    StartAgain(n);
+    if (!fronts_[n]->WaitUntilReady(kReadyMs)) {
+      throw std::runtime_error("a process is not ready after 10 s");
+    }
+  }
+}
+
+void Soak::StartAgain(size_t number) {
+  const int64_t elapsed_ms = begin_ms_ == 0 ? 0 : NowMs() - begin_ms_;
+  const FrontProcess::Build build = builds_.ForStart(number, elapsed_ms);
+  fronts_[number]->set_build(build);
+  first_tries_.RecordStart(fronts_[number]->name());
+  fronts_[number]->Start();
+  const std::lock_guard<std::mutex> lock(mutex_);
+  ++starts_[build.name];
+}
+
 void Soak::PutConfiguration(int version) {
   registry_.Put(
       "config", "main",
@@ -220,6 +282,7 @@
   result.body = answer.body;
   result.answered_ms = NowMs();
   result.in_time = result.answered_ms - result.sent_ms < options_.timeout_ms;
+  result.build = front->BuildsDuring(result.sent_ms, result.answered_ms);
   result.process_disturbed =
       front->WasDisturbed(result.sent_ms, result.answered_ms);
   if (!result.complete || answer.Header("Connection") == "close") {
@@ -341,7 +404,7 @@
     it.sent_ms = it.first_sent_ms = sent_ms;
     const ClientResult result = ReadResult(it, front, peer);
     CountFirstTry(*front,
-                  {"", false, it.id, sent_ms,
+                  {"", "", false, it.id, sent_ms,
                    result.status == 200 && result.complete, EndOf(result)});
     if (requests == 1) {
       Repeat(it, result, front, random);
@@ -359,7 +422,7 @@
       peer = HttpPeer::Connect(front->ip(), front->port());
       if (!peer) {
         constexpr int kRetryMs = 50;
-        CountFirstTry(*front, {"", false, "", NowMs(), false, "refused"});
+        CountFirstTry(*front, {"", "", false, "", NowMs(), false, "refused"});
         SleepMs(kRetryMs);
         continue;
       }
@@ -375,9 +438,10 @@
   front->Signal(signal);
 }
 
-void Soak::Start(FrontProcess* front) {
-  first_tries_.RecordStart(front->name());
-  front->Start();
+std::string Soak::DescribeEnd(size_t number, const std::string& end) const {
+  const std::string& build = fronts_[number]->build();
+  return "LOST, process " + std::to_string(number) +
+         (build.empty() ? "" : " (" + build + ")") + " has ended " + end;
 }
 
 void Soak::DisturbFront(size_t number) {
@@ -393,7 +457,7 @@
   };
   const auto restart = [&] {
     SleepMs(draw(500));
-    Start(&front);
+    StartAgain(number);
   };
   const auto sample_memory = [&] {
     const double mb = front.SamplePeakMemory();
@@ -403,9 +467,18 @@
   while (!Ended()) {
     SleepUntilEnd(300 + draw(1700));
     sample_memory();
+    if (builds_.IsDue(number, front.build(), NowMs() - begin_ms_)) {
+      const std::lock_guard<std::mutex> lock(upgrading_);
+      if (Ended()) {
+        break;
+      }
+      Terminate(front);
+      restart();
+      front.WaitUntilReady(kGraceMs);
+      continue;
+    }
     if (const auto end = front.EndByItself()) {
-      ledger_.RecordViolation("LOST, process " + std::to_string(number) +
-                              " has ended " + *end);
+      ledger_.RecordViolation(DescribeEnd(number, *end));
       restart();
     }
     if (Ended()) {
@@ -436,10 +509,7 @@
           SleepMs(draw(2000));
           freeze(draw(300));
         }
-        if (!front.WaitForEnd(kGraceMs)) {
-          Signal(&front, SIGKILL);
-          front.WaitForEnd(kGraceMs);
-        }
+        WaitOrKill(front);
         restart();
         break;
       default:
@@ -450,8 +520,7 @@
   Settle();
   sample_memory();
   if (const auto end = front.EndByItself()) {
-    ledger_.RecordViolation("LOST, process " + std::to_string(number) +
-                            " has ended " + *end);
+    ledger_.RecordViolation(DescribeEnd(number, *end));
   }
 }
 
@@ -461,7 +530,7 @@
     FrontProcess& front = *fronts_[n % fronts_.size()];
     Signal(&front, SIGKILL);
     front.WaitForEnd(kGraceMs);
-    Start(&front);
+    StartAgain(n % fronts_.size());
   }
   Settle();
 }
@@ -562,6 +631,7 @@
 
 void Soak::CountFirstTry(const FrontProcess& front, FirstTry first_try) {
   first_try.process = front.name();
+  first_try.build = front.BuildsDuring(first_try.sent_ms, NowMs());
   first_try.process_calm =
       !front.WasDisturbed(first_try.sent_ms - FirstTries::kStableMs, NowMs());
   first_tries_.RecordTry(first_try);
@@ -570,8 +640,7 @@
 std::vector<std::string> Soak::Run() {
   StartReplicas();
   PutConfiguration(7);
-  fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
-                                options_.fronts, registry_, ViewCount());
+  StartFronts();
   begin_ms_ = NowMs();
   end_ms_ = begin_ms_ + int64_t{1000} * options_.seconds;
   std::vector<std::thread> clients;
@@ -615,6 +684,12 @@
   for (const std::string& it : first_tries_.Violations()) {
     ledger_.RecordViolation(it);
   }
+  for (const auto& [build, count] : starts_) {
+    if (!build.empty()) {
+      summary_ +=
+          "; " + std::to_string(count) + " starts of processes with " + build;
+    }
+  }
   return ledger_.Violations();
 }
 
@@ -655,6 +730,7 @@
   endiveyard::soak::SoakOptions soak;
   endiveyard::soak::ReplicaKillOptions kills;
   std::string framing = "connection";
+  std::string upgrade;
   std::string folder;
   std::vector<std::string> fault_names;
   po::options_description options("soak");
@@ -700,6 +776,12 @@
       "again, instead of other signals")(
       "signals", po::value(&soak.signals),
       "signals to processes, changes of replicas and configuration")(
+      "other-binary", po::value(&soak.other_binary),
+      "a second build of the program: each process draws at each start which "
+      "of the two it runs")(
+      "upgrade", po::value(&upgrade),
+      "processes change from the other binary to the binary, one after the "
+      "other (there), and back in the second half of the time (back)")(
       "replica-processes", po::value(&kills.replicas),
       "plays another soak, with this number of replicas that are processes, "
       "answer without faults and are killed in turn")(
@@ -722,6 +804,12 @@
         throw std::runtime_error("links are not cut in the way " + it);
       }
     }
+    if (!upgrade.empty()) {
+      soak.build_change = endiveyard::soak::BuildChangeNamed(upgrade);
+      if (soak.other_binary.empty()) {
+        throw std::runtime_error("an upgrade needs another binary");
+      }
+    }
     std::signal(SIGPIPE, SIG_IGN);
     const bool temporary = folder.empty();
     if (temporary) {
