Record the streams that callers may take up in the registry

What callers saw: during a release, all 72 instances of a large fleet are killed.

Cause: where the numbers of replicas change, the version that began a stream is computed from bounds. In large fleets nothing is told, and what was told is gone with the processes.

Weighed, not built: narrower bounds alone. With exact clocks, no delay of views and the kill as upper bound, the numbers change for some seconds still, and the streams in doubt are those that come back.

Each instance now records its open streams in an object of its own, once a second while a service has several versions. Instances read the records where the version does not follow from the replicas. As with reports, records only select among the possible versions, and two that differ count as none.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -145,6 +145,15 @@
   // version.
   void RecordNotBegun(const StreamId& stream);
 
+  // Records that the caller has got the first event of the stream, whose
+  // version does not change any more.
+  void RecordFirstEvent(const StreamId& stream);
+  // Records that the caller has got all of the stream.
+  void RecordCompleted(const StreamId& stream);
+  // Returns the streams that callers of this instance may take up, of services
+  // with several versions: the last `max`, in order of their keys.
+  std::vector<StreamReport> OpenStreams(size_t max, TimePoint now) const;
+
   // Records what another instance tells of its streams.
   void ApplyReport(const StreamReport& report, TimePoint now);
   // Returns own streams whose version others cannot be certain of, each some
@@ -167,6 +176,8 @@
     std::string version;
     TimePoint at{};
     int reports_left = 0;
+    bool has_events = false;
+    bool is_completed = false;
   };
   struct ToldStream {
     uint64_t version = 0;
@@ -184,6 +195,9 @@
                                             uint64_t choice,
                                             Duration max_age,
                                             TimePoint now) const;
+  // Returns true if the service had replicas of several versions since `since`,
+  // as far as it is known.
+  bool HasSeveralVersions(const std::string& service, TimePoint since) const;
   void RemoveOld(TimePoint now);
 
   // Numbers of replicas of a service since the last call of RecordReplicas().
--- a/include/endiveyard/registry/registry_client.h
+++ b/include/endiveyard/registry/registry_client.h
@@ -67,6 +67,9 @@
       std::function<void(absl::StatusOr<RegistryChanges>)> done) = 0;
 };
 
+// Revision of an object that is to be replaced whichever it has.
+inline constexpr int64_t kAnyRevision = -1;
+
 // Reads and writes single objects of the registry. Each call is sent once; its
 // callback runs once, on the event loop thread. A call without an answer may
 // still be carried out later, if its condition holds then.
@@ -81,7 +84,7 @@
       std::function<void(absl::StatusOr<RegistryObject>)> done) = 0;
   // Replaces the object if its revision is still that of `object`, or creates
   // it if that is 0. Errors: kAborted if the object has changed or exists,
-  // kUnavailable.
+  // kNotFound if there is none to replace, kUnavailable.
   virtual void Write(const std::string& kind,
                      const RegistryObject& object,
                      std::function<void(absl::Status)> done) = 0;
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -75,6 +75,10 @@
   // call. If it is empty, they always do.
   std::function<void(std::function<void(bool is_current)> done)>
       refresh_replicas;
+  // Reads what instances have recorded of their streams into the
+  // StreamVersions of the relay. `done` runs once, later or at once. Empty if
+  // nothing is recorded.
+  std::function<void(std::function<void()> done)> read_stream_records;
 
   // When all news that had arrived were applied; always, if it is empty.
   std::optional<TimePoint> news_applied_at;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -22,6 +22,7 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
 #include "front/standstill_check.h"
+#include "front/stream_recorder.h"
 #include "front/version_recorder.h"
 #include "platform/http_registry_client.h"
 #include "platform/object_decoding.h"
@@ -366,6 +367,7 @@
     configuration_mirror_->Start();
     replica_mirror_->Start();
     StartVersionRecorder();
+    StartStreamRecorder();
   }
 
   void StartVersionRecorder() {
@@ -395,6 +397,34 @@
         std::move(handlers));
   }
 
+  void StartStreamRecorder() {
+    StreamRecorderHandlers handlers;
+    handlers.now = [] { return BootClock::now(); };
+    handlers.schedule = MakeCommonHandlers().schedule;
+    handlers.on_read = [this](const absl::Status& status, size_t streams) {
+      JsonFields fields;
+      fields.Integer("streams", static_cast<int64_t>(streams))
+          .Text("detail", std::string(status.message()));
+      log_.Log(kLogStreamRecordsRead, fields, BootClock::now());
+    };
+    handlers.on_failure = [this](const absl::Status& status) {
+      LogText(kLogStreamRecordFailed, "detail", std::string(status.message()));
+    };
+    stream_recorder_ = std::make_unique<StreamRecorder>(
+        &registry_client_, &registry_client_, relay_.stream_versions(),
+        StreamRecorderOptions{std::string(platform::kStreamRecordKind),
+                              settings_.instance},
+        std::move(handlers));
+    routing_state_.read_stream_records = [this](std::function<void()> done) {
+      if (registry_lost_) {
+        done();
+      } else {
+        stream_recorder_->ReadAll(std::move(done));
+      }
+    };
+    stream_recorder_->Start();
+  }
+
   // Returns the registered replica, or nullopt if the object is deleted or
   // malformed.
   std::optional<Replica> ParseReplicaObject(const RegistryObject& object) {
@@ -626,6 +656,7 @@
   asio::steady_timer maintenance_timer_;
   StandstillCheck standstill_check_;
   std::unique_ptr<VersionRecorder> version_recorder_;
+  std::unique_ptr<StreamRecorder> stream_recorder_;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
   std::optional<TimePoint> service_map_confirmed_at_;
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -22,6 +22,11 @@
 constexpr int kReportCopies = 2;
 // Other instances have seen a change of the replicas this much later.
 constexpr Duration kViewDelay = std::chrono::seconds(5);
+// A caller that has not taken up its stream after this time has left.
+constexpr Duration kOpenTime = std::chrono::seconds(20);
+// A stream may have begun this much earlier by the bounds of an instance that
+// does not remember it.
+constexpr Duration kBoundsMargin = std::chrono::seconds(10);
 constexpr Duration kRemovalInterval = std::chrono::seconds(1);
 
 // Returns the rank of a version for a stream if it had one replica. With n
@@ -364,9 +369,70 @@
   } else if (it->second.version != version) {
     it->second.version = version;
     it->second.reports_left = kReportCopies;
+    it->second.has_events = it->second.is_completed = false;
   }
 }
 
+void StreamVersions::RecordFirstEvent(const StreamId& stream) {
+  if (const auto it = begun_.find(stream.attempt); it != begun_.end()) {
+    it->second.has_events = true;
+  }
+}
+
+void StreamVersions::RecordCompleted(const StreamId& stream) {
+  if (const auto it = begun_.find(stream.attempt); it != begun_.end()) {
+    it->second.is_completed = true;
+  }
+}
+
+bool StreamVersions::HasSeveralVersions(const std::string& service,
+                                        TimePoint since) const {
+  const auto it = services_.find(service);
+  if (it == services_.end()) {
+    return false;
+  }
+  const Periods& periods = it->second;
+  std::set<std::string_view> versions;
+  for (size_t n = 0; n < periods.size(); ++n) {
+    if (n + 1 < periods.size() && periods[n + 1].since <= since) {
+      continue;
+    }
+    for (const auto& [version, count] : periods[n].counts) {
+      versions.insert(version);
+    }
+  }
+  return versions.size() > 1;
+}
+
+std::vector<StreamReport> StreamVersions::OpenStreams(size_t max,
+                                                      TimePoint now) const {
+  std::vector<std::pair<TimePoint, StreamReport>> open;
+  for (const auto& [stream, begun] : begun_) {
+    if (begun.has_events && !begun.is_completed &&
+        now - begun.at <= kOpenTime &&
+        HasSeveralVersions(begun.service, begun.at - kBoundsMargin)) {
+      open.push_back({begun.at, {stream, Digest64(begun.version)}});
+    }
+  }
+  if (open.size() > max) {
+    std::nth_element(
+        open.begin(), open.begin() + static_cast<std::ptrdiff_t>(max),
+        open.end(),
+        [](const auto& a, const auto& b) { return a.first > b.first; });
+    open.resize(max);
+  }
+  std::vector<StreamReport> reports;
+  reports.reserve(open.size());
+  for (const auto& [at, report] : open) {
+    reports.push_back(report);
+  }
+  std::sort(reports.begin(), reports.end(),
+            [](const StreamReport& a, const StreamReport& b) {
+              return a.stream < b.stream;
+            });
+  return reports;
+}
+
 void StreamVersions::RecordNotBegun(const StreamId& stream) {
   begun_.erase(stream.attempt);
 }
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -221,10 +221,33 @@
 
 void RelayExchange::OnReplicasRefreshed(bool is_current) {
   stream_version_ = is_current ? FindStreamVersion() : FindRememberedVersion();
-  if (!stream_version_) {
+  if (stream_version_) {
+    ArmWatchdog();
+    Place();
+    return;
+  }
+  const auto& read_records = context_->routing_state.read_stream_records;
+  if (!read_records || !route_->resumable ||
+      request_metadata_.resumed_request_id.empty()) {
     RefuseTakeUp(is_current);
     return;
   }
+  phase_ = Phase::kAwaitingReplicas;
+  read_records([weak = weak_from_this(), is_current] {
+    const auto self = weak.lock();
+    if (self && self->phase_ == Phase::kAwaitingReplicas) {
+      self->phase_ = Phase::kPlacing;
+      self->OnStreamRecordsRead(is_current);
+    }
+  });
+}
+
+void RelayExchange::OnStreamRecordsRead(bool is_view_current) {
+  stream_version_ = FindRememberedVersion();
+  if (!stream_version_) {
+    RefuseTakeUp(is_view_current);
+    return;
+  }
   ArmWatchdog();
   Place();
 }
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -135,6 +135,7 @@
   // version has begun it.
   void TakeUpStream();
   void OnReplicasRefreshed(bool is_current);
+  void OnStreamRecordsRead(bool is_view_current);
   void RefuseTakeUp(bool is_view_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
--- a/src/relay/relay_exchange_end.cc
+++ b/src/relay/relay_exchange_end.cc
@@ -260,6 +260,9 @@
   if (version_record_unused_) {
     context_->stream_versions.RecordNotBegun(
         StreamIdOf(request_metadata_.request_id));
+  } else if (outcome == "answered") {
+    context_->stream_versions.RecordCompleted(
+        StreamIdOf(request_metadata_.request_id));
   }
   const std::string route_name = route_ == nullptr ? "" : route_->name;
   context_->metrics.ObserveRequest(service_, route_name, std::string(outcome),
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -239,6 +239,8 @@
     first_output_at_ = BootClock::now();
     stream_version_ = active_call_->replica.version;
     version_record_unused_ = false;
+    context_->stream_versions.RecordFirstEvent(
+        StreamIdOf(request_metadata_.request_id));
     // This run has used the KV cache.
     kv_handle_.reset();
     response_ = std::move(*unsent).Begin(
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -160,6 +160,12 @@
        "A change of the software versions of replicas was recorded, or could "
        "not be.",
        "None; streams that callers take up may be refused."},
+      {808, kInfo, "stream_records_read",
+       "The streams that instances have recorded were read, or could not be.",
+       "None; streams that callers take up may be refused."},
+      {809, kInfo, "stream_record_failed",
+       "The streams of this instance could not be recorded.",
+       "None; streams that callers take up may be refused."},
       {901, kInfo, "request_placed", "A request was sent to a target.",
        "None."},
       {902, kInfo, "call_ended",
