Record streams when they are sent, and keep attempts to one version

What callers saw: after all instances were killed, streams that had brought their first event within the last second were refused as version_unknown.

Cause: they were recorded once the first event had come, since an attempt that was refused by a target could go on to one of another version.

An attempt is now sent to one version only, also if the numbers of replicas change meanwhile or another instance sends it on, so that its version can be recorded when it is sent. Streams are recorded only while the numbers change: in a steady mixture of versions, their version follows from the replicas.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -145,13 +145,11 @@
   // version.
   void RecordNotBegun(const StreamId& stream);
 
-  // Records that the caller has got the first event of the stream, whose
-  // version does not change any more.
-  void RecordFirstEvent(const StreamId& stream);
   // Records that the caller has got all of the stream.
   void RecordCompleted(const StreamId& stream);
-  // Returns the streams that callers of this instance may take up, of services
-  // with several versions: the last `max`, in order of their keys.
+  // Returns the streams that callers of this instance may take up and whose
+  // version others may not be able to compute, since the numbers of replicas
+  // change: the last `max`, in order of their keys.
   std::vector<StreamReport> OpenStreams(size_t max, TimePoint now) const;
 
   // Records what another instance tells of its streams.
@@ -176,8 +174,8 @@
     std::string version;
     TimePoint at{};
     int reports_left = 0;
-    bool has_events = false;
     bool is_completed = false;
+    bool conflicting = false;  // attempts with one id, at several versions
   };
   struct ToldStream {
     uint64_t version = 0;
@@ -195,9 +193,9 @@
                                             uint64_t choice,
                                             Duration max_age,
                                             TimePoint now) const;
-  // Returns true if the service had replicas of several versions since `since`,
-  // as far as it is known.
-  bool HasSeveralVersions(const std::string& service, TimePoint since) const;
+  // Returns true if the service had several versions since `since`, and their
+  // numbers of replicas have changed.
+  bool HaveNumbersChanged(const std::string& service, TimePoint since) const;
   void RemoveOld(TimePoint now);
 
   // Numbers of replicas of a service since the last call of RecordReplicas().
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -26,7 +26,7 @@
 constexpr Duration kOpenTime = std::chrono::seconds(20);
 // A stream may have begun this much earlier by the bounds of an instance that
 // does not remember it.
-constexpr Duration kBoundsMargin = std::chrono::seconds(10);
+constexpr Duration kBoundsMargin = std::chrono::seconds(8);
 constexpr Duration kRemovalInterval = std::chrono::seconds(1);
 
 // Returns the rank of a version for a stream if it had one replica. With n
@@ -369,13 +369,7 @@
   } else if (it->second.version != version) {
     it->second.version = version;
     it->second.reports_left = kReportCopies;
-    it->second.has_events = it->second.is_completed = false;
-  }
-}
-
-void StreamVersions::RecordFirstEvent(const StreamId& stream) {
-  if (const auto it = begun_.find(stream.attempt); it != begun_.end()) {
-    it->second.has_events = true;
+    it->second.conflicting = true;
   }
 }
 
@@ -385,7 +379,7 @@
   }
 }
 
-bool StreamVersions::HasSeveralVersions(const std::string& service,
+bool StreamVersions::HaveNumbersChanged(const std::string& service,
                                         TimePoint since) const {
   const auto it = services_.find(service);
   if (it == services_.end()) {
@@ -393,24 +387,26 @@
   }
   const Periods& periods = it->second;
   std::set<std::string_view> versions;
+  int overlapping = 0;
   for (size_t n = 0; n < periods.size(); ++n) {
     if (n + 1 < periods.size() && periods[n + 1].since <= since) {
       continue;
     }
+    ++overlapping;
     for (const auto& [version, count] : periods[n].counts) {
       versions.insert(version);
     }
   }
-  return versions.size() > 1;
+  return overlapping > 1 && versions.size() > 1;
 }
 
 std::vector<StreamReport> StreamVersions::OpenStreams(size_t max,
                                                       TimePoint now) const {
   std::vector<std::pair<TimePoint, StreamReport>> open;
   for (const auto& [stream, begun] : begun_) {
-    if (begun.has_events && !begun.is_completed &&
+    if (!begun.is_completed && !begun.conflicting &&
         now - begun.at <= kOpenTime &&
-        HasSeveralVersions(begun.service, begun.at - kBoundsMargin)) {
+        HaveNumbersChanged(begun.service, begun.at - kBoundsMargin)) {
       open.push_back({begun.at, {stream, Digest64(begun.version)}});
     }
   }
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -341,6 +341,9 @@
       !route_->resumable) {
     return stream_version_;
   }
+  if (sent_to_version_) {
+    return sent_to_version_;
+  }
   return context_->stream_versions.Choose(
       service_, StreamIdOf(request_metadata_.request_id));
 }
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -328,6 +328,9 @@
   std::optional<std::string> stream_version_;
   // The version of a run was recorded, and no event was sent to the caller.
   bool version_record_unused_ = false;
+  // To which the attempt was sent. Others may have been told of it, so that it
+  // begins there or not at all.
+  std::optional<std::string> sent_to_version_;
   // Calls that were written to a target, except successful prefill calls. Any
   // run after the first of them has to be covered by the retry budget.
   int delivered_calls_ = 0;
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -32,6 +32,7 @@
     context_->stream_versions.RecordBegun(
         service_, StreamIdOf(request_metadata_.request_id),
         placement.target.version, BootClock::now());
+    sent_to_version_ = placement.target.version;
   }
   RegisterCall(placement.target,
                kv ? CallKind::kRunAfterPrefill : CallKind::kRun,
@@ -239,8 +240,6 @@
     first_output_at_ = BootClock::now();
     stream_version_ = active_call_->replica.version;
     version_record_unused_ = false;
-    context_->stream_versions.RecordFirstEvent(
-        StreamIdOf(request_metadata_.request_id));
     // This run has used the KV cache.
     kv_handle_.reset();
     response_ = std::move(*unsent).Begin(
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -316,8 +316,8 @@
   };
 
   // In a large fleet, instances do not tell of their streams.
-  explicit Model(bool is_large_fleet = false)
-      : is_large_fleet_(is_large_fleet) {
+  explicit Model(bool is_large_fleet = false, bool records_streams = false)
+      : is_large_fleet_(is_large_fleet), records_streams_(records_streams) {
     for (size_t n = 0; n < 2; ++n) {
       Sync(n);
     }
@@ -373,8 +373,22 @@
       }
     }
     TellStreams();
+    RecordStreams();
   }
 
+  // Takes up each stream at each instance. Returns how many go on.
+  int CountFound() const {
+    int found = 0;
+    const std::vector<StreamVersions> refreshed = Refreshed();
+    for (const Stream& it : streams_) {
+      for (size_t n = 0; n < 2; ++n) {
+        found += Find(instances_[n], refreshed[n], it) ? 1 : 0;
+      }
+    }
+    return found;
+  }
+  size_t streams() const { return streams_.size(); }
+
   // Takes up each stream at each instance. Returns how many would go on at
   // another version. Leaves out those of which nothing is left that could tell:
   // begun without the registry, at an old view, and all instances that knew
@@ -426,6 +440,7 @@
   struct Instance {
     StreamVersions versions;
     std::vector<StreamReport> unread;  // while it is frozen
+    std::vector<StreamReport> kept;    // of the process before
     bool cut = false;
     bool frozen = false;
     bool ready = true;
@@ -458,7 +473,34 @@
     if (remembered || instance.cut) {
       return remembered;
     }
-    return refreshed.Find(kService, stream.id, age, At(now_));
+    auto found = refreshed.Find(kService, stream.id, age, At(now_));
+    if (found || !records_streams_) {
+      return found;
+    }
+    StreamVersions informed = refreshed;
+    for (const std::vector<StreamReport>& record : records_) {
+      for (const StreamReport& it : record) {
+        informed.ApplyReport(it, At(now_));
+      }
+    }
+    return informed.FindRemembered(kService, stream.id, age, At(now_));
+  }
+
+  void RecordStreams() {
+    constexpr size_t kMaxRecorded = 100;
+    for (size_t n = 0; n < 2 && records_streams_; ++n) {
+      Instance& instance = instances_[n];
+      if (instance.cut || instance.frozen) {
+        continue;
+      }
+      const auto open = instance.versions.OpenStreams(kMaxRecorded, At(now_));
+      if (open.empty()) {
+        continue;
+      }
+      records_[n] = open;
+      records_[n].insert(records_[n].end(), instance.kept.begin(),
+                         instance.kept.end());
+    }
   }
 
   // Returns what the instances know after they have read the registry. Reports
@@ -560,6 +602,7 @@
     const bool cut = instance.cut;
     instance = Instance();
     instance.cut = cut;
+    instance.kept = records_[number];
     instance.ready = false;
     instance.known_since = instance.started_at = now_;
     instances_[1 - number].versions.TellAgain();
@@ -587,6 +630,10 @@
   }
 
   bool is_large_fleet_ = false;
+  bool records_streams_ = false;
+  // In the registry, of each instance.
+  std::vector<std::vector<StreamReport>> records_ =
+      std::vector<std::vector<StreamReport>>(2);
   int64_t now_ = 0;
   std::vector<std::string> replicas_ = {"v1", "v1", "v1", "v1"};
   // The replicas from each time on.
@@ -658,6 +705,89 @@
   }
 }
 
+// Guards against streams that are refused after all instances of a fleet have
+// ended in the middle of a release, although nothing else is wrong with them.
+BOOST_AUTO_TEST_CASE(RecordedStreamsGoOnAfterAllInstancesHaveEnded) {
+  const auto count_found = [](bool records_streams) {
+    Model model(true, records_streams);
+    for (const int step :
+         std::vector<int>{Model::kReplace, Model::kSync, Model::kBegin,
+                          Model::kReplace, Model::kSync + 1, Model::kBegin + 1,
+                          Model::kReplace, Model::kKillAll}) {
+      model.Perform(step);
+    }
+    BOOST_TEST(model.CountJoined() == 0);
+    return std::pair(model.CountFound(), 2 * static_cast<int>(model.streams()));
+  };
+  const auto [found, all] = count_found(true);
+  BOOST_TEST(found == all);
+  BOOST_TEST(count_found(false).first < all / 2);
+}
+
+// Guards against streams that go on at another version because of a record that
+// is older than the stream, or of a process that has been replaced.
+BOOST_AUTO_TEST_CASE(NoStreamGoesOnAtAnotherVersionByRecords) {
+  int found_by_records = 0;
+  for (uint32_t seed = 1; seed <= 1500; ++seed) {
+    std::mt19937 random(seed);
+    const bool is_large_fleet = seed % 2 == 0;
+    Model model(is_large_fleet, true);
+    Model without(is_large_fleet, false);
+    int joined = 0;
+    int lost = 0;
+    for (int n = 0; n < 30; ++n) {
+      const int step = static_cast<int>(random() % Model::kSteps);
+      if (!is_large_fleet || step < Model::kCut || step >= Model::kFreeze) {
+        model.Perform(step);
+        without.Perform(step);
+      }
+      joined += model.CountJoined();
+      lost += model.CountLost();
+    }
+    found_by_records += model.CountFound() - without.CountFound();
+    BOOST_TEST(joined == 0, "seed " << seed << ": " << joined << " joined");
+    BOOST_TEST(lost == 0, "seed " << seed << ": " << lost << " lost");
+  }
+  BOOST_TEST(found_by_records > 1000);
+}
+
+// Guards against records that name a version at which the stream has not begun,
+// and against those that grow with the streams that are over.
+BOOST_AUTO_TEST_CASE(OpenStreamsHaveBegunAndMayBeTakenUp) {
+  constexpr size_t kMax = 2;
+  StreamVersions versions;
+  versions.RecordReplicas(MakeView(12, 0), At(0));
+  const auto begin = [&versions](int number, int64_t at) {
+    versions.RecordBegun(kService, MakeStream(number), "v1", At(at));
+  };
+  const auto count = [&versions](int64_t at) {
+    return versions.OpenStreams(kMax, At(at)).size();
+  };
+  begin(1, 100);
+  BOOST_TEST(count(100) == 0u);  // the only version
+  versions.RecordReplicas(MakeView(11, 1), At(101));
+  BOOST_TEST(count(101) == 1u);
+  begin(2, 102);
+  begin(3, 103);
+  const auto latest = versions.OpenStreams(kMax, At(103));
+  const StreamReport second = {MakeStream(2).attempt, Digest64("v1")};
+  BOOST_TEST(latest.size() == kMax);
+  BOOST_TEST(std::count(latest.begin(), latest.end(), second) == 1);
+  BOOST_TEST((latest.front().stream < latest.back().stream));
+  versions.RecordCompleted(MakeStream(2));
+  versions.RecordCompleted(MakeStream(3));
+  BOOST_TEST(count(104) == 1u);
+  BOOST_TEST(count(121) == 0u);  // nobody takes it up any more
+  // Several versions, but their numbers do not change.
+  begin(4, 121);
+  BOOST_TEST(count(121) == 0u);
+  versions.RecordReplicas(MakeView(10, 2), At(122));
+  BOOST_TEST(count(122) == 1u);
+  // Attempts with one id.
+  versions.RecordBegun(kService, MakeStream(4), "v2", At(122));
+  BOOST_TEST(count(122) == 0u);
+}
+
 // Guards against streams that an instance which stood still, or whose view is
 // late, takes up at another version: in a large fleet, nobody tells it of them.
 BOOST_AUTO_TEST_CASE(NoStreamGoesOnAtAnotherVersionInLargeFleets) {
