Record streams when their prompt is sent to be read

What callers saw: as before; streams whose prompt is prefilled separately were recorded only when that had ended, just before their first event.

The version of the run follows from that of the prefill, so that it is known when the prompt is sent.

--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -154,6 +154,8 @@
   // it.
   bool StillTakesWork(const Replica& placed) const;
   void StartPrefill(const Placement& placement);
+  // Records the version that the stream begins at, which stays.
+  void RecordSentTo(const std::string& version);
   void OnPrefillEnd(const Placement& placement,
                     TransportStatus transport_status,
                     std::string_view detail);
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -17,6 +17,8 @@
     return;
   }
   phase_ = Phase::kPrefilling;
+  // The run follows where the prompt is read.
+  RecordSentTo(placement.target.version);
   RegisterCall(*placement.prefill, CallKind::kPrefill,
                placement.predicted_prefill, placement.prefill_uncached);
   CallHeaders headers = MakeCallHeaders(*placement.prefill);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -17,6 +17,18 @@
 
 }  // namespace
 
+void RelayExchange::RecordSentTo(const std::string& version) {
+  if (route_->kind != RouteKind::kStreaming || !route_->resumable) {
+    return;
+  }
+  // Before the first event, so that other instances are told in time.
+  version_record_unused_ = !ResponseBegun();
+  context_->stream_versions.RecordBegun(
+      service_, StreamIdOf(request_metadata_.request_id), version,
+      BootClock::now());
+  sent_to_version_ = version;
+}
+
 void RelayExchange::StartRun(const Placement& placement,
                              std::optional<KvHandle> kv) {
   phase_ = Phase::kRunning;
@@ -26,14 +38,7 @@
                  RetryAfterWithJitter(kNotReadyRetryAfter));
     return;
   }
-  if (route_->kind == RouteKind::kStreaming && route_->resumable) {
-    // Before the first event, so that other instances are told in time.
-    version_record_unused_ = !ResponseBegun();
-    context_->stream_versions.RecordBegun(
-        service_, StreamIdOf(request_metadata_.request_id),
-        placement.target.version, BootClock::now());
-    sent_to_version_ = placement.target.version;
-  }
+  RecordSentTo(placement.target.version);
   RegisterCall(placement.target,
                kv ? CallKind::kRunAfterPrefill : CallKind::kRun,
                placement.predicted_run, placement.target_uncached);
