Stream records: bound what is kept, and cheaper checks for changes

Records of a process that has started several times in a short time held the streams of all its predecessors. HaveNumbersChanged returns at once while the numbers do not change. Tests of the take-up by records and of attempts that stay at one version (fails without the pin: the attempt reaches the other version).

--- a/src/front/stream_record.cc
+++ b/src/front/stream_record.cc
@@ -57,7 +57,7 @@
     if (!version || json.get(keys) != simdjson::SUCCESS) {
       continue;
     }
-    for (; keys.size() >= kDigits && streams.size() < kMaxRecordedStreams;
+    for (; keys.size() >= kDigits && streams.size() < 2 * kMaxRecordedStreams;
          keys.remove_prefix(kDigits)) {
       if (const auto stream = Decode(keys.substr(0, kDigits))) {
         streams.push_back({*stream, *version});
--- a/src/front/stream_record.h
+++ b/src/front/stream_record.h
@@ -11,7 +11,8 @@
 
 // The streams of one instance, as an object in the registry.
 
-// Limit on the streams of one instance that are recorded: 8 KB.
+// Limit on the streams of one process that are recorded: 8 KB. A record may
+// hold those of the process before as well.
 inline constexpr size_t kMaxRecordedStreams = 500;
 
 // Returns JSON: the keys of the streams by the digest of their version, in
--- a/src/front/stream_recorder.cc
+++ b/src/front/stream_recorder.cc
@@ -144,6 +144,7 @@
     revision_ = object.ok() ? kAnyRevision : 0;
     if (object.ok()) {
       kept_ = Apply(*object);
+      kept_.resize(std::min(kept_.size(), kMaxRecordedStreams));
       kept_until_ = handlers_.now() + kKeptTime;
     }
     Write(versions_->OpenStreams(kMaxRecordedStreams, handlers_.now()));
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -382,22 +382,22 @@
 bool StreamVersions::HaveNumbersChanged(const std::string& service,
                                         TimePoint since) const {
   const auto it = services_.find(service);
-  if (it == services_.end()) {
+  if (it == services_.end() || it->second.size() < 2 ||
+      it->second.back().since <= since) {
     return false;
   }
   const Periods& periods = it->second;
   std::set<std::string_view> versions;
-  int overlapping = 0;
   for (size_t n = 0; n < periods.size(); ++n) {
-    if (n + 1 < periods.size() && periods[n + 1].since <= since) {
-      continue;
-    }
-    ++overlapping;
+    const bool has_ended =
+        n + 1 < periods.size() && periods[n + 1].since <= since;
     for (const auto& [version, count] : periods[n].counts) {
-      versions.insert(version);
+      if (!has_ended) {
+        versions.insert(version);
+      }
     }
   }
-  return overlapping > 1 && versions.size() > 1;
+  return versions.size() > 1;
 }
 
 std::vector<StreamReport> StreamVersions::OpenStreams(size_t max,
--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -2,8 +2,10 @@
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "endiveyard/base/digest.h"
 #include "relay_fixture.h"
 
 namespace endiveyard {
@@ -819,6 +821,91 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "data: b"));
 }
 
+// Guards against streams that are refused although another instance has
+// recorded which version began them, and against those that go on after their
+// caller has left.
+BOOST_FIXTURE_TEST_CASE(StreamsInDoubtGoOnByTheRecords, RelayFixture) {
+  SetVersion("t1", "v1");
+  SetVersion("t2", "v2");
+  NotifyRoutingStateChanged();
+  std::function<void()> pending;
+  int reads = 0;
+  RunOnRelayThread([&](RoutingState& state) {
+    state.read_stream_records = [&](std::function<void()> done) {
+      ++reads;
+      pending = std::move(done);
+    };
+  });
+  const auto await_read = [&] {
+    bool is_asked = false;
+    while (!is_asked) {
+      RunOnRelayThread([&](RoutingState&) { is_asked = pending != nullptr; });
+    }
+  };
+  const auto end_read = [&](std::optional<StreamReport> recorded) {
+    RunOnRelayThread([&](RoutingState&) {
+      if (recorded) {
+        relay().stream_versions()->ApplyReport(*recorded, BootClock::now());
+      }
+      std::exchange(pending, nullptr)();
+    });
+  };
+  const std::string take_up =
+      RequestHead("POST", "/stream/x", "r1b",
+                  "Content-Length: 0\r\nLast-Event-Id: 1\r\nResumes: r1\r\n");
+  TestConnection refused = Connect();
+  refused.Send(take_up);
+  await_read();
+  end_read(std::nullopt);
+  BOOST_TEST(Contains(refused.ReadMessage(), "HTTP/1.1 503 "));
+  TestConnection leaving = Connect();
+  leaving.Send(take_up);
+  await_read();
+  leaving.Close();
+  while (!Contains(metrics().Serialize(), "caller_left")) {
+  }
+  const StreamId stream = MakeStreamId("svc", "r1", {});
+  end_read(StreamReport{stream.attempt, Digest64("v2")});
+  BOOST_TEST(!second().HasConnectionWithin(0));
+  TestConnection caller = Connect();
+  caller.Send(take_up);
+  TestConnection run = second().Accept();
+  BOOST_TEST(Contains(run.ReadMessage(), "Last-Event-Id: 1\r\n"));
+  run.Send(StreamResponseHead("r1b") + EncodeChunk("id: 2\ndata: b\n\n") +
+           "0\r\n\r\n");
+  BOOST_TEST(Contains(caller.ReadMessage(), "data: b"));
+  RunOnRelayThread([&](RoutingState&) { BOOST_TEST(reads == 2); });
+  BOOST_TEST(!first().HasConnectionWithin(0));
+}
+
+// Guards against an attempt that begins at another version than the one that
+// was recorded when it was first sent.
+BOOST_FIXTURE_TEST_CASE(AttemptsAreSentToOneVersion, RelayFixture) {
+  SetVersion("t1", "v1");
+  SetVersion("t2", "v2");
+  NotifyRoutingStateChanged();
+  std::string id;
+  RunOnRelayThread([&](RoutingState&) {
+    const StreamVersions& versions = *relay().stream_versions();
+    for (int n = 0; id.empty(); ++n) {
+      const std::string candidate = "r" + std::to_string(n);
+      if (versions.Choose("svc", MakeStreamId("svc", candidate, {})) == "v1") {
+        id = candidate;
+      }
+    }
+  });
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("GET", "/stream/x", id));
+  TestConnection run = first().Accept();
+  run.ReadUntil("\r\n\r\n");
+  SetVersion("t1", "v2");
+  NotifyRoutingStateChanged();
+  run.Send("HTTP/1.1 503 Full\r\nEndiveyard-Request-Id: " + id +
+           "\r\nEndiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 503 "));
+  BOOST_TEST(!second().HasConnectionWithin(0));
+}
+
 // Guards against streams that hold events of two software versions: an instance
 // that has just gone on after it stood still reads the request before the news
 // that another version has joined.
