Test: objects that are written whichever revision they have

EncodeObject states no revision for kAnyRevision, as records of streams are written; with a revision of -1 the registry would refuse each write.

The case is added to ObjectsAreWrittenAtTheirRevision; its other checks stay.

--- a/tests/platform/object_decoding_test.cc
+++ b/tests/platform/object_decoding_test.cc
@@ -239,6 +239,10 @@
   BOOST_TEST(EncodeObject(object) ==
              R"({"metadata":{"name":"a"},"spec":{"b":1}})");
   object.revision = 7;
+  RegistryObject any = object;
+  any.revision = kAnyRevision;
+  BOOST_TEST(EncodeObject(any) ==
+             R"({"metadata":{"name":"a"},"spec":{"b":1}})");
   const std::string body = EncodeObject(object);
   BOOST_TEST(body ==
              R"({"metadata":{"name":"a","revision":7},"spec":{"b":1}})");
