--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -149,6 +149,12 @@
   // and tells of none. Versions of streams that it may have begun cannot be
   // computed.
   void RecordPeerOfOtherRules(TimePoint now);
+  // Records that the caller has got all of the stream.
+  void RecordCompleted(const StreamId& stream);
+  // Returns the streams that callers of this instance may take up and whose
+  // version others may not be able to compute, since the numbers of replicas
+  // change: the last `max`, in order of their keys.
+  std::vector<StreamReport> OpenStreams(size_t max, TimePoint now) const;
 
   // Records what another instance tells of its streams.
   void ApplyReport(const StreamReport& report, TimePoint now);
@@ -172,6 +178,8 @@
     std::string version;
     TimePoint at{};
     int reports_left = 0;
+    bool is_completed = false;
+    bool conflicting = false;  // attempts with one id, at several versions
   };
   struct ToldStream {
     uint64_t version = 0;
@@ -189,6 +197,9 @@
                                             uint64_t choice,
                                             Duration max_age,
                                             TimePoint now) const;
+  // Returns true if the service had several versions since `since`, and their
+  // numbers of replicas have changed.
+  bool HaveNumbersChanged(const std::string& service, TimePoint since) const;
   void RemoveOld(TimePoint now);
 
   // Numbers of replicas of a service since the last call of RecordReplicas().
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -221,10 +221,33 @@
 
 void RelayExchange::OnReplicasRefreshed(bool is_current) {
   stream_version_ = is_current ? FindStreamVersion() : FindRememberedVersion();
-  if (!stream_version_) {
+  if (stream_version_) {
+    ArmWatchdog();
+    Place();
+    return;
+  }
+  const auto& read_records = context_->routing_state.read_stream_records;
+  if (!read_records || !route_->resumable ||
+      request_metadata_.resumed_request_id.empty()) {
     RefuseTakeUp(is_current);
     return;
   }
+  phase_ = Phase::kAwaitingReplicas;
+  read_records([weak = weak_from_this(), is_current] {
+    const auto self = weak.lock();
+    if (self && self->phase_ == Phase::kAwaitingReplicas) {
+      self->phase_ = Phase::kPlacing;
+      self->OnStreamRecordsRead(is_current);
+    }
+  });
+}
+
+void RelayExchange::OnStreamRecordsRead(bool is_view_current) {
+  stream_version_ = FindRememberedVersion();
+  if (!stream_version_) {
+    RefuseTakeUp(is_view_current);
+    return;
+  }
   ArmWatchdog();
   Place();
 }
@@ -318,23 +341,13 @@
       !route_->resumable) {
     return stream_version_;
   }
-  if (tried_version_ && HasOtherReplicaOf(*tried_version_)) {
-    return tried_version_;
+  if (sent_to_version_) {
+    return sent_to_version_;
   }
   return context_->stream_versions.Choose(
       service_, StreamIdOf(request_metadata_.request_id));
 }
 
-bool RelayExchange::HasOtherReplicaOf(const std::string& version) const {
-  const TimePoint now = BootClock::now();
-  const auto replicas = context_->routing_state.replicas.Usable(service_);
-  return std::any_of(replicas.begin(), replicas.end(), [&](const Replica* it) {
-    return it->version == version && it->stage != Stage::kPrefill &&
-           excluded_replica_ids_.count(it->id) == 0 &&
-           context_->placer.availability().TakesWork(EngineKey(*it), now);
-  });
-}
-
 int RelayExchange::EffectivePriority() const {
   // What a stream has taken from engines is lost if the rest comes too late,
   // and its caller has less time left than others.
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -141,11 +141,10 @@
   // version has begun it.
   void TakeUpStream();
   void OnReplicasRefreshed(bool is_current);
+  void OnStreamRecordsRead(bool is_view_current);
   void RefuseTakeUp(bool is_view_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
-  // Returns true if a replica of this version is left for the request.
-  bool HasOtherReplicaOf(const std::string& version) const;
   // Returns the priority of the calls: that of the route, or the highest one if
   // they continue a stream.
   int EffectivePriority() const;
@@ -161,6 +160,8 @@
   // it.
   bool StillTakesWork(const Replica& placed) const;
   void StartPrefill(const Placement& placement);
+  // Records the version that the stream begins at, which stays.
+  void RecordSentTo(const std::string& version);
   void OnPrefillEnd(const Placement& placement,
                     TransportStatus transport_status,
                     std::string_view detail);
@@ -354,11 +355,11 @@
   // Software version of the replica that sent the first event of the stream.
   // What another version writes does not continue it.
   std::optional<std::string> stream_version_;
-  // Version of the last run of a stream, which other instances may have been
-  // told.
-  std::optional<std::string> tried_version_;
   // The version of a run was recorded, and no event was sent to the caller.
   bool version_record_unused_ = false;
+  // To which the attempt was sent. Others may have been told of it, so that it
+  // begins there or not at all.
+  std::optional<std::string> sent_to_version_;
   // Calls that were written to a target, except successful prefill calls. Any
   // run after the first of them has to be covered by the retry budget.
   int delivered_calls_ = 0;
