Tests: the relay may close before it has the large error

ErrorsDoNotContinueAStream failed once in 15 whole runs of platform_test, five side by side: "write: Connection reset by peer". The relay ends the call when the text of a failure exceeds what it collects, and the test was still sending it. What the test checks is what the caller gets; it is unchanged.

--- a/tests/platform/relay_contract_test.cc
+++ b/tests/platform/relay_contract_test.cc
@@ -637,7 +637,8 @@
     target.Reset();
     TestConnection other = second().Accept();
     other.ReadUntil("\r\n\r\n");
-    other.Send(answer);
+    // The relay may close the connection before it has got the large answer.
+    other.TrySend(answer);
     other.Close();
     const std::string rest = caller.ReadUntilClose();
     const std::string name = answer.substr(0, 24);
