Soak: copies of answers that are cut off

Two faults of the replica stand-in: the copy of an answer is cut anywhere and sent before the next answer on its connection, or before the end of the connection (answer_again_cut, answer_again_cut_close). Nothing that the soak checks is relaxed: a call behind a cut copy still has to be answered.

--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -34,6 +34,8 @@
                    "answer_twice_late",
                    "answer_again_before_next",
                    "answer_again_rejoined",
+                   "answer_again_cut",
+                   "answer_again_cut_close",
                    "surplus_bytes",
                    "no_http",
                    "late",
@@ -91,6 +93,8 @@
          fault == ReplicaFault::kAnswerTwiceLate ||
          fault == ReplicaFault::kAnswerAgainBeforeNext ||
          fault == ReplicaFault::kAnswerAgainRejoined ||
+         fault == ReplicaFault::kAnswerAgainCut ||
+         fault == ReplicaFault::kAnswerAgainCutClose ||
          fault == ReplicaFault::kSurplusBytes ||
          fault == ReplicaFault::kUnframed;
 }
@@ -203,16 +207,30 @@
 
 void ReplicaStandin::Serve(HttpPeer& peer) {
   constexpr int kIdleMs = 60000;
-  Connection connection{peer, ""};
+  Connection connection{peer, "", false};
   while (true) {
     const HttpMessage request = peer.Read(kIdleMs);
-    if (!request.complete || !peer.Send(std::exchange(connection.copy, "")) ||
+    if (!request.complete) {
+      return;
+    }
+    if (!peer.Send(std::exchange(connection.copy, "")) || connection.closes ||
         !Handle(connection, request)) {
       return;
     }
   }
 }
 
+void ReplicaStandin::KeepCopy(Connection& connection,
+                              const std::string& answer,
+                              ReplicaFault fault) {
+  connection.closes = fault == ReplicaFault::kAnswerAgainCutClose;
+  connection.copy = answer;
+  if (connection.closes || fault == ReplicaFault::kAnswerAgainCut) {
+    const int last = static_cast<int>(answer.size()) - 1;
+    connection.copy.resize(static_cast<size_t>(DrawNumber(last)));
+  }
+}
+
 bool ReplicaStandin::Work(HttpPeer& peer, int max_ms) {
   return !peer.WaitForEnd(DrawNumber(max_ms));
 }
@@ -353,7 +371,9 @@
       Rejoin();
       [[fallthrough]];
     case ReplicaFault::kAnswerAgainBeforeNext:
-      connection.copy = answer;
+    case ReplicaFault::kAnswerAgainCut:
+    case ReplicaFault::kAnswerAgainCutClose:
+      KeepCopy(connection, answer, fault);
       [[fallthrough]];
     default:
       return peer.Send(answer);
@@ -408,7 +428,9 @@
       Rejoin();
       [[fallthrough]];
     case ReplicaFault::kAnswerAgainBeforeNext:
-      connection.copy = answer;
+    case ReplicaFault::kAnswerAgainCut:
+    case ReplicaFault::kAnswerAgainCutClose:
+      KeepCopy(connection, answer, fault);
       return peer.Send(answer);
     case ReplicaFault::kSurplusBytes:
       return peer.Send(answer + "HTTP/1.1 200 OK\r\n");
@@ -465,6 +487,8 @@
     case ReplicaFault::kAnswerTwiceLate:
     case ReplicaFault::kAnswerAgainBeforeNext:
     case ReplicaFault::kAnswerAgainRejoined:
+    case ReplicaFault::kAnswerAgainCut:
+    case ReplicaFault::kAnswerAgainCutClose:
     case ReplicaFault::kSurplusBytes:
     case ReplicaFault::kWrongEventId:
     case ReplicaFault::kCutBody:
@@ -530,8 +554,10 @@
     Rejoin();
   }
   if (fault == ReplicaFault::kAnswerAgainRejoined ||
-      fault == ReplicaFault::kAnswerAgainBeforeNext) {
-    connection.copy = head + sent + end;
+      fault == ReplicaFault::kAnswerAgainBeforeNext ||
+      fault == ReplicaFault::kAnswerAgainCut ||
+      fault == ReplicaFault::kAnswerAgainCutClose) {
+    KeepCopy(connection, head + sent + end, fault);
     return peer.Send(end);
   }
   if (fault == ReplicaFault::kAnswerTwice) {
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -54,6 +54,10 @@
   kAnswerTwiceLate,
   kAnswerAgainBeforeNext,
   kAnswerAgainRejoined,
+  // As kAnswerAgainBeforeNext, with the copy cut off anywhere: the next answer
+  // follows, or the connection ends.
+  kAnswerAgainCut,
+  kAnswerAgainCutClose,
   kSurplusBytes,
   kNoHttp,
   kLate,
@@ -111,9 +115,14 @@
     HttpPeer& peer;
     // Copy of the last answer, sent when the next request arrives.
     std::string copy;
+    bool closes = false;  // after the copy
   };
 
   void Serve(HttpPeer& peer);
+  // Keeps `answer` for the next request on the connection if `fault` says so.
+  void KeepCopy(Connection& connection,
+                const std::string& answer,
+                ReplicaFault fault);
   // Returns false when the connection is to be closed.
   bool Handle(Connection& connection, const HttpMessage& request);
   bool Prefill(Connection& connection, const HttpMessage& request);
