--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -149,6 +149,41 @@
   BOOST_TEST(serving.IsClosedWithin(5000));
 }
 
+// Guards against a stream that ends as complete because the instance that
+// passes it on ends between two events, by a close or a reset: it goes on
+// through another instance, or is broken off.
+BOOST_AUTO_TEST_CASE(StreamsOutliveTheInstanceThatPassesThemOn) {
+  for (const bool resets : {false, true}) {
+    for (const bool has_next : {false, true}) {
+      BOOST_TEST_CONTEXT("reset " << resets << ", another " << has_next) {
+        StrandedInstance stranded;
+        TestTarget next_peer(stranded.io, "127.0.0.2", stranded.peer.port());
+        TestConnection caller = stranded.relay.Connect();
+        caller.Send(RequestHead("GET", "/stream/x", "r1"));
+        TestConnection other = stranded.peer.Accept();
+        other.ReadUntil("\r\n\r\n");
+        other.Send(WithForwardedResponse(StreamResponseHead("r1")) +
+                   EncodeChunk("id: 1\ndata: a\n\n"));
+        caller.ReadUntil("data: a\n\n\r\n");
+        if (has_next) {
+          stranded.relay.LearnOfPeer("127.0.0.2");
+        }
+        resets ? other.Reset() : other.Close();
+        if (!has_next) {
+          BOOST_TEST(caller.ReadUntilClose() == "");
+          continue;
+        }
+        TestConnection next = next_peer.Accept();
+        BOOST_TEST(Contains(next.ReadUntil("\r\n\r\n"), "after=1"));
+        next.Send(WithForwardedResponse(StreamResponseHead("r1"), 2) +
+                  EncodeChunk("id: 2\ndata: b\n\n") + EncodeChunk(""));
+        BOOST_TEST(caller.ReadUntil("0\r\n\r\n") ==
+                   EncodeChunk("id: 2\ndata: b\n\n") + EncodeChunk(""));
+      }
+    }
+  }
+}
+
 // Guards against a stream that another instance has begun and that its caller
 // takes up here at another software version: what this instance remembers of
 // its own attempt, which reached no target, must not decide (ORDER).
