Events: empty lines alone begin no answer

Since an empty line ends an event of its own, an answer without length or chunks whose body is one empty line began the response and ended as a whole 200; before, it was a broken run. Empty lines before the first event now wait for it, for each run anew, up to the size of an event.

--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -11,8 +11,9 @@
 // Splits a stream of server-sent events (SSE) at event boundaries. Only
 // complete events are forwarded, so that a stream that fails in the middle of
 // an event can be resumed on another target after the last complete one. An
-// empty line ends an event, also one without lines. As in the standard, lines
-// end with a newline, a carriage return or both.
+// empty line ends an event, also one without lines unless the stream begins
+// with it: that alone is no sign of an answer. As in the standard, lines end
+// with a newline, a carriage return or both.
 class SseSplitter {
  public:
   // Limit on the size of one event without its end. Events hold some tokens
@@ -75,6 +76,8 @@
   // The last line with text ended with two bytes. An empty line that ends with
   // a carriage return is then complete with the next byte only.
   bool uses_crlf_ = false;
+  bool event_has_text_ = false;  // the event at the end of `partial_event_`
+  bool has_returned_text_ = false;
   bool has_gap_ = false;
   bool is_overlong_ = false;
 };
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -84,7 +84,8 @@
     const size_t line_end = FindLineEnd(all, scanned_);
     const size_t length = LineEndLength(all, line_end);
     const bool is_empty = line_end == line_begin_;
-    is_overlong_ = !is_empty && line_end - complete > kMaxEventBytes;
+    is_overlong_ =
+        !(is_empty && event_has_text_) && line_end - complete > kMaxEventBytes;
     if (is_overlong_ ||
         (length == 0 && !(is_empty && line_end < all.size() && !uses_crlf_))) {
       scanned_ = line_end;
@@ -94,8 +95,13 @@
     line_begin_ = scanned_ = line_end + std::max<size_t>(length, 1);
     if (!is_empty) {
       uses_crlf_ = length == 2;
+      event_has_text_ = true;
+    } else if (!event_has_text_ && !has_returned_text_) {
+      continue;
     } else if (RecordEvent(all.substr(complete, line_begin_ - complete))) {
       complete = line_begin_;
+      has_returned_text_ = true;
+      event_has_text_ = false;
     } else {
       has_gap_ = true;
     }
@@ -115,6 +121,8 @@
   line_begin_ = 0;
   scanned_ = 0;
   uses_crlf_ = false;
+  event_has_text_ = false;
+  has_returned_text_ = false;
 }
 
 bool SseSplitter::RecordEvent(std::string_view event) {
--- a/tests/relay/sse_splitter_property_test.cc
+++ b/tests/relay/sse_splitter_property_test.cc
@@ -70,6 +70,7 @@
   std::string event;
   std::optional<std::string> id;
   bool has_data = false;
+  bool has_text = false;  // in any event so far
   std::vector<Line> lines = LinesOf(stream, &rest);
   // More bytes may belong to a line end at the end of a stream whose last line
   // with text ended in CRLF.
@@ -88,6 +89,7 @@
       return expected;
     }
     event += it.text + it.end;
+    has_text = has_text || !it.text.empty();
     if (!it.text.empty()) {
       const size_t colon = it.text.find(':');
       const std::string name = it.text.substr(0, colon);
@@ -100,6 +102,9 @@
       }
       continue;
     }
+    if (!has_text) {
+      continue;  // empty lines before the first event
+    }
     int64_t number = 0;
     if (id && (!IsNumber(*id, &number) ||
                (expected.last_id &&
--- a/tests/relay/sse_splitter_test.cc
+++ b/tests/relay/sse_splitter_test.cc
@@ -197,4 +197,20 @@
   BOOST_TEST(splitter.is_position_known());
 }
 
+// Guards against empty lines that begin an answer, or fill the memory, where no
+// event ever follows. They are passed on with the first one.
+BOOST_AUTO_TEST_CASE(EmptyLinesAloneAreNoEvent) {
+  SseSplitter splitter;
+  BOOST_TEST(splitter.Feed("\n\r\n").empty());
+  BOOST_TEST(splitter.has_partial_event());
+  BOOST_TEST(splitter.Feed("\nid: 1\n\n") == "\n\r\n\nid: 1\n\n");
+  splitter.DropPartialEvent();
+  BOOST_TEST(splitter.Feed("\n").empty());
+  SseSplitter endless;
+  endless.Feed(std::string(SseSplitter::kMaxEventBytes, '\n'));
+  BOOST_TEST(!endless.is_overlong());
+  endless.Feed("\n");
+  BOOST_TEST(endless.is_overlong());
+}
+
 }  // namespace endiveyard
