Forward a stream to the version that was tried here

Both replicas were excluded for the request by then, so that no other one of v2 was left, and the version was chosen anew: front-6 began the stream at v1. front-1, told of v2, went on at v2 161 ms later; front-5 was killed in between.

Replicas that failed here are not excluded at the other instance, which has its own links. A request that is forwarded before the first event now names the version that was tried as long as any replica of it takes work.

Test: StreamsAreForwardedToTheVersionThatWasTried fails before (v2).

--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -318,23 +318,31 @@
       !route_->resumable) {
     return stream_version_;
   }
-  if (tried_version_ && HasOtherReplicaOf(*tried_version_)) {
+  if (tried_version_ && HasReplicaOf(*tried_version_, excluded_replica_ids_)) {
     return tried_version_;
   }
   return context_->stream_versions.Choose(
       service_, StreamIdOf(request_metadata_.request_id));
 }
 
-bool RelayExchange::HasOtherReplicaOf(const std::string& version) const {
+bool RelayExchange::HasReplicaOf(const std::string& version,
+                                 const std::set<std::string>& excluded) const {
   const TimePoint now = BootClock::now();
   const auto replicas = context_->routing_state.replicas.Usable(service_);
   return std::any_of(replicas.begin(), replicas.end(), [&](const Replica* it) {
     return it->version == version && it->stage != Stage::kPrefill &&
-           excluded_replica_ids_.count(it->id) == 0 &&
+           excluded.count(it->id) == 0 &&
            context_->placer.availability().TakesWork(EngineKey(*it), now);
   });
 }
 
+std::optional<std::string> RelayExchange::VersionToForward() const {
+  // The other instance may reach replicas that failed here.
+  return !stream_version_ && tried_version_ && HasReplicaOf(*tried_version_, {})
+             ? tried_version_
+             : RequiredVersion();
+}
+
 int RelayExchange::EffectivePriority() const {
   // What a stream has taken from engines is lost if the rest comes too late,
   // and its caller has less time left than others.
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -138,8 +138,12 @@
   void RefuseTakeUp(bool is_view_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
-  // Returns true if a replica of this version is left for the request.
-  bool HasOtherReplicaOf(const std::string& version) const;
+  // The same for another instance that gets the request.
+  std::optional<std::string> VersionToForward() const;
+  // Returns true if a replica of this version that is not among `excluded`
+  // takes new work.
+  bool HasReplicaOf(const std::string& version,
+                    const std::set<std::string>& excluded) const;
   // Returns the priority of the calls: that of the route, or the highest one if
   // they continue a stream.
   int EffectivePriority() const;
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -86,7 +86,7 @@
     state.service = service_;
   }
   // Chosen here, so that all receivers of the request begin it at the same one.
-  state.stream_version = RequiredVersion();
+  state.stream_version = VersionToForward();
   state.last_event_id = sse_splitter_.last_id();
 
   TargetRequest request;
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -349,6 +349,38 @@
   BOOST_TEST(!has_evidence);
 }
 
+// Guards against a stream that another instance begins at another version than
+// this one has told: its first run failed here before any event, and no replica
+// of that version is left here.
+BOOST_AUTO_TEST_CASE(StreamsAreForwardedToTheVersionThatWasTried) {
+  boost::asio::io_context io;
+  TestTarget peer(io);
+  RelayFixture relay(WithPeerPort(peer.port()));
+  relay.UseOneTarget();
+  relay.SetVersion("t1", "v1");
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/stream/x", "r1"));
+  TestConnection target = relay.first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  relay.LoseLinks();
+  relay.SetVersion("t1", "v1");
+  for (const char* id : {"t2", "t3", "t4"}) {
+    relay.SetVersion(id, "v2");
+  }
+  relay.NotifyRoutingStateChanged();
+  relay.LearnOfPeer();
+  target.Reset();
+  const std::string request = peer.Accept().ReadUntil("\r\n\r\n");
+  const std::string name = std::string(kForwardedRequestHeader) + ": ";
+  const size_t begin = request.find(name);
+  BOOST_REQUIRE(begin != std::string::npos);
+  const size_t end = request.find("\r\n", begin);
+  const auto state = DecodeForwardedRequest(
+      request.substr(begin + name.size(), end - begin - name.size()));
+  BOOST_REQUIRE(state);
+  BOOST_TEST(state->stream_version.value_or("") == "v1");
+}
+
 // Guards against receivers that do not know the sender, since it connects from
 // another of its addresses than the one that its reports come from (RECOVER).
 BOOST_AUTO_TEST_CASE(RequestsAreForwardedFromTheOwnAddress) {
