End of responses: only answers of the replica itself show that it runs

What callers could still see: half of a body as a success, where anything else than the replica answered at its address: a 502, 504, 500 or 404 without an id to the probe or to another request, or a later process with the same id. And whole answers as failures: where new connections are refused because this instance has lost its links, and at a replica at its limit of connections, which got 25 probes in 2.5 s. Probes went to replicas that had asked to be spared, and what their answers stated was dropped.

Cause: the class of the fault itself. An answer that did not say that it came from elsewhere counted as one of the replica.

Now: a probe counts if it is complete and names the replica, refuses the request as a replica does, or is its report, whose start is compared with the registration; another request counts if its answer has its id or a signature. The registration is compared once more when the check ends. A refused connection counts when it is the second in a row while the links are sound. Probes are counted in the rate limit of the replica, go once into a pause that it has asked for, and record what it states; failed ones are repeated after pauses that double. A replica that was leaving is not taken for a crashed one. The time of the check is no longer observed as work of the replica. The limit of a check is an option, so that tests do not depend on it.

Tests: the new cases of unframed_end_test, ProbeAnswersCountForTheirReplicaOnly and the changed ProbesThatShowNothingAreRepeated.

--- a/include/endiveyard/placement/survival_checks.h
+++ b/include/endiveyard/placement/survival_checks.h
@@ -48,8 +48,15 @@
   // Time after which a check ends with kUnknown. A sound replica may be silent
   // for up to two seconds.
   static constexpr Duration kTimeLimit = std::chrono::milliseconds(2500);
-  // Pause before a probe that failed is repeated.
+  // Pause before a probe that failed is repeated, doubled each time. A replica
+  // at its limit of connections resets further ones.
   static constexpr Duration kProbePause = std::chrono::milliseconds(100);
+  // Refused probes in a row that show that a replica is gone. In between, the
+  // instance notices if it is its own links that are down.
+  static constexpr int kRefusalsOfGoneReplica = 2;
+
+  explicit SurvivalChecks(Duration time_limit = kTimeLimit)
+      : time_limit_(time_limit) {}
 
   // Begins a check: does the replica outlive the moment `now`? Returns the
   // number of the check.
@@ -82,6 +89,8 @@
     std::map<uint64_t, TimePoint> checks;  // by number: when it began
     std::optional<TimePoint> probe_sent_at;
     bool probe_in_progress = false;
+    int failed_probes = 0;  // in a row
+    int refusals = 0;       // in a row
     // Not before this time, after a probe that failed.
     std::optional<TimePoint> next_probe_at;
   };
@@ -92,6 +101,7 @@
                                           SurvivalVerdict verdict);
   void EraseIfUnused(uint64_t replica_key);
 
+  const Duration time_limit_;
   std::map<uint64_t, ReplicaState> replicas_;
   std::map<uint64_t, uint64_t> replica_of_check_;
   uint64_t next_check_ = 1;
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -19,6 +19,7 @@
 #include "endiveyard/placement/service_map.h"
 #include "endiveyard/placement/service_retry_budget.h"
 #include "endiveyard/placement/stream_versions.h"
+#include "endiveyard/placement/survival_checks.h"
 #include "endiveyard/relay/target_call.h"
 #include "endiveyard/relay/wire_protocol.h"
 #include "endiveyard/telemetry/json_log.h"
@@ -53,6 +54,9 @@
   // to this long after startup. Loading the lists from the registry takes 20 to
   // 100 ms, which is less than a retry by the caller would take.
   Duration startup_wait = std::chrono::milliseconds(500);
+  // Time for which the end of a response that ends with its connection waits
+  // for a sign that the target outlived it.
+  Duration end_check_limit = SurvivalChecks::kTimeLimit;
   // Requests that arrive after a standstill of the process are held for up to
   // this long until the routing state is recent again.
   Duration news_wait = std::chrono::milliseconds(300);
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -12,6 +12,7 @@
 #include "endiveyard/placement/prompt_shape.h"
 #include "endiveyard/placement/replica_load.h"
 #include "endiveyard/placement/replica_view.h"
+#include "endiveyard/placement/survival_checks.h"
 
 namespace endiveyard {
 
@@ -100,12 +101,13 @@
   // Returns the headers of a request by which `replica`, and no other one,
   // shows that it runs.
   virtual HeaderList EncodeProbe(const Replica& replica) const = 0;
-  // Returns false if the response to a probe of `replica` shows that another
-  // replica, or a later process with the same id, has the address.
-  virtual bool IsAnswerOf(const Replica& replica,
-                          int status,
-                          const HeaderList& headers,
-                          std::string_view body) const = 0;
+  // Returns what the complete response to a probe of `replica` shows. A
+  // response that does not say whose it is shows nothing.
+  virtual SurvivalProbeOutcome DecodeProbeAnswer(
+      const Replica& replica,
+      int status,
+      const HeaderList& headers,
+      std::string_view body) const = 0;
   virtual std::string ReadinessPath() const = 0;
 };
 
--- a/src/placement/survival_checks.cc
+++ b/src/placement/survival_checks.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace endiveyard {
+namespace {
+
+constexpr int kMaxPauseDoublings = 4;
+
+}  // namespace
 
 uint64_t SurvivalChecks::Begin(uint64_t replica_key, TimePoint now) {
   const uint64_t check = next_check_++;
@@ -50,20 +55,21 @@
   state.probe_in_progress = false;
   state.next_probe_at.reset();
   const TimePoint sent_at = *state.probe_sent_at;
-  switch (outcome) {
-    case SurvivalProbeOutcome::kAnswered:
-      return AnswerUntil(replica_key, sent_at, SurvivalVerdict::kAlive);
-    case SurvivalProbeOutcome::kRefused:
-      if (!may_be_reached) {
-        break;
-      }
-      [[fallthrough]];
-    case SurvivalProbeOutcome::kOtherReplica:
-      return AnswerUntil(replica_key, sent_at, SurvivalVerdict::kGone);
-    case SurvivalProbeOutcome::kFailed:
-      break;
+  if (outcome != SurvivalProbeOutcome::kRefused || !may_be_reached) {
+    state.refusals = 0;
+  } else if (++state.refusals >= kRefusalsOfGoneReplica) {
+    outcome = SurvivalProbeOutcome::kOtherReplica;
+  }
+  if (outcome == SurvivalProbeOutcome::kAnswered ||
+      outcome == SurvivalProbeOutcome::kOtherReplica) {
+    state.failed_probes = state.refusals = 0;
+    return AnswerUntil(replica_key, sent_at,
+                       outcome == SurvivalProbeOutcome::kAnswered
+                           ? SurvivalVerdict::kAlive
+                           : SurvivalVerdict::kGone);
   }
-  state.next_probe_at = now + kProbePause;
+  state.next_probe_at = now + kProbePause * (1 << state.failed_probes);
+  state.failed_probes = std::min(state.failed_probes + 1, kMaxPauseDoublings);
   EraseIfUnused(replica_key);
   return {};
 }
@@ -79,7 +85,7 @@
 
 std::vector<SurvivalAnswer> SurvivalChecks::Expire(uint64_t replica_key,
                                                    TimePoint now) {
-  return AnswerUntil(replica_key, now - kTimeLimit, SurvivalVerdict::kUnknown);
+  return AnswerUntil(replica_key, now - time_limit_, SurvivalVerdict::kUnknown);
 }
 
 std::optional<TimePoint> SurvivalChecks::NextStep(uint64_t replica_key) const {
@@ -89,7 +95,7 @@
   }
   const ReplicaState& state = it->second;
   // Numbers rise with time.
-  TimePoint next = state.checks.begin()->second + kTimeLimit;
+  TimePoint next = state.checks.begin()->second + time_limit_;
   if (!state.probe_in_progress) {
     next = std::min(next, state.next_probe_at.value_or(TimePoint()));
   }
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -40,10 +40,13 @@
         retry_budget(options.retry_bound),
         target_client(io, protocol, options.target_client),
         peer_client(io, protocol, MakePeerClientOptions(options)),
-        survival_prober(std::make_shared<SurvivalProber>(io,
-                                                         protocol,
-                                                         links,
-                                                         &target_client)) {
+        survival_prober(
+            std::make_shared<SurvivalProber>(io,
+                                             protocol,
+                                             links,
+                                             &target_client,
+                                             &placer,
+                                             options.end_check_limit)) {
     placer.availability().set_seed(Digest64(options.ip, options.port));
     if (options.may_replace_process) {
       retry_budget.RecordStart(BootClock::now());
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -74,6 +74,8 @@
     // First event, or first bytes of another body.
     std::optional<TimePoint> output_started_at;
     std::optional<TimePoint> first_event_at;
+    // End of a response that has been checked since.
+    std::optional<TimePoint> ended_at;
     // Set while it is checked whether the replica outlived the end of its
     // response.
     std::optional<uint64_t> survival_check;
@@ -183,7 +185,12 @@
   // Finishes the run once it is known whether the replica outlived its
   // response.
   void CheckEnd();
-  void OnEndChecked(SurvivalVerdict verdict, TimePoint ended_at);
+  void OnEndChecked(SurvivalVerdict verdict);
+  // Returns true if the registry lists a later process under the id of the
+  // replica that the call was sent to.
+  bool HasReplicaRestarted() const;
+  // Returns true if the replica is leaving, which it may have finished.
+  bool IsReplicaLeaving() const;
 
   // Records the end of the run and decides what follows.
   void FinishRun(TransportStatus transport_status, std::string_view detail);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -97,7 +97,10 @@
 
 void RelayExchange::RecordResponseHead() {
   RecordSignOfLife();
-  if (active_call_->status != kMisdirectedRequest) {
+  const ResponseMetadata& metadata = active_call_->response_metadata;
+  // What states neither the request nor a signature may not be of a replica.
+  if (active_call_->status != kMisdirectedRequest &&
+      (metadata.request_id || metadata.signed_by_target)) {
     context_->survival_prober->RecordResponse(active_call_->replica,
                                               active_call_->sent_at);
   }
@@ -403,8 +406,9 @@
   ended.status = active_call_->status;
   ended.output_started = active_call_->output_started_at.has_value();
   ended.replica = active_call_->replica;
-  ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
-                                                    active_call_->sent_at);
+  ended.took = std::chrono::duration_cast<Duration>(
+      active_call_->ended_at.value_or(BootClock::now()) -
+      active_call_->sent_at);
   ended.earlier_requests = active_call_->head.earlier_requests;
   ended.head = std::move(active_call_->head);
   ended.body = std::move(active_call_->body);
@@ -420,7 +424,7 @@
 }
 
 void RelayExchange::ObserveCompletedRun(const ActiveCall& call) {
-  const TimePoint now = BootClock::now();
+  const TimePoint now = call.ended_at.value_or(BootClock::now());
   if (!request_metadata_.prompt) {
     context_->placer.ObservePlainCall(
         service_, std::chrono::duration_cast<Duration>(now - call.sent_at),
--- a/src/relay/survival_prober.cc
+++ b/src/relay/survival_prober.cc
@@ -29,13 +29,22 @@
   TargetResponseHead head;
   std::string body;
   boost::asio::steady_timer timer;
+  // End of the pause in which the last probe was sent.
+  std::optional<TimePoint> probed_until;
 };
 
 SurvivalProber::SurvivalProber(boost::asio::io_context& io,
                                const WireProtocol& protocol,
                                const LinkMonitor& links,
-                               TargetClient* client)
-    : io_(io), protocol_(protocol), links_(links), client_(*client) {}
+                               TargetClient* client,
+                               Placer* placer,
+                               Duration time_limit)
+    : io_(io),
+      protocol_(protocol),
+      links_(links),
+      client_(*client),
+      placer_(*placer),
+      checks_(time_limit) {}
 
 uint64_t SurvivalProber::Begin(const Replica& replica,
                                const std::string& path,
@@ -78,11 +87,26 @@
   probes_.clear();
 }
 
+bool SurvivalProber::MaySend(Probe* probe, TimePoint now) const {
+  const Duration pause = placer_.availability().PauseOf(probe->key, now);
+  if (pause > Duration(0) && probe->probed_until &&
+      now < *probe->probed_until) {
+    return false;
+  }
+  probe->probed_until = now + pause;
+  return true;
+}
+
 void SurvivalProber::Advance(const std::shared_ptr<Probe>& probe) {
   const TimePoint now = BootClock::now();
   Deliver(checks_.Expire(probe->key, now));
   if (checks_.BeginProbe(probe->key, now)) {
-    Send(probe);
+    if (MaySend(probe.get(), now)) {
+      Send(probe);
+    } else {
+      checks_.RecordProbeEnd(probe->key, SurvivalProbeOutcome::kFailed, true,
+                             now);
+    }
   }
   const auto next = checks_.NextStep(probe->key);
   if (!next) {
@@ -120,8 +144,8 @@
   handlers.on_body = [probe](std::string_view bytes) {
     probe->body.append(bytes);
   };
-  handlers.on_end = [weak = weak_from_this(), probe](TransportStatus,
-                                                     std::string_view) {
+  handlers.on_end = [weak = weak_from_this(), probe](
+                        TransportStatus transport_status, std::string_view) {
     const auto self = weak.lock();
     if (!self || self->stopped_) {
       return;
@@ -129,17 +153,35 @@
     SurvivalProbeOutcome outcome = SurvivalProbeOutcome::kFailed;
     if (probe->call && probe->call->WasRefused()) {
       outcome = SurvivalProbeOutcome::kRefused;
-    } else if (probe->head.status != 0) {
-      outcome = self->protocol_.IsAnswerOf(probe->replica, probe->head.status,
-                                           probe->head.headers, probe->body)
-                    ? SurvivalProbeOutcome::kAnswered
-                    : SurvivalProbeOutcome::kOtherReplica;
+    } else if (transport_status == TransportStatus::kComplete) {
+      outcome = self->protocol_.DecodeProbeAnswer(
+          probe->replica, probe->head.status, probe->head.headers, probe->body);
+    }
+    if (outcome == SurvivalProbeOutcome::kAnswered) {
+      self->RecordStatements(*probe);
     }
     self->Finish(probe, outcome);
   };
+  placer_.rate_limits().RecordSent(probe->key, BootClock::now());
   probe->call = client_.Start(std::move(request), std::move(handlers));
 }
 
+void SurvivalProber::RecordStatements(const Probe& probe) {
+  const TimePoint now = BootClock::now();
+  const ResponseMetadata metadata =
+      protocol_.DecodeResponse(probe.head.status, probe.head.headers);
+  if (metadata.leaving) {
+    placer_.availability().RecordLeaving(probe.key, now);
+  }
+  if (metadata.pause) {
+    placer_.availability().RecordPause(probe.key, *metadata.pause, now);
+  }
+  if (metadata.requests_per_second) {
+    placer_.rate_limits().RecordResponse(probe.key,
+                                         metadata.requests_per_second, now);
+  }
+}
+
 void SurvivalProber::Finish(const std::shared_ptr<Probe>& probe,
                             SurvivalProbeOutcome outcome) {
   probe->call.reset();
--- a/src/relay/survival_prober.h
+++ b/src/relay/survival_prober.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "endiveyard/placement/link_monitor.h"
+#include "endiveyard/placement/placer.h"
 #include "endiveyard/placement/survival_checks.h"
 #include "endiveyard/relay/target_call.h"
 #include "endiveyard/relay/wire_protocol.h"
@@ -24,10 +25,14 @@
   // Called once, in an iteration of the event loop of its own.
   using Handler = std::function<void(SurvivalVerdict verdict)>;
 
+  // `placer` holds what replicas state about the requests that they take;
+  // probes keep to it, and record what their answers state.
   SurvivalProber(boost::asio::io_context& io,
                  const WireProtocol& protocol,
                  const LinkMonitor& links,
-                 TargetClient* client);
+                 TargetClient* client,
+                 Placer* placer,
+                 Duration time_limit);
 
   // Begins a check, see SurvivalChecks. `path` is the probe path of the
   // service. Returns the number of the check.
@@ -43,8 +48,12 @@
  private:
   struct Probe;
 
+  // Returns false if the replica has asked to be spared and was probed since.
+  bool MaySend(Probe* probe, TimePoint now) const;
   void Advance(const std::shared_ptr<Probe>& probe);
   void Send(const std::shared_ptr<Probe>& probe);
+  // Records what the answer states about the requests that the replica takes.
+  void RecordStatements(const Probe& probe);
   void Finish(const std::shared_ptr<Probe>& probe,
               SurvivalProbeOutcome outcome);
   void Deliver(const std::vector<SurvivalAnswer>& answers);
@@ -53,6 +62,7 @@
   const WireProtocol& protocol_;
   const LinkMonitor& links_;
   TargetClient& client_;
+  Placer& placer_;
   SurvivalChecks checks_;
   std::map<uint64_t, std::shared_ptr<Probe>> probes_;  // by key of the replica
   std::map<uint64_t, Handler> handlers_;               // by number of the check
--- a/tests/placement/survival_checks_test.cc
+++ b/tests/placement/survival_checks_test.cc
@@ -66,7 +66,16 @@
   BOOST_TEST(
       checks.RecordProbeEnd(kReplica, SurvivalProbeOutcome::kFailed, true, next)
           .empty());
-  const TimePoint last = next + SurvivalChecks::kProbePause;
+  // Pauses double.
+  const TimePoint refused = next + 2 * SurvivalChecks::kProbePause;
+  BOOST_TEST(!checks.BeginProbe(kReplica, refused - Duration(1)));
+  BOOST_TEST(checks.BeginProbe(kReplica, refused));
+  // One refusal may come before this instance notices that it is cut off.
+  BOOST_TEST(checks
+                 .RecordProbeEnd(kReplica, SurvivalProbeOutcome::kRefused, true,
+                                 refused)
+                 .empty());
+  const TimePoint last = refused + 4 * SurvivalChecks::kProbePause;
   BOOST_TEST(checks.BeginProbe(kReplica, last));
   BOOST_TEST((checks.RecordProbeEnd(kReplica, SurvivalProbeOutcome::kRefused,
                                     true, last) ==
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -1,5 +1,7 @@
 #include "platform/platform_wire_protocol.h"
 
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 #include <string>
 
@@ -184,4 +186,49 @@
   BOOST_TEST((twice.pause == std::chrono::seconds(3)));
 }
 
+// Guards against answers to probes that count for a replica although they do
+// not come from it, or may not.
+BOOST_AUTO_TEST_CASE(ProbeAnswersCountForTheirReplicaOnly) {
+  using Outcome = SurvivalProbeOutcome;
+  const PlatformWireProtocol protocol;
+  Replica replica;
+  replica.id = "i-1";
+  replica.started_unix_ms = 7;
+  const HeaderList own = {{"Endiveyard-Replica-Id", "i-1"}};
+  const HeaderList other = {{"Endiveyard-Replica-Id", "i-2"}};
+  const HeaderList refusal = {{"Endiveyard-Not-Executed", "1"}};
+  const struct {
+    int status;
+    HeaderList headers;
+    const char* body;
+    Outcome outcome;
+  } cases[] = {
+      {200, own, "", Outcome::kAnswered},
+      {503, own, "", Outcome::kAnswered},
+      {503, refusal, "", Outcome::kAnswered},
+      {200, {}, R"({"stage":"decode","born":7})", Outcome::kAnswered},
+      {200, {}, R"({"stage":"decode"})", Outcome::kAnswered},
+      {200, {}, R"({"stage":"decode","born":8})", Outcome::kOtherReplica},
+      {200, other, "", Outcome::kOtherReplica},
+      {421, {}, "", Outcome::kOtherReplica},
+      {421, own, "", Outcome::kOtherReplica},
+      {200, {}, R"({"stage":"dec)", Outcome::kFailed},
+      {200, {}, "", Outcome::kFailed},
+      {404, {}, "", Outcome::kFailed},
+      {502, {}, R"({"stage":"decode"})", Outcome::kFailed},
+      {503, {}, "", Outcome::kFailed},
+  };
+  for (const auto& it : cases) {
+    BOOST_TEST_CONTEXT(it.status << " " << it.body) {
+      BOOST_TEST((protocol.DecodeProbeAnswer(replica, it.status, it.headers,
+                                             it.body) == it.outcome));
+    }
+  }
+  const HeaderList probe = protocol.EncodeProbe(replica);
+  BOOST_TEST(
+      (std::find(probe.begin(), probe.end(),
+                 std::pair<std::string, std::string>(
+                     "Endiveyard-Expect-Instance", "i-1")) != probe.end()));
+}
+
 }  // namespace endiveyard::platform
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -290,6 +290,7 @@
   options.peer_port = fixture_options.peer_port;
   options.peer_ip = fixture_options.peer_ip;
   options.target_client.peer_timeout = fixture_options.peer_timeout;
+  options.end_check_limit = fixture_options.end_check_limit;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
   if (!relay_->Listen().ok()) {
@@ -487,12 +488,21 @@
          !Contains(request, "Endiveyard-Request-Id: ");
 }
 
+std::string ResponseToProbe(const std::string& probe) {
+  const std::string name = "Endiveyard-Expect-Instance: ";
+  const size_t begin = probe.find(name) + name.size();
+  return "HTTP/1.1 200 OK\r\nEndiveyard-Replica-Id: " +
+         probe.substr(begin, probe.find('\r', begin) - begin) +
+         "\r\nContent-Length: 0\r\n\r\n";
+}
+
 void AnswerProbe(TestTarget* target) {
   TestConnection connection = target->Accept();
-  if (!IsProbe(connection.ReadMessage())) {
-    throw std::runtime_error("expected a probe");
+  const std::string probe = connection.ReadMessage();
+  if (!IsProbe(probe)) {
+    throw std::runtime_error("expected a probe, got: " + probe);
   }
-  connection.Send(kProbeResponse);
+  connection.Send(ResponseToProbe(probe));
 }
 
 bool Contains(const std::string& text, const std::string& part) {
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -110,6 +110,9 @@
   // address.
   uint16_t peer_port = 0;
   std::string peer_ip;
+  // See RelayOptions. Longer than a test takes by default, so that it only
+  // passes where a test is about it.
+  Duration end_check_limit = std::chrono::seconds(60);
 };
 
 inline RelayFixtureOptions WithPeerPort(uint16_t port) {
@@ -196,8 +199,8 @@
 
 // True for a request that only asks whether the target runs.
 bool IsProbe(const std::string& request);
-inline constexpr const char* kProbeResponse =
-    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+// Returns the response of the target that a probe asks for.
+std::string ResponseToProbe(const std::string& probe);
 // Takes a probe and answers it, as a target that runs.
 void AnswerProbe(TestTarget* target);
 
--- a/tests/platform/response_fuzz_test.cc
+++ b/tests/platform/response_fuzz_test.cc
@@ -174,7 +174,7 @@
       return false;
     }
     if (IsProbe(request)) {
-      return SendInPieces(target, kProbeResponse);
+      return SendInPieces(target, ResponseToProbe(request));
     }
     BOOST_TEST(request.find("POST " + path_ + " HTTP/1.1\r\n") == 0U);
     int after = 0;
--- a/tests/platform/unframed_end_test.cc
+++ b/tests/platform/unframed_end_test.cc
@@ -50,7 +50,7 @@
 // reaches the caller as a whole one.
 BOOST_FIXTURE_TEST_CASE(StreamsCutByTheEndOfTheirTargetAreBrokenOff,
                         RelayFixture) {
-  UseOneTarget();
+  NotifyRoutingStateChanged();
   TestConnection caller = Connect();
   caller.Send(RequestHead("POST", "/once/x", "r1", kNoBody));
   TestConnection target = first().Accept();
@@ -65,6 +65,7 @@
 // The same for a stream that may be resumed.
 BOOST_FIXTURE_TEST_CASE(StreamsCutByTheEndOfTheirTargetAreResumed,
                         RelayFixture) {
+  NotifyRoutingStateChanged();
   TestConnection caller = Connect();
   caller.Send(RequestHead("POST", "/stream/x", "r1", kNoBody));
   TestConnection target = first().Accept();
@@ -106,6 +107,7 @@
 // The same for a request that may be repeated.
 BOOST_FIXTURE_TEST_CASE(BodiesCutByTheEndOfTheirTargetAreAskedForAgain,
                         RelayFixture) {
+  NotifyRoutingStateChanged();
   TestConnection caller = Connect();
   caller.Send(RequestHead("GET", "/safe/x", "r1"));
   TestConnection target = first().Accept();
@@ -119,6 +121,20 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nwhole"));
 }
 
+// The same where the address refuses connections.
+BOOST_FIXTURE_TEST_CASE(BodiesOfTargetsThatRefuseConnectionsAreNoSuccess,
+                        RelayFixture) {
+  NotifyRoutingStateChanged();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/unsafe/x", "r1", kNoBody));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(UnframedHead("r1") + "half of");
+  first().StopListening();
+  target.Close();
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 502 "));
+}
+
 // Guards against whole responses that are taken for cut ones: a target that
 // answers a later request has sent everything.
 BOOST_FIXTURE_TEST_CASE(WholeResponsesOfTargetsThatRunArrive, RelayFixture) {
@@ -184,4 +200,101 @@
   caller.ReadUntil("\r\n0\r\n\r\n");
 }
 
+// Guards against answers that anything at the address can give, and that count
+// as signs of the target.
+BOOST_FIXTURE_TEST_CASE(AnswersOfOthersDoNotShowThatATargetRuns, RelayFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/once/x", "r1", kNoBody));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(UnframedHead("r1") + kEvents);
+  target.Close();
+  TestConnection probe = first().Accept();
+  probe.ReadMessage();
+  for (const char* status : {"502 Bad Gateway", "421 Misdirected Request"}) {
+    TestConnection other_caller = Connect();
+    other_caller.Send(RequestHead("POST", "/unsafe/x", "r2", kNoBody));
+    TestConnection other = first().Accept();
+    other.ReadMessage();
+    other.Send("HTTP/1.1 " + std::string(status) +
+               "\r\nContent-Length: 0\r\n\r\n");
+    other_caller.ReadMessage();
+    RestartTargets();
+    UseOneTarget();
+  }
+  probe.Send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(!Contains(caller.ReadUntilClose(), "\r\n0\r\n\r\n"));
+}
+
+// Guards against the answer of a later process with the same id.
+BOOST_FIXTURE_TEST_CASE(LaterProcessesDoNotAnswerForEarlierOnes, RelayFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/once/x", "r1", kNoBody));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(UnframedHead("r1") + kEvents);
+  target.Close();
+  TestConnection probe = first().Accept();
+  const std::string request = probe.ReadMessage();
+  RestartTargets();
+  UseOneTarget();
+  probe.Send(ResponseToProbe(request));
+  BOOST_TEST(!Contains(caller.ReadUntilClose(), "\r\n0\r\n\r\n"));
+}
+
+namespace {
+
+struct ShortCheckFixture : RelayFixture {
+  static RelayFixtureOptions Options() {
+    RelayFixtureOptions options;
+    options.end_check_limit = std::chrono::milliseconds(50);
+    return options;
+  }
+  ShortCheckFixture() : RelayFixture(Options()) {}
+};
+
+}  // namespace
+
+// Guards against a stream that counts as whole because nothing shows that it is
+// not.
+BOOST_FIXTURE_TEST_CASE(StreamsOfSilentTargetsAreBrokenOff, ShortCheckFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/once/x", "r1", kNoBody));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(UnframedHead("r1") + kEvents);
+  target.Close();
+  const TestConnection probe = first().Accept();
+  BOOST_TEST(!Contains(caller.ReadUntilClose(), "\r\n0\r\n\r\n"));
+}
+
+// Guards against a check that acts on a request whose caller has left.
+BOOST_FIXTURE_TEST_CASE(CallersMayLeaveDuringACheck, RelayFixture) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/once/x", "r1", kNoBody));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(UnframedHead("r1") + kEvents);
+  target.Close();
+  TestConnection probe = first().Accept();
+  const std::string request = probe.ReadMessage();
+  caller.Close();
+  size_t open = 1;
+  while (open > 0) {
+    RunOnRelayThread([&](RoutingState&) { open = relay().open_exchanges(); });
+  }
+  probe.Send(ResponseToProbe(request));
+  TestConnection other_caller = Connect();
+  other_caller.Send(RequestHead("POST", "/unsafe/x", "r2", kNoBody));
+  TestConnection other = first().Accept();
+  other.ReadMessage();
+  other.Send(SignedResponse("r2", "done"));
+  BOOST_TEST(Contains(other_caller.ReadMessage(), "\r\n\r\ndone"));
+  BOOST_TEST(!Contains(LogText(), "response_end_checked"));
+}
+
 }  // namespace endiveyard
