End of responses: a pause of a replica outlives the checks

Found on reading the change again: the pause in which a replica had been probed was kept with its open checks and forgotten with the last of them, so that each response that ended in the pause caused a probe. It is kept by the decision now, with a test (PausedReplicasGetOneProbe).

--- a/include/endiveyard/placement/survival_checks.h
+++ b/include/endiveyard/placement/survival_checks.h
@@ -65,8 +65,11 @@
   void Drop(uint64_t check);
 
   // Returns true if a probe would help a check and none is in progress; the
-  // caller then sends it and calls RecordProbeEnd() once.
-  bool BeginProbe(uint64_t replica_key, TimePoint now);
+  // caller then sends it and calls RecordProbeEnd() once. A replica that wants
+  // no requests for `pause` gets one probe in that time.
+  bool BeginProbe(uint64_t replica_key,
+                  TimePoint now,
+                  Duration pause = Duration(0));
   // `may_be_reached` is false while the links of this instance are in doubt, so
   // that a refused connection says nothing about the replica.
   std::vector<SurvivalAnswer> RecordProbeEnd(uint64_t replica_key,
@@ -104,6 +107,8 @@
   const Duration time_limit_;
   std::map<uint64_t, ReplicaState> replicas_;
   std::map<uint64_t, uint64_t> replica_of_check_;
+  // Ends of the pauses in which replicas were probed, by key of the replica.
+  std::map<uint64_t, TimePoint> probed_pauses_;
   uint64_t next_check_ = 1;
 };
 
--- a/src/placement/survival_checks.cc
+++ b/src/placement/survival_checks.cc
@@ -1,6 +1,7 @@
 #include "endiveyard/placement/survival_checks.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace endiveyard {
 namespace {
@@ -27,7 +28,9 @@
   EraseIfUnused(replica_key);
 }
 
-bool SurvivalChecks::BeginProbe(uint64_t replica_key, TimePoint now) {
+bool SurvivalChecks::BeginProbe(uint64_t replica_key,
+                                TimePoint now,
+                                Duration pause) {
   const auto it = replicas_.find(replica_key);
   if (it == replicas_.end()) {
     return false;
@@ -37,6 +40,17 @@
       (state.next_probe_at && now < *state.next_probe_at)) {
     return false;
   }
+  if (pause > Duration(0)) {
+    for (auto old = probed_pauses_.begin(); old != probed_pauses_.end();) {
+      old = old->second <= now ? probed_pauses_.erase(old) : std::next(old);
+    }
+    const auto [probed, is_first] =
+        probed_pauses_.emplace(replica_key, now + pause);
+    if (!is_first) {
+      state.next_probe_at = probed->second;
+      return false;
+    }
+  }
   state.probe_in_progress = true;
   state.probe_sent_at = now;
   return true;
--- a/src/relay/survival_prober.cc
+++ b/src/relay/survival_prober.cc
@@ -29,8 +29,6 @@
   TargetResponseHead head;
   std::string body;
   boost::asio::steady_timer timer;
-  // End of the pause in which the last probe was sent.
-  std::optional<TimePoint> probed_until;
 };
 
 SurvivalProber::SurvivalProber(boost::asio::io_context& io,
@@ -87,26 +85,12 @@
   probes_.clear();
 }
 
-bool SurvivalProber::MaySend(Probe* probe, TimePoint now) const {
-  const Duration pause = placer_.availability().PauseOf(probe->key, now);
-  if (pause > Duration(0) && probe->probed_until &&
-      now < *probe->probed_until) {
-    return false;
-  }
-  probe->probed_until = now + pause;
-  return true;
-}
-
 void SurvivalProber::Advance(const std::shared_ptr<Probe>& probe) {
   const TimePoint now = BootClock::now();
   Deliver(checks_.Expire(probe->key, now));
-  if (checks_.BeginProbe(probe->key, now)) {
-    if (MaySend(probe.get(), now)) {
-      Send(probe);
-    } else {
-      checks_.RecordProbeEnd(probe->key, SurvivalProbeOutcome::kFailed, true,
-                             now);
-    }
+  if (checks_.BeginProbe(probe->key, now,
+                         placer_.availability().PauseOf(probe->key, now))) {
+    Send(probe);
   }
   const auto next = checks_.NextStep(probe->key);
   if (!next) {
--- a/src/relay/survival_prober.h
+++ b/src/relay/survival_prober.h
@@ -48,8 +48,6 @@
  private:
   struct Probe;
 
-  // Returns false if the replica has asked to be spared and was probed since.
-  bool MaySend(Probe* probe, TimePoint now) const;
   void Advance(const std::shared_ptr<Probe>& probe);
   void Send(const std::shared_ptr<Probe>& probe);
   // Records what the answer states about the requests that the replica takes.
--- a/tests/placement/survival_checks_test.cc
+++ b/tests/placement/survival_checks_test.cc
@@ -82,6 +82,25 @@
               Answers{{check, SurvivalVerdict::kGone}}));
 }
 
+// Guards against a probe for each response of a replica that has asked for a
+// pause.
+BOOST_AUTO_TEST_CASE(PausedReplicasGetOneProbe) {
+  constexpr Duration kPause = std::chrono::seconds(2);
+  SurvivalChecks checks;
+  checks.Begin(kReplica, At(0));
+  BOOST_TEST(checks.BeginProbe(kReplica, At(0), kPause));
+  BOOST_TEST(checks
+                 .RecordProbeEnd(kReplica, SurvivalProbeOutcome::kAnswered,
+                                 true, At(1))
+                 .size() == 1u);
+  checks.Begin(kReplica, At(2));
+  BOOST_TEST(!checks.BeginProbe(kReplica, At(2), kPause));
+  BOOST_TEST((checks.NextStep(kReplica) == At(0) + kPause));
+  BOOST_TEST(checks.BeginProbe(kReplica, At(0) + kPause, Duration(0)));
+  checks.Begin(kOther, At(3));
+  BOOST_TEST(checks.BeginProbe(kOther, At(3), kPause));
+}
+
 // Guards against callers that wait for a silent replica without a bound.
 BOOST_AUTO_TEST_CASE(ChecksEndAfterTheTimeLimit) {
   SurvivalChecks checks;
