--- a/src/front/stream_recorder.cc
+++ b/src/front/stream_recorder.cc
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr Duration kMinWriteInterval = std::chrono::seconds(1);
-// All instances together write as often as the registry, which takes some
-// hundred writes a second, can bear beside its other work: 200 times a second.
+// All instances together write 200 times a second at most, half of what the
+// smallest registry takes.
 constexpr Duration kWriteIntervalPerInstance = std::chrono::milliseconds(5);
 // Time between the end of a read and the begin of the next one.
 constexpr Duration kReadInterval = std::chrono::milliseconds(500);
