Soak: groups without reports, pauses, attempts and deadlines are checked

Its processes always heard each other, arrivals answered with 421 were not counted as repeats, and it did not look at the number of replicas that run a try, at the time that calls are given, or at calls into a pause that a replica asked for.

--report-groups keeps reports within groups of processes, the fault `pause` refuses with Retry-After (each process then has a view of the registry of its own), and the checks follow the users' rules: more than three tries on too many replicas, more than 20 calls with too much time and a fifth of those counted, more than two calls of a process in a pause, half a second after it began.

No logic of the product is changed.

--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -202,4 +202,11 @@
   return false;
 }
 
+bool FrontProcess::WasStarted(int64_t begin_ms, int64_t end_ms) const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return std::any_of(starts_.begin(), starts_.end(), [&](const auto& it) {
+    return it.first >= begin_ms && it.first <= end_ms;
+  });
+}
+
 }  // namespace endiveyard::soak
--- a/tools/soak/front_process.h
+++ b/tools/soak/front_process.h
@@ -61,6 +61,8 @@
   // True if the process was killed, frozen or down for a moment from `begin_ms`
   // to `end_ms`, or thawed less than a second before.
   bool WasDisturbed(int64_t begin_ms, int64_t end_ms) const;
+  // True if a process was started from `begin_ms` to `end_ms`.
+  bool WasStarted(int64_t begin_ms, int64_t end_ms) const;
 
  private:
   struct Span {
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -55,6 +55,8 @@
   double same_id_rate = 0.5;
   int max_change_ms = 1700;  // between two changes of replicas at most
   bool signals = true;
+  // Processes of different groups cannot report to each other.
+  int report_groups = 1;
   // How processes lose their links to all replicas, one way after the other:
   // none if it is empty.
   std::vector<std::string> stranded;
@@ -122,7 +124,9 @@
   // the replicas, if links between processes and replicas can be cut or reports
   // are to say which build sent what.
   size_t ViewCount() const {
-    return options_.stranded.empty() && !builds_.is_mixed()
+    return options_.stranded.empty() && !builds_.is_mixed() &&
+                   std::count(options_.faults.begin(), options_.faults.end(),
+                              ReplicaFault::kPause) == 0
                ? 1
                : static_cast<size_t>(options_.fronts);
   }
@@ -224,6 +228,11 @@
         return front.name() + " (" + front.BuildsDuring(NowMs(), NowMs()) + ")";
       };
     }
+    if (ViewCount() > 1) {
+      options.process_of = [this](size_t view) {
+        return fronts_[view]->name();
+      };
+    }
     options.rejoin = [this, n] { Rejoin(static_cast<size_t>(n)); };
     replicas_.push_back(
         std::make_unique<ReplicaStandin>(options, &ledger_, &handles_));
@@ -234,7 +243,8 @@
 
 void Soak::StartFronts() {
   fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
-                                options_.fronts, registry_, ViewCount());
+                                options_.fronts, registry_, ViewCount(),
+                                options_.report_groups);
   constexpr int kReadyMs = 10000;
   for (size_t n = 0; builds_.is_mixed() && n < fronts_.size(); ++n) {
     Terminate(*fronts_[n]);
@@ -352,7 +362,8 @@
     if (!peer || TimeLeftMs(request) < kMinTimeLeftMs) {
       return;
     }
-    ledger_.RecordRequest(ServiceOf(request.target), request.id);
+    ledger_.RecordRequest(ServiceOf(request.target), request.id,
+                          TimeLeftMs(request));
     request.sent_ms = NowMs();
     peer->Send(BytesOf(request));
     result = ReadResult(request, front, peer.get());
@@ -392,7 +403,8 @@
     }
     request.body = std::string(static_cast<size_t>(draw(2000)), 'q');
     bytes += BytesOf(request);
-    ledger_.RecordRequest(ServiceOf(request.target), request.id);
+    ledger_.RecordRequest(ServiceOf(request.target), request.id,
+                          TimeLeftMs(request));
     sent.push_back(request);
   }
   const int64_t sent_ms = NowMs();
@@ -638,6 +650,15 @@
 }
 
 std::vector<std::string> Soak::Run() {
+  ledger_.set_max_attempts(options_.max_attempts);
+  ledger_.set_is_calm([this](const std::string& name, int64_t begin_ms,
+                             int64_t end_ms) {
+    const auto it =
+        std::find_if(fronts_.begin(), fronts_.end(),
+                     [&](const auto& front) { return front->name() == name; });
+    return it != fronts_.end() && !(*it)->WasDisturbed(begin_ms, end_ms) &&
+           !(*it)->WasStarted(begin_ms, end_ms);
+  });
   StartReplicas();
   PutConfiguration(7);
   StartFronts();
@@ -709,7 +730,7 @@
   for (int n = 1; names.empty() && n < static_cast<int>(ReplicaFault::kCount);
        ++n) {
     const auto fault = static_cast<ReplicaFault>(n);
-    if (fault != ReplicaFault::kLateFirstId) {
+    if (fault != ReplicaFault::kLateFirstId && fault != ReplicaFault::kPause) {
       faults.push_back(fault);
     }
   }
@@ -751,7 +772,7 @@
       "share of the requests that a replica handles wrongly")(
       "fault", po::value(&fault_names)->composing(),
       "fault of the replicas; may be repeated; default: all but "
-      "late_first_id")(
+      "late_first_id and pause")(
       "pipeline-rate", po::value(&soak.pipeline_rate),
       "share of the turns of a client that send two or three requests at once")(
       "stranded", po::value(&soak.stranded)->composing(),
@@ -774,6 +795,8 @@
       "kill-every-ms", po::value(&soak.kill_every_ms),
       "interval at which one process after the other is killed and started "
       "again, instead of other signals")(
+      "report-groups", po::value(&soak.report_groups),
+      "processes of different groups cannot report to each other")(
       "signals", po::value(&soak.signals),
       "signals to processes, changes of replicas and configuration")(
       "other-binary", po::value(&soak.other_binary),
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -50,7 +50,8 @@
                    "wrong_event_id",
                    "unframed",
                    "unframed_reset",
-                   "late_first_id"};
+                   "late_first_id",
+                   "pause"};
 
 std::string HeadOf(const std::string& id, const std::string& framing) {
   return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
@@ -260,16 +261,31 @@
                      run.replica + "\r\nContent-Length: 0\r\n\r\n");
   }
   const bool prefills = request.Header("Endiveyard-Stage") == "prefill";
+  Arrival arrival;
+  arrival.id = run.id;
+  arrival.service = options_.service;
+  arrival.replica = run.replica;
+  arrival.read_only = prefills;
+  arrival.process =
+      options_.process_of ? options_.process_of(connection.view) : "";
+  if (const std::string left = request.Header("Endiveyard-Deadline-Ms");
+      !left.empty()) {
+    arrival.time_left_ms = std::atoll(left.c_str());
+  }
   if (request.Header("Endiveyard-Expect-Instance") != run.replica ||
       (!stage.empty() && prefills != (stage == "prefill"))) {
+    ledger_->RecordArrival(arrival);
     return Refuse(connection, Misdirected(run.id), Misdirected(""),
                   DrawFault());
   }
   if (prefills) {
-    return Prefill(connection, request);
+    return Prefill(connection, request, arrival);
   }
-  ledger_->RecordArrival(run.id, options_.service, false, false);
+  ledger_->RecordArrival(arrival);
   const ReplicaFault fault = DrawFault();
+  if (fault == ReplicaFault::kPause) {
+    return AskForPause(connection, arrival);
+  }
   if (IsRefusal(fault)) {
     return Refuse(connection, Refusal(run.id), Refusal(""), fault);
   }
@@ -332,6 +348,19 @@
   }
 }
 
+bool ReplicaStandin::AskForPause(Connection& connection,
+                                 const Arrival& arrival) {
+  constexpr int64_t kPauseS = 2;
+  constexpr int64_t kMsPerS = 1000;
+  const std::string refusal = Refusal(arrival.id);
+  const size_t head_end = refusal.find("Content-Length");
+  const bool is_sent = connection.peer.Send(
+      refusal.substr(0, head_end) + "Retry-After: " + std::to_string(kPauseS) +
+      "\r\n" + refusal.substr(head_end));
+  ledger_->RecordPause(arrival.replica, arrival.process, kPauseS * kMsPerS);
+  return is_sent;
+}
+
 void ReplicaStandin::Rejoin() {
   // Callers know the new registration when the answer arrives.
   constexpr int kNoticeMs = 20;
@@ -340,13 +369,18 @@
 }
 
 bool ReplicaStandin::Prefill(Connection& connection,
-                             const HttpMessage& request) {
+                             const HttpMessage& request,
+                             Arrival arrival) {
   HttpPeer& peer = connection.peer;
   const std::string id = request.Header("Endiveyard-Request-Id");
   const ReplicaFault fault = DrawFault();
-  const bool accepted =
-      fault == ReplicaFault::kNone || fault > ReplicaFault::kCloseBeforeRun;
-  ledger_->RecordArrival(id, options_.service, true, accepted);
+  arrival.accepted =
+      fault == ReplicaFault::kNone ||
+      (fault > ReplicaFault::kCloseBeforeRun && fault != ReplicaFault::kPause);
+  ledger_->RecordArrival(arrival);
+  if (fault == ReplicaFault::kPause) {
+    return AskForPause(connection, arrival);
+  }
   if (IsRefusal(fault)) {
     return Refuse(connection, Refusal(id), Refusal(""), fault);
   }
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -74,6 +74,9 @@
   // such streams that a process gets cannot be told from sound ones, so this is
   // played only if it is asked for.
   kLateFirstId,
+  // Refuses and asks for a pause. Played only if it is asked for, since each
+  // process needs a view of the registry of its own.
+  kPause,
   kCount
 };
 
@@ -97,6 +100,9 @@
     // Returns the process with a view of the registry, for reports. May be
     // empty if there is only one view.
     std::function<std::string(size_t view)> describe_caller;
+    // Returns the name of the process with a view of the registry; empty if all
+    // have the same.
+    std::function<std::string(size_t view)> process_of;
     // Has the replica started again and registered under its new id.
     std::function<void()> rejoin;
   };
@@ -133,12 +139,16 @@
                 ReplicaFault fault);
   // Returns false when the connection is to be closed.
   bool Handle(Connection& connection, const HttpMessage& request);
-  bool Prefill(Connection& connection, const HttpMessage& request);
+  bool Prefill(Connection& connection,
+               const HttpMessage& request,
+               Arrival arrival);
   // Sends a refusal, `without_id` in the copies that have none.
   bool Refuse(Connection& connection,
               const std::string& refusal,
               const std::string& without_id,
               ReplicaFault fault);
+  // Refuses, and wants no work from the process for a while.
+  bool AskForPause(Connection& connection, const Arrival& arrival);
   bool Answer(Connection& connection,
               const HttpMessage& request,
               ReplicaFault fault);
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -12,6 +12,16 @@
 namespace {
 
 constexpr std::string_view kEventEnd = "\n\n";
+// What the users' rules allow, see RunLedger::CheckTimeGiven() and
+// CheckAttempts().
+constexpr int64_t kTimeGivenSlackMs = 500;
+constexpr int kMaxTimeGivenTooLong = 20;
+constexpr double kMaxShareOfTimeGivenTooLong = 0.2;
+constexpr size_t kMaxOverRunTries = 3;
+// A replica gets this many calls of a process in a pause, from kPauseSlackMs
+// after it has asked for it.
+constexpr int64_t kPauseSlackMs = 500;
+constexpr int kMaxCallsInPause = 2;
 // Stands before the number of the run in each event.
 constexpr std::string_view kRunField = ", run ";
 
@@ -100,8 +110,12 @@
 }
 
 void RunLedger::RecordRequest(const std::string& service,
-                              const std::string& id) {
+                              const std::string& id,
+                              int64_t time_left_ms) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  Deadline& deadline = deadlines_[id] = Deadline();
+  deadline.time_left_ms = time_left_ms;
+  deadline.end_ms = NowMs() + time_left_ms;
   Traffic& traffic = traffic_[service];
   traffic.requests.push_back(NowMs());
   // What arrives from now on belongs to this request.
@@ -109,20 +123,105 @@
   traffic.read.erase(id);
 }
 
-void RunLedger::RecordArrival(const std::string& id,
-                              const std::string& service,
-                              bool read_only,
-                              bool accepted) {
+void RunLedger::RecordArrival(const Arrival& arrival) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  Traffic& traffic = traffic_[service];
-  if (read_only && accepted && traffic.read.insert(id).second) {
+  RecordTimeGiven(arrival);
+  RecordCallInPause(arrival);
+  Traffic& traffic = traffic_[arrival.service];
+  if (arrival.read_only && arrival.accepted &&
+      traffic.read.insert(arrival.id).second) {
     return;
   }
-  if (!traffic.arrived.insert(id).second) {
+  if (!traffic.arrived.insert(arrival.id).second) {
     traffic.repeats.push_back(NowMs());
   }
 }
 
+void RunLedger::RecordTimeGiven(const Arrival& arrival) {
+  const auto it = deadlines_.find(arrival.id);
+  if (it == deadlines_.end()) {
+    return;
+  }
+  Deadline& deadline = it->second;
+  const int64_t now_ms = NowMs();
+  const bool is_late = deadline.first_call_ms &&
+                       now_ms - *deadline.first_call_ms > kTimeGivenSlackMs;
+  time_given_.sent_again_late += is_late ? 1 : 0;
+  const int64_t left_ms = arrival.time_left_ms.value_or(0);
+  const int64_t end_ms = now_ms + left_ms;
+  const int64_t latest_ms =
+      std::max(deadline.first_call_end_ms, deadline.end_ms) + kTimeGivenSlackMs;
+  if (!arrival.time_left_ms ||
+      left_ms > deadline.time_left_ms + kTimeGivenSlackMs ||
+      (is_late && end_ms > latest_ms)) {
+    ++time_given_.too_long;
+    time_given_.examples.push_back(arrival.id + " at " + arrival.replica);
+  }
+  if (!deadline.first_call_ms) {
+    deadline.first_call_ms = now_ms;
+    deadline.first_call_end_ms = end_ms;
+  }
+}
+
+void RunLedger::RecordPause(const std::string& replica,
+                            const std::string& process,
+                            int64_t pause_ms) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  pauses_[{replica, process}].push_back({NowMs(), NowMs() + pause_ms, 0});
+}
+
+void RunLedger::RecordCallInPause(const Arrival& arrival) {
+  const auto it = pauses_.find({arrival.replica, arrival.process});
+  if (it == pauses_.end()) {
+    return;
+  }
+  const int64_t now_ms = NowMs();
+  for (Pause& pause : it->second) {
+    if (now_ms <= pause.begin_ms + kPauseSlackMs || now_ms >= pause.end_ms ||
+        !is_calm_(arrival.process, pause.begin_ms, now_ms)) {
+      continue;
+    }
+    ++calls_in_pauses_;
+    if (++pause.calls == kMaxCallsInPause + 1) {
+      violations_.push_back("BUDGET, replica " + arrival.replica +
+                            " wants no work, and gets calls of " +
+                            arrival.process + ", last " + arrival.id + ", " +
+                            std::to_string(now_ms - pause.begin_ms) +
+                            " ms after it has said so");
+    }
+  }
+}
+
+void RunLedger::CheckTimeGiven() {
+  const int counted = time_given_.too_long + time_given_.sent_again_late;
+  if (time_given_.too_long > kMaxTimeGivenTooLong &&
+      time_given_.too_long > kMaxShareOfTimeGivenTooLong * counted) {
+    violations_.push_back("BUDGET, " + std::to_string(time_given_.too_long) +
+                          " calls were given more time than is left, " +
+                          time_given_.examples.front() + " first");
+  }
+}
+
+void RunLedger::CheckAttempts() {
+  if (max_attempts_ == 0) {
+    return;
+  }
+  for (const ClientResult& it : results_) {
+    std::set<std::string> replicas;
+    for (const RunRecord* run : RunsOfTry(it)) {
+      replicas.insert(run->run.replica);
+    }
+    if (static_cast<int>(replicas.size()) > max_attempts_) {
+      over_run_.push_back(Describe("ran on too many replicas", it));
+    }
+  }
+  if (over_run_.size() > kMaxOverRunTries) {
+    violations_.push_back("BUDGET, " + std::to_string(over_run_.size()) +
+                          " tries ran on too many replicas, first " +
+                          over_run_.front());
+  }
+}
+
 RunLedger::RepeatPeak RunLedger::FindRepeatPeak() const {
   RepeatPeak peak;
   peak.beyond_bound = -std::numeric_limits<double>::infinity();
@@ -154,12 +253,16 @@
 std::string RunLedger::RepeatSummary() {
   const std::lock_guard<std::mutex> lock(mutex_);
   const RepeatPeak peak = FindRepeatPeak();
-  if (peak.service.empty()) {
-    return "no repeats";
-  }
-  return "most repeats in 10 s " + std::to_string(peak.repeats) + " at " +
-         peak.service + ", " + std::to_string(peak.beyond_bound) +
-         " beyond the bound";
+  const std::string repeats =
+      peak.service.empty()
+          ? "no repeats"
+          : "most repeats in 10 s " + std::to_string(peak.repeats) + " at " +
+                peak.service + ", " + std::to_string(peak.beyond_bound) +
+                " beyond the bound";
+  return repeats + "; of " + std::to_string(time_given_.sent_again_late) +
+         " calls sent again late, and others, " +
+         std::to_string(time_given_.too_long) + " were given too much time; " +
+         std::to_string(calls_in_pauses_) + " calls in pauses";
 }
 
 void RunLedger::RecordResult(const ClientResult& result) {
@@ -338,15 +441,7 @@
 }
 
 void RunLedger::Check(const ClientResult& result) {
-  std::vector<const RunRecord*> runs = RunsOf(result.id);
-  // Without the runs of earlier and later requests with this id.
-  const int64_t next_ms = NextSentMs(result);
-  runs.erase(std::remove_if(runs.begin(), runs.end(),
-                            [&](const RunRecord* it) {
-                              return it->begin_ms < result.sent_ms ||
-                                     it->begin_ms >= next_ms;
-                            }),
-             runs.end());
+  const std::vector<const RunRecord*> runs = RunsOfTry(result);
   const auto report = [&](const std::string& text) {
     violations_.push_back(Describe(text, result));
   };
@@ -389,6 +484,20 @@
   }
 }
 
+std::vector<const RunLedger::RunRecord*> RunLedger::RunsOfTry(
+    const ClientResult& result) const {
+  std::vector<const RunRecord*> runs = RunsOf(result.id);
+  // Without the runs of earlier and later requests with this id.
+  const int64_t next_ms = NextSentMs(result);
+  runs.erase(std::remove_if(runs.begin(), runs.end(),
+                            [&](const RunRecord* it) {
+                              return it->begin_ms < result.sent_ms ||
+                                     it->begin_ms >= next_ms;
+                            }),
+             runs.end());
+  return runs;
+}
+
 int64_t RunLedger::NextSentMs(const ClientResult& result) const {
   int64_t next = std::numeric_limits<int64_t>::max();
   const auto it = sent_ms_.find(result.id);
@@ -409,6 +518,8 @@
   }
   CheckRepeatedRuns();
   CheckTakeUps();
+  CheckAttempts();
+  CheckTimeGiven();
   results_.clear();
   run_numbers_.clear();
   if (const RepeatPeak peak = FindRepeatPeak(); peak.beyond_bound > 0) {
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -2,11 +2,13 @@
 #define ENDIVEYARD_TOOLS_SOAK_RUN_LEDGER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace endiveyard::soak {
@@ -28,6 +30,19 @@
 // The whole body of the answer to the request `id`, unless it is a stream.
 std::string BodyOf(const std::string& id);
 
+// A call of a process that has reached a replica.
+struct Arrival {
+  std::string id;  // of the request
+  std::string service;
+  std::string replica;
+  bool read_only = false;  // only has the prompt read
+  bool accepted = false;   // not rejected at once
+  // As stated by the call; nullopt if it states none.
+  std::optional<int64_t> time_left_ms;
+  // Process that sent it; empty if not known.
+  std::string process;
+};
+
 // A request that a replica has begun to work on.
 struct Run {
   int64_t number = 0;  // given by the ledger
@@ -79,15 +94,25 @@
   // The replica no longer works on the run.
   void RecordRunEnd(int64_t number);
   // A client sends a request for `service`, perhaps with an id that it has sent
-  // before.
-  void RecordRequest(const std::string& service, const std::string& id);
-  // A call for the request `id` reached a replica of `service`. `read_only`
-  // calls only have the prompt read; the first one that is accepted is no
-  // repeat.
-  void RecordArrival(const std::string& id,
-                     const std::string& service,
-                     bool read_only,
-                     bool accepted);
+  // before, and gives it up after `time_left_ms`.
+  void RecordRequest(const std::string& service,
+                     const std::string& id,
+                     int64_t time_left_ms);
+  // The first call of a request that only has the prompt read and is accepted
+  // is no repeat.
+  void RecordArrival(const Arrival& arrival);
+  // The replica has told the process that it wants no work for `pause_ms`.
+  void RecordPause(const std::string& replica,
+                   const std::string& process,
+                   int64_t pause_ms);
+  // Tells whether a process has run without disturbance from one time to
+  // another, in ms. Needed for pauses.
+  void set_is_calm(
+      std::function<bool(const std::string&, int64_t, int64_t)> is_calm) {
+    is_calm_ = std::move(is_calm);
+  }
+  // The routes allow so many replicas to run one request.
+  void set_max_attempts(int max_attempts) { max_attempts_ = max_attempts; }
   void RecordResult(const ClientResult& result);
   // Records a violation that was seen elsewhere.
   void RecordViolation(const std::string& text);
@@ -95,7 +120,8 @@
   // To be called once no run begins any more.
   std::vector<std::string> Violations();
   // Returns the most repeats of a service in the window of the retry bound, and
-  // by how many they exceed it.
+  // by how many they exceed it, requests with too many runs, and calls that
+  // were given too much time.
   std::string RepeatSummary();
   // Numbers of results by kind and status, for the report.
   std::string Summary();
@@ -119,6 +145,24 @@
     int repeats = 0;
     double beyond_bound = 0;
   };
+  // When a request and the first call for it end.
+  struct Deadline {
+    int64_t time_left_ms = 0;  // as the client states it
+    int64_t end_ms = 0;
+    std::optional<int64_t> first_call_ms;
+    int64_t first_call_end_ms = 0;
+  };
+  struct Pause {
+    int64_t begin_ms = 0;
+    int64_t end_ms = 0;
+    int calls = 0;
+  };
+  // Calls whose time is checked.
+  struct TimeGiven {
+    int sent_again_late = 0;
+    int too_long = 0;
+    std::vector<std::string> examples;
+  };
 
   void Check(const ClientResult& result);
   // Returns what is wrong with the events of a stream; empty if nothing is.
@@ -127,6 +171,13 @@
                           std::set<std::string>* versions) const;
   // Checks the requests that were run more than once.
   void CheckRepeatedRuns();
+  // Checks on how many replicas requests have run.
+  void CheckAttempts();
+  // Checks the time that calls were given.
+  void CheckTimeGiven();
+  void RecordTimeGiven(const Arrival& arrival);
+  // Counts a call that reaches a replica which wants none.
+  void RecordCallInPause(const Arrival& arrival);
   // Checks the streams that clients took up.
   void CheckTakeUps();
   std::string Describe(const std::string& text,
@@ -138,6 +189,8 @@
   std::vector<const RunRecord*> RunsOf(const std::string& id) const;
   // When the client has sent the next request with the same id.
   int64_t NextSentMs(const ClientResult& result) const;
+  // Returns the runs of one try of a client.
+  std::vector<const RunRecord*> RunsOfTry(const ClientResult& result) const;
   // Returns the window in which a service came closest to the retry bound, or
   // exceeded it most.
   RepeatPeak FindRepeatPeak() const;
@@ -149,6 +202,15 @@
   std::vector<ClientResult> results_;
   std::map<std::string, std::vector<int64_t>> sent_ms_;  // by request
   std::vector<std::string> violations_;
+  int max_attempts_ = 0;  // 0 if it is not checked
+  // Tries of clients that ran on more replicas than allowed.
+  std::vector<std::string> over_run_;
+  std::map<std::string, Deadline> deadlines_;  // by request, of the last try
+  TimeGiven time_given_;
+  std::function<bool(const std::string&, int64_t, int64_t)> is_calm_;
+  // By replica and process.
+  std::map<std::pair<std::string, std::string>, std::vector<Pause>> pauses_;
+  int calls_in_pauses_ = 0;
 };
 
 }  // namespace endiveyard::soak
--- a/tools/soak/soak_configuration.cc
+++ b/tools/soak/soak_configuration.cc
@@ -47,18 +47,26 @@
     const std::string& network,
     int count,
     const RegistryStandin& registry,
-    size_t registry_views) {
+    size_t registry_views,
+    int report_groups) {
   constexpr int kFirstHost = 100;
   const auto ip = [&network](int n) {
     return network + std::to_string(kFirstHost + n);
   };
-  // Processes report to each other at one port.
-  const uint16_t control_port = FindFreePort(ip(0), {});
-  constexpr int kMaxSeeds = 3;
-  std::vector<std::string> seeds;
-  seeds.reserve(kMaxSeeds);
-  for (int n = 0; n < std::min(count, kMaxSeeds); ++n) {
-    seeds.push_back(ip(n) + ":" + std::to_string(control_port));
+  // Processes of a group report to each other at one port.
+  constexpr size_t kMaxSeeds = 3;
+  std::vector<uint16_t> control_ports;
+  std::vector<std::vector<std::string>> seeds(
+      static_cast<size_t>(report_groups));
+  for (int n = 0; n < report_groups; ++n) {
+    control_ports.push_back(FindFreePort(ip(0), control_ports));
+  }
+  for (int n = 0; n < count; ++n) {
+    const auto group = static_cast<size_t>(n % report_groups);
+    if (seeds[group].size() < kMaxSeeds) {
+      seeds[group].push_back(ip(n) + ":" +
+                             std::to_string(control_ports[group]));
+    }
   }
   std::vector<std::unique_ptr<FrontProcess>> fronts;
   for (int n = 0; n < count; ++n) {
@@ -70,8 +78,9 @@
     options.registry_address =
         network + "1:" +
         std::to_string(registry.port(static_cast<size_t>(n) % registry_views));
-    options.seed_addresses = seeds;
-    options.control_port = control_port;
+    const auto group = static_cast<size_t>(n % report_groups);
+    options.seed_addresses = seeds[group];
+    options.control_port = control_ports[group];
     fronts.push_back(std::make_unique<FrontProcess>(options));
     fronts.back()->Start();
   }
--- a/tools/soak/soak_configuration.h
+++ b/tools/soak/soak_configuration.h
@@ -25,14 +25,17 @@
 std::string ConfigurationSpec(int version, int timeout_ms, int max_attempts);
 
 // Starts `count` processes at the addresses from `network` + "100" on, and
-// waits until they are ready. Throws std::runtime_error if they are not.
+// waits until they are ready. Processes of different groups, of which there are
+// `report_groups`, cannot report to each other. Throws std::runtime_error if
+// processes are not ready.
 std::vector<std::unique_ptr<FrontProcess>> StartFrontProcesses(
     const std::string& binary,
     const std::string& folder,
     const std::string& network,
     int count,
     const RegistryStandin& registry,
-    size_t registry_views);
+    size_t registry_views,
+    int report_groups = 1);
 
 }  // namespace endiveyard::soak
 
