Soak: the registry takes writes without a revision, and removals

The registry stand-in answered 409 to every PUT without a revision once the object existed, and returned removed objects when they were read by name. The users' page says that a call checks a revision only if it carries one. Instances that had written their record of streams once could therefore never write it again in the soak, so take-ups were played against old records.

POST now fails if the object exists, PUT and DELETE if it does not or has another revision than the one stated.

--- a/tools/soak/registry_standin.h
+++ b/tools/soak/registry_standin.h
@@ -46,9 +46,18 @@
   // that lists or watches.
   std::optional<std::string> HandleObject(const HttpMessage& request,
                                           size_t view);
-  std::string WriteObject(const std::string& kind,
-                          const std::string& name,
-                          const std::string& body);
+  // The latest change of an object; nullptr if there is none, or it is deleted.
+  const Change* Find(const std::string& kind, const std::string& name) const;
+  std::string Create(const std::string& kind,
+                     const std::string& name,
+                     const std::string& body);
+  std::string Replace(const std::string& kind,
+                      const std::string& name,
+                      const std::string& body);
+  // `revision` is negative for any.
+  std::string Remove(const std::string& kind,
+                     const std::string& name,
+                     int64_t revision);
   void Record(const std::string& kind,
               const std::string& name,
               const std::vector<std::string>& specs,
