Retry budget: instances that are not heard share the bound

Cause: the slack was divided by the instances that are heard. Parts of a fleet that do not hear each other, and were started or restarted so, each spent all of it.

Why the fix works: each instance keeps a record in the registry, and those heard or registered share the slack. A process spends none in its first 10 s, and is in the lists that the others read by then. The number counts only once a list has named the instance itself, since an older one may lack others.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,12 @@
   size_t InstanceCount() const;
   // Returns the position of this instance among them.
   InstancePosition Position() const;
+  // Records the instances that run according to the registry. They share what
+  // all have together, whether they are heard or not.
+  void RecordRegistered(const std::vector<std::string>& ips);
+  // Returns the number of instances that share it, including this one; nullopt
+  // before the registry has named this one.
+  std::optional<size_t> SharingCount() const;
   // Tells the others that this instance takes no more requests from callers, so
   // that they use its shares of what all instances have together.
   void SetLeaving();
--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -21,6 +21,9 @@
 inline constexpr Duration kPeerTimeoutOfLargeFleet = std::chrono::seconds(90);
 // Older signs of life are not passed on.
 inline constexpr Duration kMaxReportedAge = std::chrono::seconds(60);
+// An instance that the registry has named counts for this long, whether it is
+// heard or not.
+inline constexpr Duration kRegisteredTimeout = std::chrono::seconds(90);
 // Interval at which instances tell others which instances are live, and probe
 // seeds that are not.
 inline constexpr Duration kMemberInterval = std::chrono::seconds(1);
@@ -59,12 +62,16 @@
   // Records that this instance is leaving.
   void RecordOwnLeaving(TimePoint now);
 
+  // Records the instances that run according to the registry. May include this
+  // one.
+  void RecordRegistered(const std::vector<uint32_t>& addresses, TimePoint now);
+
   // Returns the live peers that exchange their own work with this instance.
   std::vector<uint32_t> Mates(TimePoint now) const;
   // Returns a live peer of each other region, in turn; none in a small fleet.
   std::vector<uint32_t> RegionRecipients(TimePoint now);
   // Returns the addresses to tell about live instances: some random live peers,
-  // and the seeds that are not live.
+  // the seeds that are not live, and some registered instances that are not.
   std::vector<uint32_t> MemberRecipients(TimePoint now);
   // Returns live peers with the time since their last sign of life, at most
   // kMaxMembersPerReport of them, at random. Those that have just left or
@@ -73,6 +80,11 @@
 
   // Returns the number of live instances, including this one.
   size_t InstanceCount(TimePoint now) const;
+  // Returns the number of instances that share what all have together: the live
+  // ones and those that the registry has named, which may run where they are
+  // not heard. nullopt before the registry has named this instance, since
+  // instances that are heard need not be all there are.
+  std::optional<size_t> SharingCount(TimePoint now) const;
 
   // Returns the time within which all others learn that an instance is back.
   Duration SpreadingTime(TimePoint now) const;
@@ -80,6 +92,9 @@
   // Returns the position of this instance among the live ones, in order of
   // address. Instances count as leaving once all have had time to learn of it.
   InstancePosition OwnPosition(TimePoint now) const;
+  // The same among those that share what all have together, as far as they are
+  // known.
+  InstancePosition OwnSharingPosition(TimePoint now) const;
 
   // Return the time until the next report after one of `report_bytes` to
   // `recipients` instances. Together they keep kMaxReportBytesPerSecond.
@@ -103,6 +118,14 @@
   };
 
   std::vector<uint32_t> LivePeers(TimePoint now) const;
+  bool IsRegistered(TimePoint named_at, TimePoint now) const;
+  // Returns the registered instances that are not live, in order.
+  std::vector<uint32_t> RegisteredOnly(TimePoint now) const;
+  // Returns the others that share what all have together, in order.
+  std::vector<uint32_t> Sharers(TimePoint now) const;
+  // Returns the own position among `others`, which are in order.
+  InstancePosition PositionAmong(const std::vector<uint32_t>& others,
+                                 TimePoint now) const;
   bool IsLive(const Peer& peer, TimePoint now) const;
   void RemoveOld(TimePoint now);
 
@@ -110,6 +133,9 @@
   const uint16_t own_region_;
   const std::vector<uint32_t> seeds_;
   std::map<uint32_t, Peer> peers_;
+  // When the registry named instances last.
+  std::map<uint32_t, TimePoint> registered_;
+  bool is_sharing_known_ = false;
   std::optional<TimePoint> own_leaving_since_;
   // Position in the lists of the members of other regions.
   size_t region_turn_ = 0;
--- a/include/endiveyard/registry/registry_client.h
+++ b/include/endiveyard/registry/registry_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/status/statusor.h"
@@ -58,6 +59,14 @@
       const std::string& kind,
       const std::string& after,
       std::function<void(absl::StatusOr<RegistryPage>)> done) = 0;
+  // As ListPage(), but cheaper, and the objects may be those of some seconds
+  // ago. The revision says nothing.
+  virtual void ListStalePage(
+      const std::string& kind,
+      const std::string& after,
+      std::function<void(absl::StatusOr<RegistryPage>)> done) {
+    ListPage(kind, after, std::move(done));
+  }
   // Long poll: completes at the first change after `revision`, or without
   // changes after `timeout`.
   virtual void Watch(
@@ -88,6 +97,11 @@
   virtual void Write(const std::string& kind,
                      const RegistryObject& object,
                      std::function<void(absl::Status)> done) = 0;
+  // Removes the object if it still has this revision. Errors: as Write().
+  virtual void Remove(const std::string& kind,
+                      const std::string& name,
+                      int64_t revision,
+                      std::function<void(absl::Status)> done) = 0;
 };
 
 }  // namespace endiveyard
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -21,6 +21,7 @@
 #include "endiveyard/telemetry/json_log.h"
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
+#include "front/instance_recorder.h"
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
 #include "front/version_recorder.h"
@@ -83,6 +84,12 @@
   return options;
 }
 
+int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 LoadExchangeOptions MakeLoadExchangeOptions(
     const platform::ProcessSettings& settings) {
   LoadExchangeOptions options;
@@ -368,17 +375,14 @@
     replica_mirror_->Start();
     StartVersionRecorder();
     StartStreamRecorder();
+    StartInstanceRecorder();
   }
 
   void StartVersionRecorder() {
     VersionRecorderHandlers handlers;
     handlers.position = [this] { return load_exchange_.Position(); };
     handlers.now = [] { return BootClock::now(); };
-    handlers.unix_ms = [] {
-      return std::chrono::duration_cast<std::chrono::milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-          .count();
-    };
+    handlers.unix_ms = UnixMs;
     handlers.schedule = MakeCommonHandlers().schedule;
     handlers.on_read = [this](const absl::Status& status, size_t services) {
       JsonFields fields;
@@ -410,7 +414,10 @@
     handlers.on_failure = [this](const absl::Status& status) {
       LogText(kLogStreamRecordFailed, "detail", std::string(status.message()));
     };
-    handlers.instance_count = [this] { return load_exchange_.InstanceCount(); };
+    handlers.instance_count = [this] {
+      return load_exchange_.SharingCount().value_or(
+          load_exchange_.InstanceCount());
+    };
     stream_recorder_ = std::make_unique<StreamRecorder>(
         &registry_client_, &registry_client_, relay_.stream_versions(),
         StreamRecorderOptions{std::string(platform::kStreamRecordKind),
@@ -426,6 +433,40 @@
     stream_recorder_->Start();
   }
 
+  void StartInstanceRecorder() {
+    InstanceRecorderHandlers handlers;
+    handlers.now = [] { return BootClock::now(); };
+    handlers.unix_ms = UnixMs;
+    handlers.schedule = MakeCommonHandlers().schedule;
+    handlers.on_read = [this](const std::vector<std::string>& ips) {
+      load_exchange_.RecordRegistered(ips);
+      LogInstanceCount(ips.size());
+    };
+    handlers.on_failure = [this](const absl::Status& status) {
+      LogText(kLogInstanceRecordFailed, "detail",
+              std::string(status.message()));
+    };
+    instance_recorder_ = std::make_unique<InstanceRecorder>(
+        &registry_client_, &registry_client_,
+        InstanceRecorderOptions{std::string(platform::kInstanceRecordKind),
+                                settings_.instance, settings_.own_ip},
+        std::move(handlers));
+    instance_recorder_->Start();
+  }
+
+  void LogInstanceCount(size_t registered) {
+    const size_t sharing = load_exchange_.SharingCount().value_or(0);
+    if (sharing == logged_sharing_count_) {
+      return;
+    }
+    logged_sharing_count_ = sharing;
+    JsonFields fields;
+    fields.Integer("sharing", static_cast<int64_t>(sharing))
+        .Integer("heard", static_cast<int64_t>(load_exchange_.InstanceCount()))
+        .Integer("registered", static_cast<int64_t>(registered));
+    log_.Log(kLogInstanceRecordsRead, fields, BootClock::now());
+  }
+
   // Returns the registered replica, or nullopt if the object is deleted or
   // malformed.
   std::optional<Replica> ParseReplicaObject(const RegistryObject& object) {
@@ -559,7 +600,9 @@
         service_map_confirmed_at_ && service_maps_.is_registry_current() &&
         now - *service_map_confirmed_at_ <
             mirror_timing_.watch_timeout + kConfirmationMargin;
-    relay_.set_instance_count(load_exchange_.InstanceCount());
+    if (const auto instances = load_exchange_.SharingCount()) {
+      relay_.set_instance_count(*instances);
+    }
     load_exchange_.SetTakesRequests(listens_for_peers_ && IsReady() &&
                                     !registry_lost_ &&
                                     relay_.TakesForwardedRequests());
@@ -658,6 +701,8 @@
   StandstillCheck standstill_check_;
   std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<StreamRecorder> stream_recorder_;
+  std::unique_ptr<InstanceRecorder> instance_recorder_;
+  size_t logged_sharing_count_ = 0;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
   std::optional<TimePoint> service_map_confirmed_at_;
--- /dev/null
+++ b/src/front/instance_recorder.cc
@@ -0,0 +1,198 @@
+#include "front/instance_recorder.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "endiveyard/base/digest.h"
+#include "front/instance_record.h"
+
+namespace endiveyard {
+namespace {
+
+constexpr Duration kRetryDelay = std::chrono::seconds(2);
+constexpr int64_t kMicrosPerMilli = 1000;
+
+}  // namespace
+
+class InstanceRecorder::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(RegistryClient* lists,
+       RegistryObjectClient* objects,
+       InstanceRecorderOptions options,
+       InstanceRecorderHandlers handlers)
+      : lists_(lists),
+        objects_(objects),
+        options_(std::move(options)),
+        handlers_(std::move(handlers)) {}
+
+  void Start() {
+    started_at_ = handlers_.now();
+    Read();
+    const uint64_t offset = Digest64(options_.name) %
+                            static_cast<uint64_t>(kFirstRecordTime.count());
+    Schedule(Duration(static_cast<int64_t>(offset)), &Impl::Write);
+  }
+
+ private:
+  struct Entry {
+    InstanceRecord record;
+    int64_t revision = 0;
+  };
+
+  // Calls `action` on this object after `delay`, unless it is gone.
+  void Schedule(Duration delay, void (Impl::*action)()) {
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    handlers_.schedule(delay, [weak, action] {
+      if (const auto self = weak.lock()) {
+        (self.get()->*action)();
+      }
+    });
+  }
+
+  void Read() {
+    entries_.clear();
+    pages_ = 0;
+    ReadPage("");
+  }
+
+  void ReadPage(const std::string& after) {
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    lists_->ListStalePage(options_.kind, after,
+                          [weak](const absl::StatusOr<RegistryPage>& page) {
+                            if (const auto self = weak.lock()) {
+                              self->OnPage(page);
+                            }
+                          });
+  }
+
+  void OnPage(const absl::StatusOr<RegistryPage>& page) {
+    if (!page.ok()) {
+      RecordOutcome(page.status());
+      Schedule(kRetryDelay, &Impl::Read);
+      return;
+    }
+    for (const RegistryObject& it : page->items) {
+      auto record = DecodeInstanceRecord(it.spec);
+      if (record && entries_.size() < kMaxInstanceRecords) {
+        entries_[it.name] = {*std::move(record), it.revision};
+      }
+    }
+    if (page->has_more && !page->items.empty() &&
+        ++pages_ < kMaxInstanceRecordPages) {
+      ReadPage(page->items.back().name);
+      return;
+    }
+    OnRead();
+  }
+
+  void OnRead() {
+    RecordOutcome(absl::OkStatus());
+    std::vector<std::string> ips;
+    for (const auto& [name, entry] : entries_) {
+      if (AgeOf(entry.record) < kInstanceRecordLifetime) {
+        ips.push_back(entry.record.ip);
+      }
+    }
+    handlers_.on_read(ips);
+    exists_ = exists_ || entries_.count(options_.name) > 0;
+    RemoveOld();
+    Schedule(TimeToNextRead(), &Impl::Read);
+  }
+
+  Duration TimeToNextRead() const {
+    const auto age =
+        std::chrono::duration_cast<Duration>(handlers_.now() - started_at_);
+    const auto interval =
+        kInstanceReadInterval *
+        static_cast<int64_t>(1 + entries_.size() / kInstancesPerReadInterval);
+    return age < kSecondReadTime ? kSecondReadTime - age : interval;
+  }
+
+  Duration AgeOf(const InstanceRecord& record) const {
+    constexpr int64_t kLongestMs = int64_t{24} * 3600 * 1000;
+    const int64_t age_ms = handlers_.unix_ms() - record.written_ms;
+    return Duration(std::clamp(age_ms, -kLongestMs, kLongestMs) *
+                    kMicrosPerMilli);
+  }
+
+  // Removes the first old record that follows the own one, without another
+  // record in force between them, so that few instances remove the same one.
+  void RemoveOld() {
+    auto it = entries_.find(options_.name);
+    if (it == entries_.end()) {
+      return;
+    }
+    if (++it == entries_.end()) {
+      it = entries_.begin();
+    }
+    if (AgeOf(it->second.record) > kMaxInstanceRecordAge) {
+      objects_->Remove(options_.kind, it->first, it->second.revision,
+                       [](const absl::Status& /*status*/) {});
+    }
+  }
+
+  void Write() {
+    RegistryObject object;
+    object.name = options_.name;
+    object.revision = exists_ ? kAnyRevision : 0;
+    object.spec = EncodeInstanceRecord({options_.ip, handlers_.unix_ms()});
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    objects_->Write(options_.kind, object, [weak](const absl::Status& status) {
+      if (const auto self = weak.lock()) {
+        self->OnWritten(status);
+      }
+    });
+  }
+
+  void OnWritten(const absl::Status& status) {
+    const bool is_other_state =
+        absl::IsAborted(status) || absl::IsNotFound(status);
+    if (is_other_state && !std::exchange(is_second_write_, true)) {
+      // Written by the process before, or lost by the registry.
+      exists_ = absl::IsAborted(status);
+      Write();
+      return;
+    }
+    is_second_write_ = false;
+    RecordOutcome(status);
+    exists_ = exists_ || status.ok();
+    Schedule(status.ok() ? kInstanceRecordInterval : kRetryDelay, &Impl::Write);
+  }
+
+  void RecordOutcome(const absl::Status& status) {
+    if (!status.ok() && !has_failed_) {
+      handlers_.on_failure(status);
+    }
+    has_failed_ = !status.ok();
+  }
+
+  RegistryClient* const lists_;
+  RegistryObjectClient* const objects_;
+  const InstanceRecorderOptions options_;
+  const InstanceRecorderHandlers handlers_;
+  TimePoint started_at_{};
+  std::map<std::string, Entry> entries_;  // of the present read, by name
+  size_t pages_ = 0;
+  bool exists_ = false;  // the own record
+  bool is_second_write_ = false;
+  bool has_failed_ = false;
+};
+
+InstanceRecorder::InstanceRecorder(RegistryClient* lists,
+                                   RegistryObjectClient* objects,
+                                   InstanceRecorderOptions options,
+                                   InstanceRecorderHandlers handlers)
+    : impl_(std::make_shared<Impl>(lists,
+                                   objects,
+                                   std::move(options),
+                                   std::move(handlers))) {}
+
+InstanceRecorder::~InstanceRecorder() = default;
+
+void InstanceRecorder::Start() {
+  impl_->Start();
+}
+
+}  // namespace endiveyard
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -79,7 +79,7 @@
         members_timer_(io),
         own_address_(ParseIp(options_.ip)),
         region_(static_cast<uint16_t>(Digest64(options_.region))),
-        directory_(own_address_, region_, ParseSeeds(options_.seed_ips)),
+        directory_(own_address_, region_, ParseIps(options_.seed_ips)),
         has_other_seeds_(std::any_of(
             options_.seed_ips.begin(),
             options_.seed_ips.end(),
@@ -117,6 +117,14 @@
     return directory_.OwnPosition(BootClock::now());
   }
 
+  void RecordRegistered(const std::vector<std::string>& ips) {
+    directory_.RecordRegistered(ParseIps(ips), BootClock::now());
+  }
+
+  std::optional<size_t> SharingCount() const {
+    return directory_.SharingCount(BootClock::now());
+  }
+
   uint64_t rejected_datagrams() const { return rejected_datagrams_; }
 
   void SetLeaving() {
@@ -146,14 +154,15 @@
   }
 
  private:
-  static std::vector<uint32_t> ParseSeeds(const std::vector<std::string>& ips) {
-    std::vector<uint32_t> seeds;
+  // What is no IPv4 address is left out.
+  static std::vector<uint32_t> ParseIps(const std::vector<std::string>& ips) {
+    std::vector<uint32_t> addresses;
     for (const std::string& it : ips) {
       if (const uint32_t address = ParseIp(it); address != 0) {
-        seeds.push_back(address);
+        addresses.push_back(address);
       }
     }
-    return seeds;
+    return addresses;
   }
 
   void Receive() {
@@ -518,6 +527,14 @@
   return impl_->Position();
 }
 
+void LoadExchange::RecordRegistered(const std::vector<std::string>& ips) {
+  impl_->RecordRegistered(ips);
+}
+
+std::optional<size_t> LoadExchange::SharingCount() const {
+  return impl_->SharingCount();
+}
+
 void LoadExchange::SetLeaving() {
   impl_->SetLeaving();
 }
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -6,7 +6,8 @@
 namespace endiveyard {
 namespace {
 
-// Live peers that are told about live instances at a time.
+// Live peers, and registered instances that are not live, that are told about
+// live instances at a time.
 constexpr size_t kMemberRecipients = 2;
 
 // Limits the memory that forged reports can take. The largest fleet has 370
@@ -161,6 +162,54 @@
   return live;
 }
 
+void PeerDirectory::RecordRegistered(const std::vector<uint32_t>& addresses,
+                                     TimePoint now) {
+  // A list without this instance may be older than the records of others.
+  is_sharing_known_ =
+      is_sharing_known_ || std::find(addresses.begin(), addresses.end(),
+                                     own_address_) != addresses.end();
+  for (auto it = registered_.begin(); it != registered_.end();) {
+    it = IsRegistered(it->second, now) ? std::next(it) : registered_.erase(it);
+  }
+  for (const uint32_t it : addresses) {
+    if (it != own_address_ &&
+        (registered_.size() < kMaxPeers || registered_.count(it) > 0)) {
+      registered_[it] = now;
+    }
+  }
+}
+
+bool PeerDirectory::IsRegistered(TimePoint named_at, TimePoint now) const {
+  return now - named_at < kRegisteredTimeout;
+}
+
+std::vector<uint32_t> PeerDirectory::RegisteredOnly(TimePoint now) const {
+  std::vector<uint32_t> only;
+  for (const auto& [address, named_at] : registered_) {
+    const auto peer = peers_.find(address);
+    const bool live = peer != peers_.end() && IsLive(peer->second, now);
+    if (!live && IsRegistered(named_at, now)) {
+      only.push_back(address);
+    }
+  }
+  return only;
+}
+
+std::vector<uint32_t> PeerDirectory::Sharers(TimePoint now) const {
+  const std::vector<uint32_t> live = LivePeers(now);
+  const std::vector<uint32_t> registered = RegisteredOnly(now);
+  std::vector<uint32_t> all;
+  all.reserve(live.size() + registered.size());
+  std::merge(live.begin(), live.end(), registered.begin(), registered.end(),
+             std::back_inserter(all));
+  return all;
+}
+
+std::optional<size_t> PeerDirectory::SharingCount(TimePoint now) const {
+  return is_sharing_known_ ? std::optional(Sharers(now).size() + 1)
+                            : std::nullopt;
+}
+
 std::vector<uint32_t> PeerDirectory::Mates(TimePoint now) const {
   std::vector<uint32_t> live = LivePeers(now);
   if (live.size() <= kMaxPeersForFullExchange) {
@@ -205,6 +254,13 @@
       recipients.push_back(it);
     }
   }
+  for (const uint32_t it :
+       RandomSample(RegisteredOnly(now), kMemberRecipients, &random_)) {
+    if (std::find(recipients.begin(), recipients.end(), it) ==
+        recipients.end()) {
+      recipients.push_back(it);
+    }
+  }
   return recipients;
 }
 
@@ -262,18 +318,31 @@
 }
 
 InstancePosition PeerDirectory::OwnPosition(TimePoint now) const {
-  std::vector<uint32_t> live = LivePeers(now);
-  live.insert(std::lower_bound(live.begin(), live.end(), own_address_),
-              own_address_);
+  return PositionAmong(LivePeers(now), now);
+}
+
+InstancePosition PeerDirectory::OwnSharingPosition(TimePoint now) const {
+  return PositionAmong(Sharers(now), now);
+}
+
+InstancePosition PeerDirectory::PositionAmong(
+    const std::vector<uint32_t>& others,
+    TimePoint now) const {
+  std::vector<uint32_t> all = others;
+  all.insert(std::lower_bound(all.begin(), all.end(), own_address_),
+             own_address_);
   InstancePosition position;
-  position.count = live.size();
-  for (size_t n = 0; n < live.size(); ++n) {
-    const bool is_own = live[n] == own_address_;
+  position.count = all.size();
+  for (size_t n = 0; n < all.size(); ++n) {
+    const bool is_own = all[n] == own_address_;
     if (is_own) {
       position.index = n;
     }
-    const std::optional<TimePoint> since =
-        is_own ? own_leaving_since_ : peers_.at(live[n]).leaving_since;
+    const auto peer = peers_.find(all[n]);
+    const std::optional<TimePoint> since = is_own ? own_leaving_since_
+                                           : peer != peers_.end()
+                                               ? peer->second.leaving_since
+                                               : std::nullopt;
     if (since && now - *since >= kLeavingNotice) {
       position.leaving.push_back(n);
     }
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -166,6 +166,13 @@
       {809, kInfo, "stream_record_failed",
        "The streams of this instance could not be recorded.",
        "None; streams that callers take up may be refused."},
+      {810, kInfo, "instance_records_read",
+       "The number of instances that share limits and the retry bound has "
+       "changed; the line names how many are heard and registered.",
+       "Registered ones that are not heard: check the network between them."},
+      {811, kInfo, "instance_record_failed",
+       "The records of instances could not be read or written.",
+       "None; few retries are sent until they are read."},
       {901, kInfo, "request_placed", "A request was sent to a target.",
        "None."},
       {902, kInfo, "call_ended",
--- /dev/null
+++ b/tests/front/instance_recorder_test.cc
@@ -0,0 +1,250 @@
+#include "front/instance_recorder.h"
+
+#include <boost/test/unit_test.hpp>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "fake_clock.h"
+#include "front/instance_record.h"
+
+namespace endiveyard {
+namespace {
+
+constexpr const char* kKind = "kind";
+constexpr Duration kSecond = std::chrono::seconds(1);
+
+// Objects of one kind, 100 to a page. Answers come 4 ms later.
+class FakeRegistry : public RegistryClient, public RegistryObjectClient {
+ public:
+  explicit FakeRegistry(Clock* clock) : clock_(clock) {}
+
+  void ListPage(
+      const std::string& /*kind*/,
+      const std::string& /*after*/,
+      std::function<void(absl::StatusOr<RegistryPage>)> /*done*/) override {
+    BOOST_ERROR("a list at the full price");
+  }
+  void ListStalePage(
+      const std::string& kind,
+      const std::string& after,
+      std::function<void(absl::StatusOr<RegistryPage>)> done) override {
+    BOOST_TEST(kind == kKind);
+    Answer([this, after, done] {
+      if (unavailable) {
+        done(absl::UnavailableError("down"));
+        return;
+      }
+      constexpr size_t kPage = 100;
+      RegistryPage page;
+      for (auto it = objects.upper_bound(after); it != objects.end(); ++it) {
+        if (page.items.size() == kPage) {
+          page.has_more = true;
+          break;
+        }
+        page.items.push_back(it->second);
+      }
+      done(page);
+    });
+  }
+  void Watch(
+      const std::string& /*kind*/,
+      int64_t /*revision*/,
+      Duration /*timeout*/,
+      std::function<void(absl::StatusOr<RegistryChanges>)> /*done*/) override {}
+  void Read(
+      const std::string& /*kind*/,
+      const std::string& /*name*/,
+      std::function<void(absl::StatusOr<RegistryObject>)> /*done*/) override {}
+  void Write(const std::string& /*kind*/,
+             const RegistryObject& written,
+             std::function<void(absl::Status)> done) override {
+    write_times.insert(clock_->now());
+    Answer([this, written, done] {
+      const bool exists = objects.count(written.name) > 0;
+      if (unavailable) {
+        done(absl::UnavailableError("down"));
+      } else if (written.revision == 0 && exists) {
+        done(absl::AbortedError("exists"));
+      } else if (written.revision != 0 && !exists) {
+        done(absl::NotFoundError("none"));
+      } else {
+        objects[written.name] = {written.name, written.spec, false,
+                                 ++revision_};
+        done(absl::OkStatus());
+      }
+    });
+  }
+  void Remove(const std::string& /*kind*/,
+              const std::string& name,
+              int64_t revision,
+              std::function<void(absl::Status)> done) override {
+    ++removals;
+    Answer([this, name, revision, done] {
+      const auto it = objects.find(name);
+      if (it != objects.end() && it->second.revision == revision) {
+        objects.erase(it);
+      }
+      done(absl::OkStatus());
+    });
+  }
+
+  std::map<std::string, RegistryObject> objects;
+  bool unavailable = false;
+  std::multiset<TimePoint> write_times;
+  int removals = 0;
+
+ private:
+  void Answer(std::function<void()> action) {
+    clock_->Schedule(std::chrono::milliseconds(4), std::move(action));
+  }
+
+  Clock* clock_;
+  int64_t revision_ = 0;
+};
+
+struct Instance {
+  Instance(Clock* clock, FakeRegistry* registry, int number) {
+    InstanceRecorderHandlers handlers;
+    handlers.now = [clock] { return clock->now(); };
+    handlers.unix_ms = [clock] {
+      return clock->now().time_since_epoch().count() / 1000;
+    };
+    handlers.schedule = [clock](Duration delay, std::function<void()> action) {
+      clock->Schedule(delay, std::move(action));
+    };
+    handlers.on_read = [this](const std::vector<std::string>& read) {
+      ips = std::set<std::string>(read.begin(), read.end());
+    };
+    handlers.on_failure = [this](const absl::Status&) { ++failures; };
+    recorder = std::make_unique<InstanceRecorder>(
+        registry, registry,
+        InstanceRecorderOptions{kKind, "front-" + std::to_string(number),
+                                "10.0.0." + std::to_string(number)},
+        std::move(handlers));
+    recorder->Start();
+  }
+
+  std::unique_ptr<InstanceRecorder> recorder;
+  std::optional<std::set<std::string>> ips;
+  int failures = 0;
+};
+
+std::vector<std::unique_ptr<Instance>> StartInstances(Clock* clock,
+                                                      FakeRegistry* registry,
+                                                      int count) {
+  std::vector<std::unique_ptr<Instance>> instances;
+  for (int n = 0; n < count; ++n) {
+    instances.push_back(std::make_unique<Instance>(clock, registry, n));
+  }
+  return instances;
+}
+
+}  // namespace
+
+// Guards against instances that use shares before all know how many they are,
+// and against a fleet that exceeds the rate of the registry when it starts.
+BOOST_AUTO_TEST_CASE(AllInstancesKnowOfEachOtherWithinTheFirstWindow) {
+  for (const int count : {1, 8, 95, 370}) {
+    Clock clock;
+    FakeRegistry registry(&clock);
+    const auto instances = StartInstances(&clock, &registry, count);
+    clock.Advance(kSecondReadTime + kSecond);
+    for (const auto& it : instances) {
+      BOOST_TEST(it->ips.value().size() == static_cast<size_t>(count));
+      BOOST_TEST(it->failures == 0);
+    }
+    for (const TimePoint it : registry.write_times) {
+      BOOST_TEST(
+          std::distance(registry.write_times.lower_bound(it),
+                        registry.write_times.lower_bound(it + kSecond)) <= 200);
+    }
+  }
+}
+
+// Guards against instances that forget those that are restarted, and those
+// whose records the registry has lost.
+BOOST_AUTO_TEST_CASE(RecordsOutlastRestartsAndALossOfTheRegistry) {
+  Clock clock;
+  FakeRegistry registry(&clock);
+  auto instances = StartInstances(&clock, &registry, 3);
+  clock.Advance(60 * kSecond);
+  instances[1] = std::make_unique<Instance>(&clock, &registry, 1);
+  clock.Advance(kSecond);
+  BOOST_TEST(instances[1]->ips.value().size() == 3u);
+  registry.objects.clear();
+  clock.Advance(kInstanceRecordInterval + 2 * kSecondReadTime);
+  for (const auto& it : instances) {
+    BOOST_TEST(it->ips.value().size() == 3u);
+    BOOST_TEST(it->failures == 0);
+  }
+}
+
+// Guards against instances that are gone and keep a share for good, and against
+// records that pile up.
+BOOST_AUTO_TEST_CASE(InstancesThatAreGoneAreDroppedAndTheirRecordsRemoved) {
+  Clock clock;
+  FakeRegistry registry(&clock);
+  auto instances = StartInstances(&clock, &registry, 8);
+  clock.Advance(20 * kSecond);
+  instances.resize(3);
+  clock.Advance(kInstanceRecordLifetime - 30 * kSecond);
+  BOOST_TEST(instances[0]->ips.value().size() == 8u);
+  clock.Advance(60 * kSecond);
+  BOOST_TEST(instances[0]->ips.value().size() == 3u);
+  BOOST_TEST(registry.removals == 0);
+  clock.Advance(kMaxInstanceRecordAge);
+  BOOST_TEST(registry.objects.size() == 3u);
+  BOOST_TEST(registry.removals <= 10);
+}
+
+// Guards against an outage of the registry that takes instances for gone, and
+// against lines and calls without end while it lasts.
+BOOST_AUTO_TEST_CASE(AnOutageOfTheRegistryChangesNothing) {
+  Clock clock;
+  FakeRegistry registry(&clock);
+  registry.unavailable = true;
+  const auto instances = StartInstances(&clock, &registry, 3);
+  clock.Advance(60 * kSecond);
+  for (const auto& it : instances) {
+    BOOST_TEST(!it->ips.has_value());
+    BOOST_TEST(it->failures == 1);
+  }
+  BOOST_TEST(registry.write_times.size() <= 3u * 31);
+  registry.unavailable = false;
+  clock.Advance(3 * kSecondReadTime);
+  for (const auto& it : instances) {
+    BOOST_TEST(it->ips.value().size() == 3u);
+  }
+}
+
+// Guards against objects of others that end the process or count as instances.
+BOOST_AUTO_TEST_CASE(ObjectsThatAreNoRecordsAreLeftOut) {
+  const InstanceRecord record = {"10.0.0.1", 1790000000000};
+  BOOST_TEST(
+      (DecodeInstanceRecord(EncodeInstanceRecord(record)).value() == record));
+  for (const char* const it :
+       {"", "{", "[]", "{}", "{\"ip\":\"10.0.0.1\"}", "{\"written_ms\":1}",
+        "{\"ip\":1,\"written_ms\":1}", "{\"ip\":\"x\",\"written_ms\":1.5}",
+        "{\"ip\":\"x\",\"written_ms\":99999999999999999999}"}) {
+    BOOST_TEST(!DecodeInstanceRecord(it).has_value());
+  }
+  Clock clock;
+  FakeRegistry registry(&clock);
+  for (const int64_t ms : {std::numeric_limits<int64_t>::min(), int64_t{0},
+                           std::numeric_limits<int64_t>::max()}) {
+    const std::string name = "odd" + std::to_string(ms);
+    registry.objects[name] = {name, EncodeInstanceRecord({"10.0.0.9", ms}),
+                              false, 1};
+  }
+  registry.objects["no-record"] = {"no-record", "[]", false, 1};
+  const auto instances = StartInstances(&clock, &registry, 1);
+  clock.Advance(10 * kSecond);
+  BOOST_TEST((instances[0]->ips.value() ==
+              std::set<std::string>{"10.0.0.0", "10.0.0.9"}));
+}
+
+}  // namespace endiveyard
--- a/tests/front/stream_recorder_test.cc
+++ b/tests/front/stream_recorder_test.cc
@@ -62,6 +62,10 @@
       }
     });
   }
+  void Remove(const std::string& /*kind*/,
+              const std::string& /*name*/,
+              int64_t /*revision*/,
+              std::function<void(absl::Status)> /*done*/) override {}
   void Write(const std::string& /*kind*/,
              const RegistryObject& written,
              std::function<void(absl::Status)> done) override {
