--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -329,7 +329,7 @@
   }
 
   void UpdateShareOfRateLimits(TimePoint now) {
-    InstancePosition position = directory_.OwnPosition(now);
+    InstancePosition position = directory_.OwnSharingPosition(now);
     if (has_other_seeds_ && now - started_at_ < kJoiningTime) {
       position.count = std::max(position.count, kAssumedInstances);
     }
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "endiveyard/load_exchange/peer_directory.h"
+#include "endiveyard/placement/replica_rate_limits.h"
 #include "endiveyard/placement/service_retry_budget.h"
 
 namespace endiveyard {
@@ -122,6 +123,44 @@
   }
 }
 
+// Guards against parts of a fleet that do not hear each other and each send a
+// replica as much as it takes from all together.
+BOOST_AUTO_TEST_CASE(PartsThatDoNotHearEachOtherKeepTheLimitsOfReplicas) {
+  constexpr uint64_t kReplica = 5;
+  constexpr double kLimit = 40;  // requests per second
+  constexpr int64_t kWindowMs = 4000;
+  for (const Plan& plan : Plans()) {
+    if (!plan.reaches_registry) {
+      continue;
+    }
+    PartedFleet fleet(plan);
+    std::vector<ReplicaRateLimits> limits(plan.instances);
+    std::deque<int64_t> sent;
+    size_t most = 0;
+    for (int64_t ms = kStartMs; ms < kStartMs + 12000; ms += kTickMs) {
+      const bool reports = ms % 1000 == 0;
+      if (reports) {
+        fleet.Report(ms);
+      }
+      for (uint32_t n = 0; n < plan.instances; ++n) {
+        if (reports) {
+          limits[n].RecordResponse(kReplica, kLimit, At(ms));
+          limits[n].set_instance(fleet.directory(n).OwnSharingPosition(At(ms)));
+        }
+        if (limits[n].WaitFor(kReplica, {0, 12}, At(ms)) == Duration(0)) {
+          limits[n].RecordSent(kReplica, At(ms));
+          sent.push_back(ms);
+        }
+      }
+      RemoveBefore(ms - kWindowMs + 1, &sent);
+      most = std::max(most, sent.size());
+    }
+    BOOST_TEST(static_cast<double>(most) <=
+               1.5 * kLimit * kWindowMs / 1000 + 5);
+    BOOST_TEST(static_cast<double>(most) >= 0.5 * kLimit * kWindowMs / 1000);
+  }
+}
+
 // Guards against a list that is older than the records of others and is taken
 // for all instances there are.
 BOOST_AUTO_TEST_CASE(ListsWithoutThisInstanceDoNotTellHowManyThereAre) {
