Retry budget: an instance that knows of no other has one retry

An instance that did not know how many share the bound took a sixty-fourth of the slack, 3.6 retries where the slack is 230. With more than 64 instances in this state they exceed it: {95 instances, none knows of another} in PartsThatDoNotHearEachOtherKeepTheRetryBound gave 332 repeats, 330 allowed, and holds now.

The fixture of the tests over sockets set its retries through the old share; it now tells the relay how many instances there are, for the same number (10).

--- a/include/endiveyard/placement/service_retry_budget.h
+++ b/include/endiveyard/placement/service_retry_budget.h
@@ -27,20 +27,17 @@
 // kUsableRatioShare, it leaves a tenth: the process before it may have used its
 // share of the ratio until the moment at which it ended.
 inline constexpr double kUsableRatioShareAfterStart = 0.2;
-// Share of the slack that one instance uses while it does not know how many
-// others there are.
-inline constexpr double kUnknownFleetSlackShare = 1.0 / 64;
 // Share of the slack that instances which know each other divide. The rest
 // allows for instances that are not known yet.
 inline constexpr double kUsableSlackShare = 0.8;
-// The highest number of instances within this time counts, since instances that
-// are not heard may be on the other side of a partition.
+// The highest number of instances within this time counts.
 inline constexpr Duration kInstanceCountMemory = std::chrono::minutes(5);
 
 // Retries that one instance may send to each service. The instances keep the
 // common bound without asking each other, because each uses retries only in
 // proportion to the requests that it received itself, and an equal part of the
-// slack.
+// slack. An instance that does not know how many there are uses one
+// retry of it.
 //
 // A process does not know what the one that it replaces has used. In its first
 // window it uses no slack and a small share of the ratio, so that the bound
@@ -54,7 +51,8 @@
   // used its retries. Without this call, there was none.
   void RecordStart(TimePoint now) { started_at_ = now; }
   void RecordRequest(const std::string& service, TimePoint now);
-  // Records how many instances share the bound, including this one.
+  // Records how many instances share the bound, including this one and those
+  // that it does not hear.
   void RecordInstanceCount(size_t instances, TimePoint now);
   // Consumes one retry; returns false if the budget of `service` has none left.
   bool TryConsume(const std::string& service, TimePoint now);
--- a/src/placement/service_retry_budget.cc
+++ b/src/placement/service_retry_budget.cc
@@ -22,7 +22,7 @@
 }
 
 void ServiceRetryBudget::RecordInstanceCount(size_t instances, TimePoint now) {
-  // An instance that hears of no other may be cut off from all of them.
+  // An instance that knows of no other may be cut off from all of them.
   if (instances <= 1 && instance_count_ == 0) {
     return;
   }
@@ -36,7 +36,7 @@
 double ServiceRetryBudget::SlackShare() const {
   // One retry is always possible, unless there are more instances than retries.
   if (instance_count_ == 0) {
-    return std::max(1.0, bound_.slack * kUnknownFleetSlackShare);
+    return 1;
   }
   const double share =
       bound_.slack * kUsableSlackShare / static_cast<double>(instance_count_);
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -28,8 +28,9 @@
 
 const std::vector<Plan>& Plans() {
   static const std::vector<Plan> plans = {
-      {8, 2, true},   {8, 3, true},   {8, 8, true},    {95, 2, true},
-      {95, 19, true}, {370, 3, true}, {370, 37, true}, {8, 3, false}};
+      {8, 2, true},    {8, 3, true},   {8, 8, true},
+      {95, 2, true},   {95, 19, true}, {370, 3, true},
+      {370, 37, true}, {8, 3, false},  {95, 19, false}};
   return plans;
 }
 
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -41,6 +41,14 @@
              : std::strtoul(head.c_str() + at + name.size(), nullptr, 10);
 }
 
+// Instances that share the retry bound, according to the relay.
+constexpr size_t kInstances = 2;
+
+// Returns the slack of which an instance may use `retries`.
+double SlackFor(double retries) {
+  return retries * kInstances / kUsableSlackShare;
+}
+
 }  // namespace
 
 TestConnection::TestConnection(tcp::socket socket)
@@ -284,7 +292,8 @@
   RelayOptions options;
   options.ip = kLoopback;
   options.location.failure_domain = "z";
-  options.retry_bound.slack = 640;
+  constexpr double kRetries = 10;
+  options.retry_bound.slack = SlackFor(kRetries);
   options.startup_wait = fixture_options.startup_wait;
   options.news_wait = fixture_options.news_wait;
   options.peer_port = fixture_options.peer_port;
@@ -293,6 +302,7 @@
   options.end_check_limit = fixture_options.end_check_limit;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
+  relay_->set_instance_count(kInstances);
   if (!relay_->Listen().ok()) {
     throw std::runtime_error("cannot listen on loopback");
   }
@@ -437,7 +447,7 @@
   RunOnRelayThread([this, used](RoutingState&) {
     RetryBound bound;
     bound.ratio = 0;
-    bound.slack = (used + 1) / kUnknownFleetSlackShare;
+    bound.slack = SlackFor(used + 1);
     relay_->set_retry_bound(bound);
   });
   TestConnection caller = Connect();
