Records of streams: the interval follows from the rate of the registry

The settings state the rate (platform.writes_per_s). All instances together now use half of it at most, and write once a second where that is less. At 370: once a second at 1,200 and 3,200 a second, every 1.85 s at 400.

--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -421,7 +421,8 @@
     stream_recorder_ = std::make_unique<StreamRecorder>(
         &registry_client_, &registry_client_, relay_.stream_versions(),
         StreamRecorderOptions{std::string(platform::kStreamRecordKind),
-                              settings_.instance},
+                              settings_.instance,
+                              settings_.registry_writes_per_second},
         std::move(handlers));
     routing_state_.read_stream_records = [this](std::function<void()> done) {
       if (registry_lost_) {
--- a/src/front/stream_recorder.cc
+++ b/src/front/stream_recorder.cc
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr Duration kMinWriteInterval = std::chrono::seconds(1);
-// All instances together write 200 times a second at most, half of what the
-// smallest registry takes.
-constexpr Duration kWriteIntervalPerInstance = std::chrono::milliseconds(5);
+// Share of the writes that the registry takes which all instances together use
+// for these records.
+constexpr double kUsableWriteShare = 0.5;
 // Time between the end of a read and the begin of the next one.
 constexpr Duration kReadInterval = std::chrono::milliseconds(500);
 // Longest time for which a reader waits.
@@ -77,9 +77,15 @@
   }
 
   Duration WriteInterval() const {
+    if (options_.registry_writes_per_second <= 0) {
+      return kMinWriteInterval;
+    }
+    const double seconds =
+        static_cast<double>(handlers_.instance_count()) /
+        (options_.registry_writes_per_second * kUsableWriteShare);
     return std::max(kMinWriteInterval,
-                    kWriteIntervalPerInstance *
-                        static_cast<int64_t>(handlers_.instance_count()));
+                    std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(seconds)));
   }
 
   void ReadPage(const std::string& after) {
--- a/src/front/stream_recorder.h
+++ b/src/front/stream_recorder.h
@@ -14,6 +14,9 @@
 struct StreamRecorderOptions {
   std::string kind;  // of the objects that hold the records
   std::string name;  // of this instance, and of its record
+  // Writes per second that the registry takes from all instances together; 0 if
+  // there is no limit.
+  double registry_writes_per_second = 0;
 };
 
 struct StreamRecorderHandlers {
--- a/tests/front/stream_recorder_test.cc
+++ b/tests/front/stream_recorder_test.cc
@@ -120,7 +120,10 @@
 }
 
 struct Instance {
-  Instance(Clock* clock, FakeRegistry* registry, const std::string& name)
+  Instance(Clock* clock,
+           FakeRegistry* registry,
+           const std::string& name,
+           double registry_writes_per_second = 400)
       : clock(clock) {
     StreamRecorderHandlers handlers;
     handlers.now = [clock] { return clock->now(); };
@@ -131,7 +134,8 @@
     handlers.instance_count = [this] { return instance_count; };
     handlers.on_failure = [this](const absl::Status&) { ++failures; };
     recorder = std::make_unique<StreamRecorder>(
-        registry, registry, &versions, StreamRecorderOptions{kKind, name},
+        registry, registry, &versions,
+        StreamRecorderOptions{kKind, name, registry_writes_per_second},
         std::move(handlers));
     versions.RecordReplicas(MakeView(7, 5), clock->now());
     versions.RecordReplicas(MakeView(6, 6), clock->now());
@@ -204,20 +208,29 @@
   BOOST_TEST(registry.writes == 1);
 }
 
-// Guards against a large fleet that uses up the writes of the registry.
-BOOST_AUTO_TEST_CASE(LargeFleetsRecordLessOften) {
-  Clock clock;
-  FakeRegistry registry(&clock);
-  Instance instance(&clock, &registry, "front-1");
-  instance.instance_count = 370;
-  clock.Advance(kSecond);
-  for (int n = 0; n < 100; ++n) {
-    instance.Begin(n, "v1");
-    clock.Advance(kSecond / 10);
+// Guards against a large fleet that uses up the writes of the registry, and
+// against one that records too late although the registry takes more.
+BOOST_AUTO_TEST_CASE(LargeFleetsRecordAsOftenAsTheRegistryTakes) {
+  struct Case {
+    double writes_per_second;
+    int least;
+    int most;
+  };
+  // Every 1.85 s at the first rate, else every second, for 8 s.
+  for (const Case& it : {Case{400, 4, 6}, Case{3200, 8, 10}, Case{1200, 8, 10},
+                         Case{0, 8, 10}}) {
+    Clock clock;
+    FakeRegistry registry(&clock);
+    Instance instance(&clock, &registry, "front-1", it.writes_per_second);
+    instance.instance_count = 370;
+    clock.Advance(kSecond);
+    for (int n = 0; n < 100; ++n) {
+      instance.Begin(n, "v1");
+      clock.Advance(kSecond / 10);
+    }
+    BOOST_TEST(registry.writes >= it.least);
+    BOOST_TEST(registry.writes <= it.most);
   }
-  // Every 1.85 s.
-  BOOST_TEST(registry.writes >= 4);
-  BOOST_TEST(registry.writes <= 6);
 }
 
 // Guards against take-ups that wait for a registry which does not answer, and
--- a/tests/platform/process_settings_test.cc
+++ b/tests/platform/process_settings_test.cc
@@ -38,6 +38,10 @@
   BOOST_REQUIRE_EQUAL(settings->seed_ips.size(), 2u);
   BOOST_TEST(settings->seed_ips[1] == "10.2.0.40");
   BOOST_TEST(settings->retry_bound.slack == 56);
+  BOOST_TEST(settings->registry_writes_per_second == 0);
+  BOOST_TEST(ParseProcessSettings(std::string(kSettings) +
+                                  "platform.writes_per_s=3200\n")
+                 ->registry_writes_per_second == 3200);
   BOOST_TEST((settings->shutdown_grace == Duration(std::chrono::seconds(8))));
   BOOST_TEST(settings->max_descriptors == 4100u);
 }
