Forwarding: a receiver runs a request at one target only

A receiver now runs a request at one target (refusals aside), as it already did for streams that go on; the sender forwards it again, and names the replica at which it failed. What the last target answered is passed on. The retry is taken from the budget where it is sent.

ReceiversRunARequestAtOneTarget, ReceiversRunARequestThatIsLostOnce, ReceiversGoOnAfterRefusals and FailuresAtOtherInstancesAreRetried fail without the change.

--- a/include/endiveyard/placement/attempt_policy.h
+++ b/include/endiveyard/placement/attempt_policy.h
@@ -31,6 +31,9 @@
   // Requests like this one were lost in crashes of several targets, so that
   // another run could crash one more.
   bool may_crash_targets = false;
+  // Another instance has forwarded the request. It decides about a further run,
+  // so that it knows how many there were even if it gets no response.
+  bool is_run_for_another_instance = false;
   Duration time_left{};
 };
 
--- a/src/placement/attempt_policy.cc
+++ b/src/placement/attempt_policy.cc
@@ -25,7 +25,7 @@
   const bool in_time = facts.time_left >= kMinRetryTime;
   const bool attempts_left =
       facts.targets_that_may_have_run < route.max_attempts &&
-      !facts.may_crash_targets;
+      !facts.may_crash_targets && !facts.is_run_for_another_instance;
   // A call that was not sent adds no load to a target, so it needs no budget.
   const bool within_budget =
       facts.outcome == CallOutcome::kNotSent || facts.budget_left;
--- a/src/relay/forwarded_request.cc
+++ b/src/relay/forwarded_request.cc
@@ -121,7 +121,8 @@
   const auto tie = [](const ForwardedRequest& it) {
     return std::tie(it.time_left, it.waited, it.delivered_calls,
                     it.possible_runs, it.counted, it.prefilled, it.map_version,
-                    it.last_event_id, it.stream_version, it.service);
+                    it.last_event_id, it.stream_version, it.service,
+                    it.excluded_replica);
   };
   return tie(*this) == tie(other);
 }
@@ -150,6 +151,9 @@
   if (request.service) {
     fields.Add(kService, EncodeText(*request.service));
   }
+  if (!request.excluded_replica.empty()) {
+    fields.Add(kReplica, EncodeText(request.excluded_replica));
+  }
   return fields.text();
 }
 
@@ -176,6 +180,9 @@
   if (fields.Has(kService)) {
     request.service = fields.Text(kService);
   }
+  if (fields.Has(kReplica)) {
+    request.excluded_replica = fields.Text(kReplica);
+  }
   return fields.is_valid() ? std::optional(request) : std::nullopt;
 }
 
--- a/src/relay/forwarded_request.h
+++ b/src/relay/forwarded_request.h
@@ -41,6 +41,8 @@
   std::optional<std::string> stream_version;
   // Service that has begun the stream.
   std::optional<std::string> service;
+  // Replica at which the request has failed last; empty if there is none.
+  std::string excluded_replica;
 
   bool operator==(const ForwardedRequest& other) const;
 };
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -75,6 +75,9 @@
     possible_runs_ = forwarded.possible_runs;
     counted_in_budget_ = forwarded.counted;
     prompt_prefilled_ = forwarded.prefilled;
+    if (!forwarded.excluded_replica.empty()) {
+      excluded_replica_ids_.insert(forwarded.excluded_replica);
+    }
   }
   const TimePoint now = BootClock::now();
   if (!context_->routing_state.IsComplete()) {
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -86,7 +86,8 @@
     CallOutcome outcome = CallOutcome::kNotSent;
     int status = 0;
     bool output_started = false;
-    Replica replica;  // of a call to a target
+    bool was_forwarded = false;  // to another instance
+    Replica replica;             // of a call to a target
     Duration took{};
     int earlier_requests = 0;  // on the connection of the call
     // The whole response, unless parts of it were forwarded as they arrived.
@@ -381,6 +382,8 @@
   std::optional<TimePoint> first_output_at_;
   std::optional<TimePoint> last_event_sent_at_;
   std::string last_replica_id_;
+  // Replica at which a forwarded request has failed; empty if there is none.
+  std::string failed_replica_id_;
   std::optional<SuspectKeys> suspect_keys_;  // set on first use
   // Some replica went on after the first output of this request.
   bool answer_survived_ = false;
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -88,6 +88,7 @@
   // Chosen here, so that all receivers of the request begin it at the same one.
   state.stream_version = sent_to_version_ = RequiredVersion();
   state.last_event_id = sse_splitter_.last_id();
+  state.excluded_replica = failed_replica_id_;
 
   TargetRequest request;
   request.ip = IpText(peer);
@@ -266,7 +267,13 @@
                ? CallOutcome::kErrorResponse
                : CallOutcome::kNotRun;
   }
-  // Failures, too: the other instance has done what could be done.
+  // The other instance runs a request at one target only.
+  const bool has_failed_there =
+      status >= 500 && forwarding_->response->possible_runs > possible_runs_;
+  if (has_failed_there && !ResponseBegun()) {
+    return CallOutcome::kErrorResponse;
+  }
+  // Refusals, too: the other instance has done what could be done.
   return CallOutcome::kCompleted;
 }
 
@@ -276,10 +283,12 @@
   ended.outcome = OutcomeOfForwarding(transport_status);
   ended.status = forwarding_->head.status;
   ended.output_started = ResponseBegun();
+  ended.was_forwarded = true;
   ended.head = std::move(forwarding_->head);
   ended.body = std::move(forwarding_->body);
   const std::optional<ForwardedResponse> response = forwarding_->response;
   ended.replica.id = response ? response->replica_id : "";
+  failed_replica_id_ = ended.replica.id;
   excluded_peers_.insert(forwarding_->peer);
   if (ended.outcome == CallOutcome::kNotSent) {
     context_->forwarding_peers.RecordNotTaken(forwarding_->peer);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -458,7 +458,11 @@
   attempt.targets_that_may_have_run = possible_runs_;
   attempt.response_started = ResponseBegun();
   attempt.is_position_known = MayContinueStream();
-  attempt.budget_left = context_->retry_budget.Remaining(service_, now) >= 1;
+  // What is forwarded again is counted by the other instance.
+  attempt.budget_left = ended.was_forwarded ||
+                        context_->retry_budget.Remaining(service_, now) >= 1;
+  attempt.is_run_for_another_instance =
+      request_.forwarded && possible_runs_ > request_.forwarded->possible_runs;
   attempt.time_left = TimeLeft();
   attempt.may_crash_targets = JudgeByCrashes() != CrashVerdict::kNone;
   const NextStep step = DecideNextStep(*route_, attempt);
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -445,6 +445,100 @@
   BOOST_TEST(!Contains(other.ReadUntilClose(), "0\r\n\r\n"));
 }
 
+// Guards against a receiver that runs a request at several targets, so that its
+// sender cannot count the runs if it ends before it answers (BUDGET).
+BOOST_FIXTURE_TEST_CASE(ReceiversRunARequestAtOneTarget, RelayFixture) {
+  LearnOfPeer();
+  TestConnection other = ConnectAsPeer();
+  other.Send(ForwardedHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  target.Send(
+      "HTTP/1.1 500 Failed\r\nEndiveyard-Request-Id: r1\r\n"
+      "Endiveyard-Response-Signature: sig-r1\r\nContent-Length: 4\r\n\r\n"
+      "fail");
+  const std::string response = other.ReadMessage();
+  BOOST_TEST(Contains(response, "HTTP/1.1 500 "));
+  BOOST_TEST(Contains(response, "calls=1;runs=1;"));
+}
+
+// The same for a target whose response is lost.
+BOOST_FIXTURE_TEST_CASE(ReceiversRunARequestThatIsLostOnce, RelayFixture) {
+  LearnOfPeer();
+  TestConnection other = ConnectAsPeer();
+  other.Send(ForwardedHead("GET", "/safe/x", "r1"));
+  TestConnection target = first().Accept();
+  target.ReadUntil("\r\n\r\n");
+  target.Close();
+  const std::string response = other.ReadMessage();
+  BOOST_TEST(Contains(response, "HTTP/1.1 502 "));
+  BOOST_TEST(Contains(response, "calls=1;runs=1;"));
+}
+
+// Guards against a receiver that does not look for another target after one has
+// refused the request, or that uses the one at which it has failed.
+BOOST_FIXTURE_TEST_CASE(ReceiversGoOnAfterRefusals, RelayFixture) {
+  LearnOfPeer();
+  for (const std::string excluded : {"", "t1"}) {
+    TestConnection other = ConnectAsPeer();
+    ForwardedRequest state;
+    state.delivered_calls = state.possible_runs = 1;
+    state.excluded_replica = excluded;
+    other.Send(ForwardedHead("GET", "/safe/x", "r1", state));
+    if (excluded.empty()) {
+      TestConnection refusing = first().Accept();
+      refusing.ReadUntil("\r\n\r\n");
+      refusing.Send(
+          "HTTP/1.1 503 Full\r\nEndiveyard-Request-Id: r1\r\n"
+          "Endiveyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    }
+    TestConnection target = second().Accept();
+    target.ReadUntil("\r\n\r\n");
+    target.Send(SignedResponse("r1", "ok"));
+    target.Close();
+    BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+  }
+}
+
+// Guards against callers that get the failure of one target from an instance
+// without links, though the route allows another attempt.
+BOOST_FIXTURE_TEST_CASE(FailuresAtOtherInstancesAreRetried, StrandedInstance) {
+  TestTarget next_peer(io, "127.0.0.2", peer.port());
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  relay.LearnOfPeer("127.0.0.2");
+  other.Send(WithForwardedResponse(
+      "HTTP/1.1 500 Failed\r\nEndiveyard-Request-Id: r1\r\n"
+      "Endiveyard-Response-Signature: sig-r1\r\nContent-Length: 4\r\n\r\n"
+      "fail"));
+  TestConnection next = next_peer.Accept();
+  const std::string request = next.ReadUntil("\r\n\r\n");
+  BOOST_TEST(Contains(request, "calls=1;runs=1;counted=1;prefilled=0;map=1"));
+  BOOST_TEST(Contains(request, ";replica=7439"));  // t9
+  next.Send(WithForwardedResponse(SignedResponse("r1", "ok"), 2));
+  BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
+}
+
+// Guards against runs beyond the attempts of a route: after the last one, the
+// caller gets what the target has answered.
+BOOST_FIXTURE_TEST_CASE(FailuresOfTheLastAttemptArePassedOn, StrandedInstance) {
+  TestTarget next_peer(io, "127.0.0.2", peer.port());
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/safe/x", "r1"));
+  TestConnection other = peer.Accept();
+  other.ReadUntil("\r\n\r\n");
+  relay.LearnOfPeer("127.0.0.2");
+  other.Send(WithForwardedResponse(
+      "HTTP/1.1 500 Failed\r\nEndiveyard-Request-Id: r1\r\n"
+      "Endiveyard-Response-Signature: sig-r1\r\nContent-Length: 4\r\n\r\n"
+      "last",
+      2));
+  BOOST_TEST(Contains(caller.ReadMessage(), "last"));
+  BOOST_TEST(!next_peer.HasConnectionWithin(0));
+}
+
 // Guards against an instance that goes on forwarding after its links are back.
 BOOST_FIXTURE_TEST_CASE(RegainedLinksEndForwarding, StrandedInstance) {
   relay.RestartTargets();
@@ -471,6 +565,7 @@
   state.last_event_id = 12;
   state.stream_version = "v;1=\n";
   state.service = "svc";
+  state.excluded_replica = "i-1";
   state.map_version = 3;
   const std::string text = EncodeForwardedRequest(state);
   BOOST_CHECK(DecodeForwardedRequest(text) == state);
