Forwarding: prefills at other instances are counted

The retry budget does not count the first prefill call of a request. By reading; PrefillsAtOtherInstancesAreCounted fails without the change.

It now assumes that the prompt was prefilled, so that another prefill takes a retry from the budget, or the prompt is read where the request runs.

--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -296,6 +296,8 @@
   CloseForwarding();
   if (ended.outcome != CallOutcome::kNotSent) {
     counted_in_budget_ = true;  // by the other instance
+    // Perhaps; it does not tell.
+    prompt_prefilled_ = prompt_prefilled_ || request_metadata_.prompt;
     // Never less than what is known here.
     delivered_calls_ =
         std::max(delivered_calls_,
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -521,6 +521,23 @@
   BOOST_TEST(Contains(caller.ReadMessage(), "HTTP/1.1 200 OK\r\n"));
 }
 
+// Guards against a second prefill that is taken for the first one, which the
+// retry budget does not count, since another instance had made that one.
+BOOST_FIXTURE_TEST_CASE(PrefillsAtOtherInstancesAreCounted, StrandedInstance) {
+  TestTarget next_peer(io, "127.0.0.2", peer.port());
+  TestConnection caller = relay.Connect();
+  caller.Send(RequestHead("GET", "/stream/x", "r1",
+                          "Endiveyard-Model: m\r\n"
+                          "Endiveyard-Token-Count: 6000,20\r\n"
+                          "Endiveyard-Prompt-Prefix: a1:4000,b2:2000\r\n"));
+  TestConnection other = peer.Accept();
+  BOOST_TEST(Contains(other.ReadUntil("\r\n\r\n"), "prefilled=0"));
+  relay.LearnOfPeer("127.0.0.2");
+  other.Close();
+  TestConnection next = next_peer.Accept();
+  BOOST_TEST(Contains(next.ReadUntil("\r\n\r\n"), "prefilled=1"));
+}
+
 // Guards against runs beyond the attempts of a route: after the last one, the
 // caller gets what the target has answered.
 BOOST_FIXTURE_TEST_CASE(FailuresOfTheLastAttemptArePassedOn, StrandedInstance) {
