--- a/src/front/instance_recorder.cc
+++ b/src/front/instance_recorder.cc
@@ -1,6 +1,7 @@
 #include "front/instance_recorder.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <map>
 #include <optional>
 #include <utility>
@@ -110,11 +111,12 @@
     return age < kSecondReadTime ? kSecondReadTime - age : interval;
   }
 
+  // Records of the future are as wrong as old ones.
   Duration AgeOf(const InstanceRecord& record) const {
-    constexpr int64_t kLongestMs = int64_t{24} * 3600 * 1000;
-    const int64_t age_ms = handlers_.unix_ms() - record.written_ms;
-    return Duration(std::clamp(age_ms, -kLongestMs, kLongestMs) *
-                    kMicrosPerMilli);
+    const int64_t now_ms = handlers_.unix_ms();
+    const int64_t written_ms =
+        std::clamp<int64_t>(record.written_ms, 0, 2 * now_ms);
+    return Duration(std::abs(now_ms - written_ms) * kMicrosPerMilli);
   }
 
   // Removes the first old record that follows the own one, without another
