Instance records: an outage of the registry does not end them

By reading: registered instances that are not heard stopped counting 90 s after the last list, so that parts which do not hear each other spent the whole slack again, and sent replicas several times their limits, once the registry had been away for that long (the retry bound remembers for five minutes).

They now count until lists have left them out for 45 s, in which all write their records again after an outage.

--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -21,9 +21,10 @@
 inline constexpr Duration kPeerTimeoutOfLargeFleet = std::chrono::seconds(90);
 // Older signs of life are not passed on.
 inline constexpr Duration kMaxReportedAge = std::chrono::seconds(60);
-// An instance that the registry has named counts for this long, whether it is
-// heard or not.
-inline constexpr Duration kRegisteredTimeout = std::chrono::seconds(90);
+// An instance that the registry has named counts, whether it is heard or not,
+// until lists have left it out for this long. After an outage of the registry,
+// all have written their records again by then.
+inline constexpr Duration kRegisteredTimeout = std::chrono::seconds(45);
 // Interval at which instances tell others which instances are live, and probe
 // seeds that are not.
 inline constexpr Duration kMemberInterval = std::chrono::seconds(1);
@@ -118,7 +119,6 @@
   };
 
   std::vector<uint32_t> LivePeers(TimePoint now) const;
-  bool IsRegistered(TimePoint named_at, TimePoint now) const;
   // Returns the registered instances that are not live, in order.
   std::vector<uint32_t> RegisteredOnly(TimePoint now) const;
   // Returns the others that share what all have together, in order.
@@ -133,8 +133,8 @@
   const uint16_t own_region_;
   const std::vector<uint32_t> seeds_;
   std::map<uint32_t, Peer> peers_;
-  // When the registry named instances last.
-  std::map<uint32_t, TimePoint> registered_;
+  // Instances that the registry has named, and since when lists leave them out.
+  std::map<uint32_t, std::optional<TimePoint>> registered_;
   bool is_sharing_known_ = false;
   std::optional<TimePoint> own_leaving_since_;
   // Position in the lists of the members of other regions.
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -168,27 +168,27 @@
   is_sharing_known_ =
       is_sharing_known_ || std::find(addresses.begin(), addresses.end(),
                                      own_address_) != addresses.end();
-  for (auto it = registered_.begin(); it != registered_.end();) {
-    it = IsRegistered(it->second, now) ? std::next(it) : registered_.erase(it);
+  for (auto& [address, missing_since] : registered_) {
+    missing_since = missing_since.value_or(now);
   }
   for (const uint32_t it : addresses) {
     if (it != own_address_ &&
         (registered_.size() < kMaxPeers || registered_.count(it) > 0)) {
-      registered_[it] = now;
+      registered_[it].reset();
     }
   }
-}
-
-bool PeerDirectory::IsRegistered(TimePoint named_at, TimePoint now) const {
-  return now - named_at < kRegisteredTimeout;
+  for (auto it = registered_.begin(); it != registered_.end();) {
+    const bool is_gone = it->second && now - *it->second >= kRegisteredTimeout;
+    it = is_gone ? registered_.erase(it) : std::next(it);
+  }
 }
 
 std::vector<uint32_t> PeerDirectory::RegisteredOnly(TimePoint now) const {
   std::vector<uint32_t> only;
-  for (const auto& [address, named_at] : registered_) {
+  for (const auto& [address, missing_since] : registered_) {
     const auto peer = peers_.find(address);
     const bool live = peer != peers_.end() && IsLive(peer->second, now);
-    if (!live && IsRegistered(named_at, now)) {
+    if (!live) {
       only.push_back(address);
     }
   }
@@ -207,7 +207,7 @@
 
 std::optional<size_t> PeerDirectory::SharingCount(TimePoint now) const {
   return is_sharing_known_ ? std::optional(Sharers(now).size() + 1)
-                            : std::nullopt;
+                           : std::nullopt;
 }
 
 std::vector<uint32_t> PeerDirectory::Mates(TimePoint now) const {
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -173,9 +173,16 @@
   directory.RecordRegistered({1, 3, 4}, At(1000));
   BOOST_TEST(directory.SharingCount(At(1000)).value() == 4u);
   BOOST_TEST(directory.InstanceCount(At(1000)) == 2u);
-  // 3 and 4 have never been heard; the registry no longer names 4.
-  const int64_t later = 1000 + kRegisteredTimeout.count() / 1000;
-  directory.RecordReport({2, kRegion, Duration(0)}, 2, {}, At(later));
+  // 3 and 4 have never been heard. They count while the registry cannot be
+  // read.
+  const int64_t outage = 1000 + 10 * kRegisteredTimeout.count() / 1000;
+  directory.RecordReport({2, kRegion, Duration(0)}, 2, {}, At(outage));
+  BOOST_TEST(directory.SharingCount(At(outage)).value() == 4u);
+  // The registry no longer names 4, as at the end of an outage.
+  directory.RecordRegistered({1, 3}, At(outage));
+  BOOST_TEST(directory.SharingCount(At(outage)).value() == 4u);
+  const int64_t later = outage + kRegisteredTimeout.count() / 1000;
+  directory.RecordReport({2, kRegion, Duration(0)}, 3, {}, At(later));
   directory.RecordRegistered({1, 3}, At(later));
   BOOST_TEST(directory.SharingCount(At(later)).value() == 3u);
   InstancePosition expected;
