--- a/tests/front/instance_recorder_test.cc
+++ b/tests/front/instance_recorder_test.cc
@@ -137,6 +137,7 @@
                                                       FakeRegistry* registry,
                                                       int count) {
   std::vector<std::unique_ptr<Instance>> instances;
+  instances.reserve(static_cast<size_t>(count));
   for (int n = 0; n < count; ++n) {
     instances.push_back(std::make_unique<Instance>(clock, registry, n));
   }
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -26,12 +26,10 @@
   bool reaches_registry = true;
 };
 
-const std::vector<Plan>& Plans() {
-  static const std::vector<Plan> plans = {
-      {8, 2, true},    {8, 3, true},   {8, 8, true},
-      {95, 2, true},   {95, 19, true}, {370, 3, true},
-      {370, 37, true}, {8, 3, false},  {95, 19, false}};
-  return plans;
+std::vector<Plan> Plans() {
+  return {{8, 2, true},    {8, 3, true},   {8, 8, true},
+          {95, 2, true},   {95, 19, true}, {370, 3, true},
+          {370, 37, true}, {8, 3, false},  {95, 19, false}};
 }
 
 // Instances that have all just started, and hear those of their part only.
--- a/tools/soak/soak_configuration.cc
+++ b/tools/soak/soak_configuration.cc
@@ -56,6 +56,7 @@
   // Processes of a group report to each other at one port.
   constexpr size_t kMaxSeeds = 3;
   std::vector<uint16_t> control_ports;
+  control_ports.reserve(static_cast<size_t>(report_groups));
   std::vector<std::vector<std::string>> seeds(
       static_cast<size_t>(report_groups));
   for (int n = 0; n < report_groups; ++n) {
