--- a/tests/placement/crash_spread_test.cc
+++ b/tests/placement/crash_spread_test.cc
@@ -25,8 +25,12 @@
 // lost.
 class CrashingFleet {
  public:
-  CrashingFleet(uint32_t instances, size_t regions, unsigned seed)
-      : suspects_(instances), regions_(regions), random_(seed) {
+  // Instances of different parts get no reports of each other.
+  CrashingFleet(uint32_t instances,
+                size_t regions,
+                unsigned seed,
+                size_t parts = 1)
+      : suspects_(instances), regions_(regions), parts_(parts), random_(seed) {
     for (int n = 0; n < kReplicas; ++n) {
       replicas_[n].key = next_replica_key_++;
     }
@@ -170,7 +174,7 @@
                size_t from,
                size_t to,
                bool relay) {
-    if (from == to || random_() % 3 == 0) {
+    if (from == to || random_() % 3 == 0 || from % parts_ != to % parts_) {
       return;
     }
     for (CrashReport it : reports) {
@@ -186,6 +190,7 @@
 
   std::vector<CrashSuspects> suspects_;
   const size_t regions_;
+  const size_t parts_;
   std::mt19937 random_;
   std::array<Replica, kReplicas> replicas_;
   uint64_t next_replica_key_ = 1;
@@ -218,4 +223,20 @@
   BOOST_TEST(result.sound_refused <= result.sound_requests / 20);
 }
 
+// Guards against parts of a fleet that do not hear each other and each have to
+// lose replicas before they refuse requests that crash them.
+// Listed in KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(PartsThatDoNotHearEachOtherStopSendingRequestsThatCrash,
+                     *boost::unit_test::label("known_red")) {
+  for (const size_t parts : {2, 3, 8}) {
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      CrashingFleet fleet(8, 1, seed, parts);
+      const Result result = fleet.Run(30000, 0.05);
+      BOOST_TEST_CONTEXT("seed " << seed << " parts " << parts) {
+        BOOST_TEST(result.late_requests <= kMaxLateRequests);
+      }
+    }
+  }
+}
+
 }  // namespace endiveyard
