Instance records: instances that are gone are not waited for

By reading: from 45 s after an instance had ended until its record lapsed, all others listed the records every 2 s at the full price and wrote reports for it, as if it ran where they do not hear it. Its record is no longer renewed by then, so only records newer than 40 s count for this (InstancesThatAreGoneAreNotWaitedFor).

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -54,12 +54,11 @@
   // Records the instances that run according to the registry. They share what
   // all have together, whether they are heard or not.
   void RecordRegistered(const std::vector<std::string>& ips);
-  // Returns true if some of these are not heard.
-  bool MissesInstances() const;
+  // Returns true if the instance at this address is live, or is this one.
+  bool Hears(const std::string& ip) const;
   // Returns what instances that do not hear this one have to know: evidence of
-  // requests that crash replicas. As text; empty if there is nothing, or all
-  // are heard. Sets `fingerprint`, which differs between reports that tell
-  // something else.
+  // requests that crash replicas. As text; empty if there is none. Sets
+  // `fingerprint`, which differs between reports that tell something else.
   std::string ReportForUnheard(uint64_t* fingerprint);
   // Applies what another instance returned from ReportForUnheard() `age` ago.
   void ApplyReportOfUnheard(const std::string& text, Duration age);
--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -67,8 +67,8 @@
   // one.
   void RecordRegistered(const std::vector<uint32_t>& addresses, TimePoint now);
 
-  // Returns true if some registered instances are not live.
-  bool MissesInstances(TimePoint now) const;
+  // Returns true if a sign of life of the instance was seen lately.
+  bool IsLive(uint32_t address, TimePoint now) const;
 
   // Returns the live peers that exchange their own work with this instance.
   std::vector<uint32_t> Mates(TimePoint now) const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -449,8 +449,8 @@
       load_exchange_.RecordRegistered(ips);
       LogInstanceCount(ips.size());
     };
-    handlers.misses_instances = [this] {
-      return load_exchange_.MissesInstances();
+    handlers.hears = [this](const std::string& ip) {
+      return load_exchange_.Hears(ip);
     };
     handlers.report = [this] {
       InstanceReport report;
--- a/src/front/instance_recorder.cc
+++ b/src/front/instance_recorder.cc
@@ -68,7 +68,7 @@
         self->OnPage(page);
       }
     };
-    if (handlers_.misses_instances()) {
+    if (misses_instances_) {
       lists_->ListPage(options_.kind, after, std::move(done));
     } else {
       lists_->ListStalePage(options_.kind, after, std::move(done));
@@ -104,6 +104,10 @@
         instances.push_back({entry.record.ip, entry.record.report, age});
       }
     }
+    misses_instances_ =
+        std::any_of(instances.begin(), instances.end(), [this](const auto& it) {
+          return it.report_age < kRenewedRecordAge && !handlers_.hears(it.ip);
+        });
     known_instances_ = instances.size();
     handlers_.on_read(instances);
     exists_ = exists_ || entries_.count(options_.name) > 0;
@@ -115,8 +119,7 @@
     const auto age =
         std::chrono::duration_cast<Duration>(handlers_.now() - started_at_);
     const auto interval =
-        (handlers_.misses_instances() ? kReportReadInterval
-                                      : kInstanceReadInterval) *
+        (misses_instances_ ? kReportReadInterval : kInstanceReadInterval) *
         static_cast<int64_t>(1 + entries_.size() / kInstancesPerReadInterval);
     return age < kSecondReadTime ? kSecondReadTime - age : interval;
   }
@@ -155,12 +158,16 @@
                                    options_.registry_writes_per_second,
                                    kReportWriteInterval),
              &Impl::OnReportTimer);
-    const InstanceReport report = handlers_.report();
+    const InstanceReport report = Report();
     if (!report.text.empty() && report.fingerprint != written_fingerprint_) {
       StartWrite();
     }
   }
 
+  InstanceReport Report() const {
+    return misses_instances_ ? handlers_.report() : InstanceReport();
+  }
+
   void StartWrite() {
     if (!std::exchange(is_write_pending_, true)) {
       Write();
@@ -168,7 +175,7 @@
   }
 
   void Write() {
-    InstanceReport report = handlers_.report();
+    InstanceReport report = Report();
     written_fingerprint_ = report.fingerprint;
     RegistryObject object;
     object.name = options_.name;
@@ -216,7 +223,8 @@
   std::map<std::string, Entry> entries_;  // of the present read, by name
   size_t pages_ = 0;
   size_t known_instances_ = 0;  // by the last read
-  bool exists_ = false;         // the own record
+  bool misses_instances_ = false;
+  bool exists_ = false;  // the own record
   bool is_write_pending_ = false;
   bool is_second_write_ = false;
   uint64_t written_fingerprint_ = 0;  // of the report that was written last
--- a/src/front/instance_recorder.h
+++ b/src/front/instance_recorder.h
@@ -36,8 +36,11 @@
 // limits the bytes per second.
 inline constexpr Duration kInstanceReadInterval = std::chrono::seconds(5);
 inline constexpr size_t kInstancesPerReadInterval = 50;
-// The same while other instances are not heard, so that their reports are read.
+// The same while other instances are not heard though their records are newer
+// than kRenewedRecordAge, so that their reports are read. The records of
+// instances that are gone are older once these are no longer heard.
 inline constexpr Duration kReportReadInterval = std::chrono::seconds(2);
+inline constexpr Duration kRenewedRecordAge = std::chrono::seconds(40);
 // An instance writes a new report after this time at the earliest, and later
 // where all together would use more than half of the writes of the registry.
 inline constexpr Duration kReportWriteInterval = std::chrono::seconds(1);
@@ -72,10 +75,9 @@
   std::function<void(Duration delay, std::function<void()> action)> schedule;
   // The instances that run according to the registry; may include the own one.
   std::function<void(const std::vector<RecordedInstance>& instances)> on_read;
-  // Returns true if some instances that run according to the registry are not
-  // heard.
-  std::function<bool()> misses_instances;
-  // Returns what to tell these.
+  // Returns true if the instance at the address is heard, or is this one.
+  std::function<bool(const std::string& ip)> hears;
+  // Returns what to tell instances that do not hear this one.
   std::function<InstanceReport()> report;
   // A read or write failed; called for the first one in a row.
   std::function<void(const absl::Status& status)> on_failure;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -122,16 +122,15 @@
     directory_.RecordRegistered(ParseIps(ips), BootClock::now());
   }
 
-  bool MissesInstances() const {
-    return directory_.MissesInstances(BootClock::now());
+  bool Hears(const std::string& ip) const {
+    const uint32_t address = ParseIp(ip);
+    return address == 0 || address == own_address_ ||
+           directory_.IsLive(address, BootClock::now());
   }
 
   std::string ReportForUnheard(uint64_t* fingerprint) {
     *fingerprint = 0;
     const TimePoint now = BootClock::now();
-    if (!directory_.MissesInstances(now)) {
-      return "";
-    }
     PeerLoadReport report = MakeReport(ReportScope::kMembers);
     report.crashes = crash_suspects_.Digest(kMaxCrashKeysPerReport, now);
     if (report.crashes.empty()) {
@@ -579,8 +578,8 @@
   impl_->RecordRegistered(ips);
 }
 
-bool LoadExchange::MissesInstances() const {
-  return impl_->MissesInstances();
+bool LoadExchange::Hears(const std::string& ip) const {
+  return impl_->Hears(ip);
 }
 
 std::string LoadExchange::ReportForUnheard(uint64_t* fingerprint) {
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -186,17 +186,16 @@
 std::vector<uint32_t> PeerDirectory::RegisteredOnly(TimePoint now) const {
   std::vector<uint32_t> only;
   for (const auto& [address, missing_since] : registered_) {
-    const auto peer = peers_.find(address);
-    const bool live = peer != peers_.end() && IsLive(peer->second, now);
-    if (!live) {
+    if (!IsLive(address, now)) {
       only.push_back(address);
     }
   }
   return only;
 }
 
-bool PeerDirectory::MissesInstances(TimePoint now) const {
-  return !RegisteredOnly(now).empty();
+bool PeerDirectory::IsLive(uint32_t address, TimePoint now) const {
+  const auto peer = peers_.find(address);
+  return peer != peers_.end() && IsLive(peer->second, now);
 }
 
 std::vector<uint32_t> PeerDirectory::Sharers(TimePoint now) const {
--- a/tests/front/instance_recorder_test.cc
+++ b/tests/front/instance_recorder_test.cc
@@ -125,7 +125,9 @@
         reports[it.ip] = it;
       }
     };
-    handlers.misses_instances = [this] { return misses_instances; };
+    handlers.hears = [this](const std::string& ip) {
+      return unheard.count(ip) == 0;
+    };
     handlers.report = [this] { return report; };
     handlers.on_failure = [this](const absl::Status&) { ++failures; };
     recorder = std::make_unique<InstanceRecorder>(
@@ -139,7 +141,7 @@
   std::unique_ptr<InstanceRecorder> recorder;
   std::optional<std::set<std::string>> ips;
   std::map<std::string, RecordedInstance> reports;  // by address
-  bool misses_instances = false;
+  std::set<std::string> unheard;
   InstanceReport report;
   int failures = 0;
 };
@@ -242,7 +244,7 @@
   const auto instances = StartInstances(&clock, &registry, 3);
   clock.Advance(20 * kSecond);
   for (const auto& it : instances) {
-    it->misses_instances = true;
+    it->unheard = {"10.0.0.0", "10.0.0.1", "10.0.0.2"};
   }
   clock.Advance(kInstanceReadInterval);
   const size_t writes = registry.write_times.size();
@@ -260,6 +262,24 @@
   BOOST_TEST(registry.full_price_lists > 0);
 }
 
+// Guards against lists at the full price for instances that are gone.
+BOOST_AUTO_TEST_CASE(InstancesThatAreGoneAreNotWaitedFor) {
+  Clock clock;
+  FakeRegistry registry(&clock);
+  auto instances = StartInstances(&clock, &registry, 3);
+  clock.Advance(20 * kSecond);
+  instances.resize(2);
+  clock.Advance(kRenewedRecordAge);
+  for (const auto& it : instances) {
+    it->unheard = {"10.0.0.2"};
+    it->report = {"a", 1};
+  }
+  const size_t writes = registry.write_times.size();
+  clock.Advance(2 * kSecond * 20);
+  BOOST_TEST(registry.full_price_lists == 0);
+  BOOST_TEST(registry.write_times.size() <= writes + 4);
+}
+
 // Guards against objects of others that end the process or count as instances.
 BOOST_AUTO_TEST_CASE(ObjectsThatAreNoRecordsAreLeftOut) {
   for (const std::string report : {"", "0a1b"}) {
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -215,7 +215,8 @@
   Instance second("10.0.0.2");
   const SuspectKeys keys = {7};
   uint64_t fingerprint = 0;
-  BOOST_TEST(first.exchange.MissesInstances());
+  BOOST_TEST(first.exchange.Hears("10.0.0.1"));
+  BOOST_TEST(!first.exchange.Hears("10.0.0.2"));
   BOOST_TEST(first.exchange.ReportForUnheard(&fingerprint).empty());
   std::set<uint64_t> fingerprints;
   for (uint64_t replica = 1; replica <= 3; ++replica) {
