--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -8,10 +8,12 @@
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
+#include "endiveyard/duties/usage_counts.h"
 #include "endiveyard/placement/cache_view.h"
 #include "endiveyard/placement/crash_suspects.h"
 #include "endiveyard/placement/peer_loads.h"
 #include "endiveyard/placement/placer.h"
+#include "endiveyard/placement/replica_pace_report.h"
 #include "endiveyard/placement/replica_rate_limits.h"
 #include "endiveyard/placement/stream_versions.h"
 #include "endiveyard/placement/target_availability.h"
@@ -75,6 +77,13 @@
   bool registry_lost = false;  // the sender cannot read the registry
   // The sender takes requests that others forward, see ForwardingState.
   bool takes_requests = false;
+  // Version of the service map that the sender has in force; 0 if not told.
+  int64_t map_version = 0;
+  int64_t unix_ms = 0;  // time of day at the sender; 0 if not told
+  DutyHolderReport duty_holder;
+  std::vector<WindowUsage> usage;   // at the sender, for the duty holder
+  std::vector<int64_t> usage_acks;  // windows received from the recipient
+  std::vector<ReplicaPaceReport> paces;
 
   bool operator==(const PeerLoadReport& other) const;
 };
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -17,8 +17,9 @@
 
 // Limits the work that a malicious datagram can cause in the decoder. The
 // largest report has five words per replica when unpacked: 2,500 for 500
-// replicas, and about as many for the other lists.
-constexpr uint64_t kMaxTraversalWords = 5120;
+// replicas, and about as many for the other lists. Counts of usage take two
+// words per tenant: 2,000 for four windows of 250 tenants.
+constexpr uint64_t kMaxTraversalWords = 8192;
 
 // Limits on the figures of one entry, so that a forged report has a bounded
 // weight: more work than an engine can have queued counts as this much.
@@ -35,6 +36,7 @@
 
 constexpr double kMillisPerSecond = 1000;
 constexpr double kMicrosPerMilli = 1000;
+constexpr double kHundredths = 100;
 
 Duration FromMillis(uint32_t ms) {
   return std::chrono::milliseconds(ms);
@@ -224,6 +226,85 @@
   }
 }
 
+// Leaves fields unset that have nothing to tell, so that reports of deployments
+// without duties do not grow.
+void EncodeUsage(const PeerLoadReport& report, wire::LoadReport::Builder root) {
+  if (report.duty_holder.address != 0) {
+    auto holder = root.initDutyHolder();
+    holder.setAddress(report.duty_holder.address);
+    holder.setFencingToken(report.duty_holder.fencing_token);
+    holder.setAgeMs(ToMillis(report.duty_holder.age));
+  }
+  if (!report.usage.empty()) {
+    auto list = root.initUsage(static_cast<unsigned>(report.usage.size()));
+    for (unsigned n = 0; n < list.size(); ++n) {
+      const WindowUsage& usage = report.usage[n];
+      list[n].setWindow(usage.window);
+      auto tenants =
+          list[n].initTenants(static_cast<unsigned>(usage.tenants.size()));
+      for (unsigned k = 0; k < tenants.size(); ++k) {
+        tenants[k].setTenantKey(usage.tenants[k].tenant_key);
+        tenants[k].setRequests(usage.tenants[k].requests);
+      }
+    }
+  }
+  if (!report.usage_acks.empty()) {
+    auto acks =
+        root.initUsageAcks(static_cast<unsigned>(report.usage_acks.size()));
+    for (unsigned n = 0; n < acks.size(); ++n) {
+      acks.set(n, report.usage_acks[n]);
+    }
+  }
+}
+
+void DecodeUsage(wire::LoadReport::Reader root, PeerLoadReport* report) {
+  if (root.hasDutyHolder()) {
+    const auto holder = root.getDutyHolder();
+    report->duty_holder = {holder.getAddress(), holder.getFencingToken(),
+                           FromMillis(holder.getAgeMs())};
+  }
+  for (const auto it : root.getUsage()) {
+    WindowUsage usage;
+    usage.window = it.getWindow();
+    for (const auto tenant : it.getTenants()) {
+      usage.tenants.push_back({tenant.getTenantKey(), tenant.getRequests()});
+    }
+    report->usage.push_back(std::move(usage));
+  }
+  for (const int64_t window : root.getUsageAcks()) {
+    report->usage_acks.push_back(window);
+  }
+}
+
+void EncodePaces(const std::vector<ReplicaPaceReport>& paces,
+                 wire::LoadReport::Builder root) {
+  if (paces.empty()) {
+    return;
+  }
+  auto list = root.initPaces(static_cast<unsigned>(paces.size()));
+  for (unsigned n = 0; n < list.size(); ++n) {
+    list[n].setReplicaKey(paces[n].replica_key);
+    list[n].setAgeMs(ToMillis(paces[n].age));
+    list[n].setDurationPercent(
+        Rounded(paces[n].relative_duration.value_or(0) * kHundredths));
+    list[n].setCallLimitHundredths(
+        Rounded(paces[n].call_limit.value_or(0) * kHundredths));
+  }
+}
+
+ReplicaPaceReport DecodePace(wire::LoadReport::Pace::Reader pace) {
+  ReplicaPaceReport decoded;
+  decoded.replica_key = pace.getReplicaKey();
+  decoded.age = FromMillis(pace.getAgeMs());
+  if (pace.getDurationPercent() > 0) {
+    decoded.relative_duration = pace.getDurationPercent() / kHundredths;
+  }
+  if (pace.getCallLimitHundredths() > 0) {
+    decoded.call_limit = pace.getCallLimitHundredths() / kHundredths;
+  }
+  return decoded;
+}
+
 RateLimitReport DecodeRateLimit(wire::LoadReport::RateLimit::Reader limit) {
   RateLimitReport decoded;
   decoded.replica_key = limit.getReplicaKey();
@@ -241,7 +322,9 @@
     return std::tie(it.sender, it.sequence, it.region, it.leaving, it.scope,
                     it.interval, it.work, it.cached, it.members, it.profiles,
                     it.crashes, it.rate_limits, it.leaving_replicas, it.streams,
-                    it.registry_lost, it.takes_requests, it.tells_streams);
+                    it.registry_lost, it.takes_requests, it.tells_streams,
+                    it.map_version, it.unix_ms, it.duty_holder, it.usage,
+                    it.usage_acks, it.paces);
   };
   return fields(*this) == fields(other);
 }
@@ -291,6 +374,10 @@
   }
   root.setRegistryLost(report.registry_lost);
   root.setTakesRequests(report.takes_requests);
+  root.setMapVersion(report.map_version);
+  root.setUnixMs(report.unix_ms);
+  EncodeUsage(report, root);
+  EncodePaces(report.paces, root);
   kj::VectorOutputStream out;
   capnp::writePackedMessage(out, message);
   const auto bytes = out.getArray();
@@ -359,6 +446,12 @@
         kListsWithStreams;
     report.registry_lost = root.getRegistryLost();
     report.takes_requests = root.getTakesRequests();
+    report.map_version = root.getMapVersion();
+    report.unix_ms = root.getUnixMs();
+    DecodeUsage(root, &report);
+    for (const auto it : root.getPaces()) {
+      report.paces.push_back(DecodePace(it));
+    }
     decoded = std::move(report);
   });
   if (failure != nullptr) {
