Customers: callers authenticate with API keys

Where the configuration has tenants, callers are now authenticated when their request is routed. Replicas get the name of the customer and never the key. Instances tell each other the version that they have in force, so that a registry that was restored from a copy does not bring withdrawn keys back.

Load reports have hooks, by which other parts add to them.

--- a/include/endiveyard/duties/usage_counts.h
+++ b/include/endiveyard/duties/usage_counts.h
@@ -9,24 +9,25 @@
 
 namespace endiveyard {
 
-// Requests of one tenant that began to run in a window at one instance.
-struct TenantUsage {
-  uint64_t tenant_key = 0;  // digest of the name of the tenant
+// Requests of one customer that began to run in a window at one instance.
+struct CustomerUsage {
+  uint64_t customer_key = 0;  // digest of the name of the customer
   uint32_t requests = 0;
 
-  bool operator==(const TenantUsage& other) const {
-    return std::tie(tenant_key, requests) ==
-           std::tie(other.tenant_key, other.requests);
+  bool operator==(const CustomerUsage& other) const {
+    return std::tie(customer_key, requests) ==
+           std::tie(other.customer_key, other.requests);
   }
 };
 
 // Window k begins k times the length of a window after the start of 1970.
 struct WindowUsage {
   int64_t window = 0;
-  std::vector<TenantUsage> tenants;
+  std::vector<CustomerUsage> customers;
 
   bool operator==(const WindowUsage& other) const {
-    return std::tie(window, tenants) == std::tie(other.window, other.tenants);
+    return std::tie(window, customers) ==
+           std::tie(other.window, other.customers);
   }
 };
 
--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -2,6 +2,7 @@
 #define ENDIVEYARD_LOAD_EXCHANGE_LOAD_EXCHANGE_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "absl/status/status.h"
+#include "endiveyard/load_exchange/peer_load_report.h"
 #include "endiveyard/placement/crash_suspects.h"
 #include "endiveyard/placement/forwarding_peers.h"
 #include "endiveyard/placement/placer.h"
@@ -24,6 +26,14 @@
   std::vector<std::string> seed_ips;  // where other instances may run
 };
 
+// What other parts of the instance add to reports and read from them.
+struct LoadReportHooks {
+  // Adds to a report that is about to be sent.
+  std::function<void(PeerLoadReport* report, TimePoint now)> fill;
+  // Takes in a valid report of another instance.
+  std::function<void(const PeerLoadReport& report, TimePoint now)> apply;
+};
+
 // Exchanges reports with the other instances over UDP: the work that instances
 // have on each replica, the prompt parts that they found in the caches of
 // engines, the measured speed of engines, crashes of replicas, and which
@@ -44,11 +54,24 @@
   LoadExchange(const LoadExchange&) = delete;
   LoadExchange& operator=(const LoadExchange&) = delete;
 
+  // Adds hooks, which run for all reports from now on. What they refer to has
+  // to outlive the exchange.
+  void AddHooks(LoadReportHooks hooks);
+  // Sends a report of scope kMembers at once to one instance. `content` holds
+  // only what the hooks do not fill in. Counts toward no limit on bytes, so it
+  // is for rare messages.
+  void SendDirect(uint32_t address, PeerLoadReport content);
+
   // Opens the UDP port and starts sending and receiving. Errors: kUnavailable.
   absl::Status Start();
 
   // Returns the number of live instances, including this one.
   size_t InstanceCount() const;
+  // Returns the addresses (IPv4) of the live instances that are not leaving, in
+  // order, including this one.
+  std::vector<uint32_t> LiveInstances() const;
+  // Returns the own address (IPv4).
+  uint32_t own_address() const;
   // Returns the position of this instance among them.
   InstancePosition Position() const;
   // Records the instances that run according to the registry. They share what
--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -82,6 +82,9 @@
   // returned come first.
   std::vector<Member> Members(TimePoint now);
 
+  // Returns the live instances that are not leaving, in order of address,
+  // including this one.
+  std::vector<uint32_t> LiveInstances(TimePoint now) const;
   // Returns the number of live instances, including this one.
   size_t InstanceCount(TimePoint now) const;
   // Returns the number of instances that share what all have together: the live
--- a/include/endiveyard/placement/service_map.h
+++ b/include/endiveyard/placement/service_map.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
+#include "endiveyard/placement/customer_table.h"
 
 namespace endiveyard {
 
@@ -36,6 +37,8 @@
   int max_attempts = 1;                // targets that may run one request
   bool session_affinity = false;       // requests carry a PromptShape
   bool resumable = false;  // a stream may continue on another target
+  // Where the configuration has customers: callers need no key.
+  bool allow_anonymous = false;
   std::vector<WeightedService> services;  // at least one
 
   bool operator==(const Route& other) const;
@@ -79,6 +82,8 @@
   std::vector<Route> routes;
   std::vector<Service> services;
   CallerLimits limits;
+  // Absent if callers need no keys.
+  std::optional<CustomerTable> customers;
 
   bool operator==(const ServiceMap& other) const;
 };
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -72,6 +72,9 @@
   std::shared_ptr<const ServiceMap> service_map;  // null until one is known
   // True while the map is known to be the latest version.
   bool service_map_current = false;
+  // True while the map is known to be older than the one that other instances
+  // have in force, so that its keys may have been withdrawn.
+  bool service_map_behind = false;
   ReplicaView replicas;
   bool replicas_known = false;  // set by the first complete list
   // Brings `replicas` up to date. `done` runs once, later or at once: with true
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -28,6 +28,8 @@
   // Id of the attempt that brought the first event of the resumed stream; empty
   // if the caller did not name one.
   std::string resumed_request_id;
+  // Empty if the caller stated none, or several that differ.
+  std::string api_key;
 };
 
 // Metadata from the headers of a target's response.
@@ -71,6 +73,10 @@
   Duration time_left{};
   int priority = 0;  // in the target's queue; 0 is the most urgent
   bool prefill_only = false;
+  // The configuration has customers: what the caller states of its key and its
+  // customer is replaced by `customer`, empty for an anonymous caller.
+  bool has_customers = false;
+  std::string customer;
   std::string kv_source;     // "IP:PORT/HANDLE" of the KV cache, or empty
   std::string cache_source;  // "IP:PORT" of an engine to copy cached parts from
   std::optional<int64_t> last_event_id;
--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -31,6 +31,9 @@
   void SetOpenExchanges(double value);
   void SetConfigurationVersion(double value);
   void CountObjectApiCall(const std::string& outcome);
+  // Counts a request whose API key is missing or unknown.
+  void CountKeyRefused(const std::string& reason);
+  void SetCustomers(double value);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -13,6 +13,7 @@
 
 #include "endiveyard/base/digest.h"
 #include "endiveyard/load_exchange/load_exchange.h"
+#include "endiveyard/placement/service_map_currency.h"
 #include "endiveyard/placement/service_map_selector.h"
 #include "endiveyard/registry/registry_era.h"
 #include "endiveyard/registry/registry_mirror.h"
@@ -132,6 +133,15 @@
                        relay_.forwarding_peers()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         maintenance_timer_(io_) {
+    // An instance reports its version only where keys depend on it.
+    LoadReportHooks hooks;
+    hooks.fill = [this](PeerLoadReport* report, TimePoint) {
+      report->map_version = VersionOfKeys();
+    };
+    hooks.apply = [this](const PeerLoadReport& report, TimePoint now) {
+      service_map_currency_.RecordPeer(report.sender, report.map_version, now);
+    };
+    load_exchange_.AddHooks(std::move(hooks));
     routing_state_.replicas.set_entry_lifetime(
         kHeartbeatsPerEntry * settings_.heartbeat_interval +
         kEntryRemovalMargin);
@@ -199,6 +209,28 @@
     }
   }
 
+  // Returns the version of the service map if it has customers, otherwise 0.
+  int64_t VersionOfKeys() const {
+    const auto& map = routing_state_.service_map;
+    return map && map->customers ? map->version : 0;
+  }
+
+  // Decides whether the keys of the service map are older than those that other
+  // instances have in force. While the registry cannot be read, the last known
+  // keys stay in force.
+  void UpdateServiceMapCurrency(TimePoint now) {
+    service_map_currency_.RecordOwn(VersionOfKeys());
+    const bool is_behind = VersionOfKeys() != 0 && !registry_lost_ &&
+                           service_map_currency_.IsBehind(now);
+    if (is_behind && !routing_state_.service_map_behind) {
+      JsonFields fields;
+      fields.Integer("version", VersionOfKeys())
+          .Integer("heard", service_map_currency_.HighestHeard(now));
+      log_.Log(kLogServiceMapBehind, fields, now);
+    }
+    routing_state_.service_map_behind = is_behind;
+  }
+
   bool IsReady() const { return !drain_start_ && routing_state_.IsComplete(); }
 
   AdminResponse HandleAdminRequest(std::string_view path) {
@@ -315,6 +347,7 @@
   }
 
   void HandleRegistryRestore(int64_t era, int64_t before) {
+    service_map_currency_.RecordRestart();
     JsonFields fields;
     fields.Integer("era", era).Integer("before", before);
     log_.Log(kLogRegistryRestored, fields, BootClock::now());
@@ -593,6 +626,11 @@
         .Integer("era", registry_era_.latest());
     log_.Log(kLogServiceMapApplied, fields, BootClock::now());
     metrics_.SetConfigurationVersion(static_cast<double>(applied.version));
+    if (applied.customers) {
+      metrics_.SetCustomers(
+          static_cast<double>(applied.customers->customers().size()));
+    }
+    UpdateServiceMapCurrency(BootClock::now());
     relay_.OnRoutingStateChanged();
   }
 
@@ -616,6 +654,7 @@
         service_map_confirmed_at_ && service_maps_.is_registry_current() &&
         now - *service_map_confirmed_at_ <
             mirror_timing_.watch_timeout + kConfirmationMargin;
+    UpdateServiceMapCurrency(now);
     if (const auto instances = load_exchange_.SharingCount()) {
       relay_.set_instance_count(*instances);
     }
@@ -706,6 +745,7 @@
   Metrics metrics_;
   RoutingState routing_state_;
   ServiceMapSelector service_maps_;
+  ServiceMapCurrency service_map_currency_{settings_.max_staleness};
   RegistryEra registry_era_;
   platform::HttpRegistryClient registry_client_;
   Relay relay_;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -110,6 +110,29 @@
     return absl::OkStatus();
   }
 
+  void AddHooks(LoadReportHooks hooks) { hooks_.push_back(std::move(hooks)); }
+
+  void SendDirect(uint32_t address, PeerLoadReport content) {
+    const PeerLoadReport header = MakeReport(ReportScope::kMembers);
+    content.sender = header.sender;
+    content.sequence = header.sequence;
+    content.region = header.region;
+    content.leaving = header.leaving;
+    content.registry_lost = header.registry_lost;
+    content.takes_requests = header.takes_requests;
+    content.scope = header.scope;
+    content.map_version = header.map_version;
+    content.unix_ms = header.unix_ms;
+    content.duty_holder = header.duty_holder;
+    Send(content, {address});
+  }
+
+  std::vector<uint32_t> LiveInstances() const {
+    return directory_.LiveInstances(BootClock::now());
+  }
+
+  uint32_t own_address() const { return own_address_; }
+
   size_t InstanceCount() const {
     return directory_.InstanceCount(BootClock::now());
   }
@@ -256,6 +279,11 @@
           placer_.availability().Digest(kMaxLeavingReplicasPerReport, now);
       Send(welcome, {report->sender});
     }
+    for (const LoadReportHooks& it : hooks_) {
+      if (it.apply) {
+        it.apply(*report, now);
+      }
+    }
     peer_registry_state_.RecordReport(report->registry_lost, now);
     forwarding_peers_.RecordReport(
         report->sender,
@@ -347,6 +375,11 @@
     report.registry_lost = registry_lost_;
     report.takes_requests = takes_requests_;
     report.scope = scope;
+    for (const LoadReportHooks& it : hooks_) {
+      if (it.fill) {
+        it.fill(&report, BootClock::now());
+      }
+    }
     return report;
   }
 
@@ -533,6 +566,7 @@
   bool registry_lost_ = false;
   bool takes_requests_ = false;
   PeerRegistryState peer_registry_state_;
+  std::vector<LoadReportHooks> hooks_;
   TimePoint started_at_{};
   uint64_t sequence_ = 0;
   uint64_t rejected_datagrams_ = 0;
@@ -562,6 +596,22 @@
   impl_->Stop();
 }
 
+void LoadExchange::AddHooks(LoadReportHooks hooks) {
+  impl_->AddHooks(std::move(hooks));
+}
+
+void LoadExchange::SendDirect(uint32_t address, PeerLoadReport content) {
+  impl_->SendDirect(address, std::move(content));
+}
+
+std::vector<uint32_t> LoadExchange::LiveInstances() const {
+  return impl_->LiveInstances();
+}
+
+uint32_t LoadExchange::own_address() const {
+  return impl_->own_address();
+}
+
 absl::Status LoadExchange::Start() {
   return impl_->Start();
 }
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -295,6 +295,20 @@
   return members;
 }
 
+std::vector<uint32_t> PeerDirectory::LiveInstances(TimePoint now) const {
+  std::vector<uint32_t> instances;
+  if (!own_leaving_since_) {
+    instances.push_back(own_address_);
+  }
+  for (const auto& [address, peer] : peers_) {
+    if (IsLive(peer, now) && !peer.leaving_since) {
+      instances.push_back(address);
+    }
+  }
+  std::sort(instances.begin(), instances.end());
+  return instances;
+}
+
 size_t PeerDirectory::InstanceCount(TimePoint now) const {
   return LivePeers(now).size() + 1;
 }
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -18,7 +18,7 @@
 // Limits the work that a malicious datagram can cause in the decoder. The
 // largest report has five words per replica when unpacked: 2,500 for 500
 // replicas, and about as many for the other lists. Counts of usage take two
-// words per tenant: 2,000 for four windows of 250 tenants.
+// words per customer: 2,000 for four windows of 250 customers.
 constexpr uint64_t kMaxTraversalWords = 8192;
 
 // Limits on the figures of one entry, so that a forged report has a bounded
@@ -240,11 +240,11 @@
     for (unsigned n = 0; n < list.size(); ++n) {
       const WindowUsage& usage = report.usage[n];
       list[n].setWindow(usage.window);
-      auto tenants =
-          list[n].initTenants(static_cast<unsigned>(usage.tenants.size()));
-      for (unsigned k = 0; k < tenants.size(); ++k) {
-        tenants[k].setTenantKey(usage.tenants[k].tenant_key);
-        tenants[k].setRequests(usage.tenants[k].requests);
+      auto customers =
+          list[n].initCustomers(static_cast<unsigned>(usage.customers.size()));
+      for (unsigned k = 0; k < customers.size(); ++k) {
+        customers[k].setCustomerKey(usage.customers[k].customer_key);
+        customers[k].setRequests(usage.customers[k].requests);
       }
     }
   }
@@ -266,8 +266,9 @@
   for (const auto it : root.getUsage()) {
     WindowUsage usage;
     usage.window = it.getWindow();
-    for (const auto tenant : it.getTenants()) {
-      usage.tenants.push_back({tenant.getTenantKey(), tenant.getRequests()});
+    for (const auto customer : it.getCustomers()) {
+      usage.customers.push_back(
+          {customer.getCustomerKey(), customer.getRequests()});
     }
     report->usage.push_back(std::move(usage));
   }
--- a/src/placement/service_map.cc
+++ b/src/placement/service_map.cc
@@ -24,7 +24,7 @@
   return std::tie(it.name, it.host, it.path_prefix, it.kind, it.timeout,
                   it.target_latency, it.target_gap, it.priority,
                   it.max_attempts, it.session_affinity, it.resumable,
-                  it.services);
+                  it.allow_anonymous, it.services);
 }
 
 }  // namespace
@@ -57,8 +57,9 @@
 }
 
 bool ServiceMap::operator==(const ServiceMap& other) const {
-  return std::tie(version, routes, services, limits) ==
-         std::tie(other.version, other.routes, other.services, other.limits);
+  return std::tie(version, routes, services, limits, customers) ==
+         std::tie(other.version, other.routes, other.services, other.limits,
+                  other.customers);
 }
 
 const Route* FindRoute(const ServiceMap& map,
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -41,6 +41,8 @@
   switch (status) {
     case 400:
       return "Bad Request";
+    case 401:
+      return "Unauthorized";
     case 404:
       return "Not Found";
     case 408:
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -73,6 +73,8 @@
   std::optional<TimePoint> crashing_requests_logged_at;
   // Limits the log lines about headers of a replica that cannot be read.
   LogInterval invalid_headers_log{std::chrono::minutes(1)};
+  // Limits the log lines about requests that are refused for their key.
+  LogInterval refused_keys_log{std::chrono::seconds(10)};
   ServiceRetryBudget retry_budget;
   StreamVersions stream_versions;
   StreamStarts stream_starts;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -157,6 +157,9 @@
     return;
   }
   deadline_ = std::min(deadline_, request_.received + route_->timeout);
+  if (!Authenticate()) {
+    return;
+  }
   if (context_->rejects_long_requests &&
       request_.received + route_->timeout > context_->drain_deadline) {
     // The request could be cut off when this process exits. Other instances can
@@ -200,6 +203,53 @@
   Place();
 }
 
+bool RelayExchange::Authenticate() {
+  const AuthenticatedCaller caller =
+      AuthenticateCaller(service_map_->customers, route_->allow_anonymous,
+                         request_metadata_.api_key);
+  customer_ = caller.customer;
+  switch (caller.result) {
+    case Authentication::kNotRequired:
+    case Authentication::kAnonymous:
+      return true;
+    case Authentication::kCustomer:
+      if (!context_->routing_state.service_map_behind) {
+        return true;
+      }
+      EndInFailure("configuration_stale",
+                   RetryAfterWithJitter(kNotReadyRetryAfter));
+      return false;
+    case Authentication::kMissingKey:
+    case Authentication::kUnknownKey:
+      break;
+  }
+  const std::string_view reason = caller.result == Authentication::kMissingKey
+                                      ? "key_missing"
+                                      : "key_unknown";
+  context_->metrics.CountKeyRefused(std::string(reason));
+  if (!context_->routing_state.service_map_current ||
+      context_->routing_state.service_map_behind) {
+    // A newer configuration may hold the key.
+    EndInFailure("configuration_stale",
+                 RetryAfterWithJitter(kNotReadyRetryAfter));
+    return false;
+  }
+  const TimePoint now = BootClock::now();
+  if (context_->refused_keys_log.Allow(Digest64(reason), now)) {
+    JsonFields fields;
+    fields.Text("request", request_metadata_.request_id)
+        .Text("route", route_->name)
+        .Text("reason", reason)
+        .Text("key_sha256", KeyForLog(request_metadata_.api_key))
+        .Integer("map_version", service_map_->version);
+    context_->log.Log(kLogKeyRefused, fields, now);
+  }
+  RespondWithError(
+      std::get<UnsentResponse>(std::exchange(response_, EndedResponse())), 401,
+      reason, Duration(0));
+  return false;
+}
+
 void RelayExchange::TakeUpStream() {
   const auto& refresh = context_->routing_state.refresh_replicas;
   const bool is_view_current = context_->stream_versions.is_view_current();
@@ -355,7 +405,11 @@
   // What a stream has taken from engines is lost if the rest comes too late,
   // and its caller has less time left than others.
   constexpr int kFirst = 0;
-  return ContinuesStream() ? kFirst : route_->priority;
+  if (ContinuesStream()) {
+    return kFirst;
+  }
+  return customer_ != nullptr ? customer_->priority.value_or(route_->priority)
+                              : route_->priority;
 }
 
 PlacementQuery RelayExchange::MakePlacementQuery(TimePoint now) const {
@@ -570,6 +624,10 @@
       prefill_tokens / context_->placer.Profile(service_, BootClock::now())
                            .prefill_tokens_per_ms);
   headers.last_event_id = request_metadata_.last_event_id;
+  headers.has_customers = service_map_->customers.has_value();
+  if (customer_ != nullptr) {
+    headers.customer = customer_->name;
+  }
   return headers;
 }
 
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -112,6 +112,9 @@
   // `end`.
   void AwaitRoutingState(TimePoint end);
   void RouteRequest();
+  // Identifies the customer of the caller. Returns false after refusing the
+  // request if it must not run.
+  bool Authenticate();
   // Lets the request add to the retry budget of its service, once.
   void CountInBudget();
   void Place();
@@ -148,8 +151,8 @@
   void RefuseTakeUp(bool is_view_current);
   // Returns the version that has to run the request; nullopt for any.
   std::optional<std::string> RequiredVersion() const;
-  // Returns the priority of the calls: that of the route, or the highest one if
-  // they continue a stream.
+  // Returns the priority of the calls: that of the customer or else of the
+  // route, or the highest one if they continue a stream.
   int EffectivePriority() const;
   // Returns the query for the next placement of the request.
   PlacementQuery MakePlacementQuery(TimePoint now) const;
@@ -342,6 +345,7 @@
   RequestMetadata request_metadata_;
   std::shared_ptr<const ServiceMap> service_map_;  // keeps `route_` alive
   const Route* route_ = nullptr;
+  const Customer* customer_ = nullptr;  // null for anonymous callers
   std::string service_;
   HeaderList forwarded_headers_;
   TimePoint deadline_{};
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -37,6 +37,16 @@
        "See docs/errors.md for the kind."},
       {202, kWarn, "load_report_failed",
        "An engine did not answer the poll of its load.", "Check the target."},
+      {210, kInfo, "key_refused",
+       "A request was refused for its API key, which the line names by a part "
+       "of its digest. At most one line in 10 s for each reason.",
+       "None, unless the customer should have this key: check the "
+       "configuration."},
+      {211, kWarn, "service_map_behind",
+       "The registry holds an older configuration than other instances have in "
+       "force; requests that need a key are refused as not run.",
+       "Check whether the registry was restored from a copy, and write the "
+       "configuration again."},
       {301, kWarn, "target_lost", "A target broke its connections.",
        "Check the target; it is avoided until it reports load."},
       {302, kWarn, "stream_resumed",
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -61,6 +61,11 @@
     object_api_calls_.Add({{"outcome", outcome}}).Increment();
   }
 
+  void CountKeyRefused(const std::string& reason) {
+    keys_refused_.Add({{"reason", reason}}).Increment();
+  }
+
+  prometheus::Gauge& customers() { return customers_; }
   prometheus::Gauge& open_exchanges() { return open_exchanges_; }
   prometheus::Gauge& configuration_version() { return configuration_version_; }
 
@@ -110,6 +115,17 @@
           .Name("endiveyard_object_api_calls_total")
           .Help("Calls to the object API, by outcome.")
           .Register(registry_);
+  prometheus::Family<prometheus::Counter>& keys_refused_ =
+      prometheus::BuildCounter()
+          .Name("endiveyard_keys_refused_total")
+          .Help("Requests whose API key is missing or unknown, by reason.")
+          .Register(registry_);
+  prometheus::Gauge& customers_ =
+      prometheus::BuildGauge()
+          .Name("endiveyard_customers")
+          .Help("Customers of the configuration in force.")
+          .Register(registry_)
+          .Add({});
   prometheus::Gauge& open_exchanges_ = prometheus::BuildGauge()
                                            .Name("endiveyard_open_exchanges")
                                            .Help("Requests queued or running.")
@@ -162,4 +178,12 @@
   return impl_->Serialize();
 }
 
+void Metrics::CountKeyRefused(const std::string& reason) {
+  impl_->CountKeyRefused(reason);
+}
+
+void Metrics::SetCustomers(double value) {
+  impl_->customers().Set(value);
+}
+
 }  // namespace endiveyard
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -145,7 +145,8 @@
 BOOST_AUTO_TEST_CASE(FieldsThatEarlierBuildsLackAreEmpty) {
   PeerLoadReport report = MakeReport();
   report.streams = {{21, 22}};
-  // Without the list of streams, as before 9f6e6aa. The flags that came with it
+  // Without the list of streams and the four fields after it, as before
+  // 9f6e6aa. The flags that came with it
   // and later are bits that were 0.
   report.registry_lost = false;
   report.takes_requests = false;
@@ -153,7 +154,7 @@
   expected.streams.clear();
   expected.tells_streams = false;
   const auto decoded = DecodePeerLoadReport(
-      ReportOfOtherBuild(EncodePeerLoadReport(report), 0, -1));
+      ReportOfOtherBuild(EncodePeerLoadReport(report), 0, -5));
   BOOST_REQUIRE(decoded);
   BOOST_TEST((*decoded == expected));
 }
@@ -188,4 +189,24 @@
   BOOST_TEST(!DecodePeerLoadReport("GET / HTTP/1.1\r\n\r\n"));
 }
 
+// Guards against news of duties, usage and paces that are lost or changed on
+// the way, and against reports that grow where there are none.
+BOOST_AUTO_TEST_CASE(DutiesUsageAndPacesAreReadAsWritten) {
+  PeerLoadReport report = MakeReport();
+  const size_t bytes_without = EncodePeerLoadReport(report).size();
+  report.map_version = int64_t{1} << 40;
+  report.unix_ms = 1796000000000;
+  report.duty_holder = {7, uint64_t{5} << 32 | 2,
+                        std::chrono::milliseconds(300)};
+  report.usage = {{353445120, {{11, 412}, {12, 1}}}, {353445121, {}}};
+  report.usage_acks = {353445119};
+  report.paces = {{13, std::chrono::milliseconds(40), 2.5, std::nullopt},
+                  {14, Duration(0), std::nullopt, 0.75}};
+  const std::string bytes = EncodePeerLoadReport(report);
+  const auto decoded = DecodePeerLoadReport(bytes);
+  BOOST_REQUIRE(decoded);
+  BOOST_TEST((*decoded == report));
+  BOOST_TEST(bytes_without < bytes.size());
+}
+
 }  // namespace endiveyard
