Targets: a status outside 100 to 599 is no response

The HTTP parser takes any three digits. Such a response now counts as damaged, after which the request may have run, on all paths.

--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -36,6 +36,9 @@
 constexpr int kMaxSkippedResponses = 2;
 // Limit on the body bytes of the responses that one call skips.
 constexpr uint64_t kMaxSkippedBytes = 1048576;
+// Statuses that HTTP defines classes for.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
 // Limit on the interim responses (status 1xx) to one request.
 constexpr int kMaxInterimResponses = 8;
 // Limit on bytes that the parser needs at once: a response head, a chunk header
@@ -399,6 +402,13 @@
       response_head_.headers.emplace_back(std::string(it.name_string()),
                                           std::string(it.value()));
     }
+    if (response_head_.status < kMinStatus ||
+        response_head_.status > kMaxStatus) {
+      // The parser takes any three digits.
+      End(TransportStatus::kInvalidResponse,
+          "response with a status outside 100 to 599");
+      return true;
+    }
     if (IsMergedHead(response_head_)) {
       End(TransportStatus::kInvalidResponse,
           "status line within a line of the head");
