Placement: the pace that replicas state with their load

Cause: replicas share their machines with other workloads. At any time 15 % of them take 2.5 times as long, changing every 600 ms, and machine speeds differ permanently. At some services the load header has a fourth figure that states this in percent of the usual duration, which was dropped.

Change: the figure is decoded (0.1 to 20 times the usual; others are ignored, and the first three figures still count). ReplicaPaces keeps the latest value of each replica, whose weight falls to 0 within 600 ms, and the lasting part: the lower median of up to nine values of different intervals and of an assumed usual one. Placer scales the expected queueing, prefill, batch and output times by it, in place of the measured Slowness, and the duration of the call itself at plain services. Instances tell each other values of the last 600 ms, at most 32 in a report, the latest first, each in two reports; reports between regions repeat what the region has. Paces get what rate limits leave of the space for both, since 32 more entries would have raised the largest report to 25,050 bytes, above the limit of 24,576 of its receivers.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -16,6 +16,7 @@
 #include "endiveyard/placement/placement_costs.h"
 #include "endiveyard/placement/prompt_shape.h"
 #include "endiveyard/placement/replica_load.h"
+#include "endiveyard/placement/replica_pace.h"
 #include "endiveyard/placement/replica_rate_limits.h"
 #include "endiveyard/placement/replica_view.h"
 #include "endiveyard/placement/service_map.h"
@@ -143,6 +144,10 @@
   // Returns the load of a replica incarnation, created on first use. The load
   // of a restarted replica starts empty.
   ReplicaLoad& LoadOf(const Replica& replica);
+  // Records the load that a response of the replica states.
+  void RecordReportedLoad(const Replica& replica,
+                          const ReportedLoad& load,
+                          TimePoint now);
 
   // Applies the report of the instance `sender`, which sends one every
   // `interval`. Returns false and changes nothing if it is older than the last
@@ -171,6 +176,10 @@
 
   ReplicaRateLimits& rate_limits() { return rate_limits_; }
 
+  // How long work takes at replicas that state it. Choose() uses it for the
+  // expected times, in place of the measured waits at the replica.
+  ReplicaPaces& paces() { return paces_; }
+
   // What replicas have said about whether they take new work. Choose() passes
   // over those that do not.
   TargetAvailability& availability() { return availability_; }
@@ -313,6 +322,7 @@
   PeerLoads peer_loads_;
   CacheView cache_view_;
   ReplicaRateLimits rate_limits_;
+  ReplicaPaces paces_;
   TargetAvailability availability_;
   PlacementPrices prices_;
   std::map<std::string, ServiceState> services_;
--- a/include/endiveyard/placement/replica_load.h
+++ b/include/endiveyard/placement/replica_load.h
@@ -12,6 +12,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  // How long work takes on the machine at this moment, relative to the usual
+  // time; absent at most services.
+  std::optional<double> relative_duration;
 
   bool operator==(const ReportedLoad& other) const;
 };
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -31,6 +31,11 @@
 constexpr size_t kMaxRateLimitsPerReport = 48;
 // Limit on the leaving replicas in one report: half a kilobyte.
 constexpr size_t kMaxLeavingReplicasPerReport = 32;
+// Limits on the paces of replicas in one report: half a kilobyte. They get what
+// the rate limits leave of the space for both, so that the largest report is
+// not above kMaxPeerLoadReportBytes.
+constexpr size_t kMaxPacesPerReport = 32;
+constexpr size_t kMinPacesPerReport = 4;
 // Limit on the streams in one report: half a kilobyte.
 constexpr size_t kMaxStreamsPerReport = 32;
 // An instance that has just started does not know the others yet. Until then,
@@ -52,6 +57,11 @@
   return update.parts.size() + update.pending_parts.size();
 }
 
+size_t MaxPaces(size_t rate_limits) {
+  return std::clamp(kMaxRateLimitsPerReport - rate_limits, kMinPacesPerReport,
+                    kMaxPacesPerReport);
+}
+
 // Returns 0 for text that is not an IPv4 address.
 uint32_t ParseIp(const std::string& ip) {
   error_code ec;
@@ -303,6 +313,9 @@
     for (const RateLimitReport& it : report->rate_limits) {
       placer_.rate_limits().ApplyReport(it, now, relay);
     }
+    for (const ReplicaPaceReport& it : report->paces) {
+      placer_.paces().ApplyReport(it, now, relay);
+    }
     for (const LeavingReport& it : report->leaving_replicas) {
       placer_.availability().ApplyReport(it, now, relay);
     }
@@ -441,6 +454,8 @@
         placer_.rate_limits().TakeNews(kMaxRateLimitsPerReport, now);
     report.leaving_replicas =
         placer_.availability().TakeNews(kMaxLeavingReplicasPerReport, now);
+    report.paces =
+        placer_.paces().TakeNews(MaxPaces(report.rate_limits.size()), now);
     // In a large fleet, most of the instances that a caller may turn to would
     // not be told.
     if (!IsLargeFleet(now)) {
@@ -453,7 +468,7 @@
     if (!report.work.empty() || !report.cached.empty() ||
         !report.crashes.empty() || !report.rate_limits.empty() ||
         !report.leaving_replicas.empty() || !report.streams.empty() ||
-        last_report_had_work_ ||
+        !report.paces.empty() || last_report_had_work_ ||
         now - last_work_report_ >= kIdleReportInterval) {
       last_report_had_work_ = !report.work.empty();
       last_work_report_ = now;
@@ -497,6 +512,8 @@
           placer_.rate_limits().Digest(kMaxRateLimitsPerReport, now);
       report.leaving_replicas =
           placer_.availability().Digest(kMaxLeavingReplicasPerReport, now);
+      report.paces =
+          placer_.paces().Digest(MaxPaces(report.rate_limits.size()), now);
       bytes = Send(report, recipients);
     }
     region_interval_ = PeerDirectory::RegionInterval(recipients.size(), bytes);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -220,6 +220,9 @@
     }
     const ReplicaLoad& load = LoadOf(*it);
     const uint64_t key = ReplicaKey(it->id);
+    const auto stated_duration =
+        paces_.RelativeDuration(EngineKey(*it), context.now);
+    const double relative_duration = stated_duration.value_or(1);
     Candidate candidate;
     candidate.replica = it;
     candidate.turn_wait_ms = static_cast<double>(turn_wait->count()) / 1000;
@@ -243,7 +246,8 @@
                              peer_loads_.PendingPrefillTokens(key, now),
                          load.ReportedWaiting(now) * mean_uncached)
               : load.QueuedTokens(mean_uncached, now);
-      const double slowness = load.Slowness(now);
+      // Measured waits show the same as what the replica states.
+      const double slowness = stated_duration.value_or(load.Slowness(now));
       candidate.queue_ms = slowness * queued_tokens / tokens_per_ms;
       candidate.prefill_ms = slowness * candidate.uncached / tokens_per_ms;
       // The home prefills the shared parts for all instances, so nothing is
@@ -254,19 +258,22 @@
             context.costs.recomputed_token_ms();
       }
       candidate.batch_delay_ms =
-          context.profile.step_ms *
+          relative_duration * context.profile.step_ms *
           (candidate.requests * kStepsPerRunningRequest +
            requests_over_slots * kStepsPerWaitingRequest);
       if (it->stage != Stage::kPrefill) {
         candidate.output_ms =
-            prompt.expected_output_tokens * context.profile.step_ms *
+            relative_duration * prompt.expected_output_tokens *
+            context.profile.step_ms *
             (1 + kStepSlowdownPerRequest * candidate.requests);
       }
     } else {
       candidate.batch_delay_ms =
-          context.plain_call_ms *
+          relative_duration * context.plain_call_ms *
           (candidate.requests * kPlainCallShareOfRunningRequest +
            requests_over_slots * kPlainCallShareOfWaitingRequest);
+      candidate.call_difference_ms =
+          (relative_duration - 1) * context.plain_call_ms;
     }
     const double request_delay_ms =
         query.prompt ? context.profile.step_ms * kStepsPerRunningRequest
@@ -435,7 +442,9 @@
   };
   if (prefill_candidate == run_candidate) {
     placement.target_uncached = run_candidate->uncached;
-    placement.predicted_run = FromMs(run_candidate->FirstOutputMs());
+    placement.predicted_run =
+        FromMs(std::max(0.0, run_candidate->FirstOutputMs() +
+                                 run_candidate->call_difference_ms));
     placement.expected_first_output =
         expected_wait(CallKind::kRun, placement.predicted_run);
   } else {
--- a/src/placement/placer_candidate.h
+++ b/src/placement/placer_candidate.h
@@ -44,9 +44,12 @@
   double prefill_ms = 0;      // prefilling this prompt
   double batch_delay_ms = 0;  // delay that the batch adds to the first token
   double output_ms = 0;       // of the output tokens
-  double cache_cost_ms = 0;   // cost of copying and recomputing shared parts
-  double penalty_ms = 0;      // for distance, failures and backoff
-  double turn_wait_ms = 0;    // until the rate limit allows the request
+  // Difference of the duration of a call to a plain service from the usual one,
+  // which the other times leave out.
+  double call_difference_ms = 0;
+  double cache_cost_ms = 0;  // cost of copying and recomputing shared parts
+  double penalty_ms = 0;     // for distance, failures and backoff
+  double turn_wait_ms = 0;   // until the rate limit allows the request
   double requests = 0;
   double mean_work_ms = 0;  // of the requests to the service; 0 if it is plain
 
@@ -77,7 +80,8 @@
   // Cost of prefilling and running on the same engine. A prefill on a decode
   // engine delays the streams that it runs.
   double ColocatedCostMs() const {
-    return FirstOutputMs() + cache_cost_ms + penalty_ms + output_ms +
+    return FirstOutputMs() + call_difference_ms + cache_cost_ms + penalty_ms +
+           output_ms +
            InterferenceFactor(requests, replica->slots) * prefill_ms +
            TurnCostMs(WorkMs());
   }
--- a/src/placement/placer_measurements.cc
+++ b/src/placement/placer_measurements.cc
@@ -22,6 +22,15 @@
   return entry.load;
 }
 
+void Placer::RecordReportedLoad(const Replica& replica,
+                                const ReportedLoad& load,
+                                TimePoint now) {
+  LoadOf(replica).RecordReport(load, now);
+  if (load.relative_duration) {
+    paces_.RecordResponse(EngineKey(replica), *load.relative_duration, now);
+  }
+}
+
 void Placer::Retain(const ReplicaView& view, const ServiceMap* services) {
   std::vector<uint64_t> engine_keys;
   for (auto it = loads_.begin(); it != loads_.end();) {
@@ -41,6 +50,7 @@
     }
     std::sort(keys.begin(), keys.end());
     rate_limits_.Retain(keys);
+    paces_.Retain(keys);
     for (const Service& service : services->services) {
       if (!service.engine) {
         continue;
--- a/src/placement/replica_load.cc
+++ b/src/placement/replica_load.cc
@@ -36,8 +36,9 @@
 }  // namespace
 
 bool ReportedLoad::operator==(const ReportedLoad& other) const {
-  return std::tie(running, waiting, slots) ==
-         std::tie(other.running, other.waiting, other.slots);
+  return std::tie(running, waiting, slots, relative_duration) ==
+         std::tie(other.running, other.waiting, other.slots,
+                  other.relative_duration);
 }
 
 void ReplicaLoad::RecordCallSent(double uncached) {
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -72,9 +72,9 @@
   if (transport_status == TransportStatus::kComplete && ended.status == 200) {
     kv = context_->protocol.DecodeKvHandle(ended.body);
   }
-  ReplicaLoad& load = context_->placer.LoadOf(ended.replica);
   if (ended.response_metadata.load) {
-    load.RecordReport(*ended.response_metadata.load, now);
+    context_->placer.RecordReportedLoad(ended.replica,
+                                        *ended.response_metadata.load, now);
   }
   CallResult result = CallResult::kFailed;
   if (kv) {
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -84,9 +84,9 @@
       context_->protocol.DecodeResponse(head.status, head.headers);
   RecordResponseHead();
   if (active_call_->response_metadata.load) {
-    context_->placer.LoadOf(active_call_->replica)
-        .RecordReport(*active_call_->response_metadata.load,
-                      active_call_->last_progress_at);
+    context_->placer.RecordReportedLoad(active_call_->replica,
+                                        *active_call_->response_metadata.load,
+                                        active_call_->last_progress_at);
   }
   active_call_->streaming =
       route_->kind == RouteKind::kStreaming && head.status == 200 &&
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -104,6 +104,9 @@
     report.leaving_replicas.push_back(
         {~static_cast<uint64_t>(n), std::chrono::minutes(9)});
   }
+  for (uint64_t n = 0; n < 4; ++n) {
+    report.paces.push_back({~n, std::chrono::milliseconds(500), 12.34, 123.45});
+  }
   for (uint32_t n = 0; n < 8; ++n) {
     SuspectKeys keys;
     for (uint32_t key = 0; key < 16; ++key) {
@@ -127,6 +130,15 @@
   }
   const std::string bytes = EncodePeerLoadReport(report);
   BOOST_TEST(bytes.size() <= kMaxPeerLoadReportBytes);
+  // Paces take the space of rate limits.
+  PeerLoadReport with_paces = report;
+  with_paces.rate_limits.resize(16);  // of 48
+  for (uint64_t n = 4; n < 32; ++n) {
+    with_paces.paces.push_back(
+        {~n, std::chrono::milliseconds(500), 12.34, 123.45});
+  }
+  BOOST_TEST(EncodePeerLoadReport(with_paces).size() <=
+             kMaxPeerLoadReportBytes);
   const auto decoded = DecodePeerLoadReport(bytes);
   BOOST_REQUIRE(decoded);
   BOOST_TEST((*decoded == report));
@@ -207,6 +219,16 @@
   BOOST_REQUIRE(decoded);
   BOOST_TEST((*decoded == report));
   BOOST_TEST(bytes_without < bytes.size());
+  // The most that a report has.
+  report = MakeReport();
+  for (uint64_t n = 0; n < 32; ++n) {
+    report.paces.push_back({~(n * 0x9e3779b97f4a7c15),
+                            std::chrono::milliseconds(500), 2.5, 123.45});
+  }
+  const size_t paces_bytes =
+      EncodePeerLoadReport(report).size() - bytes_without;
+  BOOST_TEST_MESSAGE("bytes of 32 paces: " << paces_bytes);
+  BOOST_TEST(paces_bytes <= 640u);
 }
 
 }  // namespace endiveyard
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -587,4 +587,78 @@
   BOOST_TEST(placer.TokensAfterEvents("other", 300, 20, At(1)) == 280);
 }
 
+namespace {
+
+ReportedLoad LoadWithDuration(double relative_duration) {
+  return {0, 0, 64, relative_duration};
+}
+
+}  // namespace
+
+// Guards against choosing replicas whose machines are slow at the moment, at
+// engines and at plain services.
+BOOST_AUTO_TEST_CASE(ReplicasOnFastMachinesArePreferred) {
+  for (const bool is_plain : {false, true}) {
+    Placer placer = MakePlacer();
+    std::vector<Replica> replicas;
+    for (const char* it : {"d1", "d2", "d3"}) {
+      replicas.push_back(MakeReplica(it, Stage::kWhole));
+    }
+    ReplicaView view;
+    view.Reset(replicas, At(0));
+    placer.RecordReportedLoad(replicas[0], LoadWithDuration(2.5), At(0));
+    placer.RecordReportedLoad(replicas[1], LoadWithDuration(0.7), At(0));
+    PlacementQuery query = MakeQuery(MakePrompt(1, 100, 300));
+    query.prompt->expected_output_tokens = 50;
+    if (is_plain) {
+      query.prompt.reset();
+    }
+    std::map<std::string, int> chosen;
+    for (uint64_t n = 0; n < 100; ++n) {
+      query.tie_breaker = n;
+      const auto result = placer.Choose(view, query, At(10));
+      BOOST_REQUIRE(result.placement.has_value());
+      ++chosen[result.placement->target.id];
+    }
+    BOOST_TEST(chosen["d2"] == 100);
+    // A single momentary value says nothing after its time.
+    query.excluded = {"d2"};
+    for (uint64_t n = 0; n < 300; ++n) {
+      query.tie_breaker = n;
+      ++chosen[placer.Choose(view, query, At(1000)).placement->target.id];
+    }
+    BOOST_TEST(chosen["d1"] > 0);
+  }
+}
+
+// Guards against expected times that leave out the speed of the machine, which
+// decide on refusals, and against counting it twice, as stated and as measured.
+BOOST_AUTO_TEST_CASE(ExpectedTimesFollowTheStatedDuration) {
+  const Replica replica = MakeReplica("d1", Stage::kWhole);
+  ReplicaView view;
+  view.Reset({replica}, At(0));
+  PlacementQuery query = MakeQuery(MakePrompt(1, 2000, 2000));
+  query.prompt->expected_output_tokens = 100;
+  Placer usual = MakePlacer();
+  Placer slow = MakePlacer();
+  slow.RecordReportedLoad(replica, LoadWithDuration(2), At(0));
+  const auto usual_time =
+      usual.Choose(view, query, At(0)).placement->expected_completion;
+  const auto slow_time =
+      slow.Choose(view, query, At(0)).placement->expected_completion;
+  BOOST_TEST(static_cast<double>(slow_time.count()) ==
+                 2.0 * static_cast<double>(usual_time.count()),
+             boost::test_tools::tolerance(0.001));
+  for (int n = 0; n < 20; ++n) {
+    slow.LoadOf(replica).RecordWait(2, At(0));
+  }
+  BOOST_TEST((slow.Choose(view, query, At(0)).placement->expected_completion ==
+              slow_time));
+  query.time_left = (usual_time + slow_time) / 2;
+  BOOST_TEST(usual.Choose(view, query, At(0)).placement.has_value());
+  const auto refused = slow.Choose(view, query, At(0));
+  BOOST_REQUIRE(!refused.placement.has_value());
+  BOOST_TEST((refused.refusal.reason == PlacementRefusal::Reason::kTooLate));
+}
+
 }  // namespace endiveyard
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -102,6 +102,27 @@
   BOOST_TEST(HeaderValue(encoded, "Kv-Fetch") == "10.1.64.9:8080");
 }
 
+// Guards against a fourth figure that is not plausible taking effect, and
+// against one that cannot be read making the first three unreadable.
+BOOST_AUTO_TEST_CASE(RelativeDurationIsDecoded) {
+  const auto load = [](const std::string& text) {
+    const auto decoded = PlatformWireProtocol().DecodeResponse(
+        200, {{"Endiveyard-Replica-Load", text}});
+    BOOST_REQUIRE(decoded.load.has_value());
+    return *decoded.load;
+  };
+  BOOST_TEST((load("3,1,8,250") == ReportedLoad{3, 1, 8, 2.5}));
+  BOOST_TEST((load("3,1,8, 70 ") == ReportedLoad{3, 1, 8, 0.7}));
+  BOOST_TEST((load("3,1,8,10") == ReportedLoad{3, 1, 8, 0.1}));
+  BOOST_TEST((load("3,1,8,2000,9") == ReportedLoad{3, 1, 8, 20.0}));
+  for (const char* it :
+       {"3,1,8", "3,1,8,", "3,1,8,x", "3,1,8,0", "3,1,8,-170", "3,1,8,9",
+        "3,1,8,2001", "3,1,8,nan", "3,1,8,inf", "3,1,8,1e2", "3,1,8,170%",
+        "3,1,8, ", "3,1,8,,170", "3,1,8,99999999999999999999999"}) {
+    BOOST_TEST((load(it) == ReportedLoad{3, 1, 8, std::nullopt}), it);
+  }
+}
+
 // Guards against a response that states that the request did not run being
 // taken for one that ran it, and the reverse.
 BOOST_AUTO_TEST_CASE(ResponseMetadataIsDecoded) {
@@ -122,7 +143,7 @@
             {"Endiveyard-Replica-Load", "3,1,8"},
             {"Content-Type", "text/event-stream; charset=utf-8"}});
   BOOST_TEST(metadata.signed_by_target);
-  BOOST_TEST((*metadata.load == ReportedLoad{3, 1, 8}));
+  BOOST_TEST((*metadata.load == ReportedLoad{3, 1, 8, std::nullopt}));
   BOOST_TEST(protocol.DecodeResponse(200, {{"Content-Encoding", "gzip"}})
                  .has_content_encoding);
   BOOST_TEST(!protocol.DecodeResponse(200, {{"Endiveyard-Replica-Load", "x"}})
