Registry: writes answer with the object and its era

A holder of a lease has to know the revision that its write made, and the era in which it took effect, also of answers with an error. RegistryRecordClient adds such reads and writes; RegistryObjectClient is unchanged.

--- a/include/endiveyard/registry/registry_client.h
+++ b/include/endiveyard/registry/registry_client.h
@@ -104,6 +104,29 @@
                       std::function<void(absl::Status)> done) = 0;
 };
 
+// Answer to a call for one object.
+struct RegistryAnswer {
+  // Errors: as those of RegistryObjectClient.
+  absl::StatusOr<RegistryObject> object;
+  int64_t era = 0;  // also that of an error; 0 if there was no answer
+};
+
+// As RegistryObjectClient, for those that have to know the revision of what
+// they wrote, and the era in which it was written.
+class RegistryRecordClient {
+ public:
+  virtual ~RegistryRecordClient() = default;
+
+  virtual void ReadRecord(const std::string& kind,
+                          const std::string& name,
+                          std::function<void(RegistryAnswer)> done) = 0;
+  // Answers with the object that was written. A revision of 0 means that the
+  // write took effect, but its revision is not known.
+  virtual void WriteRecord(const std::string& kind,
+                           const RegistryObject& object,
+                           std::function<void(RegistryAnswer)> done) = 0;
+};
+
 }  // namespace endiveyard
 
 #endif  // ENDIVEYARD_REGISTRY_REGISTRY_CLIENT_H_
--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -90,6 +90,9 @@
   size_t max_idle_connections = 400;
   // Address to connect from; empty to let the kernel choose.
   std::string local_ip;
+  // Connections are reset when they are closed, so that bytes that were written
+  // but have not arrived yet are lost.
+  bool resets_connections = false;
   // Bounds the request ids that are kept for each connection.
   size_t max_requests_per_connection = 1000;
 };
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -619,6 +619,9 @@
     timeout_timer_.cancel();
     if (connection_) {
       error_code ec;
+      if (options_.resets_connections) {
+        connection_->socket.set_option(asio::socket_base::linger(true, 0), ec);
+      }
       connection_->socket.close(ec);
     }
   }
