--- /dev/null
+++ b/src/duties/duty_holder_view.cc
@@ -0,0 +1,70 @@
+#include "endiveyard/duties/duty_holder_view.h"
+
+#include <algorithm>
+#include <string>
+
+#include "endiveyard/authority/shard_assignment.h"
+#include "endiveyard/base/digest.h"
+
+namespace endiveyard {
+namespace {
+
+// The holder tells of itself every few seconds. A wrong report counts as long.
+constexpr Duration kHolderLifetime = std::chrono::seconds(30);
+// Interval at which more instances follow a holder of which nothing is heard.
+constexpr Duration kSilencePerStep = std::chrono::seconds(10);
+// Bounds the calls to the registry while none of them can hold the duties.
+constexpr int kMaxSteps = 4;
+
+uint64_t Weight(uint32_t address) {
+  return Digest64("duties " + std::to_string(address));
+}
+
+}  // namespace
+
+void DutyHolderView::Record(const DutyHolderReport& report, TimePoint now) {
+  if (report.address == 0 || report.age < Duration(0) ||
+      report.age >= kHolderLifetime) {
+    return;
+  }
+  const TimePoint heard_at = now - report.age;
+  const bool is_known = Current(now).address != 0;
+  if (!is_known || report.fencing_token > holder_.fencing_token ||
+      (report.fencing_token == holder_.fencing_token && heard_at > heard_at_)) {
+    holder_ = report;
+    heard_at_ = heard_at;
+  }
+}
+
+DutyHolderReport DutyHolderView::Current(TimePoint now) const {
+  if (holder_.address == 0 || now - heard_at_ >= kHolderLifetime) {
+    return {};
+  }
+  DutyHolderReport report = holder_;
+  report.age = std::chrono::duration_cast<Duration>(now - heard_at_);
+  return report;
+}
+
+std::optional<int> DutyHolderView::Rank(std::vector<uint32_t> live,
+                                        TimePoint now) const {
+  const uint32_t holder = Current(now).address;
+  // The holder is one of those three.
+  size_t followed = 0;
+  if (const auto it = std::find(live.begin(), live.end(), holder);
+      holder != own_address_ && it != live.end()) {
+    live.erase(it);
+    followed = 1;
+  }
+  std::sort(live.begin(), live.end(),
+            [](uint32_t a, uint32_t b) { return Weight(a) > Weight(b); });
+  const auto steps = static_cast<int>(
+      std::min<int64_t>(kMaxSteps, 1 + (now - heard_at_) / kSilencePerStep));
+  const size_t count = std::min(
+      live.size(), kShardCandidates * static_cast<size_t>(steps) - followed);
+  const auto end = live.begin() + static_cast<std::ptrdiff_t>(count);
+  const auto it = std::find(live.begin(), end, own_address_);
+  return it == end ? std::nullopt
+                   : std::optional(static_cast<int>(it - live.begin()));
+}
+
+}  // namespace endiveyard
