Duties: front instances take part in holding them

Where the settings have cloud.address and cloud.duties, an instance follows the holder by rendezvous hash, tells in load reports who it is, and releases the duties at SIGTERM.

--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -28,6 +28,11 @@
 inline constexpr int kLogChangeAfterDrainTimeout =
     511;  // change_after_drain_bound
 inline constexpr int kLogRecordMalformed = 512;
+inline constexpr int kLogDutiesTaken = 520;
+inline constexpr int kLogDutiesEnded = 521;
+inline constexpr int kLogDutyLeaseRevoked = 522;
+inline constexpr int kLogDutyCallFailed = 523;
+inline constexpr int kLogDutyRecordMalformed = 524;
 inline constexpr int kLogConfigurationApplied = 601;
 inline constexpr int kLogConfigurationStale = 602;
 inline constexpr int kLogConfigurationInvalid = 603;
--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -34,6 +34,9 @@
   // Counts a request whose API key is missing or unknown.
   void CountKeyRefused(const std::string& reason);
   void SetCustomers(double value);
+  // Whether this instance holds the duties, and a call of a duty that ended.
+  void SetDutyHolder(bool is_holder);
+  void CountDutyCall(const std::string& duty, const std::string& outcome);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -2,8 +2,10 @@
 
 #include <csignal>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +14,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "endiveyard/base/digest.h"
+#include "endiveyard/duties/duty_holder.h"
+#include "endiveyard/duties/duty_holder_view.h"
 #include "endiveyard/load_exchange/load_exchange.h"
 #include "endiveyard/placement/service_map_currency.h"
 #include "endiveyard/placement/service_map_selector.h"
@@ -26,6 +30,7 @@
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
 #include "front/version_recorder.h"
+#include "platform/http_duty_client.h"
 #include "platform/http_registry_client.h"
 #include "platform/object_decoding.h"
 #include "platform/platform_wire_protocol.h"
@@ -62,6 +67,11 @@
 constexpr double kCallerDescriptorShare = 0.66;
 // File descriptors, out of the platform's limit, that are reserved for files.
 constexpr size_t kReservedDescriptors = 200;
+// Interval at which the holder of the duties, and those that follow it, act. A
+// tenth of a second delays a takeover by a few percent.
+constexpr Duration kDutyInterval = std::chrono::milliseconds(100);
+// Interval of the log lines that count calls of duties that failed.
+constexpr Duration kDutyFailuresLogInterval = std::chrono::seconds(5);
 // Buffered request bodies take at most the memory limit divided by this.
 constexpr size_t kBodyMemoryDivisor = 4;
 
@@ -91,6 +101,30 @@
       .count();
 }
 
+// Returns a name that differs for every process start.
+std::string MakeProcessName() {
+  std::random_device random;
+  return std::to_string(random()) + "-" + std::to_string(random());
+}
+
+const char* NameOf(DutyCallEnd end) {
+  switch (end) {
+    case DutyCallEnd::kAccepted:
+      return "accepted";
+    case DutyCallEnd::kConflict:
+      return "conflict";
+    case DutyCallEnd::kSpotConflict:
+      return "spot_conflict";
+    case DutyCallEnd::kRefused:
+      return "refused";
+    case DutyCallEnd::kNotSent:
+      return "not_sent";
+    case DutyCallEnd::kNoAnswer:
+      break;
+  }
+  return "no_answer";
+}
+
 LoadExchangeOptions MakeLoadExchangeOptions(
     const platform::ProcessSettings& settings) {
   LoadExchangeOptions options;
@@ -132,7 +166,8 @@
                        relay_.stream_versions(),
                        relay_.forwarding_peers()),
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
-        maintenance_timer_(io_) {
+        maintenance_timer_(io_),
+        duty_timer_(io_) {
     // An instance reports its version only where keys depend on it.
     LoadReportHooks hooks;
     hooks.fill = [this](PeerLoadReport* report, TimePoint) {
@@ -181,6 +216,7 @@
     log_.Log(kLogInstanceStarted, fields, BootClock::now());
     WaitForSignal();
     StartRegistryMirrors();
+    StartDuties();
     RunMaintenance();
     io_.run();
     log_.Log(kLogInstanceStopped, JsonFields(), BootClock::now());
@@ -503,6 +539,115 @@
     instance_recorder_->Start();
   }
 
+  // Takes part in holding the duties, where there are any.
+  void StartDuties() {
+    if (!settings_.duties || settings_.peer_port == 0) {
+      return;
+    }
+    const platform::DutySettings& duties = *settings_.duties;
+    DutyHolderOptions options;
+    options.duty.instance = settings_.instance;
+    options.duty.process = MakeProcessName();
+    options.duty.address = load_exchange_.own_address();
+    options.duty.seed = Digest64(settings_.instance);
+    options.duty.checks_token = duties.checks_token;
+    options.duty.alternation_time = duties.alternation_time;
+    options.duty.window = duties.window;
+    options.lease_kind = std::string(platform::kDutyLeaseKind);
+    options.shard_kind = std::string(platform::kDutyShardKind);
+    options.calls_per_second = duties.calls_per_second;
+    DutyHolderHandlers handlers;
+    handlers.now = [] { return BootClock::now(); };
+    handlers.unix_ms = UnixMs;
+    handlers.post = [this](std::function<void()> action) {
+      asio::post(io_, std::move(action));
+    };
+    handlers.on_event = [this](const DutyEvent& event) { LogDutyEvent(event); };
+    handlers.on_call = [this](const char* duty, DutyCallEnd end) {
+      metrics_.CountDutyCall(duty, NameOf(end));
+      if (end != DutyCallEnd::kAccepted) {
+        ++failed_duty_calls_[NameOf(end)];
+      }
+    };
+    duty_client_ = std::make_unique<platform::HttpDutyClient>(
+        io_, protocol_, duties.api, settings_.instance,
+        options.duty.call_timeout);
+    duty_view_.emplace(load_exchange_.own_address(), BootClock::now());
+    duty_holder_ =
+        std::make_unique<DutyHolder>(&registry_client_, duty_client_.get(),
+                                     std::move(options), std::move(handlers));
+    LoadReportHooks hooks;
+    hooks.fill = [this](PeerLoadReport* report, TimePoint now) {
+      report->unix_ms = UnixMs();
+      report->duty_holder = duty_view_->Current(now);
+    };
+    hooks.apply = [this](const PeerLoadReport& report, TimePoint now) {
+      duty_view_->Record(report.duty_holder, now);
+    };
+    load_exchange_.AddHooks(std::move(hooks));
+    RunDutyHolder();
+  }
+
+  void RunDutyHolder() {
+    const TimePoint now = BootClock::now();
+    duty_holder_->RecordEra(registry_era_.latest());
+    DutyInputs inputs;
+    inputs.rank = duty_view_->Rank(load_exchange_.LiveInstances(), now);
+    duty_holder_->Tick(inputs);
+    const auto token = duty_holder_->HeldToken();
+    if (token) {
+      duty_view_->Record({load_exchange_.own_address(), *token, Duration(0)},
+                         now);
+    }
+    metrics_.SetDutyHolder(token.has_value());
+    duty_timer_.expires_after(kDutyInterval);
+    duty_timer_.async_wait([this](error_code ec) {
+      if (!ec) {
+        RunDutyHolder();
+      }
+    });
+  }
+
+  // Runs what makes calls through `duty_holder_` (usage reports, scaling).
+  // Called every 250 ms where there are duties.
+  void TickDutyUsers(TimePoint now) { LogFailedDutyCalls(now); }
+
+  void LogDutyEvent(const DutyEvent& event) {
+    int number = kLogDutyRecordMalformed;
+    switch (event.kind) {
+      case DutyEventKind::kStarted:
+        number = kLogDutiesTaken;
+        break;
+      case DutyEventKind::kEnded:
+        number = kLogDutiesEnded;
+        break;
+      case DutyEventKind::kRevoked:
+        number = kLogDutyLeaseRevoked;
+        break;
+      case DutyEventKind::kMalformed:
+        break;
+    }
+    JsonFields fields;
+    fields.Integer("token", static_cast<int64_t>(event.token))
+        .Text("holder", event.holder)
+        .Millis("wait_ms", event.wait);
+    log_.Log(number, fields, BootClock::now());
+  }
+
+  void LogFailedDutyCalls(TimePoint now) {
+    if (failed_duty_calls_.empty() ||
+        now - failed_duty_calls_logged_at_ < kDutyFailuresLogInterval) {
+      return;
+    }
+    JsonFields fields;
+    for (const auto& [outcome, calls] : failed_duty_calls_) {
+      fields.Integer(outcome, calls);
+    }
+    log_.Log(kLogDutyCallFailed, fields, now);
+    failed_duty_calls_.clear();
+    failed_duty_calls_logged_at_ = now;
+  }
+
   void LogInstanceCount(size_t registered) {
     const size_t sharing = load_exchange_.SharingCount().value_or(0);
     if (sharing == logged_sharing_count_) {
@@ -664,6 +809,9 @@
     if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
       load_exchange_.SetLeaving();
     }
+    if (duty_holder_) {
+      TickDutyUsers(now);
+    }
     LogRejectedDatagrams(now);
     metrics_.SetOpenExchanges(static_cast<double>(relay_.open_exchanges()));
     log_.Flush(now);
@@ -697,7 +845,9 @@
     if (now - *drain_start_ >= settings_.shutdown_grace - kShutdownMargin) {
       return true;
     }
-    return now - *drain_start_ > kDrainDelay && relay_.open_connections() == 0;
+    return now - *drain_start_ > kDrainDelay &&
+           relay_.open_connections() == 0 &&
+           (!duty_holder_ || duty_holder_->HasLeft());
   }
 
   void WaitForSignal() {
@@ -713,6 +863,9 @@
         fields.Integer("signal", signal)
             .Integer("open", static_cast<int64_t>(relay_.open_exchanges()));
         log_.Log(kLogInstanceShutdownStarted, fields, *drain_start_);
+        if (duty_holder_) {
+          duty_holder_->Leave();
+        }
         relay_.StartDraining(kDrainDelay,
                              *drain_start_ + settings_.shutdown_grace -
                                  kShutdownMargin - kLastAnswersTime);
@@ -754,6 +907,13 @@
   LoadExchange load_exchange_;
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
+  // Where there are duties, otherwise null.
+  asio::steady_timer duty_timer_;
+  std::unique_ptr<platform::HttpDutyClient> duty_client_;
+  std::optional<DutyHolderView> duty_view_;
+  std::unique_ptr<DutyHolder> duty_holder_;
+  std::map<std::string, int64_t> failed_duty_calls_;  // not logged yet
+  TimePoint failed_duty_calls_logged_at_{};
   StandstillCheck standstill_check_;
   std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<StreamRecorder> stream_recorder_;
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -135,6 +135,23 @@
       {512, kError, "record_malformed",
        "A lease, shard or capacity object cannot be parsed.",
        "Look for a foreign writer to the object API."},
+      {520, kInfo, "duties_taken",
+       "This instance makes the calls of the duties for all.", "None."},
+      {521, kInfo, "duties_ended", "This instance no longer holds the duties.",
+       "Frequent ones: check this instance for pauses and its links."},
+      {522, kWarn, "duty_lease_revoked",
+       "This instance revoked the lapsed lease of the holder of the duties.",
+       "Check the other instance."},
+      {523, kWarn, "duty_call_failed",
+       "Calls to the platform were refused or had no answer; the line counts "
+       "them.",
+       "conflict: another holder has a higher token. no_answer and not_sent: "
+       "check the platform's API."},
+      {524, kError, "duty_record_malformed",
+       "The registry object that names the holder of the duties cannot be "
+       "parsed; no calls are made.",
+       "Look for a foreign writer to duty-shards/platform; remove the object "
+       "while no instance runs."},
       {601, kInfo, "configuration_applied",
        "A newer configuration version is in force.", "None."},
       {602, kWarn, "configuration_stale",
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -65,7 +65,12 @@
     keys_refused_.Add({{"reason", reason}}).Increment();
   }
 
+  void CountDutyCall(const std::string& duty, const std::string& outcome) {
+    duty_calls_.Add({{"duty", duty}, {"outcome", outcome}}).Increment();
+  }
+
   prometheus::Gauge& customers() { return customers_; }
+  prometheus::Gauge& duty_holder() { return duty_holder_; }
   prometheus::Gauge& open_exchanges() { return open_exchanges_; }
   prometheus::Gauge& configuration_version() { return configuration_version_; }
 
@@ -126,6 +131,17 @@
           .Help("Customers of the configuration in force.")
           .Register(registry_)
           .Add({});
+  prometheus::Gauge& duty_holder_ =
+      prometheus::BuildGauge()
+          .Name("endiveyard_duty_holder")
+          .Help("1 while this instance holds the duties.")
+          .Register(registry_)
+          .Add({});
+  prometheus::Family<prometheus::Counter>& duty_calls_ =
+      prometheus::BuildCounter()
+          .Name("endiveyard_duty_calls_total")
+          .Help("Calls of the duties by outcome.")
+          .Register(registry_);
   prometheus::Gauge& open_exchanges_ = prometheus::BuildGauge()
                                            .Name("endiveyard_open_exchanges")
                                            .Help("Requests queued or running.")
@@ -186,4 +202,13 @@
   impl_->customers().Set(value);
 }
 
+void Metrics::SetDutyHolder(bool is_holder) {
+  impl_->duty_holder().Set(is_holder ? 1 : 0);
+}
+
+void Metrics::CountDutyCall(const std::string& duty,
+                            const std::string& outcome) {
+  impl_->CountDutyCall(duty, outcome);
+}
+
 }  // namespace endiveyard
