Usage: instances count and exchange the usage of customers

The library had no caller.

Where the settings name cloud.address and the duty usage_report, the relay reports the first output of each request of a customer, and load reports carry the clock, the holder of the duties, counts and acknowledgements. What is sent directly to one instance now delays reports of work by its bytes. Nothing is reported until the holder of the duties is connected (UsageDuty::set_calls).

duties, telemetry, load_exchange, front and platform tests pass.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -58,8 +58,8 @@
   // to outlive the exchange.
   void AddHooks(LoadReportHooks hooks);
   // Sends a report of scope kMembers at once to one instance. `content` holds
-  // only what the hooks do not fill in. Counts toward no limit on bytes, so it
-  // is for rare messages.
+  // only what the hooks do not fill in. Reports of work are delayed by its
+  // bytes, so that the limit is kept on average.
   void SendDirect(uint32_t address, PeerLoadReport content);
 
   // Opens the UDP port and starts sending and receiving. Errors: kUnavailable.
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -87,6 +87,10 @@
   // nothing is recorded.
   std::function<void(std::function<void()> done)> read_stream_records;
 
+  // Called for each request of a customer whose first output goes to the
+  // caller, once. Empty if usage is not counted.
+  std::function<void(const std::string& customer)> on_run_started;
+
   // When all news that had arrived were applied; always, if it is empty.
   std::optional<TimePoint> news_applied_at;
 
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -28,6 +28,11 @@
 inline constexpr int kLogChangeAfterDrainTimeout =
     511;  // change_after_drain_bound
 inline constexpr int kLogRecordMalformed = 512;
+inline constexpr int kLogUsageReported = 525;
+inline constexpr int kLogUsageReportRepeated = 526;
+inline constexpr int kLogUsageWindowDropped = 527;
+inline constexpr int kLogUsageIncomplete = 528;
+inline constexpr int kLogUsageCustomerUnknown = 529;
 inline constexpr int kLogConfigurationApplied = 601;
 inline constexpr int kLogConfigurationStale = 602;
 inline constexpr int kLogConfigurationInvalid = 603;
--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -34,6 +34,11 @@
   // Counts a request whose API key is missing or unknown.
   void CountKeyRefused(const std::string& reason);
   void SetCustomers(double value);
+  // Counts a request in the usage of its customer.
+  void CountUsage();
+  // Counts a window of usage that this instance has reported as the holder of
+  // the duties, or not.
+  void CountUsageWindow(const std::string& outcome);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -25,6 +25,7 @@
 #include "front/instance_recorder.h"
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
+#include "front/usage_duty.h"
 #include "front/version_recorder.h"
 #include "platform/http_registry_client.h"
 #include "platform/object_decoding.h"
@@ -142,6 +143,14 @@
       service_map_currency_.RecordPeer(report.sender, report.map_version, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
+    if (settings_.reports_usage && settings_.peer_port != 0) {
+      usage_duty_ = std::make_unique<UsageDuty>(
+          UsageReporterOptions{settings_.usage_window, settings_.usage_late},
+          &load_exchange_, &log_, &metrics_, UnixMs);
+      routing_state_.on_run_started = [this](const std::string& customer) {
+        usage_duty_->RecordStart(customer, BootClock::now());
+      };
+    }
     routing_state_.replicas.set_entry_lifetime(
         kHeartbeatsPerEntry * settings_.heartbeat_interval +
         kEntryRemovalMargin);
@@ -629,6 +638,9 @@
     if (applied.customers) {
       metrics_.SetCustomers(
           static_cast<double>(applied.customers->customers().size()));
+      if (usage_duty_) {
+        usage_duty_->SetCustomers(*applied.customers);
+      }
     }
     UpdateServiceMapCurrency(BootClock::now());
     relay_.OnRoutingStateChanged();
@@ -655,6 +667,9 @@
         now - *service_map_confirmed_at_ <
             mirror_timing_.watch_timeout + kConfirmationMargin;
     UpdateServiceMapCurrency(now);
+    if (usage_duty_) {
+      usage_duty_->Tick(registry_era_.latest(), now);
+    }
     if (const auto instances = load_exchange_.SharingCount()) {
       relay_.set_instance_count(*instances);
     }
@@ -668,6 +683,9 @@
     metrics_.SetOpenExchanges(static_cast<double>(relay_.open_exchanges()));
     log_.Flush(now);
     if (drain_start_ && IsDrainFinished(now)) {
+      if (usage_duty_) {
+        usage_duty_->SendLast(now);
+      }
       io_.stop();
       return;
     }
@@ -713,6 +731,9 @@
         fields.Integer("signal", signal)
             .Integer("open", static_cast<int64_t>(relay_.open_exchanges()));
         log_.Log(kLogInstanceShutdownStarted, fields, *drain_start_);
+        if (usage_duty_) {
+          usage_duty_->SendLast(*drain_start_);
+        }
         relay_.StartDraining(kDrainDelay,
                              *drain_start_ + settings_.shutdown_grace -
                                  kShutdownMargin - kLastAnswersTime);
@@ -751,6 +772,8 @@
   Relay relay_;
   AdminListener readiness_listener_;
   AdminListener metrics_listener_;
+  // Null unless usage is reported. Outlives the load exchange, which calls it.
+  std::unique_ptr<UsageDuty> usage_duty_;
   LoadExchange load_exchange_;
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -48,6 +48,9 @@
 // in the own one. Beyond it, the oldest are dropped.
 constexpr size_t kMaxPendingUpdates = 256;
 
+// IPv4 and UDP headers.
+constexpr size_t kDatagramHeaderBytes = 28;
+
 size_t PartsOf(const CacheUpdate& update) {
   return update.parts.size() + update.pending_parts.size();
 }
@@ -124,7 +127,7 @@
     content.map_version = header.map_version;
     content.unix_ms = header.unix_ms;
     content.duty_holder = header.duty_holder;
-    Send(content, {address});
+    direct_bytes_ += Send(content, {address}) + kDatagramHeaderBytes;
   }
 
   std::vector<uint32_t> LiveInstances() const {
@@ -461,6 +464,10 @@
       const std::vector<uint32_t> mates = directory_.Mates(now);
       const size_t bytes = Send(report, mates);
       delay = directory_.WorkInterval(mates.size(), bytes, now);
+      if (direct_bytes_ > 0) {
+        delay += directory_.WorkInterval(1, direct_bytes_, now);
+        direct_bytes_ = 0;
+      }
       placer_.peer_loads().Expire(now);
     }
     work_interval_ = delay;
@@ -573,6 +580,7 @@
   Duration work_interval_{};
   Duration region_interval_{};
   TimePoint last_work_report_{};
+  size_t direct_bytes_ = 0;  // since the last report of work
   TimePoint last_welcome_{};
   bool last_report_had_work_ = false;
   std::deque<PendingUpdate> pending_for_regions_;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -235,6 +235,9 @@
   // body. The rest is forwarded as it arrives.
   void BeginLargeResponse();
   void SendCompleteResponse(const EndedCall& ended);
+  // Counts the request in the usage of its customer, once. To be called when
+  // the first output of a replica that ran it goes to the caller.
+  void RecordRunStart();
 
   // Evidence about requests that crash replicas (relay_crash_evidence.cc).
   // Records a response of the replica of the active call.
@@ -389,6 +392,7 @@
   // Replica at which a forwarded request has failed; empty if there is none.
   std::string failed_replica_id_;
   std::optional<SuspectKeys> suspect_keys_;  // set on first use
+  bool run_start_recorded_ = false;
   // Some replica went on after the first output of this request.
   bool answer_survived_ = false;
 };
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -171,6 +171,7 @@
       if (auto* unsent = std::get_if<UnsentResponse>(&response_)) {
         first_output_at_ = BootClock::now();
         RecordForwardedVersion();
+        RecordRunStart();
         response_ = std::move(*unsent).Begin(CallerHeadFrom(forwarding_->head));
       }
       std::get<BegunResponse>(response_).SendBody(events);
@@ -193,6 +194,7 @@
         return;
       }
       first_output_at_ = BootClock::now();
+      RecordRunStart();
       BegunResponse begun =
           std::get<UnsentResponse>(std::exchange(response_, EndedResponse()))
               .Begin(CallerHeadFrom(forwarding_->head));
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -273,6 +273,7 @@
     first_output_at_ = BootClock::now();
     stream_version_ = active_call_->replica.version;
     version_record_unused_ = false;
+    RecordRunStart();
     // This run has used the KV cache.
     kv_handle_.reset();
     response_ = std::move(*unsent).Begin(
@@ -526,7 +527,22 @@
   }
 }
 
+void RelayExchange::RecordRunStart() {
+  const auto& on_run_started = context_->routing_state.on_run_started;
+  // A forwarded request is counted by the instance that the caller turned to,
+  // and a stream by the instance that passed its first event.
+  const bool has_begun_elsewhere =
+      request_.forwarded ||
+      (TakesUpStream() && request_metadata_.last_event_id.value_or(0) > 0);
+  if (on_run_started && customer_ != nullptr && !run_start_recorded_ &&
+      !has_begun_elsewhere) {
+    on_run_started(customer_->name);
+  }
+  run_start_recorded_ = true;
+}
+
 void RelayExchange::BeginLargeResponse() {
+  RecordRunStart();
   active_call_->streaming = true;
   const std::string body = std::move(active_call_->body);
   if (!first_output_at_) {
@@ -542,6 +558,11 @@
 void RelayExchange::SendCompleteResponse(const EndedCall& ended) {
   const TargetResponseHead& head = ended.head;
   const std::string& body = ended.body;
+  // A forwarded request may be refused by the other instance, without a
+  // replica.
+  if (!ended.replica.id.empty() && head.status < 500) {
+    RecordRunStart();
+  }
   if (!first_output_at_) {
     first_output_at_ = BootClock::now();
   }
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -135,6 +135,25 @@
       {512, kError, "record_malformed",
        "A lease, shard or capacity object cannot be parsed.",
        "Look for a foreign writer to the object API."},
+      {525, kInfo, "usage_reported",
+       "The platform has accepted the usage of a window.", "None."},
+      {526, kInfo, "usage_report_repeated",
+       "A usage report is sent again unchanged, since its answer is not "
+       "known or said that it was not taken.",
+       "Frequent: check the API of the platform."},
+      {527, kWarn, "usage_window_dropped",
+       "Usage reports of this window and perhaps of later ones are given "
+       "up, 30 s after their end.",
+       "Check the API of the platform and the registry; the usage is not "
+       "reported."},
+      {528, kWarn, "usage_incomplete",
+       "The usage of a window is reported although instances have not told "
+       "theirs; the line names how many.",
+       "Check these instances and the network between them."},
+      {529, kWarn, "usage_customer_unknown",
+       "Usage of customers whose names are not known here is left out of a "
+       "report.",
+       "Check whether all instances have the same configuration."},
       {601, kInfo, "configuration_applied",
        "A newer configuration version is in force.", "None."},
       {602, kWarn, "configuration_stale",
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -65,6 +65,11 @@
     keys_refused_.Add({{"reason", reason}}).Increment();
   }
 
+  void CountUsageWindow(const std::string& outcome) {
+    usage_windows_.Add({{"outcome", outcome}}).Increment();
+  }
+
+  prometheus::Counter& usage() { return usage_; }
   prometheus::Gauge& customers() { return customers_; }
   prometheus::Gauge& open_exchanges() { return open_exchanges_; }
   prometheus::Gauge& configuration_version() { return configuration_version_; }
@@ -120,6 +125,18 @@
           .Name("endiveyard_keys_refused_total")
           .Help("Requests whose API key is missing or unknown, by reason.")
           .Register(registry_);
+  prometheus::Counter& usage_ =
+      prometheus::BuildCounter()
+          .Name("endiveyard_usage_requests_total")
+          .Help(
+              "Requests of customers that began to run, as usage counts them.")
+          .Register(registry_)
+          .Add({});
+  prometheus::Family<prometheus::Counter>& usage_windows_ =
+      prometheus::BuildCounter()
+          .Name("endiveyard_usage_windows_total")
+          .Help("Windows of usage at the holder of the duties, by outcome.")
+          .Register(registry_);
   prometheus::Gauge& customers_ =
       prometheus::BuildGauge()
           .Name("endiveyard_customers")
@@ -186,4 +203,12 @@
   impl_->customers().Set(value);
 }
 
+void Metrics::CountUsage() {
+  impl_->usage().Increment();
+}
+
+void Metrics::CountUsageWindow(const std::string& outcome) {
+  impl_->CountUsageWindow(outcome);
+}
+
 }  // namespace endiveyard
--- a/tests/platform/process_settings_test.cc
+++ b/tests/platform/process_settings_test.cc
@@ -43,6 +43,21 @@
                                   "platform.writes_per_s=3200\n")
                  ->registry_writes_per_second == 3200);
   BOOST_TEST((settings->shutdown_grace == Duration(std::chrono::seconds(8))));
+  BOOST_TEST(!settings->reports_usage);
+  const std::string cloud =
+      std::string(kSettings) + "cloud.address=10.200.1.8:8143\n";
+  BOOST_TEST(!ParseProcessSettings(cloud)->reports_usage);
+  BOOST_TEST(
+      !ParseProcessSettings(cloud + "cloud.duties=autoscale\n")->reports_usage);
+  for (const char* it : {"usage_report", "autoscale,usage_report",
+                         "[\"usage_report\", \"autoscale\"]"}) {
+    const auto usage =
+        ParseProcessSettings(cloud + "cloud.duties=" + it +
+                             "\nbounds.window_s=4\nbounds.usage_late_s=9\n");
+    BOOST_TEST(usage->reports_usage);
+    BOOST_TEST((usage->usage_window == Duration(std::chrono::seconds(4))));
+    BOOST_TEST((usage->usage_late == Duration(std::chrono::seconds(9))));
+  }
   BOOST_TEST(settings->max_descriptors == 4100u);
 }
 
