--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -37,6 +37,11 @@
   // Whether this instance holds the duties, and a call of a duty that ended.
   void SetDutyHolder(bool is_holder);
   void CountDutyCall(const std::string& duty, const std::string& outcome);
+  // Counts a request in the usage of its customer.
+  void CountUsage();
+  // Counts a window of usage that this instance has reported as the holder of
+  // the duties, or not.
+  void CountUsageWindow(const std::string& outcome);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -29,6 +29,7 @@
 #include "front/instance_recorder.h"
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
+#include "front/usage_duty.h"
 #include "front/version_recorder.h"
 #include "platform/http_duty_client.h"
 #include "platform/http_registry_client.h"
@@ -177,6 +178,16 @@
       service_map_currency_.RecordPeer(report.sender, report.map_version, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
+    if (settings_.duties && settings_.duties->reports_usage &&
+        settings_.peer_port != 0) {
+      usage_duty_ = std::make_unique<UsageDuty>(
+          UsageReporterOptions{settings_.duties->window,
+                               settings_.duties->usage_due},
+          &load_exchange_, &log_, &metrics_, UnixMs);
+      routing_state_.on_run_started = [this](const std::string& customer) {
+        usage_duty_->RecordStart(customer, BootClock::now());
+      };
+    }
     routing_state_.replicas.set_entry_lifetime(
         kHeartbeatsPerEntry * settings_.heartbeat_interval +
         kEntryRemovalMargin);
@@ -585,6 +596,9 @@
       duty_view_->Record(report.duty_holder, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
+    if (usage_duty_) {
+      usage_duty_->set_calls(duty_holder_.get());
+    }
     RunDutyHolder();
   }
 
@@ -774,6 +788,9 @@
     if (applied.customers) {
       metrics_.SetCustomers(
           static_cast<double>(applied.customers->customers().size()));
+      if (usage_duty_) {
+        usage_duty_->SetCustomers(*applied.customers);
+      }
     }
     UpdateServiceMapCurrency(BootClock::now());
     relay_.OnRoutingStateChanged();
@@ -800,6 +817,9 @@
         now - *service_map_confirmed_at_ <
             mirror_timing_.watch_timeout + kConfirmationMargin;
     UpdateServiceMapCurrency(now);
+    if (usage_duty_) {
+      usage_duty_->Tick(registry_era_.latest(), now);
+    }
     if (const auto instances = load_exchange_.SharingCount()) {
       relay_.set_instance_count(*instances);
     }
@@ -816,6 +836,9 @@
     metrics_.SetOpenExchanges(static_cast<double>(relay_.open_exchanges()));
     log_.Flush(now);
     if (drain_start_ && IsDrainFinished(now)) {
+      if (usage_duty_) {
+        usage_duty_->SendLast(now);
+      }
       io_.stop();
       return;
     }
@@ -866,6 +889,9 @@
         if (duty_holder_) {
           duty_holder_->Leave();
         }
+        if (usage_duty_) {
+          usage_duty_->SendLast(*drain_start_);
+        }
         relay_.StartDraining(kDrainDelay,
                              *drain_start_ + settings_.shutdown_grace -
                                  kShutdownMargin - kLastAnswersTime);
@@ -904,6 +930,8 @@
   Relay relay_;
   AdminListener readiness_listener_;
   AdminListener metrics_listener_;
+  // Null unless usage is reported. Outlives the load exchange, which calls it.
+  std::unique_ptr<UsageDuty> usage_duty_;
   LoadExchange load_exchange_;
   asio::signal_set signals_;
   asio::steady_timer maintenance_timer_;
