--- a/include/endiveyard/placement/replica_pace.h
+++ b/include/endiveyard/placement/replica_pace.h
@@ -28,7 +28,8 @@
 // as stated in their responses. The latest value counts less the older it is,
 // until the lasting value is all that is left of it: the median of earlier
 // ones, which is the speed of the machine without the workloads that slow it
-// down for a short time. Instances tell each other what replicas have stated.
+// down for a short time. Without new values, that approaches the usual duration
+// within tens of seconds. Instances tell each other what replicas have stated.
 // Not thread-safe.
 class ReplicaPaces {
  public:
--- a/src/placement/replica_pace.cc
+++ b/src/placement/replica_pace.cc
@@ -1,6 +1,7 @@
 #include "endiveyard/placement/replica_pace.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <tuple>
 
@@ -11,6 +12,14 @@
 // lost datagrams, and later ones come too late.
 constexpr int kReportsPerValue = 2;
 
+// A machine that took longer than this is tried again once the value is old.
+// Without it, a replica that was slow for long would get no more calls, and
+// nobody would learn that it has recovered.
+constexpr double kMaxLasting = 2.5;
+// Half-life of the lasting part, as an exponent. A replica in use states new
+// values more often.
+constexpr Duration kLastingHalfLife = std::chrono::seconds(10);
+
 double Millis(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
@@ -85,11 +94,15 @@
   const Pace& pace = it->second;
   const double age_ms =
       Millis(std::chrono::duration_cast<Duration>(now - pace.stated_at));
+  const double stale_ms = std::max(0.0, age_ms - Millis(kMomentaryLifetime));
+  const double lasting =
+      std::pow(std::min(pace.lasting, kMaxLasting),
+               std::exp2(-stale_ms / Millis(kLastingHalfLife)));
   // The probability that the machine has not changed since, if it does so at
   // intervals of kMomentaryLifetime.
   const double weight =
       std::clamp(1 - age_ms / Millis(kMomentaryLifetime), 0.0, 1.0);
-  return pace.lasting + (pace.momentary - pace.lasting) * weight;
+  return lasting + (pace.momentary - lasting) * weight;
 }
 
 void ReplicaPaces::ApplyReport(const ReplicaPaceReport& report,
