Tests: usage reaches the holder by load reports, within its bytes

An acknowledgement of four windows takes 135 bytes with its headers, more than the 128 that the sender assumed; it now assumes 140.

--- a/src/duties/usage_sender.cc
+++ b/src/duties/usage_sender.cc
@@ -14,7 +14,7 @@
 // Out of the 8 KB/s of an instance, counts take at most this much.
 constexpr double kMaxBytesPerSecond = 1500;
 // Sizes in a datagram.
-constexpr size_t kMessageBytes = 128;
+constexpr size_t kMessageBytes = 140;
 constexpr size_t kWindowBytes = 16;
 constexpr size_t kCustomerBytes = 14;
 // Limit on the customers in one message: 7 KB, far below the limit on reports.
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -209,4 +209,39 @@
   BOOST_TEST(bytes_without < bytes.size());
 }
 
+// Guards against counts and acknowledgements that are larger than their sender
+// assumes, so that instances exceed their bytes per second.
+BOOST_AUTO_TEST_CASE(UsageTakesTheAssumedBytes) {
+  // As in usage_sender.cc, and for an acknowledgement of four windows.
+  constexpr size_t kMessageBytes = 140;
+  constexpr size_t kWindowBytes = 16;
+  constexpr size_t kCustomerBytes = 14;
+  constexpr size_t kDatagramHeaderBytes = 28;
+  constexpr size_t kCustomers = 512;
+  PeerLoadReport report;
+  report.sender = 0x0a010026;
+  report.sequence = uint64_t{1} << 30;
+  report.region = 0xfffe;
+  report.scope = ReportScope::kMembers;
+  report.map_version = int64_t{1} << 30;
+  report.unix_ms = 1796000000123;
+  report.duty_holder = {0x0a010027, uint64_t{5} << 32 | 77,
+                        std::chrono::milliseconds(4300)};
+  PeerLoadReport ack = report;
+  for (int64_t n = 0; n < 4; ++n) {
+    ack.usage_acks.push_back(353445120 + n);
+  }
+  BOOST_TEST(EncodePeerLoadReport(ack).size() + kDatagramHeaderBytes <=
+             kMessageBytes);
+  report.usage.resize(1);
+  report.usage[0].window = 353445120;
+  for (uint64_t n = 0; n < kCustomers; ++n) {
+    report.usage[0].customers.push_back({~(n << 50), 70000});
+  }
+  const std::string bytes = EncodePeerLoadReport(report);
+  BOOST_TEST(bytes.size() + kDatagramHeaderBytes <=
+             kMessageBytes + kWindowBytes + kCustomerBytes * kCustomers);
+  BOOST_TEST(DecodePeerLoadReport(bytes).has_value());
+}
+
 }  // namespace endiveyard
