Usage: unknown counts are not reported as none; overtaken reports are no restart

After 20 s without a holder, instances have forgotten windows, which were reported without any customer. They are left out, with event 527. A datagram that was overtaken while the clock of its sender was set back counted as a restart, which doubles the counts of the sender.

--- a/src/duties/usage_collector.cc
+++ b/src/duties/usage_collector.cc
@@ -19,6 +19,9 @@
 // A process that replaces another one is heard later than this after it; an
 // earlier report with a lower sequence was overtaken.
 constexpr Duration kMinRestartTime = std::chrono::milliseconds(1500);
+// A report is overtaken by fewer others of its sender than this. Its clock
+// alone does not tell, since it may have been set back in between.
+constexpr uint64_t kMaxOvertaken = 64;
 // Reports of the former process may arrive for this time after a restart. The
 // clock of the sender tells them apart, unless it was set back by more.
 constexpr Duration kRestartDoubtTime = std::chrono::seconds(10);
@@ -90,7 +93,8 @@
   }
   Sender& sender = it->second;
   if (statement.sequence < sender.sequence) {
-    if (statement.unix_ms <= sender.unix_ms &&
+    if ((statement.unix_ms <= sender.unix_ms ||
+         sender.sequence - statement.sequence < kMaxOvertaken) &&
         now - sender.heard_at < kMinRestartTime) {
       return false;
     }
--- a/src/duties/usage_reporter.cc
+++ b/src/duties/usage_reporter.cc
@@ -180,6 +180,13 @@
   }
   UsageReport report;
   report.window = *next_;
+  if (view.collector->SenderCount(*next_) == 0) {
+    // Instances keep four windows. Without a holder for longer, the counts are
+    // gone, and a report without any would say that nothing was used.
+    Notify(UsageEventKind::kDropped, report, 0, view);
+    ++*next_;
+    return std::nullopt;
+  }
   UsageReport unknown;
   unknown.window = *next_;
   for (const auto& [key, requests] : view.collector->Sum(*next_)) {
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -142,8 +142,8 @@
        "known or said that it was not taken.",
        "Frequent: check the API of the platform."},
       {527, kWarn, "usage_window_dropped",
-       "Usage reports of this window and perhaps of later ones are given "
-       "up, 30 s after their end.",
+       "Usage reports of this window and perhaps of later ones are given up: "
+       "30 s after their end, or since their counts are not known any more.",
        "Check the API of the platform and the registry; the usage is not "
        "reported."},
       {528, kWarn, "usage_incomplete",
--- a/tests/duties/usage_exchange_test.cc
+++ b/tests/duties/usage_exchange_test.cc
@@ -232,13 +232,21 @@
 
   double Uniform() { return static_cast<double>(random() % 1'000'000) / 1e6; }
 
-  // Checks all windows from `first` to `last`: reported in time, and with the
-  // true counts, apart from requests at the bounds of a window.
+  // Checks that all windows from `first` to `last` were reported in time, with
+  // the true counts.
   void CheckWindows(int64_t first, int64_t last) {
+    CheckCounts(first, last);
+    for (int64_t w = first; w <= last; ++w) {
+      BOOST_TEST(accepted_after_ms[w] <= 10'000);
+    }
+  }
+
+  // Checks that they were reported at any time, with the true counts, apart
+  // from requests at the bounds of a window.
+  void CheckCounts(int64_t first, int64_t last) {
     for (int64_t w = first; w <= last; ++w) {
       BOOST_TEST_CONTEXT("window " << w - kStartMs / kWindowMs) {
         BOOST_REQUIRE(accepted.count(w) == 1);
-        BOOST_TEST(accepted_after_ms[w] <= 10'000);
         for (const auto& [customer, requests] : at_most[w]) {
           BOOST_TEST_CONTEXT(customer << ", at most " << requests) {
             BOOST_TEST(accepted[w][customer] >= at_least[w][customer]);
@@ -395,6 +403,45 @@
   fleet.CheckWindows(kFirstWindow + 11, kFirstWindow + 12);
 }
 
+// Guards against windows that are reported as unused after a time without a
+// holder, in which the instances have forgotten their counts.
+BOOST_AUTO_TEST_CASE(CountsThatNobodyKnowsAreNotReported) {
+  Fleet fleet(4);
+  fleet.Run(12);
+  fleet.holder = -1;
+  fleet.Run(40);
+  const int64_t held_again_in = fleet.WindowNow();
+  fleet.SetHolder(1);
+  fleet.Run(20);
+  // The four windows before, which the instances have kept.
+  fleet.CheckCounts(held_again_in - 4, held_again_in);
+  for (const auto& [window, counts] : fleet.accepted) {
+    BOOST_TEST(!counts.empty());
+  }
+  BOOST_TEST(fleet.events[UsageEventKind::kDropped] > 0);
+}
+
+// Guards against counts that double because a datagram was overtaken while the
+// clock of its sender was set back.
+BOOST_AUTO_TEST_CASE(ADatagramFromBeforeAClockJumpIsNoRestart) {
+  Fleet fleet(4);
+  fleet.loss = 0;
+  fleet.Run(12);
+  Fleet::Instance& it = *fleet.instances[2];
+  it.exchange->SendLast(fleet.Now());
+  UsagePeerReport early;
+  for (const auto& [at_ms, datagram] : fleet.datagrams) {
+    if (datagram.second.statement.sender == it.address) {
+      early = datagram.second;
+    }
+  }
+  it.clock_error_ms = -3000;
+  fleet.Run(0.3);
+  fleet.instances[0]->exchange->RecordReport(early, fleet.Now());
+  fleet.Run(20);
+  fleet.CheckWindows(kFirstWindow, kFirstWindow + 4);
+}
+
 // Guards against windows that do not follow true time.
 BOOST_AUTO_TEST_CASE(WrongClocksDoNotMoveWindows) {
   Fleet fleet(8);
