Autoscaling: spot replicas in place of on-demand ones

The holder of the duties now decides for services with autoscaling how many replicas of which kind run where.

--- a/include/endiveyard/placement/peer_loads.h
+++ b/include/endiveyard/placement/peer_loads.h
@@ -60,6 +60,10 @@
   // Returns the weighted sums over the peers, without other regions.
   std::vector<ReplicaWork> WorkOfPeers(TimePoint now) const;
 
+  // Returns the sums over the peers and regions as they were reported, without
+  // weights, which are too low for the load of a whole service.
+  std::vector<ReplicaWork> ReportedWork(TimePoint now) const;
+
   // Returns the number of peers whose last report has not expired.
   size_t LivePeers(TimePoint now) const;
   // Removes the state of peers that have not reported for a long time.
--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -226,6 +226,14 @@
                         Duration elapsed,
                         TimePoint now);
   EngineProfile Profile(const std::string& service, TimePoint now) const;
+  // Counts a request that was refused because no replica could serve it in
+  // time.
+  void RecordTooLate(const std::string& service) { ++too_late_[service]; }
+  // Returns the number of such requests since the start.
+  int64_t TooLateCount(const std::string& service) const {
+    const auto it = too_late_.find(service);
+    return it == too_late_.end() ? 0 : it->second;
+  }
 
  private:
   struct IncarnationLoad {
@@ -316,6 +324,7 @@
   TargetAvailability availability_;
   PlacementPrices prices_;
   std::map<std::string, ServiceState> services_;
+  std::map<std::string, int64_t> too_late_;
 };
 
 }  // namespace endiveyard
--- a/include/endiveyard/placement/replica_view.h
+++ b/include/endiveyard/placement/replica_view.h
@@ -29,6 +29,10 @@
   bool draining = false;
   Stage stage = Stage::kWhole;
   int64_t started_unix_ms = 0;  // 0: not in the registration
+  bool spot = false;            // may be reclaimed
+  // Time from the registration until it ends, while it drains because it is
+  // reclaimed.
+  std::optional<Duration> leaves_in;
 
   bool operator==(const Replica& other) const;
 };
@@ -85,6 +89,9 @@
   // Returns the replica if it is registered, draining or not.
   const Replica* Find(std::string_view id) const;
 
+  // Returns the replicas of `service`, draining or not, in order of id.
+  std::vector<const Replica*> Registered(std::string_view service) const;
+
   // Returns the replicas of `service` that accept new work, in order of id.
   std::vector<const Replica*> Usable(std::string_view service) const;
 
--- a/include/endiveyard/placement/service_map.h
+++ b/include/endiveyard/placement/service_map.h
@@ -2,6 +2,7 @@
 #define ENDIVEYARD_PLACEMENT_SERVICE_MAP_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -56,12 +57,27 @@
   bool operator==(const EngineTraits& other) const;
 };
 
+// How many replicas of a service may be ordered, and what they cost.
+struct AutoscalingTraits {
+  // Per failure domain.
+  int min_replicas = 0;
+  int max_replicas = 0;
+  Duration boot_time = std::chrono::seconds(4);
+  // Price of a spot replica relative to an on-demand one.
+  double spot_price = 0.18;
+  std::map<std::string, double> failure_domain_prices;  // relative
+
+  bool operator==(const AutoscalingTraits& other) const;
+};
+
 struct Service {
   std::string name;
   int max_connections = 0;             // per replica, from all callers
   std::optional<EngineTraits> engine;  // absent for plain services
   // Path of a GET request that its replicas answer without running anything.
   std::string probe_path = "/";
+  // Absent if the number of replicas is not decided here.
+  std::optional<AutoscalingTraits> autoscaling{};
 
   bool operator==(const Service& other) const;
 };
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -28,6 +28,11 @@
 inline constexpr int kLogChangeAfterDrainTimeout =
     511;  // change_after_drain_bound
 inline constexpr int kLogRecordMalformed = 512;
+inline constexpr int kLogScalingStarted = 530;
+inline constexpr int kLogScalingStopped = 531;
+inline constexpr int kLogReplicasOrdered = 532;
+inline constexpr int kLogReplicaOrderFailed = 533;
+inline constexpr int kLogSpotReplicasLost = 534;
 inline constexpr int kLogConfigurationApplied = 601;
 inline constexpr int kLogConfigurationStale = 602;
 inline constexpr int kLogConfigurationInvalid = 603;
--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -8,6 +8,13 @@
 
 namespace endiveyard {
 
+// Replicas of one kind, "on_demand" or "spot", in one failure domain.
+struct ReplicaGroup {
+  std::string service;
+  std::string failure_domain;
+  std::string kind;
+};
+
 // Prometheus metrics of one instance. Thread-safe. Histograms have the labels
 // house and class; negative durations are not recorded.
 class Metrics {
@@ -34,6 +41,12 @@
   // Counts a request whose API key is missing or unknown.
   void CountKeyRefused(const std::string& reason);
   void SetCustomers(double value);
+  // Set and remove the numbers of replicas of services whose number is decided
+  // here. `state` is "ordered" or "ready".
+  void SetReplicas(const ReplicaGroup& group,
+                   const std::string& state,
+                   double value);
+  void ClearReplicas();
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -23,6 +23,7 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
 #include "front/instance_recorder.h"
+#include "front/replica_scaler.h"
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
 #include "front/version_recorder.h"
@@ -142,6 +143,12 @@
       service_map_currency_.RecordPeer(report.sender, report.map_version, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
+    if (settings_.autoscales) {
+      replica_scaler_ = std::make_unique<ReplicaScaler>(
+          ReplicaScalerOptions{settings_.location.region_of_failure_domain,
+                               settings_.duty_calls_per_second},
+          &routing_state_, relay_.placer(), &load_exchange_, &log_, &metrics_);
+    }
     routing_state_.replicas.set_entry_lifetime(
         kHeartbeatsPerEntry * settings_.heartbeat_interval +
         kEntryRemovalMargin);
@@ -664,6 +671,11 @@
     if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
       load_exchange_.SetLeaving();
     }
+    if (replica_scaler_) {
+      replica_scaler_->Tick(duty_calls_,
+                            !registry_lost_ && standstill_check_.is_confirmed(),
+                            now);
+    }
     LogRejectedDatagrams(now);
     metrics_.SetOpenExchanges(static_cast<double>(relay_.open_exchanges()));
     log_.Flush(now);
@@ -758,6 +770,9 @@
   std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<StreamRecorder> stream_recorder_;
   std::unique_ptr<InstanceRecorder> instance_recorder_;
+  // Null while this instance cannot hold duties.
+  DutyCalls* duty_calls_ = nullptr;
+  std::unique_ptr<ReplicaScaler> replica_scaler_;
   size_t logged_sharing_count_ = 0;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
--- a/src/placement/peer_loads.cc
+++ b/src/placement/peer_loads.cc
@@ -131,6 +131,29 @@
   return work;
 }
 
+std::vector<ReplicaWork> PeerLoads::ReportedWork(TimePoint now) const {
+  std::unordered_map<uint64_t, ReplicaWork> sums;
+  for (const auto* reports : {&reports_, &region_reports_}) {
+    for (const auto& [sender, report] : *reports) {
+      if (report.IsExpired(now)) {
+        continue;
+      }
+      for (const ReplicaWork& it : report.work) {
+        ReplicaWork& sum = sums[it.replica_key];
+        sum.replica_key = it.replica_key;
+        sum.calls += it.calls;
+        sum.pending_prefill_tokens += it.pending_prefill_tokens;
+      }
+    }
+  }
+  std::vector<ReplicaWork> work;
+  work.reserve(sums.size());
+  for (const auto& [replica_key, it] : sums) {
+    work.push_back(it);
+  }
+  return work;
+}
+
 size_t PeerLoads::LivePeers(TimePoint now) const {
   size_t live_peers = 0;
   for (const auto& [peer, report] : reports_) {
--- a/src/placement/replica_view.cc
+++ b/src/placement/replica_view.cc
@@ -15,10 +15,11 @@
 
 bool Replica::operator==(const Replica& other) const {
   return std::tie(id, service, ip, port, failure_domain, version, slots,
-                  draining, stage, started_unix_ms) ==
+                  draining, stage, started_unix_ms, spot, leaves_in) ==
          std::tie(other.id, other.service, other.ip, other.port,
                   other.failure_domain, other.version, other.slots,
-                  other.draining, other.stage, other.started_unix_ms);
+                  other.draining, other.stage, other.started_unix_ms,
+                  other.spot, other.leaves_in);
 }
 
 bool AcceptsWork(const Replica& current, const Replica& placed) {
@@ -164,6 +165,17 @@
                                                          : &it->second.replica;
 }
 
+std::vector<const Replica*> ReplicaView::Registered(
+    std::string_view service) const {
+  std::vector<const Replica*> registered;
+  for (const auto& [id, entry] : replicas_) {
+    if (entry.replica.service == service && !entry.unconfirmed) {
+      registered.push_back(&entry.replica);
+    }
+  }
+  return registered;
+}
+
 std::vector<const Replica*> ReplicaView::Usable() const {
   std::vector<const Replica*> usable;
   for (const auto& [id, entry] : replicas_) {
--- a/src/placement/service_map.cc
+++ b/src/placement/service_map.cc
@@ -43,10 +43,17 @@
                   other.handle_ttl);
 }
 
+bool AutoscalingTraits::operator==(const AutoscalingTraits& other) const {
+  return std::tie(min_replicas, max_replicas, boot_time, spot_price,
+                  failure_domain_prices) ==
+         std::tie(other.min_replicas, other.max_replicas, other.boot_time,
+                  other.spot_price, other.failure_domain_prices);
+}
+
 bool Service::operator==(const Service& other) const {
-  return std::tie(name, probe_path, max_connections, engine) ==
+  return std::tie(name, probe_path, max_connections, engine, autoscaling) ==
          std::tie(other.name, other.probe_path, other.max_connections,
-                  other.engine);
+                  other.engine, other.autoscaling);
 }
 
 bool CallerLimits::operator==(const CallerLimits& other) const {
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -482,6 +482,10 @@
   }
   if (!result.placement) {
     expected_first_output_ = result.refusal.expected_first_output;
+    if (may_place &&
+        result.refusal.reason == PlacementRefusal::Reason::kTooLate) {
+      context_->placer.RecordTooLate(query.service);
+    }
     JsonFields fields;
     fields.Text("request", request_metadata_.request_id)
         .Text("route", route_->name)
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -135,6 +135,22 @@
       {512, kError, "record_malformed",
        "A lease, shard or capacity object cannot be parsed.",
        "Look for a foreign writer to the object API."},
+      {530, kInfo, "scaling_started",
+       "This instance decides how many replicas of services run.", "None."},
+      {531, kInfo, "scaling_stopped",
+       "This instance no longer decides how many replicas run.",
+       "None; another instance does."},
+      {532, kInfo, "replicas_ordered",
+       "The platform has accepted a number of replicas of a service.", "None."},
+      {533, kWarn, "replica_order_failed",
+       "The platform has refused or not answered an order for replicas; the "
+       "line names the outcome.",
+       "conflict with spot: none are available there; it is asked again. "
+       "Others: check the API of the platform."},
+      {534, kWarn, "spot_replicas_lost",
+       "Spot replicas of a failure domain were reclaimed or ended; others are "
+       "ordered.",
+       "None; check that 532 follows."},
       {601, kInfo, "configuration_applied",
        "A newer configuration version is in force.", "None."},
       {602, kWarn, "configuration_stale",
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -7,6 +7,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <set>
+
 namespace endiveyard {
 namespace {
 
@@ -65,6 +67,19 @@
     keys_refused_.Add({{"reason", reason}}).Increment();
   }
 
+  void SetReplicas(const Labels& labels, double value) {
+    prometheus::Gauge& gauge = replicas_.Add(labels);
+    gauge.Set(value);
+    replica_gauges_.insert(&gauge);
+  }
+
+  void ClearReplicas() {
+    for (prometheus::Gauge* it : replica_gauges_) {
+      replicas_.Remove(it);
+    }
+    replica_gauges_.clear();
+  }
+
   prometheus::Gauge& customers() { return customers_; }
   prometheus::Gauge& open_exchanges() { return open_exchanges_; }
   prometheus::Gauge& configuration_version() { return configuration_version_; }
@@ -120,6 +135,12 @@
           .Name("endiveyard_keys_refused_total")
           .Help("Requests whose API key is missing or unknown, by reason.")
           .Register(registry_);
+  prometheus::Family<prometheus::Gauge>& replicas_ =
+      prometheus::BuildGauge()
+          .Name("endiveyard_replicas")
+          .Help("Replicas ordered and ready, at the holder of the duties.")
+          .Register(registry_);
+  std::set<prometheus::Gauge*> replica_gauges_;
   prometheus::Gauge& customers_ =
       prometheus::BuildGauge()
           .Name("endiveyard_customers")
@@ -182,6 +203,20 @@
   impl_->CountKeyRefused(reason);
 }
 
+void Metrics::SetReplicas(const ReplicaGroup& group,
+                          const std::string& state,
+                          double value) {
+  impl_->SetReplicas({{"service", group.service},
+                      {"failure_domain", group.failure_domain},
+                      {"kind", group.kind},
+                      {"state", state}},
+                     value);
+}
+
+void Metrics::ClearReplicas() {
+  impl_->ClearReplicas();
+}
+
 void Metrics::SetCustomers(double value) {
   impl_->customers().Set(value);
 }
--- a/tests/placement/peer_loads_test.cc
+++ b/tests/placement/peer_loads_test.cc
@@ -67,4 +67,16 @@
   BOOST_TEST(loads.Calls(9, At(20000)) == 0);
 }
 
+// Guards against a load of the whole fleet that is too low because reports of
+// other regions come seldom.
+BOOST_AUTO_TEST_CASE(ReportedWorkHasNoWeights) {
+  PeerLoads loads;
+  loads.Update(1, 1, {{9, 4, 100}}, At(0));
+  loads.UpdateRegion(2, {{9, 10, 50}}, At(0), std::chrono::seconds(1));
+  const auto work = loads.ReportedWork(At(1000));
+  BOOST_REQUIRE_EQUAL(work.size(), 1u);
+  BOOST_TEST((work[0] == ReplicaWork{9, 14, 150}));
+  BOOST_TEST(loads.ReportedWork(At(10000)).empty());
+}
+
 }  // namespace endiveyard
--- a/tests/platform/object_decoding_test.cc
+++ b/tests/platform/object_decoding_test.cc
@@ -96,6 +96,58 @@
   BOOST_TEST((map->limits.idle_timeout == Duration(std::chrono::seconds(15))));
 }
 
+// Guards against orders by limits that were not configured, and against a
+// configuration that is refused because of them.
+BOOST_AUTO_TEST_CASE(AutoscalingIsDecoded) {
+  const auto decode = [](const std::string& autoscaling) {
+    const auto map = DecodeServiceMap(
+        R"({"version":1,"routes":[],"services":[{"name":"s","autoscaling":)" +
+        autoscaling + "}]}");
+    BOOST_REQUIRE(map.ok());
+    return FindService(*map, "s")->autoscaling;
+  };
+  const auto traits =
+      decode(R"({"min_replicas":1,"max_replicas":30,"boot_time_s":4.5,)"
+             R"("spot_price":0.2,"zone_prices":{"a":0.85,"b":1.2,"c":"x"}})");
+  BOOST_REQUIRE(traits.has_value());
+  BOOST_TEST(traits->min_replicas == 1);
+  BOOST_TEST(traits->max_replicas == 30);
+  BOOST_TEST((traits->boot_time == Duration(4500000)));
+  BOOST_TEST(traits->spot_price == 0.2);
+  BOOST_TEST(traits->failure_domain_prices.size() == 2u);
+  BOOST_TEST(traits->failure_domain_prices.at("b") == 1.2);
+  BOOST_TEST(decode(R"({"max_replicas":3})")->spot_price == 0.18);
+  for (const char* text :
+       {"null", "7", "[]", "{}", R"({"min_replicas":4,"max_replicas":3})",
+        R"({"max_replicas":"3"})"}) {
+    BOOST_TEST(!decode(text).has_value(), text);
+  }
+}
+
+// Guards against replicas that are lost because of fields of another type.
+BOOST_AUTO_TEST_CASE(SpotFieldsOfRegistrationsAreOptional) {
+  const auto decode = [](const std::string& fields) {
+    const auto replica = DecodeReplica(
+        "i-1", Replace(kRegistration, "\"state\":\"ready\"", fields));
+    BOOST_REQUIRE(replica.ok());
+    return *replica;
+  };
+  BOOST_TEST(!decode(R"("state":"ready")").spot);
+  const Replica leaving =
+      decode(R"("state":"draining","spot":true,"leaves_ms":1500)");
+  BOOST_TEST(leaving.spot);
+  BOOST_REQUIRE(leaving.leaves_in.has_value());
+  BOOST_TEST((*leaving.leaves_in == Duration(1500000)));
+  const Replica other =
+      decode(R"("state":"draining","spot":1,"leaves_ms":"x")");
+  BOOST_TEST(other.draining);
+  BOOST_TEST(!other.spot);
+  BOOST_TEST(!other.leaves_in.has_value());
+  // How it is paid for does not decide whether placed work may stay there.
+  BOOST_TEST(AcceptsWork(decode(R"("state":"ready","spot":true)"),
+                         decode(R"("state":"ready")")));
+}
+
 // Guards against applying a configuration that is only partly valid.
 BOOST_AUTO_TEST_CASE(MalformedConfigurationsAreRejected) {
   for (
--- a/tests/platform/process_settings_test.cc
+++ b/tests/platform/process_settings_test.cc
@@ -44,6 +44,12 @@
                  ->registry_writes_per_second == 3200);
   BOOST_TEST((settings->shutdown_grace == Duration(std::chrono::seconds(8))));
   BOOST_TEST(settings->max_descriptors == 4100u);
+  BOOST_TEST(!settings->autoscales);
+  const auto scaling = ParseProcessSettings(
+      std::string(kSettings) +
+      "cloud.duties=usage_report,autoscale\ncloud.duty_per_s=20\n");
+  BOOST_TEST(scaling->autoscales);
+  BOOST_TEST(scaling->duty_calls_per_second == 20);
 }
 
 // Guards against an instance that starts without required settings, and against
