--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -8,6 +8,13 @@
 
 namespace endiveyard {
 
+// Replicas of one kind, "on_demand" or "spot", in one failure domain.
+struct ReplicaGroup {
+  std::string service;
+  std::string failure_domain;
+  std::string kind;
+};
+
 // Prometheus metrics of one instance. Thread-safe. Histograms have the labels
 // house and class; negative durations are not recorded.
 class Metrics {
@@ -42,6 +49,12 @@
   // Counts a window of usage that this instance has reported as the holder of
   // the duties, or not.
   void CountUsageWindow(const std::string& outcome);
+  // Set and remove the numbers of replicas of services whose number is decided
+  // here. `state` is "ordered" or "ready".
+  void SetReplicas(const ReplicaGroup& group,
+                   const std::string& state,
+                   double value);
+  void ClearReplicas();
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -27,6 +27,7 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
 #include "front/instance_recorder.h"
+#include "front/replica_scaler.h"
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
 #include "front/usage_duty.h"
@@ -188,6 +189,12 @@
         usage_duty_->RecordStart(customer, BootClock::now());
       };
     }
+    if (settings_.duties && settings_.duties->scales) {
+      replica_scaler_ = std::make_unique<ReplicaScaler>(
+          ReplicaScalerOptions{settings_.location.region_of_failure_domain,
+                               settings_.duties->calls_per_second},
+          &routing_state_, relay_.placer(), &load_exchange_, &log_, &metrics_);
+    }
     routing_state_.replicas.set_entry_lifetime(
         kHeartbeatsPerEntry * settings_.heartbeat_interval +
         kEntryRemovalMargin);
@@ -829,6 +836,11 @@
     if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
       load_exchange_.SetLeaving();
     }
+    if (replica_scaler_) {
+      replica_scaler_->Tick(duty_holder_.get(),
+                            !registry_lost_ && standstill_check_.is_confirmed(),
+                            now);
+    }
     if (duty_holder_) {
       TickDutyUsers(now);
     }
@@ -946,6 +958,7 @@
   std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<StreamRecorder> stream_recorder_;
   std::unique_ptr<InstanceRecorder> instance_recorder_;
+  std::unique_ptr<ReplicaScaler> replica_scaler_;
   size_t logged_sharing_count_ = 0;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
--- a/tests/platform/process_settings_test.cc
+++ b/tests/platform/process_settings_test.cc
@@ -59,6 +59,11 @@
     BOOST_TEST((usage->duties->usage_due == Duration(std::chrono::seconds(9))));
   }
   BOOST_TEST(settings->max_descriptors == 4100u);
+  const auto scaling = ParseProcessSettings(
+      cloud + "cloud.duties=usage_report,autoscale\ncloud.duty_per_s=20\n");
+  BOOST_REQUIRE(scaling->duties.has_value());
+  BOOST_TEST(scaling->duties->scales);
+  BOOST_TEST(scaling->duties->calls_per_second == 20);
 }
 
 // Guards against an instance that starts without required settings, and against
