Registry: replicas that come and go all the time are read less often

All instances but the holder of the duties now wait for a third, not a sixth, of the bound within which changes have to be applied.

--- a/include/endiveyard/registry/registry_mirror.h
+++ b/include/endiveyard/registry/registry_mirror.h
@@ -46,6 +46,10 @@
 // `max_staleness` once the registry has been sound for `stable_time`. A watch
 // that the registry lost at the beginning of an outage ends before that.
 MirrorTiming MakeMirrorTiming(Duration stable_time, Duration max_staleness);
+// Returns the longest delay between watches that still applies changes within
+// `max_staleness`, if one call in between fails. For objects that change all
+// the time, such as replicas that come and go by themselves.
+Duration LongestChangeBatchDelay(Duration max_staleness);
 
 // Decides which call a mirror makes next, and when: first a complete list, page
 // by page, then watches from the revision of its first page. After a failure,
@@ -66,6 +70,10 @@
   // The last page, or a watch, has returned. `has_changes` is true when the
   // call returned changes.
   MirrorAction AfterSuccess(int64_t revision, bool has_changes);
+  // See MirrorTiming; for the watches from now on.
+  void set_change_batch_delay(Duration delay) {
+    timing_.change_batch_delay = delay;
+  }
   MirrorAction AfterFailedPage(const absl::Status& status);
   MirrorAction AfterFailedWatch(const absl::Status& status);
   // What was read is from before a restore of the registry.
@@ -109,6 +117,9 @@
 
   void Start();
 
+  // See MirrorTiming; for the watches from now on.
+  void set_change_batch_delay(Duration delay);
+
   // Reads the registry without waiting for a change. `done` runs once: with OK
   // after the handlers have got all changes that were made before this call.
   // Callers that come together share a call to the registry.
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -629,6 +629,18 @@
     });
   }
 
+  // Where the number of replicas is decided here, they change all the time, and
+  // each change brings a call of every instance. Only the one that decides
+  // needs to know of each soon.
+  void UpdateReplicaWatch() {
+    if (settings_.duties && settings_.duties->scales) {
+      const bool decides = duty_holder_ && duty_holder_->HeldToken();
+      replica_mirror_->set_change_batch_delay(
+          decides ? mirror_timing_.change_batch_delay
+                  : LongestChangeBatchDelay(settings_.max_staleness));
+    }
+  }
+
   // Runs what makes calls through `duty_holder_` (usage reports, scaling).
   // Called every 250 ms where there are duties.
   void TickDutyUsers(TimePoint now) { LogFailedDutyCalls(now); }
@@ -836,6 +848,7 @@
     if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
       load_exchange_.SetLeaving();
     }
+    UpdateReplicaWatch();
     if (replica_scaler_) {
       replica_scaler_->Tick(duty_holder_.get(),
                             !registry_lost_ && standstill_check_.is_confirmed(),
--- a/src/registry/registry_mirror.cc
+++ b/src/registry/registry_mirror.cc
@@ -37,6 +37,7 @@
 constexpr Duration kRefreshInterval = std::chrono::milliseconds(100);
 // Part of the time within which changes have to be applied.
 constexpr int kBatchDelayDivisor = 6;
+constexpr int kLongestBatchDelayDivisor = 3;
 
 // Returns half of `duration`, and a part of the other half that depends on
 // `hash`.
@@ -56,6 +57,10 @@
   return timing;
 }
 
+Duration LongestChangeBatchDelay(Duration max_staleness) {
+  return max_staleness / kLongestBatchDelayDivisor;
+}
+
 MirrorAction MirrorPolicy::AfterPage() {
   failures_ = 0;
   page_delay_ = page_delay_ * 3 / 4;
@@ -123,6 +128,10 @@
         registry_era_(registry_era),
         handlers_(std::move(handlers)) {}
 
+  void set_change_batch_delay(Duration delay) {
+    policy_.set_change_batch_delay(delay);
+  }
+
   void Start() {
     const std::weak_ptr<Impl> weak = weak_from_this();
     registry_era_->Subscribe([weak](int64_t era, int64_t /*before*/) {
@@ -372,6 +381,10 @@
   impl_->Start();
 }
 
+void RegistryMirror::set_change_batch_delay(Duration delay) {
+  impl_->set_change_batch_delay(delay);
+}
+
 void RegistryMirror::Refresh(std::function<void(const absl::Status&)> done) {
   impl_->Refresh(std::move(done));
 }
--- a/tests/registry/registry_mirror_test.cc
+++ b/tests/registry/registry_mirror_test.cc
@@ -245,6 +245,7 @@
       BOOST_TEST((timing.watch_timeout + std::chrono::seconds(1) <
                   stable + staleness));
       BOOST_TEST((3 * timing.change_batch_delay <= staleness));
+      BOOST_TEST((3 * LongestChangeBatchDelay(staleness) <= staleness));
     }
   }
 }
