Tests: holder changes, conflicts, eras and the parts of usage

They did not see a new holder without the counts that the former one had acknowledged, calls after a conflict, and windows that are reported again in a new era.

--- a/tests/duties/usage_exchange_test.cc
+++ b/tests/duties/usage_exchange_test.cc
@@ -130,6 +130,11 @@
   void TakeReport(const UsageReport& report,
                   uint32_t from,
                   const std::function<void(DutyCallOutcome)>& done) {
+    sent.push_back(report.window);
+    if (conflicts) {
+      answers.push_back([done] { done(DutyCallOutcome::kConflict); });
+      return;
+    }
     if (recorded && (recorded->window > report.window ||
                      (recorded->window == report.window &&
                       recorded->counts != report.counts))) {
@@ -268,6 +273,8 @@
   int64_t era = 1;
   bool platform_down = false;
   bool lose_answers = false;
+  bool conflicts = false;
+  std::vector<int64_t> sent;  // windows, in order
   std::optional<UsageReport> recorded;
   std::map<int64_t, std::map<std::string, int64_t>> accepted;
   std::map<int64_t, int64_t> accepted_after_ms;
@@ -364,6 +371,36 @@
   BOOST_TEST(fleet.accepted.count(kFirstWindow + 5) == 1);
 }
 
+// Guards against counts that a new holder does not get, since the former one
+// has acknowledged them, or that it does not wait for.
+BOOST_AUTO_TEST_CASE(InstancesTellANewHolderTheirCounts) {
+  for (const double without_holder : {0.5, 8.5}) {
+    Fleet fleet(8);
+    fleet.Run(12);
+    fleet.RunToEndOfWindow(1);
+    fleet.Run(0.45);
+    fleet.holder = -1;
+    fleet.Run(without_holder);
+    fleet.SetHolder(3);
+    fleet.Run(15);
+    fleet.CheckCounts(kFirstWindow, kFirstWindow + 4);
+  }
+}
+
+// Guards against calls with a token after a higher one was seen.
+BOOST_AUTO_TEST_CASE(AConflictEndsTheCallsWithItsToken) {
+  Fleet fleet(4);
+  fleet.Run(11);
+  fleet.sent.clear();
+  fleet.conflicts = true;
+  fleet.Run(8);
+  BOOST_TEST(fleet.sent.size() == 1);
+  fleet.conflicts = false;
+  fleet.SetHolder(0);
+  fleet.Run(10);
+  fleet.CheckCounts(kFirstWindow, kFirstWindow + 4);
+}
+
 // Guards against two different counts for a window whose first report got no
 // answer, by the same holder or its successor.
 BOOST_AUTO_TEST_CASE(AReportWithoutAnAnswerIsRepeatedUnchanged) {
@@ -462,6 +499,9 @@
 BOOST_AUTO_TEST_CASE(InANewEraOnlyWhatIsRememberedGoesOn) {
   Fleet fleet(4);
   fleet.Run(22);
+  // A window that has ended and was not reported yet.
+  fleet.RunToEndOfWindow(1);
+  fleet.Run(0.2);
   fleet.era = 2;
   fleet.recorded.reset();
   fleet.SetHolder(0);
@@ -471,15 +511,15 @@
   // Another instance than the former holder, and an old record.
   fleet.RunToEndOfWindow(2000);
   const int64_t noticed_in = fleet.WindowNow();
-  const auto before = fleet.accepted;
+  fleet.sent.clear();
   fleet.era = 3;
-  fleet.recorded = UsageReport{kFirstWindow, fleet.accepted[kFirstWindow]};
+  fleet.recorded = UsageReport{noticed_in - 3, fleet.accepted[noticed_in - 3]};
   fleet.holder = -1;
   fleet.Run(0.5);
   fleet.SetHolder(2);
   fleet.Run(20);
-  for (const auto& [window, counts] : fleet.accepted) {
-    BOOST_TEST((before.count(window) == 1 || window >= noticed_in));
+  for (const int64_t window : fleet.sent) {
+    BOOST_TEST((window == noticed_in - 3 || window >= noticed_in));
   }
   fleet.CheckWindows(noticed_in, noticed_in + 2);
 }
