Placement: medium prompts are prefilled apart on shared machines

Where replicas state the pace of their machine and the route has a target for pauses, prompts from 10 ms on, not 43 ms, are prefilled on prefill engines.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -39,6 +39,8 @@
   // The caller has the beginning of the output. It is better off with some of
   // the rest than with none, so only the first output has to come in time.
   bool continues_stream = false;
+  // Longest pause between events for which a stream of the route is on time.
+  std::optional<Duration> target_gap;
   // Digest of the request, by which instances that see the same load choose
   // different replicas.
   uint64_t tie_breaker = 0;
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -45,6 +45,11 @@
 // For prompts that take less time to prefill, disaggregation does not outweigh
 // the second call and the transfer.
 constexpr double kMinDisaggregatedPrefillMs = 43;
+// The same where replicas share their machines with other workloads, as they
+// state. Each prefill on a decode engine then lengthens the pauses of its
+// streams by several times its usual duration, and streams are late once a
+// single pause is above the target of their route.
+constexpr double kMinDisaggregatedPrefillOnSharedMachinesMs = 10;
 // Setting up a copy of fewer tokens takes as long as prefilling them.
 constexpr double kMinCopiedTokens = 200;
 
@@ -397,10 +402,14 @@
   const double run_prefill_speed =
       prefill_speed *
       (prefill_replicas.empty() ? 1 : kDecodeEnginePrefillSpeedRatio);
-  const bool disaggregate = query.prompt && query.allow_disaggregated_prefill &&
-                            query.prompt->prompt_tokens >=
-                                kMinDisaggregatedPrefillMs * prefill_speed &&
-                            !prefill_replicas.empty();
+  const double min_disaggregated_ms =
+      query.target_gap && !paces_.empty()
+          ? kMinDisaggregatedPrefillOnSharedMachinesMs
+          : kMinDisaggregatedPrefillMs;
+  const bool disaggregate =
+      query.prompt && query.allow_disaggregated_prefill &&
+      query.prompt->prompt_tokens >= min_disaggregated_ms * prefill_speed &&
+      !prefill_replicas.empty();
   // The home of shared parts is an engine of the stage that prefills prompts of
   // this length.
   const Replica* home =
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -430,6 +430,7 @@
   query.excluded = excluded_replica_ids_;
   query.version = RequiredVersion();
   query.continues_stream = ContinuesStream();
+  query.target_gap = route_->target_gap;
   query.body_bytes = static_cast<double>(RequestBodyBytes());
   query.tie_breaker = Digest64(request_metadata_.request_id);
   query.time_left = query.first_output_time_left = TimeLeft();
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -661,4 +661,31 @@
   BOOST_TEST((refused.refusal.reason == PlacementRefusal::Reason::kTooLate));
 }
 
+// Guards against streams whose pauses make them late: under bursts of prompts
+// of medium length, decode engines on shared machines spent the pauses of their
+// streams on prefills. Elsewhere, such prompts stay where they run.
+BOOST_AUTO_TEST_CASE(MediumPromptsLeaveDecodeEnginesOnSharedMachines) {
+  for (const bool states_pace : {false, true}) {
+    for (const bool has_target_gap : {false, true}) {
+      Placer placer = MakePlacer();
+      const ReplicaView view = FourEngines();
+      ReportedLoad load{0, 0, 64, std::nullopt};
+      if (states_pace) {
+        load.relative_duration = 1;
+      }
+      placer.RecordReportedLoad(MakeReplica("d1", Stage::kDecode), load, At(0));
+      // Takes about half of the time from which prompts are prefilled apart.
+      PlacementQuery query = MakeQuery(MakePrompt(
+          1, 1, 20 * placer.Profile("lm", At(1)).prefill_tokens_per_ms));
+      if (has_target_gap) {
+        query.target_gap = std::chrono::milliseconds(200);
+      }
+      const PlacementResult result = placer.Choose(view, query, At(1));
+      BOOST_REQUIRE(result.placement.has_value());
+      BOOST_TEST(result.placement->prefill.has_value() ==
+                 (states_pace && has_target_gap));
+    }
+  }
+}
+
 }  // namespace endiveyard
