--- a/include/endiveyard/duties/duty_calls.h
+++ b/include/endiveyard/duties/duty_calls.h
@@ -64,6 +64,10 @@
   // Returns the report that was recorded last by any holder; nullopt if there
   // is none, or it is not known. Its call may have failed.
   virtual std::optional<UsageReport> LastUsageReport() const = 0;
+  // Returns the first window that may be reported: after a restore of the
+  // registry it is not known which of the earlier ones were. Reports of those
+  // are kRejected.
+  virtual int64_t FirstUsageWindow() const { return 0; }
 };
 
 }  // namespace endiveyard
--- a/include/endiveyard/duties/duty_holder.h
+++ b/include/endiveyard/duties/duty_holder.h
@@ -78,6 +78,7 @@
   void SendUsageReport(const UsageReport& report,
                        std::function<void(DutyCallOutcome)> done) override;
   std::optional<UsageReport> LastUsageReport() const override;
+  int64_t FirstUsageWindow() const override;
 
  private:
   class Impl;
--- a/src/duties/duty_holder.cc
+++ b/src/duties/duty_holder.cc
@@ -298,6 +298,10 @@
   impl_->SendUsageReport(report, std::move(done));
 }
 
+int64_t DutyHolder::FirstUsageWindow() const {
+  return impl_->state().record.first_window;
+}
+
 std::optional<UsageReport> DutyHolder::LastUsageReport() const {
   const DutyState& state = impl_->state();
   return state.record_valid ? state.record.usage : std::nullopt;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -541,7 +541,7 @@
 
   // Takes part in holding the duties, where there are any.
   void StartDuties() {
-    if (!settings_.duties || settings_.peer_port == 0) {
+    if (!settings_.duties) {
       return;
     }
     const platform::DutySettings& duties = *settings_.duties;
--- a/tests/platform/process_settings_test.cc
+++ b/tests/platform/process_settings_test.cc
@@ -46,6 +46,46 @@
   BOOST_TEST(settings->max_descriptors == 4100u);
 }
 
+// Guards against duties that are taken up where the deployment has none, and
+// against bounds that are read in the wrong unit.
+BOOST_AUTO_TEST_CASE(DutySettingsAreParsed) {
+  const std::string text = kSettings;
+  BOOST_TEST(!ParseProcessSettings(text)->duties.has_value());
+  BOOST_TEST(!ParseProcessSettings(text + "cloud.duties=autoscale\n")
+                  ->duties.has_value());
+  BOOST_TEST(!ParseProcessSettings(text + "cloud.address=10.200.1.9:8150\n")
+                  ->duties.has_value());
+  const std::string address = text + "cloud.address=10.200.1.9:8150\n";
+  const auto settings = ParseProcessSettings(
+      address +
+      "cloud.duties=usage_report,autoscale\ncloud.duty_per_s=40\n"
+      "bounds.require_fencing=false\nbounds.lease_ms=2500\n"
+      "bounds.thaw_ms=200\nbounds.window_s=4\nbounds.usage_late_s=9\n"
+      "bounds.usage_off=0.1\n");
+  BOOST_REQUIRE(settings.ok());
+  BOOST_REQUIRE(settings->duties.has_value());
+  const DutySettings& duties = *settings->duties;
+  BOOST_TEST((duties.api == Address{"10.200.1.9", 8150}));
+  BOOST_TEST(duties.reports_usage);
+  BOOST_TEST(duties.scales);
+  BOOST_TEST(duties.calls_per_second == 40);
+  BOOST_TEST(!duties.checks_token);
+  BOOST_TEST(duties.alternation_time.count() == 2500000);
+  BOOST_TEST(duties.thaw_time.count() == 200000);
+  BOOST_TEST(duties.window.count() == 4000000);
+  BOOST_TEST(duties.usage_due.count() == 9000000);
+  BOOST_TEST(duties.usage_tolerance == 0.1);
+  const auto one =
+      ParseProcessSettings(address + "cloud.duties=[\"usage_report\"]\n");
+  BOOST_REQUIRE(one.ok() && one->duties.has_value());
+  BOOST_TEST(one->duties->reports_usage);
+  BOOST_TEST(!one->duties->scales);
+  BOOST_TEST(one->duties->checks_token);
+  BOOST_TEST(!ParseProcessSettings(address + "cloud.duties=autoscale\n"
+                                             "bounds.require_fencing=maybe\n")
+                  .ok());
+}
+
 // Guards against an instance that starts without required settings, and against
 // errors that do not name the key.
 BOOST_AUTO_TEST_CASE(MissingAndMalformedSettingsAreRejected) {
