--- a/tests/duties/duty_fleet.cc
+++ b/tests/duties/duty_fleet.cc
@@ -477,6 +477,10 @@
   ++era_;
 }
 
+void DutyFleet::ReplaceByCopy(const std::string& key) {
+  store_.objects[key] = {copy_.objects.at(key).spec, ++store_.revision};
+}
+
 void DutyFleet::RemoveFromCopy(const std::string& key) {
   copy_.objects.erase(key);
 }
--- a/tests/duties/duty_fleet.h
+++ b/tests/duties/duty_fleet.h
@@ -64,6 +64,9 @@
   // Copies the registry, and restores it from the last copy.
   void CopyRegistry();
   void RestoreRegistry();
+  // Puts the present object back to the one in the copy, as a late write from
+  // before the restore does.
+  void ReplaceByCopy(const std::string& key);
   void RemoveFromCopy(const std::string& key);
   // A call to the platform with a token that no instance has.
   void SendForeignToken(const std::string& subject, uint64_t token);
--- a/tests/duties/duty_holder_test.cc
+++ b/tests/duties/duty_holder_test.cc
@@ -109,12 +109,18 @@
             refused ? fleet.RefuseRegistry(holder, is_set)
                     : fleet.CutRegistry(holder, is_set);
           };
+          const TimePoint cut = fleet.now();
           set(true);
           BOOST_TEST(TimeToSuccessor(holder, &fleet).count() <=
                      Duration(seconds(10)).count());
           const TimePoint time = fleet.now();
           fleet.Advance(seconds(10));
           BOOST_TEST(fleet.AcceptedSince(holder, time) == 0);
+          // The last renewal was sent before the cut.
+          const Duration may_start = seconds(2);
+          for (const DutyFleet::Arrival& it : fleet.arrivals()) {
+            BOOST_TEST((it.instance != holder || it.sent_at < cut + may_start));
+          }
           set(false);
           fleet.Advance(seconds(10));
           CheckNoViolation(fleet);
@@ -190,6 +196,37 @@
   }
 }
 
+// Guards against a token that is given again after a write from before a
+// restore has replaced the record, and nobody remembers the later numbers.
+BOOST_AUTO_TEST_CASE(TokensRiseAfterALateWrite) {
+  for (const bool checks : kBoth) {
+    for (uint64_t seed = 1; seed <= 10; ++seed) {
+      DutyFleet fleet(4, checks, seed);
+      BOOST_TEST_CONTEXT("checks " << checks << " seed " << seed) {
+        const int holder = StartFleet(4, &fleet);
+        fleet.CopyRegistry();
+        fleet.RestoreRegistry();
+        fleet.Advance(seconds(12));
+        BOOST_TEST(fleet.Holder() == holder);
+        const auto before = fleet.holder_of(holder)->HeldToken();
+        BOOST_REQUIRE(before);
+        for (int n = 0; n < 4; ++n) {
+          fleet.Kill(n);
+        }
+        fleet.ReplaceByCopy("duty-shards/platform");
+        for (int n = 0; n < 4; ++n) {
+          fleet.Start(n);
+        }
+        fleet.AdvanceUntil(seconds(40), [&] { return fleet.Holder() >= 0; });
+        BOOST_REQUIRE(fleet.Holder() >= 0);
+        BOOST_TEST(*fleet.holder_of(fleet.Holder())->HeldToken() > *before);
+        fleet.Advance(seconds(10));
+        CheckNoViolation(fleet);
+      }
+    }
+  }
+}
+
 // Guards against a successor that waits for the lease of an instance that has
 // left, and against a release while a call may still arrive.
 BOOST_AUTO_TEST_CASE(HolderReleasesWhenItLeaves) {
@@ -228,6 +265,8 @@
   const auto token = fleet.holder_of(holder)->Token(fleet.now());
   BOOST_REQUIRE(token);
   fleet.SendForeignToken("usage", *token + 500);
+  // The holder is asked for calls while it takes a new token.
+  fleet.faults()->latency = milliseconds(200);
   const TimePoint start = fleet.now();
   fleet.Advance(seconds(60));
   const auto later = fleet.holder_of(holder)->Token(fleet.now());
