Placement: limits on calls at replicas that start or recover

Cause: a replica that has just started looks empty to all instances.

Change: ReplicaCallLimits keeps, for each replica that is new or has recovered, a limit on the calls in flight from all instances. It starts at a quarter of the slots, doubles with each round of good answers, is halved by refusals, timeouts and slow answers, and ends above the slots or above one call for each instance (at most four times the slots), after 30 s at the latest. Shares follow from the number of instances and a hash of the replica; load reports carry the limits. A replica at its limit counts as full, and a choice that would be refused is made again without limits. Active for PlacementQuery::slow_start, which nothing sets yet, and for services of which a replica states relative durations.

--- a/include/endiveyard/placement/placer.h
+++ b/include/endiveyard/placement/placer.h
@@ -15,6 +15,7 @@
 #include "endiveyard/placement/peer_loads.h"
 #include "endiveyard/placement/placement_costs.h"
 #include "endiveyard/placement/prompt_shape.h"
+#include "endiveyard/placement/replica_call_limits.h"
 #include "endiveyard/placement/replica_load.h"
 #include "endiveyard/placement/replica_pace.h"
 #include "endiveyard/placement/replica_rate_limits.h"
@@ -42,6 +43,9 @@
   // Digest of the request, by which instances that see the same load choose
   // different replicas.
   uint64_t tie_breaker = 0;
+  // The number of calls at replicas of the service that have just started or
+  // recovered is limited. It also is where replicas state relative durations.
+  bool slow_start = false;
   // False after a disaggregated prefill has failed.
   bool allow_disaggregated_prefill = true;
 };
@@ -128,7 +132,9 @@
  public:
   explicit Placer(Location location, PlacementPrices prices = {});
 
-  // Returns the best placement, without recording it.
+  // Returns the best placement, without recording it. Replicas with a limit on
+  // their calls that allows no more are used only if no other one can serve the
+  // request, or if the others are overloaded.
   PlacementResult Choose(const ReplicaView& view,
                          const PlacementQuery& query,
                          TimePoint now);
@@ -144,6 +150,11 @@
   // Returns the load of a replica incarnation, created on first use. The load
   // of a restarted replica starts empty.
   ReplicaLoad& LoadOf(const Replica& replica);
+  // Records the result of a call that was sent at `sent_at`.
+  void RecordCallEnded(const Replica& replica,
+                       CallResult result,
+                       TimePoint sent_at,
+                       TimePoint now);
   // Records the load that a response of the replica states.
   void RecordReportedLoad(const Replica& replica,
                           const ReportedLoad& load,
@@ -180,6 +191,9 @@
   // expected times, in place of the measured waits at the replica.
   ReplicaPaces& paces() { return paces_; }
 
+  // Limits on the calls at replicas that have just started or recovered.
+  ReplicaCallLimits& call_limits() { return call_limits_; }
+
   // What replicas have said about whether they take new work. Choose() passes
   // over those that do not.
   TargetAvailability& availability() { return availability_; }
@@ -295,6 +309,17 @@
   // `context`.
   std::optional<Duration> TurnWait(const Replica& replica,
                                    QueryContext* context);
+  // Returns false if the limit on the calls at the replica allows no more.
+  bool AllowsCall(const Replica& replica, double limit_factor, TimePoint now);
+  // Returns ReplicaSigns::limit_factor.
+  double LimitFactor(const std::vector<const Replica*>& usable) const;
+  // Returns the best placement. If `with_call_limits`, sets `is_limited` to
+  // whether there are replicas whose limits allow no more.
+  PlacementResult ChooseAmong(const ReplicaView& view,
+                              const PlacementQuery& query,
+                              bool with_call_limits,
+                              TimePoint now,
+                              bool* is_limited);
   // Sets the engine from which the candidate copies cached parts, if copying
   // costs less than prefilling them.
   void ChooseCacheSource(const QueryContext& context,
@@ -323,6 +348,7 @@
   CacheView cache_view_;
   ReplicaRateLimits rate_limits_;
   ReplicaPaces paces_;
+  ReplicaCallLimits call_limits_;
   TargetAvailability availability_;
   PlacementPrices prices_;
   std::map<std::string, ServiceState> services_;
--- a/include/endiveyard/placement/replica_pace.h
+++ b/include/endiveyard/placement/replica_pace.h
@@ -22,6 +22,8 @@
 // Limits on what is kept.
 inline constexpr size_t kMaxReplicaPaces = 16384;
 inline constexpr size_t kMaxPaceSamples = 9;
+// A lasting value that follows from fewer may be a matter of chance.
+inline constexpr size_t kMinPaceSamples = 5;
 inline constexpr Duration kReplicaPaceLifetime = std::chrono::minutes(10);
 
 // How long work takes on the machines of replicas, relative to the usual time,
@@ -42,6 +44,12 @@
   std::optional<double> RelativeDuration(uint64_t replica_key,
                                          TimePoint now) const;
 
+  // Returns the latest value if it is not older than kMomentaryLifetime.
+  std::optional<double> MomentaryDuration(uint64_t replica_key,
+                                          TimePoint now) const;
+  // Returns the lasting part if enough values are known.
+  std::optional<double> LastingDuration(uint64_t replica_key) const;
+
   // Applies the report of another instance. `relay` makes it part of the own
   // reports.
   void ApplyReport(const ReplicaPaceReport& report, TimePoint now, bool relay);
--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -34,6 +34,8 @@
   // Counts a request whose API key is missing or unknown.
   void CountKeyRefused(const std::string& reason);
   void SetCustomers(double value);
+  // Replicas with a limit on the calls of all instances.
+  void SetCallLimits(double value);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -1,5 +1,6 @@
 #include "endiveyard/front/front_instance.h"
 
+#include <array>
 #include <csignal>
 #include <functional>
 #include <memory>
@@ -57,6 +58,10 @@
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
 // Time before the exit for the answers to requests that are still open.
 constexpr Duration kLastAnswersTime = std::chrono::milliseconds(250);
+// By CallLimitEvent::Kind.
+constexpr std::array<int, 4> kCallLimitEventNumbers = {
+    kLogCallLimitStarted, kLogCallLimitEnded, kLogCallLimitShrank,
+    kLogCallLimitBypassed};
 // Share of the file descriptors for connections of callers. The rest is left
 // for connections to targets.
 constexpr double kCallerDescriptorShare = 0.66;
@@ -665,6 +670,7 @@
       load_exchange_.SetLeaving();
     }
     LogRejectedDatagrams(now);
+    LogCallLimits(now);
     metrics_.SetOpenExchanges(static_cast<double>(relay_.open_exchanges()));
     log_.Flush(now);
     if (drain_start_ && IsDrainFinished(now)) {
@@ -693,6 +699,19 @@
     rejected_datagrams_logged_at_ = now;
   }
 
+  void LogCallLimits(TimePoint now) {
+    ReplicaCallLimits& limits = relay_.placer()->call_limits();
+    metrics_.SetCallLimits(static_cast<double>(limits.LimitedCount(now)));
+    for (const CallLimitEvent& it : limits.TakeEvents()) {
+      JsonFields fields;
+      fields.Text("replica", it.replica_id)
+          .Text("reason", it.reason)
+          .Number("calls", it.limit);
+      log_.Log(kCallLimitEventNumbers[static_cast<size_t>(it.kind)], fields,
+               now);
+    }
+  }
+
   bool IsDrainFinished(TimePoint now) const {
     if (now - *drain_start_ >= settings_.shutdown_grace - kShutdownMargin) {
       return true;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -315,6 +315,7 @@
     }
     for (const ReplicaPaceReport& it : report->paces) {
       placer_.paces().ApplyReport(it, now, relay);
+      placer_.call_limits().ApplyReport(it, now, relay);
     }
     for (const LeavingReport& it : report->leaving_replicas) {
       placer_.availability().ApplyReport(it, now, relay);
@@ -427,9 +428,28 @@
       position.count = std::max(position.count, kAssumedInstances);
     }
     position.joining = now - started_at_ < directory_.SpreadingTime(now);
+    placer_.call_limits().set_instance(position);
     placer_.rate_limits().set_instance(std::move(position));
   }
 
+  // Limits on calls come first: they are few, and matter for longer than what a
+  // replica stated last.
+  std::vector<ReplicaPaceReport> TakePaces(size_t max, TimePoint now) {
+    auto paces = placer_.call_limits().TakeNews(max, now);
+    for (auto& it : placer_.paces().TakeNews(max - paces.size(), now)) {
+      paces.push_back(it);
+    }
+    return paces;
+  }
+
+  std::vector<ReplicaPaceReport> DigestPaces(size_t max, TimePoint now) {
+    auto paces = placer_.call_limits().Digest(max, now);
+    for (auto& it : placer_.paces().Digest(max - paces.size(), now)) {
+      paces.push_back(it);
+    }
+    return paces;
+  }
+
   // Reports the work of this instance to its mates.
   void SendWork() {
     const TimePoint now = BootClock::now();
@@ -454,8 +474,7 @@
         placer_.rate_limits().TakeNews(kMaxRateLimitsPerReport, now);
     report.leaving_replicas =
         placer_.availability().TakeNews(kMaxLeavingReplicasPerReport, now);
-    report.paces =
-        placer_.paces().TakeNews(MaxPaces(report.rate_limits.size()), now);
+    report.paces = TakePaces(MaxPaces(report.rate_limits.size()), now);
     // In a large fleet, most of the instances that a caller may turn to would
     // not be told.
     if (!IsLargeFleet(now)) {
@@ -512,8 +531,7 @@
           placer_.rate_limits().Digest(kMaxRateLimitsPerReport, now);
       report.leaving_replicas =
           placer_.availability().Digest(kMaxLeavingReplicasPerReport, now);
-      report.paces =
-          placer_.paces().Digest(MaxPaces(report.rate_limits.size()), now);
+      report.paces = DigestPaces(MaxPaces(report.rate_limits.size()), now);
       bytes = Send(report, recipients);
     }
     region_interval_ = PeerDirectory::RegionInterval(recipients.size(), bytes);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -38,6 +38,9 @@
 // Penalty for a replica that is in backoff after failures, so that it is used
 // only if the alternatives are worse by that much.
 constexpr double kBackoffPenaltyMs = 5000;
+// A replica whose limit on its calls allows no more counts as one with this
+// many waiting, so that it is used where the others have as many.
+constexpr double kWaitingAtLimit = 1;
 
 // A prefill on a decode engine takes capacity from all streams that it runs, so
 // a disaggregated prefill is preferred unless it costs this much more.
@@ -220,11 +223,20 @@
     }
     const ReplicaLoad& load = LoadOf(*it);
     const uint64_t key = ReplicaKey(it->id);
-    const auto stated_duration =
-        paces_.RelativeDuration(EngineKey(*it), context.now);
+    auto stated_duration = paces_.RelativeDuration(EngineKey(*it), now);
+    const bool is_limited =
+        context.with_call_limits && !AllowsCall(*it, context.limit_factor, now);
+    if (stated_duration && context.with_call_limits && !is_limited &&
+        call_limits_.LimitOf(EngineKey(*it)) &&
+        !paces_.MomentaryDuration(EngineKey(*it), now)) {
+      // Tries a machine that was slow with as many calls as the limit allows.
+      stated_duration = std::min(1.0, *stated_duration);
+    }
     const double relative_duration = stated_duration.value_or(1);
     Candidate candidate;
     candidate.replica = it;
+    candidate.is_limited = is_limited;
+    query_context->is_limited |= is_limited;
     candidate.turn_wait_ms = static_cast<double>(turn_wait->count()) / 1000;
     candidate.mean_work_ms = context.mean_work_ms;
     candidate.requests = context.has_live_peers
@@ -278,13 +290,22 @@
     const double request_delay_ms =
         query.prompt ? context.profile.step_ms * kStepsPerRunningRequest
                      : context.plain_call_ms * kPlainCallShareOfRunningRequest;
+    const double slots = it->slots > 0 ? it->slots : kDefaultSlots;
+    const double full_delay_ms =
+        query.prompt ? context.profile.step_ms *
+                           (slots * kStepsPerRunningRequest +
+                            kWaitingAtLimit * kStepsPerWaitingRequest)
+                     : context.plain_call_ms *
+                           (slots * kPlainCallShareOfRunningRequest +
+                            kWaitingAtLimit * kPlainCallShareOfWaitingRequest);
     const Distance distance = DistanceBetween(
         location_, location_.failure_domain, it->failure_domain);
     candidate.penalty_ms = TieBreaker(*it, query.tie_breaker) *
                                kLoadUncertaintyRequests * request_delay_ms +
                            context.costs.CallMs(distance, query.body_bytes) +
                            load.FailureRate(now) * kFailedCallMs +
-                           (load.InBackoff(now) ? kBackoffPenaltyMs : 0);
+                           (load.InBackoff(now) ? kBackoffPenaltyMs : 0) +
+                           (candidate.is_limited ? full_delay_ms : 0);
     candidates.push_back(candidate);
   }
   return candidates;
@@ -359,9 +380,58 @@
   return best_pair;
 }
 
+double Placer::LimitFactor(const std::vector<const Replica*>& usable) const {
+  const auto unlimited =
+      std::count_if(usable.begin(), usable.end(), [this](const Replica* it) {
+        return !call_limits_.LimitOf(EngineKey(*it));
+      });
+  const double factor =
+      static_cast<double>(usable.size()) /
+      static_cast<double>(std::max<std::ptrdiff_t>(1, unlimited));
+  return factor * factor;
+}
+
+bool Placer::AllowsCall(const Replica& replica,
+                        double limit_factor,
+                        TimePoint now) {
+  const ReplicaLoad& load = LoadOf(replica);
+  const uint64_t key = EngineKey(replica);
+  ReplicaSigns signs;
+  signs.in_backoff = load.InBackoff(now);
+  signs.momentary_duration = paces_.MomentaryDuration(key, now);
+  signs.lasting_duration = paces_.LastingDuration(key);
+  signs.expected_duration = paces_.RelativeDuration(key, now);
+  if (!signs.expected_duration) {
+    signs.slowness = load.Slowness(now);
+  }
+  signs.calls =
+      load.local_calls() + peer_loads_.Calls(ReplicaKey(replica.id), now);
+  signs.limit_factor = limit_factor;
+  const auto allowance = call_limits_.Allowance(replica, signs, now);
+  return !allowance || load.local_calls() < *allowance;
+}
+
 PlacementResult Placer::Choose(const ReplicaView& view,
                                const PlacementQuery& query,
                                TimePoint now) {
+  bool is_limited = false;
+  PlacementResult result = ChooseAmong(view, query, true, now, &is_limited);
+  if (result.placement || !is_limited) {
+    return result;
+  }
+  // A replica that has a limit may be the only one to serve it in time.
+  result = ChooseAmong(view, query, false, now, &is_limited);
+  if (result.placement) {
+    call_limits_.RecordBypass(EngineKey(result.placement->target), now);
+  }
+  return result;
+}
+
+PlacementResult Placer::ChooseAmong(const ReplicaView& view,
+                                    const PlacementQuery& query,
+                                    bool with_call_limits,
+                                    TimePoint now,
+                                    bool* is_limited) {
   std::vector<const Replica*> prefill_replicas;
   std::vector<const Replica*> run_replicas;
   std::vector<const Replica*> usable = view.Usable(query.service);
@@ -385,7 +455,10 @@
                        {},
                        {},
                        {},
-                       state.mean_work_ms};
+                       state.mean_work_ms,
+                       false,
+                       1,
+                       false};
   context.plain_call_ms =
       state.plain_call_ms.Quantile(0.5, now).value_or(kInitialPlainCallMs);
   context.has_live_peers = peer_loads_.LivePeers(now) > 0;
@@ -393,6 +466,18 @@
     context.sources = CacheSources(available, *query.prompt, now);
   }
   context.usable = std::move(usable);
+  context.with_call_limits =
+      with_call_limits &&
+      (query.slow_start ||
+       (!paces_.empty() &&
+        std::any_of(
+            context.usable.begin(), context.usable.end(),
+            [this, now](const Replica* it) {
+              return paces_.RelativeDuration(EngineKey(*it), now).has_value();
+            })));
+  if (context.with_call_limits) {
+    context.limit_factor = LimitFactor(context.usable);
+  }
   const double prefill_speed = context.profile.prefill_tokens_per_ms;
   const double run_prefill_speed =
       prefill_speed *
@@ -411,6 +496,7 @@
       MakeCandidates(&context, run_replicas, run_prefill_speed,
                      state.mean_uncached_colocated, home);
   PlacementResult result;
+  *is_limited = context.is_limited;
   if (colocated.empty()) {
     result.refusal =
         RefusalWithoutCandidates(context.rate_limit_wait, shortest_pause);
@@ -427,6 +513,7 @@
     prefill_candidates =
         MakeCandidates(&context, prefill_replicas, prefill_speed,
                        state.mean_uncached_disaggregated, home);
+    *is_limited = context.is_limited;
     const auto pair =
         BestDisaggregatedPair(context, prefill_candidates, colocated);
     if (pair && pair->cost_ms < run_candidate->ColocatedCostMs() +
@@ -481,6 +568,9 @@
     return result;
   }
   result.placement = placement;
+  if (run_candidate->is_limited) {
+    call_limits_.RecordBypass(EngineKey(placement.target), now);
+  }
   return result;
 }
 
--- a/src/placement/placer_candidate.h
+++ b/src/placement/placer_candidate.h
@@ -51,6 +51,7 @@
   double penalty_ms = 0;     // for distance, failures and backoff
   double turn_wait_ms = 0;   // until the rate limit allows the request
   double requests = 0;
+  bool is_limited = false;  // the limit on its calls allows no more
   double mean_work_ms = 0;  // of the requests to the service; 0 if it is plain
 
   // After `turn_wait_ms`.
@@ -101,6 +102,10 @@
   // their rate limit gets another request.
   std::optional<Duration> rate_limit_wait;
   double mean_work_ms = 0;
+  bool with_call_limits = false;
+  double limit_factor = 1;
+  // Some candidate is.
+  bool is_limited = false;
 };
 
 }  // namespace endiveyard
--- a/src/placement/placer_measurements.cc
+++ b/src/placement/placer_measurements.cc
@@ -22,6 +22,14 @@
   return entry.load;
 }
 
+void Placer::RecordCallEnded(const Replica& replica,
+                             CallResult result,
+                             TimePoint sent_at,
+                             TimePoint now) {
+  LoadOf(replica).RecordCallEnded(result, now);
+  call_limits_.RecordCallEnded(EngineKey(replica), result, sent_at, now);
+}
+
 void Placer::RecordReportedLoad(const Replica& replica,
                                 const ReportedLoad& load,
                                 TimePoint now) {
@@ -51,6 +59,7 @@
     std::sort(keys.begin(), keys.end());
     rate_limits_.Retain(keys);
     paces_.Retain(keys);
+    call_limits_.Retain(keys);
     for (const Service& service : services->services) {
       if (!service.engine) {
         continue;
@@ -163,10 +172,10 @@
   // Small absolute differences of short waits are not slowness.
   constexpr double kAddedUs = 50000;
   const Duration expected = waits.Expected(predicted, now);
-  LoadOf(replica).RecordWait(
-      (static_cast<double>(actual.count()) + kAddedUs) /
-          (static_cast<double>(expected.count()) + kAddedUs),
-      now);
+  const double ratio = (static_cast<double>(actual.count()) + kAddedUs) /
+                       (static_cast<double>(expected.count()) + kAddedUs);
+  LoadOf(replica).RecordWait(ratio, now);
+  call_limits_.RecordAnswer(EngineKey(replica), ratio, now - actual, now);
   waits.ObserveWait(predicted, actual, now);
 }
 
@@ -176,6 +185,7 @@
                               Duration predicted,
                               Duration waited,
                               TimePoint now) {
+  call_limits_.RecordTimeout(EngineKey(replica), now - waited, now);
   WaitCalibration& waits = services_[service].WaitsOf(call_class);
   const Duration expected = waits.Expected(predicted, now);
   if (waited > expected && expected > Duration(0)) {
--- a/src/placement/replica_pace.cc
+++ b/src/placement/replica_pace.cc
@@ -26,7 +26,7 @@
 
 // Returns the lower median of the samples and of an assumed usual duration,
 // which keeps a first sample from a busy machine from counting as lasting.
-double LastingDuration(const std::deque<double>& samples) {
+double LowerMedian(const std::deque<double>& samples) {
   std::vector<double> sorted(samples.begin(), samples.end());
   sorted.push_back(1);
   const auto median =
@@ -71,7 +71,7 @@
     if (pace.samples.size() > kMaxPaceSamples) {
       pace.samples.pop_front();
     }
-    pace.lasting = LastingDuration(pace.samples);
+    pace.lasting = LowerMedian(pace.samples);
   }
   return &pace;
 }
@@ -105,6 +105,22 @@
   return lasting + (pace.momentary - lasting) * weight;
 }
 
+std::optional<double> ReplicaPaces::MomentaryDuration(uint64_t replica_key,
+                                                      TimePoint now) const {
+  const auto it = paces_.find(replica_key);
+  return it != paces_.end() && now - it->second.stated_at < kMomentaryLifetime
+             ? std::optional<double>(it->second.momentary)
+             : std::nullopt;
+}
+
+std::optional<double> ReplicaPaces::LastingDuration(
+    uint64_t replica_key) const {
+  const auto it = paces_.find(replica_key);
+  return it != paces_.end() && it->second.samples.size() >= kMinPaceSamples
+             ? std::optional<double>(it->second.lasting)
+             : std::nullopt;
+}
+
 void ReplicaPaces::ApplyReport(const ReplicaPaceReport& report,
                                TimePoint now,
                                bool relay) {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -291,6 +291,8 @@
   context.placer.Retain(context.routing_state.replicas,
                         context.routing_state.service_map.get());
   if (context.routing_state.replicas_known) {
+    context.placer.call_limits().RecordReplicas(context.routing_state.replicas,
+                                                BootClock::now());
     context.stream_versions.RecordReplicas(context.routing_state.replicas,
                                            BootClock::now());
   }
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -109,6 +109,23 @@
        "Check the network between this instance and the targets."},
       {322, kInfo, "target_links_regained", "A target can be connected to.",
        "None."},
+      {330, kInfo, "call_limit_started",
+       "A replica that is new or has recovered takes a limited number of calls "
+       "from all instances; the line names why.",
+       "None."},
+      {331, kInfo, "call_limit_ended",
+       "A replica takes calls without a limit again.",
+       "None. Many with the reason time_passed: the replica stays slow."},
+      {332, kInfo, "call_limit_shrank",
+       "A replica with a limit on its calls refused one, did not answer in "
+       "time or was slow.",
+       "None, unless frequent: check the replica."},
+      {333, kInfo, "call_limit_bypassed",
+       "A request is sent beyond the limit of a replica, since no other one "
+       "can "
+       "serve it or the others are overloaded. At most one line in 10 s for "
+       "each replica.",
+       "Frequent ones: capacity is short."},
       {501, kInfo, "lease_acquired", "The instance holds its lease.", "None."},
       {502, kWarn, "lease_lapsed",
        "The lease was not renewed in time; no order is sent.",
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -66,6 +66,7 @@
   }
 
   prometheus::Gauge& customers() { return customers_; }
+  prometheus::Gauge& call_limits() { return call_limits_; }
   prometheus::Gauge& open_exchanges() { return open_exchanges_; }
   prometheus::Gauge& configuration_version() { return configuration_version_; }
 
@@ -126,6 +127,14 @@
           .Help("Customers of the configuration in force.")
           .Register(registry_)
           .Add({});
+  prometheus::Gauge& call_limits_ =
+      prometheus::BuildGauge()
+          .Name("endiveyard_replicas_with_call_limit")
+          .Help(
+              "Replicas that have just started or recovered and take a "
+              "limited number of calls.")
+          .Register(registry_)
+          .Add({});
   prometheus::Gauge& open_exchanges_ = prometheus::BuildGauge()
                                            .Name("endiveyard_open_exchanges")
                                            .Help("Requests queued or running.")
@@ -186,4 +195,8 @@
   impl_->customers().Set(value);
 }
 
+void Metrics::SetCallLimits(double value) {
+  impl_->call_limits().Set(value);
+}
+
 }  // namespace endiveyard
