--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -55,6 +55,8 @@
                    const std::string& state,
                    double value);
   void ClearReplicas();
+  // Replicas with a limit on the calls of all instances.
+  void SetCallLimits(double value);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -91,6 +91,7 @@
 
   prometheus::Gauge& customers() { return customers_; }
   prometheus::Gauge& duty_holder() { return duty_holder_; }
+  prometheus::Gauge& call_limits() { return call_limits_; }
   prometheus::Gauge& open_exchanges() { return open_exchanges_; }
   prometheus::Gauge& configuration_version() { return configuration_version_; }
 
@@ -180,6 +181,14 @@
           .Name("endiveyard_duty_calls_total")
           .Help("Calls of the duties by outcome.")
           .Register(registry_);
+  prometheus::Gauge& call_limits_ =
+      prometheus::BuildGauge()
+          .Name("endiveyard_replicas_with_call_limit")
+          .Help(
+              "Replicas that have just started or recovered and take a "
+              "limited number of calls.")
+          .Register(registry_)
+          .Add({});
   prometheus::Gauge& open_exchanges_ = prometheus::BuildGauge()
                                            .Name("endiveyard_open_exchanges")
                                            .Help("Requests queued or running.")
@@ -271,4 +280,8 @@
   impl_->CountUsageWindow(outcome);
 }
 
+void Metrics::SetCallLimits(double value) {
+  impl_->call_limits().Set(value);
+}
+
 }  // namespace endiveyard
