Duties: the record of the holder may be overwritten or removed

An object that somebody else had overwritten stopped the duties for good, and one that was removed let the tokens begin anew.

--- a/include/endiveyard/duties/duty_authority.h
+++ b/include/endiveyard/duties/duty_authority.h
@@ -40,6 +40,8 @@
   // none.
   std::optional<int> rank;
   bool leaving = false;  // releases the duties and takes them no more
+  // That other instances have told of; 0 if none is known.
+  uint64_t heard_token = 0;
 };
 
 enum class DutyEventKind {
--- a/src/duties/duty_authority.cc
+++ b/src/duties/duty_authority.cc
@@ -13,6 +13,8 @@
 constexpr uint64_t kMaxFencing = (uint64_t{1} << kTokenEraShift) - 1;
 // The registry counts eras from here, so that nothing was lost before.
 constexpr int64_t kFirstEra = 1;
+// Era of a record that cannot be parsed.
+constexpr int64_t kNoEra = -1;
 
 // Each call to the registry is charged for. Where the platform checks no
 // tokens, a successor waits longer, and sees the end of a lease earlier.
@@ -75,7 +77,8 @@
 
 // True if there has never been a holder.
 bool IsFresh(const DutyState& state) {
-  return state.shard.version == 0 && state.era == kFirstEra;
+  return state.shard.version == 0 && state.era == kFirstEra &&
+         state.seen_fencing == 0;
 }
 
 // Holders of the era before are unknown to the record.
@@ -85,7 +88,14 @@
   }
   const TimePoint since =
       std::max(state.era_noticed_at, state.shard.first_seen);
-  return now - since < ObservationTime(state.options);
+  // An owner whose record was overwritten or removed in its own era sees that
+  // when it reads the record next.
+  const bool is_overwritten =
+      state.record.era == kNoEra ||
+      (state.shard.version == 0 && state.seen_fencing > 0);
+  return now - since <
+         ObservationTime(state.options) +
+             (is_overwritten ? kShardReadInterval + kMaxReadGap : Duration(0));
 }
 
 // Holders A, B, A must not act within the alternation time.
@@ -164,22 +174,41 @@
                   state.doubt_until);
 }
 
+int64_t UnixMs(const DutyState& state, TimePoint now) {
+  return state.era_unix_ms +
+         std::chrono::duration_cast<Duration>(now - state.era_noticed_at)
+                 .count() /
+             kMicrosPerMilli;
+}
+
+uint64_t NumberByTime(int64_t unix_ms) {
+  return static_cast<uint64_t>(
+      std::max<int64_t>(0, unix_ms / kMillisPerSecond));
+}
+
+// Keeps the number of a token of this era in mind, for a record that loses it.
+void RecordHeardToken(uint64_t token, TimePoint now, DutyState* state) {
+  const uint64_t fencing = token & kMaxFencing;
+  // A forged report must not use up the numbers.
+  const uint64_t limit =
+      std::max(state->seen_fencing, NumberByTime(UnixMs(*state, now))) +
+      2 * kMaxFencingStep;
+  if (static_cast<int64_t>(token >> kTokenEraShift) == state->era &&
+      fencing <= limit) {
+    state->seen_fencing = std::max(state->seen_fencing, fencing);
+  }
+}
+
 DutyRecord TakenRecord(TimePoint now, DutyState* state) {
   DutyRecord next = state->record;
   next.shard = TakeShard(next.shard, state->lease, NextWriter(state));
   next.shard.fencing = std::max(
       {next.shard.fencing, state->seen_fencing + 1, state->next_fencing});
-  const int64_t unix_ms =
-      state->era_unix_ms +
-      std::chrono::duration_cast<Duration>(now - state->era_noticed_at)
-              .count() /
-          kMicrosPerMilli;
+  const int64_t unix_ms = UnixMs(*state, now);
   if (state->record.era != state->era && !IsFresh(*state)) {
     // The record may have lost numbers of this era. Those by the time of day
     // are higher, since holders change less often than once in a second.
-    next.shard.fencing =
-        std::max(next.shard.fencing, static_cast<uint64_t>(std::max<int64_t>(
-                                         0, unix_ms / kMillisPerSecond)));
+    next.shard.fencing = std::max(next.shard.fencing, NumberByTime(unix_ms));
   }
   if (IsExclusive(*state, now)) {
     next.shard.former_owners.clear();
@@ -258,9 +287,11 @@
     next.usage = state->usage;
     is_changed = true;
   }
-  if (state->era > kFirstEra && now - state->era_noticed_at < kLateWriteTime &&
-      !is_changed && now - state->shard.read_at >= kPollInterval) {
-    // A late write from the era before may have replaced the record.
+  // A late write from the era before may have replaced the record.
+  const bool is_new_era =
+      state->era > kFirstEra && now - state->era_noticed_at < kLateWriteTime;
+  if (!is_changed && now - state->shard.read_at >=
+                         (is_new_era ? kPollInterval : kShardReadInterval)) {
     StartShardRead(state, calls);
     return;
   }
@@ -409,10 +440,13 @@
       break;
   }
   DutyRecord record;
-  const bool is_valid =
-      state->shard.version == 0 || ParseDutyRecord(state->shard.value, &record);
-  if (!is_valid && state->record_valid) {
-    events->push_back({DutyEventKind::kMalformed, 0, "", {}});
+  if (state->shard.version != 0 &&
+      !ParseDutyRecord(state->shard.value, &record)) {
+    record = {};
+    record.era = kNoEra;
+    if (state->record.era != kNoEra) {
+      events->push_back({DutyEventKind::kMalformed, 0, "", {}});
+    }
   }
   const bool owned = OwnsDuties(*state);
   const TimePoint quiet_until = QuietUntil(*state, record, was_fresh, now);
@@ -421,7 +455,7 @@
     // What was read of the lease may be older than this ownership.
     state->owner_lease = {};
   }
-  state->record_valid = is_valid;
+  state->record_valid = true;
   state->in_conflict = false;
   state->record = std::move(record);
   if (state->record.era == state->era) {
@@ -529,6 +563,7 @@
     return;
   }
   state->leaving |= inputs.leaving;
+  RecordHeardToken(inputs.heard_token, now, state);
   const bool is_owner = OwnsDuties(*state);
   if (state->revokes_lease) {
     TickRevocation(now, state, calls);
--- a/src/duties/duty_holder.cc
+++ b/src/duties/duty_holder.cc
@@ -71,6 +71,7 @@
 
   void Tick(const DutyInputs& inputs) {
     inputs_.rank = inputs.rank;
+    inputs_.heard_token = inputs.heard_token;
     inputs_.leaving |= inputs.leaving;
     Advance();
   }
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -593,6 +593,7 @@
     duty_holder_->RecordEra(registry_era_.latest());
     DutyInputs inputs;
     inputs.rank = duty_view_->Rank(load_exchange_.LiveInstances(), now);
+    inputs.heard_token = duty_view_->Current(now).fencing_token;
     duty_holder_->Tick(inputs);
     const auto token = duty_holder_->HeldToken();
     if (token) {
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -149,9 +149,8 @@
        "check the platform's API."},
       {524, kError, "duty_record_malformed",
        "The registry object that names the holder of the duties cannot be "
-       "parsed; no calls are made.",
-       "Look for a foreign writer to duty-shards/platform; remove the object "
-       "while no instance runs."},
+       "parsed; it is replaced after some seconds.",
+       "Look for a foreign writer to duty-shards/platform."},
       {601, kInfo, "configuration_applied",
        "A newer configuration version is in force.", "None."},
       {602, kWarn, "configuration_stale",
--- a/tests/duties/duty_fleet.cc
+++ b/tests/duties/duty_fleet.cc
@@ -252,6 +252,7 @@
     }
     DutyInputs inputs;
     inputs.rank = it->view->Rank(live, now_);
+    inputs.heard_token = it->view->Current(now_).fencing_token;
     it->holder->Tick(inputs);
     if (const auto token = it->holder->HeldToken()) {
       it->view->Record({AddressOf(instance), *token, Duration(0)}, now_);
@@ -481,6 +482,14 @@
   store_.objects[key] = {copy_.objects.at(key).spec, ++store_.revision};
 }
 
+void DutyFleet::Overwrite(const std::string& key, const std::string& text) {
+  if (text.empty()) {
+    store_.objects.erase(key);
+  } else {
+    store_.objects[key] = {EncodeTextObject(text), ++store_.revision};
+  }
+}
+
 void DutyFleet::RemoveFromCopy(const std::string& key) {
   copy_.objects.erase(key);
 }
--- a/tests/duties/duty_fleet.h
+++ b/tests/duties/duty_fleet.h
@@ -67,6 +67,8 @@
   // Puts the present object back to the one in the copy, as a late write from
   // before the restore does.
   void ReplaceByCopy(const std::string& key);
+  // Overwrites an object, or removes it if the text is empty.
+  void Overwrite(const std::string& key, const std::string& text);
   void RemoveFromCopy(const std::string& key);
   // A call to the platform with a token that no instance has.
   void SendForeignToken(const std::string& subject, uint64_t token);
--- a/tests/duties/duty_holder_test.cc
+++ b/tests/duties/duty_holder_test.cc
@@ -273,6 +273,35 @@
   }
 }
 
+// Guards against two holders, and against none, after somebody else has
+// overwritten or removed an object.
+BOOST_AUTO_TEST_CASE(ForeignWritesAreSurvived) {
+  for (const bool checks : kBoth) {
+    for (const char* text : {"", "owner=i-1\n"}) {
+      for (const bool is_shard : kBoth) {
+        for (uint64_t seed = 1; seed <= 10; ++seed) {
+          DutyFleet fleet(6, checks, seed);
+          BOOST_TEST_CONTEXT("checks " << checks << " seed " << seed
+                                       << " shard " << is_shard << text) {
+            const int holder = StartFleet(6, &fleet);
+            fleet.Advance(milliseconds(701 * seed));
+            const auto before = fleet.holder_of(holder)->HeldToken();
+            BOOST_REQUIRE(before);
+            fleet.Overwrite(is_shard
+                                ? "duty-shards/platform"
+                                : "duty-leases/i-" + std::to_string(holder),
+                            text);
+            fleet.Advance(seconds(30));
+            BOOST_REQUIRE(fleet.Holder() >= 0);
+            BOOST_TEST(*fleet.holder_of(fleet.Holder())->HeldToken() > *before);
+            CheckNoViolation(fleet);
+          }
+        }
+      }
+    }
+  }
+}
+
 // Guards against a successor that waits for the lease of an instance that has
 // left, and against a release while a call may still arrive.
 BOOST_AUTO_TEST_CASE(HolderReleasesWhenItLeaves) {
