--- a/src/duties/duty_authority.cc
+++ b/src/duties/duty_authority.cc
@@ -29,6 +29,9 @@
 // An instance that has just started does not know the others, and would take
 // itself for the first candidate.
 constexpr Duration kJoiningTime = std::chrono::seconds(2);
+// Before that it reads nothing, since most instances need not follow the
+// holder.
+constexpr Duration kFirstReadDelay = std::chrono::milliseconds(1500);
 // Each further candidate leaves the duties to those before it for this time.
 constexpr Duration kRankDelay = std::chrono::milliseconds(500);
 // A holder that cannot reach the platform for this time leaves the duties to
@@ -571,7 +574,8 @@
     state->has_left = true;
   } else if (is_owner) {
     TickOwner(now, state, calls);
-  } else if (inputs.rank || IsExclusive(*state, now)) {
+  } else if ((inputs.rank && now - state->started_at >= kFirstReadDelay) ||
+             IsExclusive(*state, now)) {
     TickCandidate(inputs.rank.value_or(0), now, state, calls);
   }
   ReportOwnership(now, state, events);
@@ -605,7 +609,9 @@
   }
   ObservedLease& owner = state->owner_lease;
   const bool was_revoked = owner.valid && owner.record.revoked;
+  const bool had_lease = owner.valid && !owner.record.revoked;
   const TimePoint first_seen = owner.object.first_seen;
+  const TimePoint read_at = owner.object.read_at;
   const ObjectUpdateKind kind = ApplyObservedLeaseResult(
       options, result, now, state->options.seed, &owner);
   if (kind == ObjectUpdateKind::kFailed) {
@@ -620,7 +626,12 @@
     if (!has_ended) {
       state->owner_ended_by = {};
     } else if (state->owner_ended_by == TimePoint()) {
-      state->owner_ended_by = now;  // others revoke it only after its end
+      // Others revoke it only after they have seen it unchanged for the
+      // observation time, so that it was not renewed between two reads.
+      state->owner_ended_by =
+          had_lease && now - read_at < ObservationTime(state->options)
+              ? first_seen + state->options.term
+              : now;
     }
   }
   ApplyShardResult(result, now, state, events);
