Duties: windows of this era are not reported again after a late write

A write from before a restore can replace the record of an instance that takes the duties again. Now what it remembers of that era counts until it owns the new one, and later windows that it has seen recorded are not reported.

--- a/include/endiveyard/duties/duty_authority.h
+++ b/include/endiveyard/duties/duty_authority.h
@@ -81,6 +81,7 @@
   bool record_valid = false;
   bool in_conflict = false;   // another instance wrote the shard
   uint64_t seen_fencing = 0;  // highest in this era
+  int64_t seen_window = 0;    // latest that was recorded in this era
   ObservedLease owner_lease;  // of another owner
   TimePoint owner_ended_by;   // its lease has ended by then, if set
   std::optional<TimePoint> free_since;
--- a/src/duties/duty_authority.cc
+++ b/src/duties/duty_authority.cc
@@ -217,17 +217,18 @@
     next.shard.former_owners.clear();
   }
   if (state->record.era != state->era && !IsFresh(*state)) {
+    const bool may_have_lost = MayHaveLostRecord(*state, now);
     if (state->former_record) {
       next.usage = state->former_record->usage;
       next.first_window =
           std::max(next.first_window, state->former_record->first_window);
-    } else {
+    }
+    if (!state->former_record || may_have_lost) {
       const int64_t window_ms =
           std::max<int64_t>(1, state->options.window.count() / kMicrosPerMilli);
       next.first_window = std::max(
-          next.first_window,
-          (MayHaveLostRecord(*state, now) ? unix_ms : state->era_unix_ms) /
-              window_ms);
+          {next.first_window, state->seen_window + 1,
+           (may_have_lost ? unix_ms : state->era_unix_ms) / window_ms});
     }
   }
   next.era = state->era;
@@ -464,11 +465,16 @@
   if (state->record.era == state->era) {
     state->seen_fencing =
         std::max(state->seen_fencing, state->record.shard.fencing);
+    if (state->record.usage) {
+      state->seen_window =
+          std::max(state->seen_window, state->record.usage->window);
+    }
   }
   if (OwnsDuties(*state)) {
     if (!owned) {
       state->quiet_until = quiet_until;
       state->exclusive_until = {};
+      state->former_record.reset();
       state->failures = 0;
       state->stepping_down = false;
     } else if (!state->options.checks_token &&
@@ -543,6 +549,7 @@
   state->era_noticed_at = now;
   state->era_unix_ms = unix_ms;
   state->seen_fencing = 0;
+  state->seen_window = 0;
   state->refused_fencing = 0;
   state->next_fencing = 1;
   state->fencing_step = 1;
