--- a/src/duties/duty_authority.cc
+++ b/src/duties/duty_authority.cc
@@ -13,6 +13,8 @@
 constexpr uint64_t kMaxFencing = (uint64_t{1} << kTokenEraShift) - 1;
 // The registry counts eras from here, so that nothing was lost before.
 constexpr int64_t kFirstEra = 1;
+// Era of a record that cannot be parsed.
+constexpr int64_t kNoEra = -1;
 
 // Each call to the registry is charged for. Where the platform checks no
 // tokens, a successor waits longer, and sees the end of a lease earlier.
@@ -27,6 +29,9 @@
 // An instance that has just started does not know the others, and would take
 // itself for the first candidate.
 constexpr Duration kJoiningTime = std::chrono::seconds(2);
+// Before that it reads nothing, since most instances need not follow the
+// holder.
+constexpr Duration kFirstReadDelay = std::chrono::milliseconds(1500);
 // Each further candidate leaves the duties to those before it for this time.
 constexpr Duration kRankDelay = std::chrono::milliseconds(500);
 // A holder that cannot reach the platform for this time leaves the duties to
@@ -75,7 +80,8 @@
 
 // True if there has never been a holder.
 bool IsFresh(const DutyState& state) {
-  return state.shard.version == 0 && state.era == kFirstEra;
+  return state.shard.version == 0 && state.era == kFirstEra &&
+         state.seen_fencing == 0;
 }
 
 // Holders of the era before are unknown to the record.
@@ -85,7 +91,14 @@
   }
   const TimePoint since =
       std::max(state.era_noticed_at, state.shard.first_seen);
-  return now - since < ObservationTime(state.options);
+  // An owner whose record was overwritten or removed in its own era sees that
+  // when it reads the record next.
+  const bool is_overwritten =
+      state.record.era == kNoEra ||
+      (state.shard.version == 0 && state.seen_fencing > 0);
+  return now - since <
+         ObservationTime(state.options) +
+             (is_overwritten ? kShardReadInterval + kMaxReadGap : Duration(0));
 }
 
 // Holders A, B, A must not act within the alternation time.
@@ -164,38 +177,58 @@
                   state.doubt_until);
 }
 
+int64_t UnixMs(const DutyState& state, TimePoint now) {
+  return state.era_unix_ms +
+         std::chrono::duration_cast<Duration>(now - state.era_noticed_at)
+                 .count() /
+             kMicrosPerMilli;
+}
+
+uint64_t NumberByTime(int64_t unix_ms) {
+  return static_cast<uint64_t>(
+      std::max<int64_t>(0, unix_ms / kMillisPerSecond));
+}
+
+// Keeps the number of a token of this era in mind, for a record that loses it.
+void RecordHeardToken(uint64_t token, TimePoint now, DutyState* state) {
+  const uint64_t fencing = token & kMaxFencing;
+  // A forged report must not use up the numbers.
+  const uint64_t limit =
+      std::max(state->seen_fencing, NumberByTime(UnixMs(*state, now))) +
+      2 * kMaxFencingStep;
+  if (static_cast<int64_t>(token >> kTokenEraShift) == state->era &&
+      fencing <= limit) {
+    state->seen_fencing = std::max(state->seen_fencing, fencing);
+  }
+}
+
 DutyRecord TakenRecord(TimePoint now, DutyState* state) {
   DutyRecord next = state->record;
   next.shard = TakeShard(next.shard, state->lease, NextWriter(state));
   next.shard.fencing = std::max(
       {next.shard.fencing, state->seen_fencing + 1, state->next_fencing});
-  const int64_t unix_ms =
-      state->era_unix_ms +
-      std::chrono::duration_cast<Duration>(now - state->era_noticed_at)
-              .count() /
-          kMicrosPerMilli;
+  const int64_t unix_ms = UnixMs(*state, now);
   if (state->record.era != state->era && !IsFresh(*state)) {
     // The record may have lost numbers of this era. Those by the time of day
     // are higher, since holders change less often than once in a second.
-    next.shard.fencing =
-        std::max(next.shard.fencing, static_cast<uint64_t>(std::max<int64_t>(
-                                         0, unix_ms / kMillisPerSecond)));
+    next.shard.fencing = std::max(next.shard.fencing, NumberByTime(unix_ms));
   }
   if (IsExclusive(*state, now)) {
     next.shard.former_owners.clear();
   }
   if (state->record.era != state->era && !IsFresh(*state)) {
+    const bool may_have_lost = MayHaveLostRecord(*state, now);
     if (state->former_record) {
       next.usage = state->former_record->usage;
       next.first_window =
           std::max(next.first_window, state->former_record->first_window);
-    } else {
+    }
+    if (!state->former_record || may_have_lost) {
       const int64_t window_ms =
           std::max<int64_t>(1, state->options.window.count() / kMicrosPerMilli);
       next.first_window = std::max(
-          next.first_window,
-          (MayHaveLostRecord(*state, now) ? unix_ms : state->era_unix_ms) /
-              window_ms);
+          {next.first_window, state->seen_window + 1,
+           (may_have_lost ? unix_ms : state->era_unix_ms) / window_ms});
     }
   }
   next.era = state->era;
@@ -258,9 +291,11 @@
     next.usage = state->usage;
     is_changed = true;
   }
-  if (state->era > kFirstEra && now - state->era_noticed_at < kLateWriteTime &&
-      !is_changed && now - state->shard.read_at >= kPollInterval) {
-    // A late write from the era before may have replaced the record.
+  // A late write from the era before may have replaced the record.
+  const bool is_new_era =
+      state->era > kFirstEra && now - state->era_noticed_at < kLateWriteTime;
+  if (!is_changed && now - state->shard.read_at >=
+                         (is_new_era ? kPollInterval : kShardReadInterval)) {
     StartShardRead(state, calls);
     return;
   }
@@ -409,10 +444,13 @@
       break;
   }
   DutyRecord record;
-  const bool is_valid =
-      state->shard.version == 0 || ParseDutyRecord(state->shard.value, &record);
-  if (!is_valid && state->record_valid) {
-    events->push_back({DutyEventKind::kMalformed, 0, "", {}});
+  if (state->shard.version != 0 &&
+      !ParseDutyRecord(state->shard.value, &record)) {
+    record = {};
+    record.era = kNoEra;
+    if (state->record.era != kNoEra) {
+      events->push_back({DutyEventKind::kMalformed, 0, "", {}});
+    }
   }
   const bool owned = OwnsDuties(*state);
   const TimePoint quiet_until = QuietUntil(*state, record, was_fresh, now);
@@ -421,17 +459,22 @@
     // What was read of the lease may be older than this ownership.
     state->owner_lease = {};
   }
-  state->record_valid = is_valid;
+  state->record_valid = true;
   state->in_conflict = false;
   state->record = std::move(record);
   if (state->record.era == state->era) {
     state->seen_fencing =
         std::max(state->seen_fencing, state->record.shard.fencing);
+    if (state->record.usage) {
+      state->seen_window =
+          std::max(state->seen_window, state->record.usage->window);
+    }
   }
   if (OwnsDuties(*state)) {
     if (!owned) {
       state->quiet_until = quiet_until;
       state->exclusive_until = {};
+      state->former_record.reset();
       state->failures = 0;
       state->stepping_down = false;
     } else if (!state->options.checks_token &&
@@ -506,6 +549,7 @@
   state->era_noticed_at = now;
   state->era_unix_ms = unix_ms;
   state->seen_fencing = 0;
+  state->seen_window = 0;
   state->refused_fencing = 0;
   state->next_fencing = 1;
   state->fencing_step = 1;
@@ -529,6 +573,7 @@
     return;
   }
   state->leaving |= inputs.leaving;
+  RecordHeardToken(inputs.heard_token, now, state);
   const bool is_owner = OwnsDuties(*state);
   if (state->revokes_lease) {
     TickRevocation(now, state, calls);
@@ -536,7 +581,8 @@
     state->has_left = true;
   } else if (is_owner) {
     TickOwner(now, state, calls);
-  } else if (inputs.rank || IsExclusive(*state, now)) {
+  } else if ((inputs.rank && now - state->started_at >= kFirstReadDelay) ||
+             IsExclusive(*state, now)) {
     TickCandidate(inputs.rank.value_or(0), now, state, calls);
   }
   ReportOwnership(now, state, events);
@@ -570,7 +616,9 @@
   }
   ObservedLease& owner = state->owner_lease;
   const bool was_revoked = owner.valid && owner.record.revoked;
+  const bool had_lease = owner.valid && !owner.record.revoked;
   const TimePoint first_seen = owner.object.first_seen;
+  const TimePoint read_at = owner.object.read_at;
   const ObjectUpdateKind kind = ApplyObservedLeaseResult(
       options, result, now, state->options.seed, &owner);
   if (kind == ObjectUpdateKind::kFailed) {
@@ -585,7 +633,12 @@
     if (!has_ended) {
       state->owner_ended_by = {};
     } else if (state->owner_ended_by == TimePoint()) {
-      state->owner_ended_by = now;  // others revoke it only after its end
+      // Others revoke it only after they have seen it unchanged for the
+      // observation time, so that it was not renewed between two reads.
+      state->owner_ended_by =
+          had_lease && now - read_at < ObservationTime(state->options)
+              ? first_seen + state->options.term
+              : now;
     }
   }
   ApplyShardResult(result, now, state, events);
