Autoscaling: limits that change, replicas that end, no double additions

Three faults that further cases of the model showed: new limits of the configuration did not reach the counts of a running holder; min_replicas counted as on-demand replicas, though it is for both kinds together; on-demand replicas were added beside others that had not been replaced yet, and removed again.

Services that lose their autoscaling are forgotten. Cases for orders that an earlier one may undo, and for replicas that end unnoticed.

--- a/src/autoscaling/replica_plan.cc
+++ b/src/autoscaling/replica_plan.cc
@@ -142,6 +142,9 @@
       return {};
     }
     for (auto& [name, it] : state_.failure_domains) {
+      // The limits may have changed.
+      it.target =
+          std::clamp(it.target, policy_.min_replicas, policy_.max_replicas);
       CountLateReplicas(name, &it);
       DetectReclaims(name, &it);
     }
@@ -282,8 +285,7 @@
   }
 
   int BaseOf(int target) const {
-    return std::min(target,
-                    std::max(policy_.min_replicas, policy_.on_demand_base));
+    return std::min(target, policy_.on_demand_base);
   }
 
   // Replicas that register after the others, as at the start of a deployment,
@@ -523,6 +525,9 @@
       to_move += it.missing;
     }
     to_move -= MoveToSpotElsewhere(region, to_move);
+    // Where on-demand replicas have not been replaced yet, nothing is missing.
+    to_move = std::min(to_move, region->Target() - region->Serving() -
+                                    std::max(0, region->Coming()));
     if (to_move > 0) {
       AddOnDemand(region, to_move);
     }
--- a/src/autoscaling/scaling_duty.cc
+++ b/src/autoscaling/scaling_duty.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <tuple>
@@ -204,6 +205,10 @@
     impl.token = token;
   }
   impl.SetActive(true);
+  for (auto it = impl.states.begin(); it != impl.states.end();) {
+    // A service that comes back starts anew.
+    it = services.count(it->first) == 0 ? impl.states.erase(it) : std::next(it);
+  }
   std::vector<DueOrder> due;
   for (const auto& [service, input] : services) {
     for (DueOrder& it : impl.Decide(service, input, now)) {
--- a/tests/autoscaling/platform_model.cc
+++ b/tests/autoscaling/platform_model.cc
@@ -35,13 +35,30 @@
             name == "a1" && i % 2 == 1 ? options_.late_start : Duration(0));
     }
   }
+  StartHolder();
+}
+
+PlatformModel::~PlatformModel() = default;
+
+void PlatformModel::StartHolder() {
   duty_ = std::make_unique<ScalingDuty>(
       ScalingDutyOptions{kCallsPerSecond},
-      ScalingHandlers{[](bool) {}, [](const ScaleOrder&, DutyCallOutcome) {},
-                      [](const std::string&, const std::string&) {}});
+      ScalingHandlers{
+          [](bool) {}, [](const ScaleOrder&, DutyCallOutcome) {},
+          [this](const std::string&, const std::string&) { ++spot_losses_; }});
 }
 
-PlatformModel::~PlatformModel() = default;
+bool PlatformModel::HolderIsRight() const {
+  const auto ordered = duty_->Ordered();
+  for (const auto& [name, counts] : ordered.at(kService)) {
+    for (const ReplicaKind kind : {kOnDemand, kSpot}) {
+      if (counts[IndexOf(kind)] != Desired(name, kind)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
 
 void PlatformModel::Run(Duration time, bool is_view_current) {
   const TimePoint end = now_ + time;
@@ -96,10 +113,7 @@
   ++token_;
   holder_from_ = now_ + pause;
   in_flight_.clear();
-  duty_ = std::make_unique<ScalingDuty>(
-      ScalingDutyOptions{kCallsPerSecond},
-      ScalingHandlers{[](bool) {}, [](const ScaleOrder&, DutyCallOutcome) {},
-                      [](const std::string&, const std::string&) {}});
+  StartHolder();
 }
 
 void PlatformModel::Reclaim(const std::string& failure_domain, Duration time) {
@@ -116,6 +130,14 @@
   }
 }
 
+void PlatformModel::End(const std::string& failure_domain,
+                        ReplicaKind kind,
+                        int count) {
+  replicas_.remove_if([&](const ModelReplica& it) {
+    return it.slot == Slot(failure_domain, kind) && count-- > 0;
+  });
+}
+
 void PlatformModel::RefuseSpot(const std::string& failure_domain,
                                Duration time) {
   refused_until_[failure_domain] = now_ + time;
@@ -160,12 +182,13 @@
     }
   };
   const TimePoint answered_at = now_ + options_.answer_time;
-  if (is_down_ || uniform(random_) < options_.rejected_share) {
+  const bool is_faulty = Seconds() < options_.faulty_seconds;
+  if (is_down_ || (is_faulty && uniform(random_) < options_.rejected_share)) {
     events_.emplace(answered_at,
                     [answer] { answer(DutyCallOutcome::kRejected); });
     return;
   }
-  if (uniform(random_) < options_.lost_share) {
+  if (is_faulty && uniform(random_) < options_.lost_share) {
     const Duration late(static_cast<int64_t>(uniform(random_) * 4e6));
     const bool has_effect = uniform(random_) < 0.5;
     if (has_effect) {
--- a/tests/autoscaling/platform_model.h
+++ b/tests/autoscaling/platform_model.h
@@ -32,7 +32,8 @@
   // On-demand replicas of one failure domain register later than the others.
   Duration late_start = Duration(0);
   double lost_share = 0;  // of the orders: no answer, effect up to 4 s later
-  double rejected_share = 0;  // of the orders
+  double rejected_share = 0;    // of the orders
+  double faulty_seconds = 1e9;  // time in which orders are lost or rejected
   // Busy replicas of all stages, at a time after the start in seconds.
   std::function<double(double seconds)> busy;
 };
@@ -52,12 +53,19 @@
   // for `time`.
   void Reclaim(const std::string& failure_domain, Duration time);
   void RefuseSpot(const std::string& failure_domain, Duration time);
+  // Ends `count` replicas, which the platform starts again only when they are
+  // ordered again.
+  void End(const std::string& failure_domain, ReplicaKind kind, int count);
   void set_platform_down(bool value) { is_down_ = value; }
 
   int Desired(const std::string& failure_domain, ReplicaKind kind) const;
   int Ready(ReplicaKind kind) const;
   // Price of the replicas so far, in seconds of an on-demand replica.
   double price() const { return price_; }
+  // True if the platform has what the holder takes as ordered.
+  bool HolderIsRight() const;
+  // Number of failure domains whose spot replicas the holder saw end.
+  int spot_losses() const { return spot_losses_; }
   size_t orders() const { return orders_; }
   // Times that an accepted order moved a count opposite to the one before.
   int reversals() const { return reversals_; }
@@ -85,6 +93,7 @@
     bool is_leaving = false;
   };
 
+  void StartHolder();
   void Step();
   void Apply(const ScaleOrder& order);
   void SetDesired(const Slot& slot, int count);
@@ -119,6 +128,7 @@
   double price_ = 0;
   size_t orders_ = 0;
   int reversals_ = 0;
+  int spot_losses_ = 0;
   std::vector<std::string> violations_;
 };
 
--- a/tests/autoscaling/replica_plan_test.cc
+++ b/tests/autoscaling/replica_plan_test.cc
@@ -139,6 +139,7 @@
       model.Run(seconds(20));
       model.Reclaim(name, seconds(9));
       model.Run(seconds(7));
+      BOOST_TEST(model.spot_losses() == 1);
       const std::string other = name == std::string("a1") ? "a2" : "b1";
       BOOST_TEST(model.Desired(other, kSpot) >= 20);
       model.Run(seconds(25));
@@ -164,6 +165,20 @@
   CheckNoViolations(model);
 }
 
+// Guards against a failure domain that stays without replicas that crashed, of
+// which its platform takes no notice.
+BOOST_AUTO_TEST_CASE(ReplicasThatEndAreOrderedAgain) {
+  PlatformModel model(Options());
+  for (const char* name : kFailureDomains) {
+    model.RefuseSpot(name, seconds(1000));
+  }
+  model.Run(seconds(8));
+  model.End("b1", kOnDemand, 5);
+  BOOST_TEST(model.Ready(kOnDemand) == 85);
+  model.Run(seconds(11));
+  BOOST_TEST(model.Ready(kOnDemand) == 90);
+}
+
 // Guards against a region without capacity where spot replicas are to be had in
 // none of its zones.
 BOOST_AUTO_TEST_CASE(OnDemandReplicasStandInWhereThereIsNoSpot) {
@@ -229,13 +244,16 @@
 // Guards against an order that is given up, or that an earlier one undoes
 // seconds later.
 BOOST_AUTO_TEST_CASE(LostAndLateAnswersDoNotUndoOrders) {
-  for (uint32_t seed = 1; seed <= 20; ++seed) {
+  for (uint32_t seed = 1; seed <= 40; ++seed) {
     PlatformOptions options = Options(seed);
+    options.busy = [](double t) { return 0.4 * Waves(t); };
     options.lost_share = 0.3;
     options.rejected_share = 0.2;
     options.answer_time = std::chrono::milliseconds(900);
+    options.faulty_seconds = 40;
     PlatformModel model(options);
     model.Run(seconds(60));
+    BOOST_TEST(model.HolderIsRight(), seed);
     BOOST_TEST(model.Ready(kOnDemand) <= 30);
     BOOST_TEST(model.Ready(kOnDemand) + model.Ready(kSpot) >= 45);
     CheckNoViolations(model);
--- a/tests/autoscaling/scaling_duty_test.cc
+++ b/tests/autoscaling/scaling_duty_test.cc
@@ -30,12 +30,13 @@
 };
 
 // One failure domain below its minimum, so that one on-demand order is due.
-std::map<std::string, ScalingInput> Inputs() {
+std::map<std::string, ScalingInput> Inputs(int min_replicas = 3,
+                                           int ready = 1) {
   ScalingInput input;
-  input.policy.min_replicas = 3;
+  input.policy.min_replicas = min_replicas;
   input.policy.max_replicas = 10;
   input.policy.failure_domains = {{"x", {"r", 1}}};
-  input.counts.failure_domains["x"][0].ready[0] = 1;
+  input.counts.failure_domains["x"][0].ready[0] = ready;
   return {{"s", input}};
 }
 
@@ -97,6 +98,28 @@
   }
 }
 
+// Guards against an order without an answer that takes effect after a newer
+// one, which then does not hold.
+BOOST_AUTO_TEST_CASE(OrderThatMayBeUndoneIsRepeated) {
+  Calls calls;
+  ScalingDuty duty({}, NoHandlers());
+  Run(&duty, &calls, 0, 2500);
+  calls.orders.at(0).second(DutyCallOutcome::kUnknown);
+  for (int ms = 2500; ms < 4000; ms += 250) {
+    duty.Tick(Inputs(5), &calls, At(ms));
+  }
+  BOOST_REQUIRE_EQUAL(calls.orders.size(), 2u);
+  BOOST_TEST((calls.orders[1].first == ScaleOrder{"s", "x", 5, false}));
+  calls.orders.at(1).second(DutyCallOutcome::kAccepted);
+  for (int ms = 4000; ms < 8900; ms += 250) {
+    duty.Tick(Inputs(5, 5), &calls, At(ms));
+  }
+  BOOST_TEST(calls.orders.size() == 2u);
+  duty.Tick(Inputs(5, 5), &calls, At(9100));
+  BOOST_REQUIRE_EQUAL(calls.orders.size(), 3u);
+  BOOST_TEST((calls.orders[2].first == ScaleOrder{"s", "x", 5, false}));
+}
+
 // Guards against answers that arrive after another instance has taken over, or
 // after the end of the duty.
 BOOST_AUTO_TEST_CASE(LateAnswersAreIgnored) {
