--- a/include/endiveyard/telemetry/metrics.h
+++ b/include/endiveyard/telemetry/metrics.h
@@ -57,6 +57,11 @@
   void ClearReplicas();
   // Replicas with a limit on the calls of all instances.
   void SetCallLimits(double value);
+  void SetCallerMemory(double bytes);
+  // Counts a connection of a caller that was closed to stay within a limit.
+  void CountCallerClosed(const std::string& reason);
+  // Counts a request that was refused to stay within a limit.
+  void CountRefusedForLoad(const std::string& reason);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
