Duties: one view of their holder

Usage reports and the holder each kept their own view of who holds the duties. Both now use DutyHolderView, which also allows for the time that reports take.

Windows that the holder refuses since a restore of the registry are skipped.

A configuration without spot_price has no spot replicas.

--- a/include/endiveyard/duties/duty_holder_view.h
+++ b/include/endiveyard/duties/duty_holder_view.h
@@ -17,13 +17,18 @@
   DutyHolderView(uint32_t own_address, TimePoint now)
       : own_address_(own_address), heard_at_(now) {}
 
-  // Records what another instance tells, or what this one knows of itself. The
+  // Records what a report of another instance tells, at its arrival. The
   // highest token wins, then the lowest age.
-  void Record(const DutyHolderReport& report, TimePoint now);
+  void RecordReport(const DutyHolderReport& report, TimePoint now);
+  // Records that this instance holds the duties.
+  void RecordOwn(uint64_t token, TimePoint now);
   // Returns the holder that was told last, with its age; address 0 if that is
   // too long ago.
   DutyHolderReport Current(TimePoint now) const;
 
+  // Returns the highest token of another instance, 0 if there is none.
+  uint64_t highest_other_token() const { return highest_other_token_; }
+
   // Returns the position of this instance among those that follow the holder,
   // or nullopt if it does not have to. These are the three of the highest
   // rendezvous weight in `live`, apart from the holder, and more the longer no
@@ -32,7 +37,13 @@
                           TimePoint now) const;
 
  private:
+  void Record(uint32_t address,
+              uint64_t token,
+              TimePoint said_at,
+              TimePoint now);
+
   const uint32_t own_address_;
+  uint64_t highest_other_token_ = 0;
   DutyHolderReport holder_;
   TimePoint heard_at_;  // when the holder said so; the start if none is known
 };
--- a/include/endiveyard/duties/usage_exchange.h
+++ b/include/endiveyard/duties/usage_exchange.h
@@ -13,10 +13,10 @@
 #include "endiveyard/base/time_point.h"
 #include "endiveyard/duties/clock_median.h"
 #include "endiveyard/duties/duty_calls.h"
+#include "endiveyard/duties/duty_holder_view.h"
 #include "endiveyard/duties/usage_collector.h"
 #include "endiveyard/duties/usage_counter.h"
 #include "endiveyard/duties/usage_counts.h"
-#include "endiveyard/duties/usage_holder_view.h"
 #include "endiveyard/duties/usage_reporter.h"
 #include "endiveyard/duties/usage_sender.h"
 
@@ -82,7 +82,7 @@
 
   // Returns what reports of this instance state about the holder.
   DutyHolderReport duty_holder(TimePoint now) const {
-    return holder_view_.Latest(now);
+    return holder_view_.Current(now);
   }
   int64_t UnixMs(TimePoint now) const { return clock_.UnixMs(now); }
 
@@ -99,7 +99,7 @@
   const UsageExchangeHandlers handlers_;
   ClockMedian clock_;
   UsageCounter counter_;
-  UsageHolderView holder_view_;
+  DutyHolderView holder_view_;
   UsageSender sender_;
   UsageCollector collector_;
   UsageReporter reporter_;
--- a/include/endiveyard/duties/usage_reporter.h
+++ b/include/endiveyard/duties/usage_reporter.h
@@ -74,6 +74,11 @@
                    const std::optional<UsageReport>& recorded,
                    const UsageReporterView& view,
                    TimePoint now);
+  // Goes on after the windows that the holder refuses since a restore of the
+  // registry. Reports for them would be repeated until they are too old, and
+  // later ones would miss their time.
+  void SkipRefusedWindows(const DutyCalls& calls,
+                          const UsageReporterView& view);
   // Leaves out windows that are too old to be of use.
   void DropOldWindows(const UsageReporterView& view);
   std::optional<UsageReport> NextReport(const UsageReporterView& view,
--- a/include/endiveyard/placement/service_map.h
+++ b/include/endiveyard/placement/service_map.h
@@ -64,7 +64,7 @@
   int max_replicas = 0;
   Duration boot_time = std::chrono::seconds(4);
   // Price of a spot replica relative to an on-demand one.
-  double spot_price = 0.18;
+  double spot_price = 1;
   std::map<std::string, double> failure_domain_prices;  // relative
 
   bool operator==(const AutoscalingTraits& other) const;
--- a/src/duties/duty_holder_view.cc
+++ b/src/duties/duty_holder_view.cc
@@ -12,6 +12,9 @@
 
 // The holder tells of itself every few seconds. A wrong report counts as long.
 constexpr Duration kHolderLifetime = std::chrono::seconds(30);
+// Added to ages that are passed on, as in the list of live instances: without
+// it, instances could keep each other's statement young.
+constexpr Duration kMaxTransitTime = std::chrono::milliseconds(250);
 // Interval at which more instances follow a holder of which nothing is heard.
 constexpr Duration kSilencePerStep = std::chrono::seconds(10);
 // Bounds the calls to the registry while none of them can hold the duties.
@@ -23,17 +26,30 @@
 
 }  // namespace
 
-void DutyHolderView::Record(const DutyHolderReport& report, TimePoint now) {
+void DutyHolderView::RecordReport(const DutyHolderReport& report,
+                                  TimePoint now) {
   if (report.address == 0 || report.age < Duration(0) ||
-      report.age >= kHolderLifetime) {
-    return;
+      report.age >= kHolderLifetime || report.address == own_address_) {
+    return;  // about itself, this instance knows better
   }
-  const TimePoint heard_at = now - report.age;
+  highest_other_token_ = std::max(highest_other_token_, report.fencing_token);
+  Record(report.address, report.fencing_token,
+         now - report.age - kMaxTransitTime, now);
+}
+
+void DutyHolderView::RecordOwn(uint64_t token, TimePoint now) {
+  Record(own_address_, token, now, now);
+}
+
+void DutyHolderView::Record(uint32_t address,
+                            uint64_t token,
+                            TimePoint said_at,
+                            TimePoint now) {
   const bool is_known = Current(now).address != 0;
-  if (!is_known || report.fencing_token > holder_.fencing_token ||
-      (report.fencing_token == holder_.fencing_token && heard_at > heard_at_)) {
-    holder_ = report;
-    heard_at_ = heard_at;
+  if (!is_known || token > holder_.fencing_token ||
+      (token == holder_.fencing_token && said_at > heard_at_)) {
+    holder_ = {address, token, Duration(0)};
+    heard_at_ = said_at;
   }
 }
 
--- a/src/duties/usage_exchange.cc
+++ b/src/duties/usage_exchange.cc
@@ -25,7 +25,7 @@
     : options_(options),
       handlers_(std::move(handlers)),
       counter_(&clock_, options_.reporter.window),
-      holder_view_(options_.own_address),
+      holder_view_(options_.own_address, now),
       sender_(options_.own_address),
       collector_(options_.reporter.window),
       reporter_(options_.reporter, handlers_.on_event),
@@ -71,7 +71,7 @@
   } else {
     acks_.clear();
   }
-  const DutyHolderReport holder = holder_view_.Latest(now);
+  const DutyHolderReport holder = holder_view_.Current(now);
   if (holder.address != 0) {
     SendCounts(sender_.Take(counter_, holder, tick.live.size(), now),
                holder.address, now);
@@ -94,7 +94,7 @@
 
 void UsageExchange::SendLast(TimePoint now) {
   counter_.Advance(now);
-  const DutyHolderReport holder = holder_view_.Latest(now);
+  const DutyHolderReport holder = holder_view_.Current(now);
   if (holder.address != 0) {
     SendCounts(sender_.TakeLast(counter_, holder), holder.address, now);
   }
--- a/src/duties/usage_reporter.cc
+++ b/src/duties/usage_reporter.cc
@@ -52,6 +52,7 @@
     TakeUp(*token, calls->LastUsageReport(), view, now);
   }
   DropOldWindows(view);
+  SkipRefusedWindows(*calls, view);
   if (now < retry_at_) {
     return;
   }
@@ -164,6 +165,19 @@
   Notify(UsageEventKind::kDropped, dropped, 0, view);
 }
 
+void UsageReporter::SkipRefusedWindows(const DutyCalls& calls,
+                                       const UsageReporterView& view) {
+  const int64_t first = calls.FirstUsageWindow();
+  if (pending_ && pending_->window < first &&
+      !(calls.LastUsageReport() == pending_)) {
+    Notify(UsageEventKind::kDropped, *pending_, 0, view);
+    pending_.reset();
+  }
+  if (!pending_) {
+    next_ = std::max(*next_, first);
+  }
+}
+
 std::optional<UsageReport> UsageReporter::NextReport(
     const UsageReporterView& view,
     TimePoint now) {
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -646,7 +646,7 @@
       report->duty_holder = duty_view_->Current(now);
     };
     hooks.apply = [this](const PeerLoadReport& report, TimePoint now) {
-      duty_view_->Record(report.duty_holder, now);
+      duty_view_->RecordReport(report.duty_holder, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
     if (usage_duty_) {
@@ -664,8 +664,7 @@
     duty_holder_->Tick(inputs);
     const auto token = duty_holder_->HeldToken();
     if (token) {
-      duty_view_->Record({load_exchange_.own_address(), *token, Duration(0)},
-                         now);
+      duty_view_->RecordOwn(*token, now);
     }
     metrics_.SetDutyHolder(token.has_value());
     duty_timer_.expires_after(kDutyInterval);
--- a/src/front/usage_duty.cc
+++ b/src/front/usage_duty.cc
@@ -35,7 +35,9 @@
   LoadReportHooks hooks;
   hooks.fill = [this](PeerLoadReport* report, TimePoint now) {
     report->unix_ms = unix_ms_();
-    report->duty_holder = exchange_.duty_holder(now);
+    if (report->duty_holder.address == 0) {
+      report->duty_holder = exchange_.duty_holder(now);
+    }
   };
   hooks.apply = [this](const PeerLoadReport& report, TimePoint now) {
     exchange_.RecordReport(UsageOf(report), now);
