Relay: bound connections that are open while their refusal is written

Cause: slow heads reached 761 of 800 descriptors, since up to 128 connections are accepted at once before the ones refused for them are closed. Change: at most 32 connections above the limit are open.

--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -168,9 +168,13 @@
   }
 
   bool MayAccept() const {
-    return context_->open_connections < context_->options.max_connections ||
-           context_->caller_memory.ChooseForNewConnection(BootClock::now()) !=
-               nullptr;
+    // Connections whose refusal is still being written count as open.
+    constexpr size_t kMaxClosing = 32;
+    const size_t open = context_->open_connections;
+    const size_t limit = context_->options.max_connections;
+    return open < limit || (open < limit + kMaxClosing &&
+                            context_->caller_memory.ChooseForNewConnection(
+                                BootClock::now()) != nullptr);
   }
 
   void StartConnection(CallerKind kind, tcp::socket socket) {
