--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -445,7 +445,6 @@
   const Service* service = FindService(*service_map_, service_);
   if (service != nullptr) {
     query.engine = service->engine;
-    query.slow_start = service->autoscaling.has_value();
   }
   query.prompt = request_metadata_.prompt;
   if (const auto events = sse_splitter_.last_id(); query.prompt && events) {
