--- a/src/autoscaling/replica_plan.cc
+++ b/src/autoscaling/replica_plan.cc
@@ -32,6 +32,12 @@
 // At most this share of the replicas is removed within a second, so that caches
 // move gradually.
 constexpr double kRemovalsPerSecond = 0.25;
+// Limits for large fleets: all instances have to learn of each replica that
+// leaves before it ends. When 3,000 replicas were replaced within seconds, some
+// instances learned of it after 6 s, and requests reached replicas that had
+// left.
+constexpr int kMaxRemovalsPerSecond = 60;
+constexpr int kMaxAdditionsPerPlan = 100;
 // The demand of this time decides what is unused: longer than one period of
 // its waves (11 s).
 constexpr Duration kDemandWindow = std::chrono::seconds(15);
@@ -705,7 +711,9 @@
         ready += it.counts[kOnDemand].Ready() + it.counts[kSpot].Ready();
       }
     }
-    removals_left_ = std::max(1, static_cast<int>(kRemovalsPerSecond * ready));
+    removals_left_ = std::clamp(static_cast<int>(kRemovalsPerSecond * ready), 1,
+                                kMaxRemovalsPerSecond);
+    additions_left_ = kMaxAdditionsPerPlan;
     for (const auto& [at, count] : removals) {
       removals_left_ -= count;
     }
@@ -742,6 +750,10 @@
       removals_left_ -= removed;
     } else {
       ordered->lower_since.reset();
+      const int added = std::clamp(planned.count - ordered->count, 0,
+                                   std::max(0, additions_left_));
+      planned.count = ordered->count + added;
+      additions_left_ -= added;
     }
     planned.repeat = IsRepeatDue(domain, kind, *ordered);
     return planned;
@@ -770,6 +782,7 @@
   const TimePoint now_;
   std::map<std::string, Region> regions_;
   int removals_left_ = 0;
+  int additions_left_ = 0;
 };
 
 }  // namespace
--- a/tests/autoscaling/platform_model.cc
+++ b/tests/autoscaling/platform_model.cc
@@ -21,7 +21,7 @@
       start_(TimePointFromMicros(1000000000)),
       now_(start_) {
   policy_.min_replicas = 1;
-  policy_.max_replicas = 30;
+  policy_.max_replicas = 2 * options_.on_demand;
   policy_.boot_time = options_.boot_time;
   policy_.spot_price = 0.18;
   policy_.failure_domains = {{"a1", {"a", 0.85}}, {"a2", {"a", 1.2}},
--- a/tests/autoscaling/replica_plan_test.cc
+++ b/tests/autoscaling/replica_plan_test.cc
@@ -290,4 +290,33 @@
   CheckNoViolations(model);
 }
 
+// Guards against replacing a large fleet within seconds: instances that learned
+// late of thousands of changes sent requests to replicas that had left.
+BOOST_AUTO_TEST_CASE(LargeFleetsAreReplacedGradually) {
+  PlatformOptions options = Options();
+  options.on_demand = 500;  // 3,000 in all
+  PlatformModel model(options);
+  const auto totals = [&model] {
+    std::pair<int, int> total;
+    for (const char* name : kFailureDomains) {
+      total.first += model.Desired(name, kOnDemand);
+      total.second += model.Desired(name, kSpot);
+    }
+    return total;
+  };
+  auto before = totals();
+  int removed = 0;
+  for (int second = 0; second < 40; ++second) {
+    model.Run(seconds(1));
+    const auto now = totals();
+    // Four plans of up to 100 replicas and an order that was under way.
+    BOOST_TEST(now.second - before.second <= 500);
+    BOOST_TEST(before.first - now.first <= 120);
+    removed += before.first - now.first;
+    before = now;
+  }
+  BOOST_TEST(removed >= 600);
+  CheckNoViolations(model);
+}
+
 }  // namespace endiveyard
