--- a/tests/platform/customer_test.cc
+++ b/tests/platform/customer_test.cc
@@ -43,7 +43,7 @@
   std::string Refused(const std::string& headers) {
     TestConnection caller = Connect();
     caller.Send(RequestHead("GET", "/safe/a", "r1", headers));
-    const std::string response = caller.ReadMessage();
+    std::string response = caller.ReadMessage();
     BOOST_TEST(!first().HasConnectionWithin(0));
     return response;
   }
