Streams: where they begin outlasts the process that learned it

Callers got streams without their first events as whole answers from processes that had just started: a process learned where the streams of a service, software version and route begin from its own replicas only, and anew at each start.

All at processes that had no two replicas with a habit yet.

What two replicas have shown is now one object in the registry. It is read at the start, counts from the first stream on, and is given up where replicas contradict it. A new version or route is expected to begin like the others of its service.

--- a/include/endiveyard/placement/stream_starts.h
+++ b/include/endiveyard/placement/stream_starts.h
@@ -4,10 +4,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <vector>
 
 #include "endiveyard/base/time_point.h"
 
@@ -25,6 +26,8 @@
 inline constexpr int kReplicasOfConvention = 2;
 // Streams of the only replica with a habit that show as much.
 inline constexpr int kStreamsOfLoneReplica = 8;
+// Limit on the first ids of a group that are known from elsewhere.
+inline constexpr size_t kMaxKnownFirstIds = 4;
 
 // Streams that are expected to begin with the same event id.
 struct StreamGroup {
@@ -36,15 +39,47 @@
     return std::tie(service, version, route) <
            std::tie(other.service, other.version, other.route);
   }
+  bool operator==(const StreamGroup& other) const {
+    return std::tie(service, version, route) ==
+           std::tie(other.service, other.version, other.route);
+  }
+};
+
+// The first event id of whole streams of a group.
+struct StreamStart {
+  StreamGroup group;
+  int64_t first_id = 0;
+
+  bool operator<(const StreamStart& other) const {
+    return std::tie(group, first_id) < std::tie(other.group, other.first_id);
+  }
+  bool operator==(const StreamStart& other) const {
+    return group == other.group && first_id == other.first_id;
+  }
 };
 
 // Learns with which event id the streams of a group begin, and finds those
 // whose first events are missing. No page says where ids begin, so any first id
 // is taken until replicas agree. A habit is what two thirds of the streams of
 // one replica incarnation do. What two replicas have as a habit is right, also
-// beside another one, so that a new convention is taken over. Not thread-safe.
+// beside another one, so that a new convention is taken over.
+//
+// What other processes have learned holds from the first stream on, until
+// replicas that contradict it are as many as those that confirm it. A group of
+// which nothing is known is expected to begin like the others of its service.
+// Not thread-safe.
 class StreamStarts {
  public:
+  // Records what other processes have learned, in place of what was recorded
+  // before.
+  void RecordKnown(const std::vector<StreamStart>& known);
+  // Returns the first ids that the replicas have shown to this process, in
+  // order.
+  std::vector<StreamStart> Learned(TimePoint now) const;
+  // Returns true if a stream of a group has been recorded of which nothing is
+  // known from elsewhere, since the last call.
+  bool TakeUnknownGroupMet();
+
   // Records that a stream which nothing precedes began with `first_id` at the
   // replica with this key, see EngineKey(). Returns false if the first events
   // of the stream are missing: it begins above where streams of the group do.
@@ -58,18 +93,27 @@
     int64_t first_id = 0;  // the most frequent one
     int streams = 0;       // with `first_id`, of the last ones
     int other_streams = 0;
+    int64_t all_streams = 0;  // also those that no longer count above
     TimePoint last_at{};
   };
   using Replicas = std::unordered_map<uint64_t, Replica>;
+  using FirstIds = std::set<int64_t>;
 
   static bool HasHabit(const Replica& replica);
   static void Count(Replica* replica, int64_t first_id, TimePoint now);
-  static bool IsLate(const Replicas& replicas, int64_t first_id);
+  // Judges by the replicas of the group only.
+  static bool IsLateByHabit(const Replicas& replicas, int64_t first_id);
+  // Judges by what is known from elsewhere.
+  bool IsLateByKnown(const StreamGroup& group,
+                     const Replicas& replicas,
+                     int64_t first_id) const;
   // Returns the replicas of the group without old ones, or nullptr if too many
   // groups are kept.
   Replicas* ReplicasOf(const StreamGroup& group, TimePoint now);
 
   std::map<StreamGroup, Replicas> groups_;
+  std::map<StreamGroup, FirstIds> known_;
+  bool unknown_group_met_ = false;
 };
 
 }  // namespace endiveyard
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -18,6 +18,7 @@
 #include "endiveyard/placement/replica_view.h"
 #include "endiveyard/placement/service_map.h"
 #include "endiveyard/placement/service_retry_budget.h"
+#include "endiveyard/placement/stream_starts.h"
 #include "endiveyard/placement/stream_versions.h"
 #include "endiveyard/placement/survival_checks.h"
 #include "endiveyard/relay/target_call.h"
@@ -154,6 +155,7 @@
   Placer* placer();
   // Finds requests that crash replicas. Exposed for the load exchange.
   StreamVersions* stream_versions();
+  StreamStarts* stream_starts();
   CrashSuspects* crash_suspects();
   // The instances that requests are forwarded to while no target can be
   // reached. Exposed for the load exchange.
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -34,6 +34,7 @@
 #include "front/replica_scaler.h"
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
+#include "front/stream_start_recorder.h"
 #include "front/usage_duty.h"
 #include "front/version_recorder.h"
 #include "platform/http_duty_client.h"
@@ -511,6 +512,7 @@
     replica_mirror_->Start();
     StartVersionRecorder();
     StartStreamRecorder();
+    StartStreamStartRecorder();
     StartInstanceRecorder();
   }
 
@@ -570,6 +572,29 @@
     stream_recorder_->Start();
   }
 
+  void StartStreamStartRecorder() {
+    StreamStartRecorderHandlers handlers;
+    handlers.now = [] { return BootClock::now(); };
+    handlers.unix_ms = UnixMs;
+    handlers.schedule = MakeCommonHandlers().schedule;
+    handlers.on_read = [this](const absl::Status& status, size_t starts) {
+      JsonFields fields;
+      fields.Integer("starts", static_cast<int64_t>(starts))
+          .Text("detail", std::string(status.message()));
+      log_.Log(kLogStreamStartsRead, fields, BootClock::now());
+    };
+    handlers.on_written = [this](const absl::Status& status) {
+      LogText(kLogStreamStartsWritten, "detail", std::string(status.message()));
+    };
+    stream_start_recorder_ = std::make_unique<StreamStartRecorder>(
+        &registry_client_, relay_.stream_starts(),
+        StreamStartRecorderOptions{std::string(platform::kStreamStartKind),
+                                   std::string(platform::kStreamStartName),
+                                   settings_.instance},
+        std::move(handlers));
+    stream_start_recorder_->Start();
+  }
+
   void StartInstanceRecorder() {
     InstanceRecorderHandlers handlers;
     handlers.now = [] { return BootClock::now(); };
@@ -1039,6 +1064,7 @@
   StandstillCheck standstill_check_;
   std::unique_ptr<VersionRecorder> version_recorder_;
   std::unique_ptr<StreamRecorder> stream_recorder_;
+  std::unique_ptr<StreamStartRecorder> stream_start_recorder_;
   std::unique_ptr<InstanceRecorder> instance_recorder_;
   std::unique_ptr<ReplicaScaler> replica_scaler_;
   size_t logged_sharing_count_ = 0;
--- a/src/placement/stream_starts.cc
+++ b/src/placement/stream_starts.cc
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace endiveyard {
 namespace {
 
 // Older streams of a replica count for less beyond this number.
 constexpr int kMaxCountedStreams = 32;
+// Streams of a replica after which it can contradict what is known of its
+// group.
+constexpr int64_t kStreamsOfContradiction = 4;
 
 template <typename Replicas>
 void RemoveOld(Replicas* replicas, TimePoint now) {
@@ -27,7 +31,9 @@
   if (replicas == nullptr) {
     return true;
   }
-  const bool is_late = IsLate(*replicas, first_id);
+  unknown_group_met_ |= known_.count(group) == 0;
+  const bool is_late = IsLateByHabit(*replicas, first_id) ||
+                       IsLateByKnown(group, *replicas, first_id);
   if (replicas->size() < kMaxReplicasOfStreamGroup ||
       replicas->count(replica_key) > 0) {
     Count(&(*replicas)[replica_key], first_id, now);
@@ -42,10 +48,11 @@
 
 void StreamStarts::Count(Replica* replica, int64_t first_id, TimePoint now) {
   replica->last_at = now;
+  ++replica->all_streams;
   if (first_id == replica->first_id) {
     ++replica->streams;
   } else if (++replica->other_streams > replica->streams) {
-    *replica = Replica{first_id, 1, 0, now};
+    *replica = Replica{first_id, 1, 0, replica->all_streams, now};
   }
   if (replica->streams + replica->other_streams > kMaxCountedStreams) {
     replica->streams /= 2;
@@ -53,7 +60,7 @@
   }
 }
 
-bool StreamStarts::IsLate(const Replicas& replicas, int64_t first_id) {
+bool StreamStarts::IsLateByHabit(const Replicas& replicas, int64_t first_id) {
   std::map<int64_t, int> habits;  // replicas by first id
   int with_this_habit = 0;        // for long enough
   const Replica* lone = nullptr;
@@ -76,6 +83,80 @@
          });
 }
 
+bool StreamStarts::IsLateByKnown(const StreamGroup& group,
+                                 const Replicas& replicas,
+                                 int64_t first_id) const {
+  FirstIds expected;
+  int64_t streams_of_contradiction = kStreamsOfContradiction;
+  if (const auto it = known_.find(group); it != known_.end()) {
+    expected = it->second;
+  } else {
+    // Other groups say less, so that the first streams can contradict them.
+    streams_of_contradiction = 1;
+    for (const auto& [other, first_ids] : known_) {
+      if (other.service == group.service) {
+        expected.insert(first_ids.begin(), first_ids.end());
+      }
+    }
+  }
+  if (expected.empty() || first_id <= *expected.begin() ||
+      expected.count(first_id) > 0) {
+    return false;
+  }
+  int confirming = 0;
+  int contradicting = 0;
+  for (const auto& [key, it] : replicas) {
+    if (expected.count(it.first_id) > 0) {
+      ++confirming;
+    } else if (it.all_streams >= streams_of_contradiction) {
+      ++contradicting;
+    }
+  }
+  return contradicting < kReplicasOfConvention || confirming >= contradicting;
+}
+
+void StreamStarts::RecordKnown(const std::vector<StreamStart>& known) {
+  known_.clear();
+  for (const StreamStart& it : known) {
+    if (known_.size() >= kMaxStreamGroups && known_.count(it.group) == 0) {
+      continue;
+    }
+    FirstIds& first_ids = known_[it.group];
+    if (first_ids.size() < kMaxKnownFirstIds) {
+      first_ids.insert(it.first_id);
+    }
+  }
+}
+
+std::vector<StreamStart> StreamStarts::Learned(TimePoint now) const {
+  std::vector<StreamStart> learned;
+  for (const auto& [group, replicas] : groups_) {
+    std::map<int64_t, int> replicas_with;  // by first id
+    const Replica* lone = nullptr;
+    int with_habit = 0;
+    for (const auto& [key, it] : replicas) {
+      if (!HasHabit(it) || now - it.last_at > kStreamStartLifetime) {
+        continue;
+      }
+      lone = ++with_habit == 1 ? &it : nullptr;
+      replicas_with[it.first_id] += it.streams >= kStreamsOfHigherHabit ? 1 : 0;
+    }
+    if (lone != nullptr && lone->streams >= kStreamsOfLoneReplica) {
+      learned.push_back({group, lone->first_id});
+    }
+    for (const auto& [first_id, count] : replicas_with) {
+      if (count >= kReplicasOfConvention) {
+        learned.push_back({group, first_id});
+      }
+    }
+  }
+  return learned;
+}
+
+bool StreamStarts::TakeUnknownGroupMet() {
+  return std::exchange(unknown_group_met_, false);
+}
+
 StreamStarts::Replicas* StreamStarts::ReplicasOf(const StreamGroup& group,
                                                  TimePoint now) {
   if (groups_.size() >= kMaxStreamGroups && groups_.count(group) == 0) {
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -368,6 +368,10 @@
   return &impl_->context().stream_versions;
 }
 
+StreamStarts* Relay::stream_starts() {
+  return &impl_->context().stream_starts;
+}
+
 CrashSuspects* Relay::crash_suspects() {
   return &impl_->context().crash_suspects;
 }
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -267,6 +267,12 @@
       {811, kInfo, "instance_record_failed",
        "The records of instances could not be read or written.",
        "None; few retries are sent until they are read."},
+      {812, kInfo, "stream_starts_read",
+       "The record of where streams begin was read, or could not be.",
+       "None; until it is read, the first streams of a group are passed on "
+       "wherever they begin."},
+      {813, kInfo, "stream_starts_written",
+       "Where streams begin was recorded, or could not be.", "None."},
       {901, kInfo, "request_placed", "A request was sent to a target.",
        "None."},
       {902, kInfo, "call_ended",
--- a/tests/front/version_recorder_test.cc
+++ b/tests/front/version_recorder_test.cc
@@ -7,66 +7,13 @@
 #include <vector>
 
 #include "fake_clock.h"
+#include "fake_object_registry.h"
 
 namespace endiveyard {
 namespace {
 
 constexpr const char* kService = "lm";
 
-// One object. Answers come 4 ms later.
-class FakeRegistry : public RegistryObjectClient {
- public:
-  explicit FakeRegistry(Clock* clock) : clock_(clock) {}
-
-  void Read(const std::string& /*kind*/,
-            const std::string& /*name*/,
-            std::function<void(absl::StatusOr<RegistryObject>)> done) override {
-    ++reads;
-    Answer([this, done] {
-      if (unavailable) {
-        done(absl::UnavailableError("down"));
-      } else if (object.revision == 0) {
-        done(absl::NotFoundError("none"));
-      } else {
-        done(object);
-      }
-    });
-  }
-
-  void Remove(const std::string& /*kind*/,
-              const std::string& /*name*/,
-              int64_t /*revision*/,
-              std::function<void(absl::Status)> /*done*/) override {}
-  void Write(const std::string& /*kind*/,
-             const RegistryObject& written,
-             std::function<void(absl::Status)> done) override {
-    ++writes;
-    Answer([this, written, done] {
-      if (unavailable) {
-        done(absl::UnavailableError("down"));
-      } else if (written.revision != object.revision) {
-        done(absl::AbortedError("changed"));
-      } else {
-        object = written;
-        ++object.revision;
-        done(absl::OkStatus());
-      }
-    });
-  }
-
-  RegistryObject object;
-  bool unavailable = false;
-  int reads = 0;
-  int writes = 0;
-
- private:
-  void Answer(std::function<void()> action) {
-    clock_->Schedule(std::chrono::milliseconds(4), std::move(action));
-  }
-
-  Clock* clock_;
-};
-
 ReplicaView MakeView(int first, int second) {
   std::vector<Replica> replicas;
   for (int n = 0; n < first + second; ++n) {
@@ -82,7 +29,10 @@
 }
 
 struct Instance {
-  Instance(Clock* clock, FakeRegistry* registry, size_t index, size_t count)
+  Instance(Clock* clock,
+           FakeObjectRegistry* registry,
+           size_t index,
+           size_t count)
       : clock(clock) {
     VersionRecorderHandlers handlers;
     handlers.position = [index, count] {
@@ -121,7 +71,7 @@
 };
 
 std::vector<std::unique_ptr<Instance>> StartFleet(Clock* clock,
-                                                  FakeRegistry* registry,
+                                                  FakeObjectRegistry* registry,
                                                   size_t count) {
   std::vector<std::unique_ptr<Instance>> fleet;
   for (size_t n = 0; n < count; ++n) {
@@ -146,7 +96,7 @@
 // were.
 BOOST_AUTO_TEST_CASE(RecordOutlivesAllInstances) {
   Clock clock;
-  FakeRegistry registry(&clock);
+  FakeObjectRegistry registry(&clock);
   auto fleet = StartFleet(&clock, &registry, 8);
   ShowAll(fleet, MakeView(12, 0));
   clock.Advance(30 * kSecond);
@@ -180,7 +130,7 @@
 BOOST_AUTO_TEST_CASE(FewInstancesWriteAChange) {
   for (const size_t instances : {1u, 8u, 95u, 370u}) {
     Clock clock;
-    FakeRegistry registry(&clock);
+    FakeObjectRegistry registry(&clock);
     auto fleet = StartFleet(&clock, &registry, instances);
     ShowAll(fleet, MakeView(12, 0));
     clock.Advance(10 * kSecond);
@@ -208,7 +158,7 @@
 // has ended, or the registry was away.
 BOOST_AUTO_TEST_CASE(OthersWriteWhereOneDoesNot) {
   Clock clock;
-  FakeRegistry registry(&clock);
+  FakeObjectRegistry registry(&clock);
   auto fleet = StartFleet(&clock, &registry, 8);
   ShowAll(fleet, MakeView(12, 0));
   clock.Advance(10 * kSecond);
--- a/tests/placement/stream_starts_test.cc
+++ b/tests/placement/stream_starts_test.cc
@@ -18,6 +18,11 @@
     return starts_.Record(group, replica, first_id, now_);
   }
   void Wait(Duration time) { now_ += time; }
+  void Know(const std::vector<StreamStart>& known) {
+    starts_.RecordKnown(known);
+  }
+  std::vector<StreamStart> Learned() const { return starts_.Learned(now_); }
+  bool TakeUnknownGroupMet() { return starts_.TakeUnknownGroupMet(); }
 
  private:
   TimePoint now_ = TimePointFromMicros(1000000);
@@ -153,4 +158,74 @@
   BOOST_TEST(learn("next"));
 }
 
+// Guards against streams without their first events that a process passes on as
+// whole because it has just started.
+BOOST_AUTO_TEST_CASE(KnownStartsHoldFromTheFirstStream) {
+  Streams before;
+  for (int n = 0; n < kStreamsOfHigherHabit; ++n) {
+    before.Begin(1, 1);
+    before.Begin(2, 1);
+  }
+  BOOST_TEST((before.Learned() == std::vector<StreamStart>{{kGroup, 1}}));
+  BOOST_TEST(before.TakeUnknownGroupMet());
+  Streams after;
+  after.Know(before.Learned());
+  BOOST_TEST(!after.Begin(1, 3));
+  BOOST_TEST(after.Begin(2, 1));
+  BOOST_TEST(!after.Begin(2, 2));
+  BOOST_TEST(after.Begin(3, 0));
+  BOOST_TEST(!after.TakeUnknownGroupMet());
+  BOOST_TEST(after.Learned().empty());
+}
+
+// Guards against a fault of single replicas that spreads to other processes as
+// what is right.
+BOOST_AUTO_TEST_CASE(FaultsOfSingleReplicasAreNotLearned) {
+  Streams streams;
+  for (int n = 0; n < 20; ++n) {
+    streams.Begin(1, 3);
+    for (uint64_t replica = 2; replica <= 4; ++replica) {
+      streams.Begin(replica, n % 3 == 0 ? 3 : 1);
+    }
+  }
+  BOOST_TEST((streams.Learned() == std::vector<StreamStart>{{kGroup, 1}}));
+}
+
+// Guards against the first streams of a new software version or route that are
+// passed on without their first events, and against a version with another
+// convention whose streams are refused for long.
+BOOST_AUTO_TEST_CASE(NewGroupsBeginLikeOthersOfTheirService) {
+  const StreamGroup version = {"svc", "v2", "chat"};
+  Streams streams;
+  streams.Know({{kGroup, 1}});
+  BOOST_TEST(!streams.BeginIn(version, 1, 3));
+  BOOST_TEST(streams.BeginIn(version, 2, 1));
+  BOOST_TEST(!streams.BeginIn({"svc", "v1", "list"}, 1, 2));
+  BOOST_TEST(streams.BeginIn({"other", "v1", "chat"}, 1, 3));
+  BOOST_TEST(streams.TakeUnknownGroupMet());
+
+  const StreamGroup changed = {"svc", "v3", "chat"};
+  int refused = 0;
+  for (uint64_t replica = 1; replica <= 8; ++replica) {
+    refused += streams.BeginIn(changed, replica, 1000) ? 0 : 1;
+  }
+  BOOST_TEST(refused == kReplicasOfConvention);
+}
+
+// Guards against streams that are refused for ever since their service has
+// changed how it counts events: begins higher, or counts over all streams.
+BOOST_AUTO_TEST_CASE(KnownStartsAreGivenUpWhereReplicasContradictThem) {
+  for (const int step : {0, 40}) {
+    Streams streams;
+    streams.Know({{kGroup, 1}});
+    int refused = 0;
+    for (int n = 0; n < 50; ++n) {
+      for (uint64_t replica = 1; replica <= 4; ++replica) {
+        refused += streams.Begin(replica, 7 + n * step) ? 0 : 1;
+      }
+    }
+    BOOST_TEST(refused <= 4 * kStreamsOfHigherHabit);
+  }
+}
+
 }  // namespace endiveyard
