Stream starts: what is known is whole beside own habits; full records stay

By reading: a process whose replicas had shown a lower first id refused what another process had already learned to be right, and instances with more groups than the record holds would have replaced each other's entries at every check. KnownStartsCountBesideOwnHabits and RecordsAreMergedOnlyForNews fail without.

--- a/include/endiveyard/placement/stream_starts.h
+++ b/include/endiveyard/placement/stream_starts.h
@@ -64,10 +64,10 @@
 // one replica incarnation do. What two replicas have as a habit is right, also
 // beside another one, so that a new convention is taken over.
 //
-// What other processes have learned holds from the first stream on, until
-// replicas that contradict it are as many as those that confirm it. A group of
-// which nothing is known is expected to begin like the others of its service.
-// Not thread-safe.
+// What other processes have learned holds from the first stream on, unless
+// several replicas contradict it, more than confirm it. A group of which
+// nothing is known is expected to begin like the others of its service. Not
+// thread-safe.
 class StreamStarts {
  public:
   // Records what other processes have learned, in place of what was recorded
@@ -103,6 +103,8 @@
   static void Count(Replica* replica, int64_t first_id, TimePoint now);
   // Judges by the replicas of the group only.
   static bool IsLateByHabit(const Replicas& replicas, int64_t first_id);
+  // Returns true if the first id is known from elsewhere.
+  bool IsKnown(const StreamGroup& group, int64_t first_id) const;
   // Judges by what is known from elsewhere.
   bool IsLateByKnown(const StreamGroup& group,
                      const Replicas& replicas,
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -153,9 +153,9 @@
 
   // Selects the targets. Exposed for the load exchange with other instances.
   Placer* placer();
-  // Finds requests that crash replicas. Exposed for the load exchange.
   StreamVersions* stream_versions();
   StreamStarts* stream_starts();
+  // Finds requests that crash replicas. Exposed for the load exchange.
   CrashSuspects* crash_suspects();
   // The instances that requests are forwarded to while no target can be
   // reached. Exposed for the load exchange.
--- a/src/front/stream_start_record.cc
+++ b/src/front/stream_start_record.cc
@@ -75,6 +75,7 @@
 RecordedStreamStarts MergeStreamStarts(const RecordedStreamStarts& recorded,
                                        const std::vector<StreamStart>& learned,
                                        int64_t unix_ms) {
+  const int64_t confirmation_ms = InMillis(kStreamStartConfirmationInterval);
   RecordedStreamStarts merged;
   for (const auto& [start, confirmed_ms] : recorded) {
     if (unix_ms - confirmed_ms < InMillis(kRecordedStreamStartLifetime)) {
@@ -88,16 +89,19 @@
     const auto known = merged.find(it);
     if (known != merged.end()) {
       // The time of day may be behind that of the instance that wrote it.
-      if (unix_ms - known->second >=
-          InMillis(kStreamStartConfirmationInterval)) {
+      if (unix_ms - known->second >= confirmation_ms) {
         known->second = unix_ms;
       }
       continue;
     }
     if (merged.size() >= kMaxEntries) {
-      merged.erase(std::min_element(
+      const auto oldest = std::min_element(
           merged.begin(), merged.end(),
-          [](const auto& a, const auto& b) { return a.second < b.second; }));
+          [](const auto& a, const auto& b) { return a.second < b.second; });
+      if (unix_ms - oldest->second < confirmation_ms) {
+        continue;  // all are in use
+      }
+      merged.erase(oldest);
     }
     merged[it] = unix_ms;
   }
--- a/src/front/stream_start_record.h
+++ b/src/front/stream_start_record.h
@@ -28,7 +28,7 @@
 
 // Returns `recorded` without old entries and with what was learned. The result
 // equals `recorded` if there is nothing to write. In a full record, an entry
-// replaces the one that was confirmed longest ago.
+// replaces the one that was confirmed longest ago, if that is due again.
 RecordedStreamStarts MergeStreamStarts(const RecordedStreamStarts& recorded,
                                        const std::vector<StreamStart>& learned,
                                        int64_t unix_ms);
--- a/src/placement/stream_starts.cc
+++ b/src/placement/stream_starts.cc
@@ -32,8 +32,9 @@
     return true;
   }
   unknown_group_met_ |= known_.count(group) == 0;
-  const bool is_late = IsLateByHabit(*replicas, first_id) ||
-                       IsLateByKnown(group, *replicas, first_id);
+  const bool is_late =
+      !IsKnown(group, first_id) && (IsLateByHabit(*replicas, first_id) ||
+                                    IsLateByKnown(group, *replicas, first_id));
   if (replicas->size() < kMaxReplicasOfStreamGroup ||
       replicas->count(replica_key) > 0) {
     Count(&(*replicas)[replica_key], first_id, now);
@@ -83,6 +84,11 @@
          });
 }
 
+bool StreamStarts::IsKnown(const StreamGroup& group, int64_t first_id) const {
+  const auto it = known_.find(group);
+  return it != known_.end() && it->second.count(first_id) > 0;
+}
+
 bool StreamStarts::IsLateByKnown(const StreamGroup& group,
                                  const Replicas& replicas,
                                  int64_t first_id) const {
--- a/tests/front/stream_start_record_test.cc
+++ b/tests/front/stream_start_record_test.cc
@@ -66,7 +66,8 @@
         kUnixMs + static_cast<int64_t>(n);
   }
   const StreamStart added = StartOf("next", 1);
-  const auto merged = MergeStreamStarts(full, {added}, kUnixMs + kHourMs / 2);
+  BOOST_TEST((MergeStreamStarts(full, {added}, kUnixMs + kHourMs / 2) == full));
+  const auto merged = MergeStreamStarts(full, {added}, kUnixMs + kHourMs);
   BOOST_TEST(merged.size() == full.size());
   BOOST_TEST(merged.count(added) == 1);
   BOOST_TEST(merged.count(StartOf("v0", 1)) == 0);
--- a/tests/placement/stream_starts_test.cc
+++ b/tests/placement/stream_starts_test.cc
@@ -178,6 +178,20 @@
   BOOST_TEST(after.Learned().empty());
 }
 
+// Guards against streams that are refused since a process still expects what
+// its replicas did before their service changed how it counts events.
+BOOST_AUTO_TEST_CASE(KnownStartsCountBesideOwnHabits) {
+  Streams streams;
+  for (int n = 0; n < kStreamsOfHabit; ++n) {
+    streams.Begin(1, 0);
+    streams.Begin(2, 0);
+  }
+  BOOST_TEST(!streams.Begin(3, 1));
+  streams.Know({{kGroup, 1}});
+  BOOST_TEST(streams.Begin(3, 1));
+  BOOST_TEST(!streams.Begin(3, 2));
+}
+
 // Guards against a fault of single replicas that spreads to other processes as
 // what is right.
 BOOST_AUTO_TEST_CASE(FaultsOfSingleReplicasAreNotLearned) {
