Retry bound: instances whose records lapsed leave the slack to others

An instance divides the slack of the retry bound by those that are heard or have a record in the registry. A record lapses 90 s after its last renewal. An instance that is cut off from the registry and from the others, or stands still, for longer kept its share of the slack, while those that started meanwhile, or had forgotten it after five minutes, divided the whole slack among themselves.

Each instance now knows until when others count it: by its own record in the lists, or while it hears all that the registry has named. After that it spends its part of the fifth of the slack that is kept in reserve, and until two windows after it is counted again. An outage of the registry costs nothing as long as all instances hear each other.

Ruled out: cuts of 60 s, before records lapse; keeping records for longer, which moves the moment and keeps shares of instances that are gone.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -77,6 +77,10 @@
   // Records the instances that run according to the registry. They share what
   // all have together, whether they are heard or not.
   void RecordRegistered(const std::vector<std::string>& ips);
+  // Records that others count this instance by its record for `left` more.
+  void RecordOwnRecord(Duration left);
+  // Returns until when all others count this instance, as far as it knows.
+  TimePoint CountedUntil() const;
   // Returns true if the instance at this address is live, or is this one.
   bool Hears(const std::string& ip) const;
   // Returns what instances that do not hear this one have to know: evidence of
--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -70,6 +70,10 @@
   // one.
   void RecordRegistered(const std::vector<uint32_t>& addresses, TimePoint now);
 
+  // Records that others count this instance until then, by its record in the
+  // registry.
+  void RecordOwnRecord(TimePoint until);
+
   // Returns true if a sign of life of the instance was seen lately.
   bool IsLive(uint32_t address, TimePoint now) const;
 
@@ -96,6 +100,10 @@
   // instances that are heard need not be all there are.
   std::optional<size_t> SharingCount(TimePoint now) const;
 
+  // Returns until when the others count this instance: as its record says, or
+  // longer while all that the registry has named are heard.
+  TimePoint CountedUntil(TimePoint now) const;
+
   // Returns the time within which all others learn that an instance is back.
   Duration SpreadingTime(TimePoint now) const;
 
@@ -145,6 +153,7 @@
   // Instances that the registry has named, and since when lists leave them out.
   std::map<uint32_t, std::optional<TimePoint>> registered_;
   bool is_sharing_known_ = false;
+  TimePoint own_record_until_{};
   std::optional<TimePoint> own_leaving_since_;
   // Position in the lists of the members of other regions.
   size_t region_turn_ = 0;
--- a/include/endiveyard/placement/service_retry_budget.h
+++ b/include/endiveyard/placement/service_retry_budget.h
@@ -30,6 +30,10 @@
 // Share of the slack that instances which know each other divide. The rest
 // allows for instances that are not known yet.
 inline constexpr double kUsableSlackShare = 0.8;
+// Time, in windows, for which an instance that was not counted by all others
+// spends no more than its part of that rest once it is counted again: until the
+// others have learned of it, and what they spent before has left the window.
+inline constexpr int kWindowsUntilRecounted = 2;
 // The highest number of instances within this time counts.
 inline constexpr Duration kInstanceCountMemory = std::chrono::minutes(5);
 
@@ -54,6 +58,9 @@
   // Records how many instances share the bound, including this one and those
   // that it does not hear.
   void RecordInstanceCount(size_t instances, TimePoint now);
+  // Records until when all others count this instance. After that, those that
+  // have started meanwhile may divide the slack among fewer.
+  void RecordCounted(TimePoint until, TimePoint now);
   // Consumes one retry; returns false if the budget of `service` has none left.
   bool TryConsume(const std::string& service, TimePoint now);
   // Returns the retries that are left in the current window.
@@ -67,13 +74,16 @@
   };
 
   Window& RemoveExpired(const std::string& service, TimePoint now);
-  double SlackShare() const;
+  double SlackShare(TimePoint now) const;
+  bool IsCountedByAll(TimePoint now) const;
   bool InFirstWindow(TimePoint now) const;
 
   RetryBound bound_;
   std::optional<TimePoint> started_at_;
   size_t instance_count_ = 0;  // 0 if unknown
   TimePoint instance_count_at_{};
+  std::optional<TimePoint> counted_until_;  // nullopt if unknown
+  std::optional<TimePoint> recounted_at_;
   std::map<std::string, Window> windows_;
 };
 
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -605,6 +605,10 @@
       ips.reserve(instances.size());
       for (const RecordedInstance& it : instances) {
         ips.push_back(it.ip);
+        if (it.ip == settings_.own_ip) {
+          load_exchange_.RecordOwnRecord(kInstanceRecordLifetime -
+                                         it.report_age);
+        }
         load_exchange_.ApplyReportOfUnheard(it.report, it.report_age);
       }
       load_exchange_.RecordRegistered(ips);
@@ -911,6 +915,7 @@
     }
     if (const auto instances = load_exchange_.SharingCount()) {
       relay_.set_instance_count(*instances);
+      relay_.SetCountedUntil(load_exchange_.CountedUntil());
     }
     load_exchange_.SetTakesRequests(listens_for_peers_ && IsReady() &&
                                     !registry_lost_ &&
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -155,6 +155,14 @@
     directory_.RecordRegistered(ParseIps(ips), BootClock::now());
   }
 
+  void RecordOwnRecord(Duration left) {
+    directory_.RecordOwnRecord(BootClock::now() + left);
+  }
+
+  TimePoint CountedUntil() const {
+    return directory_.CountedUntil(BootClock::now());
+  }
+
   bool Hears(const std::string& ip) const {
     const uint32_t address = ParseIp(ip);
     return address == 0 || address == own_address_ ||
@@ -668,6 +676,14 @@
   impl_->RecordRegistered(ips);
 }
 
+void LoadExchange::RecordOwnRecord(Duration left) {
+  impl_->RecordOwnRecord(left);
+}
+
+TimePoint LoadExchange::CountedUntil() const {
+  return impl_->CountedUntil();
+}
+
 bool LoadExchange::Hears(const std::string& ip) const {
   return impl_->Hears(ip);
 }
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -180,6 +180,10 @@
   }
 }
 
+void PeerDirectory::RecordOwnRecord(TimePoint until) {
+  own_record_until_ = std::max(own_record_until_, until);
+}
+
 std::vector<uint32_t> PeerDirectory::RegisteredOnly(TimePoint now) const {
   std::vector<uint32_t> only;
   for (const auto& [address, missing_since] : registered_) {
@@ -210,6 +214,12 @@
                            : std::nullopt;
 }
 
+TimePoint PeerDirectory::CountedUntil(TimePoint now) const {
+  return RegisteredOnly(now).empty()
+             ? std::max(own_record_until_, now + kPeerTimeout)
+             : own_record_until_;
+}
+
 std::vector<uint32_t> PeerDirectory::Mates(TimePoint now) const {
   std::vector<uint32_t> live = LivePeers(now);
   if (live.size() <= kMaxPeersForFullExchange) {
--- a/src/placement/service_retry_budget.cc
+++ b/src/placement/service_retry_budget.cc
@@ -33,16 +33,34 @@
   }
 }
 
-double ServiceRetryBudget::SlackShare() const {
+void ServiceRetryBudget::RecordCounted(TimePoint until, TimePoint now) {
+  if (counted_until_ && now >= *counted_until_ && now < until) {
+    recounted_at_ = now;
+  }
+  counted_until_ = until;
+}
+
+bool ServiceRetryBudget::IsCountedByAll(TimePoint now) const {
+  const bool is_counted = !counted_until_ || now < *counted_until_;
+  const bool is_known_again =
+      !recounted_at_ ||
+      now - *recounted_at_ >= kWindowsUntilRecounted * bound_.window;
+  return is_counted && is_known_again;
+}
+
+double ServiceRetryBudget::SlackShare(TimePoint now) const {
   // One retry is always possible, unless there are more instances than retries.
   if (instance_count_ == 0) {
     return 1;
   }
+  const bool is_counted = IsCountedByAll(now);
+  const double usable = is_counted ? kUsableSlackShare : 1 - kUsableSlackShare;
   const double share =
-      bound_.slack * kUsableSlackShare / static_cast<double>(instance_count_);
+      bound_.slack * usable / static_cast<double>(instance_count_);
   const bool more_instances_than_retries =
       bound_.slack > 0 && bound_.slack < static_cast<double>(instance_count_);
-  return more_instances_than_retries ? share : std::max(1.0, share);
+  return is_counted && !more_instances_than_retries ? std::max(1.0, share)
+                                                    : share;
 }
 
 bool ServiceRetryBudget::InFirstWindow(TimePoint now) const {
@@ -57,7 +75,7 @@
       in_first_window ? kUsableRatioShareAfterStart : kUsableRatioShare;
   const double earned =
       bound_.ratio * ratio_share * static_cast<double>(window.requests.size());
-  return earned + (in_first_window ? 0 : SlackShare()) -
+  return earned + (in_first_window ? 0 : SlackShare(now)) -
          static_cast<double>(window.retries.size());
 }
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -409,4 +409,8 @@
                                                     BootClock::now());
 }
 
+void Relay::SetCountedUntil(TimePoint until) {
+  impl_->context().retry_budget.RecordCounted(until, BootClock::now());
+}
+
 }  // namespace endiveyard
--- a/tests/placement/service_retry_budget_test.cc
+++ b/tests/placement/service_retry_budget_test.cc
@@ -222,6 +222,29 @@
   BOOST_TEST(alone.Remaining("s", At(0)) < share);
 }
 
+// Guards against an instance that stood still until others no longer counted
+// it, and spends the share that these have divided among themselves.
+BOOST_AUTO_TEST_CASE(InstancesThatOthersNoLongerCountSpendTheRestOnly) {
+  ServiceRetryBudget budget(kBound);
+  budget.RecordInstanceCount(8, At(0));
+  budget.RecordCounted(At(90000), At(0));
+  const double share = kBound.slack * kUsableSlackShare / 8;
+  const double rest = kBound.slack * (1 - kUsableSlackShare) / 8;
+  const auto check = [&](int64_t ms, double expected) {
+    BOOST_TEST(budget.Remaining("s", At(ms)) == expected, tt::tolerance(1e-9));
+  };
+  check(89999, share);
+  check(90000, rest);
+  // Lists of others name it again later.
+  budget.RecordInstanceCount(8, At(100000));
+  budget.RecordCounted(At(190000), At(100000));
+  check(100000, rest);
+  check(119999, rest);
+  check(120000, share);
+  budget.RecordCounted(At(210000), At(120000));
+  check(209999, share);
+}
+
 // Guards against an instance that may not retry until it has received requests.
 BOOST_AUTO_TEST_CASE(NewInstanceHasOneRetry) {
   ServiceRetryBudget budget(kBound);
