--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -189,6 +189,23 @@
   BOOST_TEST((directory.OwnSharingPosition(At(later)) == expected));
 }
 
+// Guards against an outage of the registry that takes the slack of the retry
+// bound from instances which all hear each other.
+BOOST_AUTO_TEST_CASE(InstancesThatHearAllOthersAreCounted) {
+  PeerDirectory directory(1, kRegion, {});
+  directory.RecordRegistered({1, 2, 3}, At(0));
+  directory.RecordOwnRecord(At(90000));
+  const auto hear = [&directory](uint32_t address) {
+    directory.RecordReport({address, kRegion, Duration(0)}, 1, {}, At(100000));
+  };
+  hear(2);
+  BOOST_TEST((directory.CountedUntil(At(100000)) == At(90000)));
+  hear(3);
+  BOOST_TEST((directory.CountedUntil(At(100000)) > At(100000)));
+  const int64_t silent = 100000 + kPeerTimeout.count() / 1000;
+  BOOST_TEST((directory.CountedUntil(At(silent)) == At(90000)));
+}
+
 // Guards against instances that do not hear each other and each have to lose
 // replicas before they refuse requests that crash them (BUDGET).
 BOOST_AUTO_TEST_CASE(EvidenceOfCrashesReachesInstancesThatAreNotHeard) {
