Crash evidence: outlives the processes that gathered it

Which requests crash replicas was passed on by datagrams, and by records in the registry only where instances do not hear each other. Once all processes had ended, the next ones learned it anew, from three more crashed replicas.

The first two live instances now keep their evidence in their records, written anew every 5 s at most while it changes, and a process that starts reads it, its own record included. Costs two writes in 5 s for the whole fleet, only while evidence changes.

KeptReportsOutliveAllInstances and the added check in EvidenceOfCrashesReachesInstancesThatAreNotHeard fail without the change to the recorder and to the load exchange. Not shown: real processes, since the soak has no requests that crash replicas; the connection of the recorder to the position of the instance (FrontInstance) is guarded by no test.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -87,7 +87,8 @@
   // requests that crash replicas. As text; empty if there is none. Sets
   // `fingerprint`, which differs between reports that tell something else.
   std::string ReportForUnheard(uint64_t* fingerprint);
-  // Applies what another instance returned from ReportForUnheard() `age` ago.
+  // Applies what an instance returned from ReportForUnheard() `age` ago. It may
+  // be this one, before it was started again.
   void ApplyReportOfUnheard(const std::string& text, Duration age);
   // Returns the number of instances that share it, including this one; nullopt
   // before the registry has named this one.
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -622,6 +622,9 @@
       report.text = load_exchange_.ReportForUnheard(&report.fingerprint);
       return report;
     };
+    handlers.keeps_report = [this] {
+      return load_exchange_.Position().index < kReportKeepers;
+    };
     handlers.on_failure = [this](const absl::Status& status) {
       LogText(kLogInstanceRecordFailed, "detail",
               std::string(status.message()));
--- a/src/front/instance_recorder.cc
+++ b/src/front/instance_recorder.cc
@@ -159,13 +159,17 @@
                                    kReportWriteInterval),
              &Impl::OnReportTimer);
     const InstanceReport report = Report();
-    if (!report.text.empty() && report.fingerprint != written_fingerprint_) {
+    const bool is_due = misses_instances_ || handlers_.now() - written_at_ >=
+                                                 kKeptReportWriteInterval;
+    if (is_due && !report.text.empty() &&
+        report.fingerprint != written_fingerprint_) {
       StartWrite();
     }
   }
 
   InstanceReport Report() const {
-    return misses_instances_ ? handlers_.report() : InstanceReport();
+    return misses_instances_ || handlers_.keeps_report() ? handlers_.report()
+                                                         : InstanceReport();
   }
 
   void StartWrite() {
@@ -177,6 +181,7 @@
   void Write() {
     InstanceReport report = Report();
     written_fingerprint_ = report.fingerprint;
+    written_at_ = handlers_.now();
     RegistryObject object;
     object.name = options_.name;
     object.revision = exists_ ? kAnyRevision : 0;
@@ -228,6 +233,7 @@
   bool is_write_pending_ = false;
   bool is_second_write_ = false;
   uint64_t written_fingerprint_ = 0;  // of the report that was written last
+  TimePoint written_at_{};
   bool has_failed_ = false;
 };
 
--- a/src/front/instance_recorder.h
+++ b/src/front/instance_recorder.h
@@ -44,6 +44,10 @@
 // An instance writes a new report after this time at the earliest, and later
 // where all together would use more than half of the writes of the registry.
 inline constexpr Duration kReportWriteInterval = std::chrono::seconds(1);
+// Instances that keep their report in their record although all hear them, so
+// that it outlives all processes, and how often they write a new one.
+inline constexpr size_t kReportKeepers = 2;
+inline constexpr Duration kKeptReportWriteInterval = std::chrono::seconds(5);
 
 struct InstanceRecorderOptions {
   std::string kind;  // of the objects that hold the records
@@ -79,13 +83,16 @@
   std::function<bool(const std::string& ip)> hears;
   // Returns what to tell instances that do not hear this one.
   std::function<InstanceReport()> report;
+  // Returns true if this instance is one of the keepers of reports.
+  std::function<bool()> keeps_report;
   // A read or write failed; called for the first one in a row.
   std::function<void(const absl::Status& status)> on_failure;
 };
 
 // Keeps a record of this instance in the registry, and reads those of the
 // others, so that an instance also knows of those that it does not hear, and
-// can tell them what must not wait.
+// can tell them what must not wait. What some of them know is there for those
+// that start when all have ended.
 class InstanceRecorder {
  public:
   InstanceRecorder(RegistryClient* lists,
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -199,7 +199,7 @@
     }
     const auto report = DecodePeerLoadReport(
         absl::HexStringToBytes(absl::string_view(text.data(), text.size())));
-    if (!report || report->sender == own_address_) {
+    if (!report) {
       return;
     }
     const TimePoint now = BootClock::now();
--- a/tests/front/instance_recorder_test.cc
+++ b/tests/front/instance_recorder_test.cc
@@ -129,6 +129,7 @@
       return unheard.count(ip) == 0;
     };
     handlers.report = [this] { return report; };
+    handlers.keeps_report = [this] { return keeps_report; };
     handlers.on_failure = [this](const absl::Status&) { ++failures; };
     recorder = std::make_unique<InstanceRecorder>(
         registry, registry,
@@ -143,6 +144,7 @@
   std::map<std::string, RecordedInstance> reports;  // by address
   std::set<std::string> unheard;
   InstanceReport report;
+  bool keeps_report = false;
   int failures = 0;
 };
 
@@ -262,6 +264,33 @@
   BOOST_TEST(registry.full_price_lists > 0);
 }
 
+// Guards against what must not wait being lost with the last process that knows
+// it, and against a write for each change of it.
+BOOST_AUTO_TEST_CASE(KeptReportsOutliveAllInstances) {
+  Clock clock;
+  FakeRegistry registry(&clock);
+  auto instances = StartInstances(&clock, &registry, 3);
+  clock.Advance(20 * kSecond);
+  const size_t writes = registry.write_times.size();
+  instances[0]->keeps_report = true;
+  for (uint64_t n = 1; n <= 200; ++n) {
+    for (const auto& it : instances) {
+      it->report = {"report " + std::to_string(n), n};
+    }
+    clock.Advance(kSecond / 10);
+  }
+  clock.Advance(kKeptReportWriteInterval);
+  BOOST_TEST(registry.write_times.size() <= writes + 5 + 3);
+  BOOST_TEST(registry.full_price_lists == 0);
+  instances.clear();
+  instances = StartInstances(&clock, &registry, 3);
+  clock.Advance(kSecond / 100);
+  for (const auto& it : instances) {
+    BOOST_TEST(it->reports["10.0.0.0"].report == "report 200");
+    BOOST_TEST(it->reports["10.0.0.1"].report.empty());
+  }
+}
+
 // Guards against lists at the full price for instances that are gone.
 BOOST_AUTO_TEST_CASE(InstancesThatAreGoneAreNotWaitedFor) {
   Clock clock;
--- a/tests/front/instance_shares_test.cc
+++ b/tests/front/instance_shares_test.cc
@@ -119,6 +119,7 @@
     };
     handlers.hears = [](const std::string&) { return true; };
     handlers.report = [] { return InstanceReport(); };
+    handlers.keeps_report = [] { return false; };
     handlers.on_failure = [](const absl::Status&) {};
     recorder_ = std::make_unique<InstanceRecorder>(
         &link, &link,
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -249,6 +249,12 @@
   BOOST_TEST(fingerprints.size() == 3u);
   BOOST_TEST((second.suspects.Judge(keys, BootClock::now()) ==
               CrashVerdict::kCulprit));
+  // A process that starts in place of the first reads what that has written.
+  Instance restarted("10.0.0.1");
+  restarted.exchange.ApplyReportOfUnheard(
+      first.exchange.ReportForUnheard(&fingerprint), std::chrono::seconds(2));
+  BOOST_TEST((restarted.suspects.Judge(keys, BootClock::now()) ==
+              CrashVerdict::kCulprit));
   // What is no report changes nothing.
   for (const std::string text : {"", "0", "zz", "00", "ffffffffffffffff"}) {
     second.exchange.ApplyReportOfUnheard(text, Duration(0));
--- a/tests/placement/crash_spread_test.cc
+++ b/tests/placement/crash_spread_test.cc
@@ -45,10 +45,19 @@
       }
       Exchange();
       ExchangeThroughRegistry();
+      if (std::find(restarts_ms_.begin(), restarts_ms_.end(), now_ms_) !=
+          restarts_ms_.end()) {
+        RestartAll();
+      }
     }
     return result_;
   }
 
+  // All instances end and start again at these times.
+  void set_restarts(std::vector<int64_t> restarts_ms) {
+    restarts_ms_ = std::move(restarts_ms);
+  }
+
  private:
   static constexpr int kReplicas = 12;
   struct Call {
@@ -71,6 +80,19 @@
 
   TimePoint Now() const { return TimePointFromMicros(now_ms_ * 1000); }
 
+  // What the processes knew is gone, but for records, and calls that they had
+  // sent with it.
+  void RestartAll() {
+    for (size_t n = 0; n < suspects_.size(); ++n) {
+      suspects_[n] = CrashSuspects();
+      ReadRecords(n);
+    }
+    for (Replica& it : replicas_) {
+      it.calls.clear();
+    }
+    restarted_ms_ = now_ms_;
+  }
+
   void Arrive(double deadly_share) {
     constexpr double kRequestsPerStep = 0.4;
     if (!Chance(kRequestsPerStep)) {
@@ -100,7 +122,7 @@
       return;
     }
     if (call.deadly && result_.crashes >= 5 &&
-        now_ms_ > fifth_crash_ms_ + kStableMs) {
+        now_ms_ > std::max(fifth_crash_ms_, restarted_ms_) + kStableMs) {
       ++result_.late_requests;
     }
     call.sent_ms = now_ms_;
@@ -177,25 +199,30 @@
   }
 
   // Parts tell each other through the registry: each instance writes what it
-  // knows once a second, and reads all every two seconds.
+  // knows once a second, and reads all every two seconds. In a whole fleet, few
+  // write, for those that start when all have ended.
   void ExchangeThroughRegistry() {
     constexpr size_t kMaxKeys = 128;
-    constexpr size_t kWriteSteps = 1000 / kStepMs;
+    constexpr size_t kKeepers = 2;
     constexpr size_t kReadSteps = 2000 / kStepMs;
+    const size_t write_steps = (parts_ > 1 ? 1000 : 5000) / kStepMs;
     records_.resize(suspects_.size());
-    for (size_t n = 0; parts_ > 1 && n < suspects_.size(); ++n) {
+    for (size_t n = 0; n < suspects_.size(); ++n) {
       const size_t phase = static_cast<size_t>(now_ms_ / kStepMs) + 37 * n;
-      if (phase % kWriteSteps == 0) {
+      if (phase % write_steps == 0 && (parts_ > 1 || n < kKeepers)) {
         records_[n] = {suspects_[n].Digest(kMaxKeys, Now()), now_ms_};
       }
-      if (phase % kReadSteps != 0) {
-        continue;
+      if (phase % kReadSteps == 0 && parts_ > 1) {
+        ReadRecords(n);
       }
-      for (const Record& record : records_) {
-        for (CrashReport it : record.reports) {
-          AddAge(Duration((now_ms_ - record.written_ms) * 1000), &it);
-          suspects_[n].ApplyReport(it, Now(), true);
-        }
+    }
+  }
+
+  void ReadRecords(size_t n) {
+    for (const Record& record : records_) {
+      for (CrashReport it : record.reports) {
+        AddAge(Duration((now_ms_ - record.written_ms) * 1000), &it);
+        suspects_[n].ApplyReport(it, Now(), true);
       }
     }
   }
@@ -228,6 +255,8 @@
   uint32_t requests_ = 0;
   int64_t now_ms_ = 0;
   int64_t fifth_crash_ms_ = 0;
+  std::vector<int64_t> restarts_ms_;
+  int64_t restarted_ms_ = 0;
   Result result_;
 };
 
@@ -268,4 +297,20 @@
   }
 }
 
+// Guards against a fleet that learns anew which requests crash replicas
+// whenever all of its processes end.
+BOOST_AUTO_TEST_CASE(WhatCrashesReplicasIsKnownAfterAllInstancesHaveEnded) {
+  for (const double deadly_share : {0.005, 0.01, 0.05}) {
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      CrashingFleet fleet(8, 1, seed);
+      fleet.set_restarts({30000, 50000, 70000});
+      const Result result = fleet.Run(90000, deadly_share);
+      BOOST_TEST_CONTEXT("seed " << seed << " share " << deadly_share) {
+        BOOST_TEST(result.late_requests <= kMaxLateRequests);
+        BOOST_TEST(result.sound_refused <= result.sound_requests / 20);
+      }
+    }
+  }
+}
+
 }  // namespace endiveyard
