--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -77,13 +77,18 @@
   // Records the instances that run according to the registry. They share what
   // all have together, whether they are heard or not.
   void RecordRegistered(const std::vector<std::string>& ips);
+  // Records that others count this instance by its record for `left` more.
+  void RecordOwnRecord(Duration left);
+  // Returns until when all others count this instance, as far as it knows.
+  TimePoint CountedUntil() const;
   // Returns true if the instance at this address is live, or is this one.
   bool Hears(const std::string& ip) const;
   // Returns what instances that do not hear this one have to know: evidence of
   // requests that crash replicas. As text; empty if there is none. Sets
   // `fingerprint`, which differs between reports that tell something else.
   std::string ReportForUnheard(uint64_t* fingerprint);
-  // Applies what another instance returned from ReportForUnheard() `age` ago.
+  // Applies what an instance returned from ReportForUnheard() `age` ago. It may
+  // be this one, before it was started again.
   void ApplyReportOfUnheard(const std::string& text, Duration age);
   // Returns the number of instances that share it, including this one; nullopt
   // before the registry has named this one.
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -189,6 +189,23 @@
   BOOST_TEST((directory.OwnSharingPosition(At(later)) == expected));
 }
 
+// Guards against an outage of the registry that takes the slack of the retry
+// bound from instances which all hear each other.
+BOOST_AUTO_TEST_CASE(InstancesThatHearAllOthersAreCounted) {
+  PeerDirectory directory(1, kRegion, {});
+  directory.RecordRegistered({1, 2, 3}, At(0));
+  directory.RecordOwnRecord(At(90000));
+  const auto hear = [&directory](uint32_t address) {
+    directory.RecordReport({address, kRegion, Duration(0)}, 1, {}, At(100000));
+  };
+  hear(2);
+  BOOST_TEST((directory.CountedUntil(At(100000)) == At(90000)));
+  hear(3);
+  BOOST_TEST((directory.CountedUntil(At(100000)) > At(100000)));
+  const int64_t silent = 100000 + kPeerTimeout.count() / 1000;
+  BOOST_TEST((directory.CountedUntil(At(silent)) == At(90000)));
+}
+
 // Guards against instances that do not hear each other and each have to lose
 // replicas before they refuse requests that crash them (BUDGET).
 BOOST_AUTO_TEST_CASE(EvidenceOfCrashesReachesInstancesThatAreNotHeard) {
@@ -232,6 +249,12 @@
   BOOST_TEST(fingerprints.size() == 3u);
   BOOST_TEST((second.suspects.Judge(keys, BootClock::now()) ==
               CrashVerdict::kCulprit));
+  // A process that starts in place of the first reads what that has written.
+  Instance restarted("10.0.0.1");
+  restarted.exchange.ApplyReportOfUnheard(
+      first.exchange.ReportForUnheard(&fingerprint), std::chrono::seconds(2));
+  BOOST_TEST((restarted.suspects.Judge(keys, BootClock::now()) ==
+              CrashVerdict::kCulprit));
   // What is no report changes nothing.
   for (const std::string text : {"", "0", "zz", "00", "ffffffffffffffff"}) {
     second.exchange.ApplyReportOfUnheard(text, Duration(0));
