Forwarding: an instance that shuts down takes what no other takes

"No instance takes requests" and "the last that can are shutting down" looked the same to the sender.

It now says takesLastRequests in its reports, a new field: older builds ignore it and send nothing, as before. Newer ones choose such an instance only if no other takes requests, whatever the region. It says so until 0.6 s before its listener closes, so that the others hear of the end (a small fleet reports twice a second); a connection that is refused counts as not sent, as before.

A forwarded request whose route allows more time than the instance has gets 421, from SIGTERM on and not only after the drain delay: it would be cut off at the end of the grace period, and the sender, which is not shutting down, would lose it. Weighed: to go on saying takesRequests while draining (older senders would choose it like any other), and to keep the listener of the instances open until the end of the grace period (each process would end later, and its start is what the others wait for).

Without the change, both new tests fail (the choice put back, the 421 put back, the statement put to false).

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -95,6 +95,8 @@
   void SetRegistryLost(bool is_lost);
   // Tells the others whether this instance takes requests that they forward.
   void SetTakesRequests(bool takes_requests);
+  // The same of requests that no other instance takes.
+  void SetTakesLastRequests(bool takes_last_requests);
   // Returns the digest of the own region, as in reports.
   uint16_t region() const;
   // Returns true if others have told lately that they cannot read the registry,
--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -77,6 +77,7 @@
   bool registry_lost = false;  // the sender cannot read the registry
   // The sender takes requests that others forward, see ForwardingState.
   bool takes_requests = false;
+  bool takes_last_requests = false;  // see ForwardingState
   // Version of the service map that the sender has in force; 0 if not told.
   int64_t map_version = 0;
   int64_t unix_ms = 0;  // time of day at the sender; 0 if not told
--- a/include/endiveyard/placement/forwarding_peers.h
+++ b/include/endiveyard/placement/forwarding_peers.h
@@ -17,6 +17,9 @@
   // shutting down.
   bool takes_requests = false;
   uint16_t region = 0;  // digest of the region name
+  // It is shutting down and takes requests that no other instance takes, if
+  // they end before it does.
+  bool takes_last_requests = false;
 };
 
 // The other instances, as possible receivers of requests that this one cannot
@@ -36,8 +39,9 @@
   // Returns true if the instance has reported within the last minute.
   bool IsKnown(uint32_t address, TimePoint now) const;
   // Returns the instance to forward a request to: of those that take requests,
-  // the one with the fewest open ones from here, with a preference for the
-  // region `own_region`. `tie_breaker` spreads instances that choose alike.
+  // or else of those that take the last ones, the one with the fewest open ones
+  // from here, with a preference for the region `own_region`. `tie_breaker`
+  // spreads instances that choose alike.
   std::optional<uint32_t> Choose(uint16_t own_region,
                                  const std::set<uint32_t>& excluded,
                                  uint64_t tie_breaker,
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -143,6 +143,8 @@
   // Returns true if this instance has its links, and room for connections of
   // others.
   bool TakesForwardedRequests() const;
+  // The same while draining, as long as others hear in time that it is over.
+  bool TakesLastForwardedRequests() const;
   // Sets the region as peers state it, see ForwardingState.
   void set_own_region(uint16_t region);
 
@@ -165,9 +167,10 @@
   // connection. After `drain_delay`, by which time the platform's load balancer
   // has stopped sending new callers, the listener and idle connections are
   // closed, and requests whose timeout reaches beyond `deadline` are rejected
-  // with 503 before they run. At `deadline`, requests that are still open are
-  // answered: with 503 if they have not run, with 502 if they may have. A
-  // response that has begun is broken off.
+  // with 503 before they run. Forwarded ones are rejected so at once, with 421:
+  // their sender may know another instance. At `deadline`, requests that are
+  // still open are answered: with 503 if they have not run, with 502 if they
+  // may have. A response that has begun is broken off.
   void StartDraining(Duration drain_delay, TimePoint deadline);
   size_t open_exchanges() const;
   size_t open_connections() const;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -912,9 +912,12 @@
     if (const auto instances = load_exchange_.SharingCount()) {
       relay_.set_instance_count(*instances);
     }
-    load_exchange_.SetTakesRequests(listens_for_peers_ && IsReady() &&
-                                    !registry_lost_ &&
+    const bool serves_peers =
+        listens_for_peers_ && routing_state_.IsComplete() && !registry_lost_;
+    load_exchange_.SetTakesRequests(serves_peers && !drain_start_ &&
                                     relay_.TakesForwardedRequests());
+    load_exchange_.SetTakesLastRequests(serves_peers &&
+                                        relay_.TakesLastForwardedRequests());
     if (drain_start_ && now - *drain_start_ >= kDrainDelay) {
       load_exchange_.SetLeaving();
     }
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -130,6 +130,7 @@
     content.leaving = header.leaving;
     content.registry_lost = header.registry_lost;
     content.takes_requests = header.takes_requests;
+    content.takes_last_requests = header.takes_last_requests;
     content.scope = header.scope;
     content.map_version = header.map_version;
     content.unix_ms = header.unix_ms;
@@ -218,6 +219,10 @@
     takes_requests_ = takes_requests;
   }
 
+  void SetTakesLastRequests(bool takes_last_requests) {
+    takes_last_requests_ = takes_last_requests;
+  }
+
   uint16_t region() const { return region_; }
 
   bool IsRegistryLostByAll() const {
@@ -297,7 +302,9 @@
     peer_registry_state_.RecordReport(report->registry_lost, now);
     forwarding_peers_.RecordReport(
         report->sender,
-        {report->takes_requests && !report->leaving, report->region}, now);
+        {report->takes_requests && !report->leaving, report->region,
+         report->takes_last_requests && !report->leaving},
+        now);
     if (!report->tells_streams) {
       stream_versions_.RecordPeerOfOtherRules(now);
     }
@@ -388,6 +395,7 @@
     report.leaving = leaving_;
     report.registry_lost = registry_lost_;
     report.takes_requests = takes_requests_;
+    report.takes_last_requests = takes_last_requests_;
     report.scope = scope;
     for (const LoadReportHooks& it : hooks_) {
       if (it.fill) {
@@ -604,6 +612,7 @@
   bool leaving_ = false;
   bool registry_lost_ = false;
   bool takes_requests_ = false;
+  bool takes_last_requests_ = false;
   PeerRegistryState peer_registry_state_;
   std::vector<LoadReportHooks> hooks_;
   TimePoint started_at_{};
@@ -696,6 +705,10 @@
   impl_->SetTakesRequests(takes_requests);
 }
 
+void LoadExchange::SetTakesLastRequests(bool takes_last_requests) {
+  impl_->SetTakesLastRequests(takes_last_requests);
+}
+
 uint16_t LoadExchange::region() const {
   return impl_->region();
 }
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -325,7 +325,7 @@
                     it.crashes, it.rate_limits, it.leaving_replicas, it.streams,
                     it.registry_lost, it.takes_requests, it.tells_streams,
                     it.map_version, it.unix_ms, it.duty_holder, it.usage,
-                    it.usage_acks, it.paces);
+                    it.usage_acks, it.paces, it.takes_last_requests);
   };
   return fields(*this) == fields(other);
 }
@@ -375,6 +375,7 @@
   }
   root.setRegistryLost(report.registry_lost);
   root.setTakesRequests(report.takes_requests);
+  root.setTakesLastRequests(report.takes_last_requests);
   root.setMapVersion(report.map_version);
   root.setUnixMs(report.unix_ms);
   EncodeUsage(report, root);
@@ -447,6 +448,7 @@
         kListsWithStreams;
     report.registry_lost = root.getRegistryLost();
     report.takes_requests = root.getTakesRequests();
+    report.takes_last_requests = root.getTakesLastRequests();
     report.map_version = root.getMapVersion();
     report.unix_ms = root.getUnixMs();
     DecodeUsage(root, &report);
--- a/src/placement/forwarding_peers.cc
+++ b/src/placement/forwarding_peers.cc
@@ -50,15 +50,16 @@
     uint64_t tie_breaker,
     TimePoint now) const {
   std::optional<uint32_t> chosen;
-  std::tuple<int, uint64_t> best;
+  std::tuple<bool, int, uint64_t> best;
   for (const auto& [address, peer] : peers_) {
-    if (!peer.state.takes_requests || excluded.count(address) > 0 ||
-        now - peer.heard_at >= kReportLifetime) {
+    const ForwardingState& state = peer.state;
+    if ((!state.takes_requests && !state.takes_last_requests) ||
+        excluded.count(address) > 0 || now - peer.heard_at >= kReportLifetime) {
       continue;
     }
     const int distance =
-        peer.state.region == own_region ? 0 : kOpenRequestsForRegion;
-    const std::tuple rank(peer.open_requests + distance,
+        state.region == own_region ? 0 : kOpenRequestsForRegion;
+    const std::tuple rank(!state.takes_requests, peer.open_requests + distance,
                           Digest64(std::string_view(), tie_breaker ^ address));
     if (!chosen || rank < best) {
       chosen = address;
@@ -71,6 +72,7 @@
 void ForwardingPeers::RecordNotTaken(uint32_t address) {
   if (const auto it = peers_.find(address); it != peers_.end()) {
     it->second.state.takes_requests = false;
+    it->second.state.takes_last_requests = false;
   }
 }
 
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -23,6 +23,10 @@
 // Pause before accepting again after the connection limit was reached or an
 // accept failed.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+// Other instances hear of a change within this time, unless they are many. It
+// lies between the last statement that forwarded requests are taken and the end
+// of their listener.
+constexpr Duration kStatementTime = std::chrono::milliseconds(600);
 
 }  // namespace
 
@@ -80,6 +84,8 @@
   void StartDraining(Duration drain_delay, TimePoint deadline) {
     context_->draining = true;
     context_->drain_deadline = deadline;
+    context_->last_forwarded_until =
+        BootClock::now() + drain_delay - kStatementTime;
     drain_timer_.expires_after(drain_delay);
     drain_timer_.async_wait([self = shared_from_this()](error_code ec) {
       if (!ec) {
@@ -332,6 +338,11 @@
                  static_cast<double>(context.options.max_connections);
 }
 
+bool Relay::TakesLastForwardedRequests() const {
+  return impl_->context().draining && TakesForwardedRequests() &&
+         BootClock::now() < impl_->context().last_forwarded_until;
+}
+
 void Relay::set_own_region(uint16_t region) {
   impl_->context().own_region = region;
 }
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -112,6 +112,7 @@
   // Set while draining, once the drain delay is over.
   bool rejects_long_requests = false;
   TimePoint drain_deadline{};
+  TimePoint last_forwarded_until{};  // while draining
   // Requests wait until this time for the first complete routing state.
   TimePoint startup_deadline{};
   std::vector<std::weak_ptr<RelayExchange>> exchanges_awaiting_routing_state;
--- a/src/relay/relay_exchange.cc
+++ b/src/relay/relay_exchange.cc
@@ -190,7 +190,9 @@
   }
   context_->open_requests.Start(route_->name);
   counted_route_ = route_->name;
-  if (context_->rejects_long_requests &&
+  const bool rejects_long_requests = context_->rejects_long_requests ||
+                                     (context_->draining && request_.forwarded);
+  if (rejects_long_requests &&
       request_.received + route_->timeout > context_->drain_deadline) {
     // The request could be cut off when this process exits. Other instances can
     // take it at once.
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -19,6 +19,7 @@
   report.region = 99;
   report.leaving = true;
   report.takes_requests = true;
+  report.takes_last_requests = true;
   report.work = {{1, 2, 3}, {0xffffffffffffffff, 64, 540000}};
   report.scope = ReportScope::kRegion;
   report.interval = std::chrono::milliseconds(430);
@@ -162,6 +163,7 @@
   // and later are bits that were 0.
   report.registry_lost = false;
   report.takes_requests = false;
+  report.takes_last_requests = false;
   PeerLoadReport expected = report;
   expected.streams.clear();
   expected.tells_streams = false;
--- a/tests/placement/link_monitor_test.cc
+++ b/tests/placement/link_monitor_test.cc
@@ -97,6 +97,25 @@
   BOOST_TEST(!peers.IsKnown(10, At(70000)));
 }
 
+// Guards against requests that are refused while all others shut down although
+// these still serve (RECOVER), and that go to such instances while others take
+// them.
+BOOST_AUTO_TEST_CASE(InstancesThatShutDownAreChosenLast) {
+  constexpr uint16_t kOwn = 1;
+  constexpr uint16_t kOther = 2;
+  ForwardingPeers peers;
+  peers.RecordReport(10, {false, kOwn, true}, At(0));
+  BOOST_TEST(peers.Choose(kOwn, {}, 5, At(100)).value_or(0) == 10u);
+  peers.RecordReport(11, {true, kOther}, At(0));
+  for (int n = 0; n < 20; ++n) {
+    peers.RecordSent(11);
+  }
+  BOOST_TEST(peers.Choose(kOwn, {}, 5, At(100)).value_or(0) == 11u);
+  BOOST_TEST(peers.Choose(kOwn, {11}, 5, At(100)).value_or(0) == 10u);
+  peers.RecordNotTaken(10);
+  BOOST_TEST(!peers.Choose(kOwn, {11}, 5, At(100)).has_value());
+}
+
 // Guards against requests that go on waiting for an instance that stands still,
 // or to one that has just refused one.
 BOOST_AUTO_TEST_CASE(SilentInstancesAreOverdue) {
--- a/tests/platform/forwarding_test.cc
+++ b/tests/platform/forwarding_test.cc
@@ -263,6 +263,35 @@
   BOOST_TEST(!peer.HasConnectionWithin(0));
 }
 
+// Guards against requests that an instance refuses to others while it still
+// serves its own callers, and against those that it takes and then cuts off.
+BOOST_AUTO_TEST_CASE(InstancesThatShutDownTakeWhatTheyCanEnd) {
+  constexpr Duration kDrainDelay = std::chrono::seconds(60);
+  // One is longer than the timeout of the route, one is shorter.
+  for (const auto grace : {std::chrono::seconds(60), std::chrono::seconds(7)}) {
+    BOOST_TEST_CONTEXT("grace " << grace.count() << " s") {
+      RelayFixture fixture;
+      fixture.UseOneTarget();
+      fixture.LearnOfPeer();
+      TestConnection other = fixture.ConnectAsPeer();
+      fixture.RunOnRelayThread([&](RoutingState&) {
+        BOOST_TEST(!fixture.relay().TakesLastForwardedRequests());
+        fixture.relay().StartDraining(kDrainDelay, BootClock::now() + grace);
+        BOOST_TEST(fixture.relay().TakesLastForwardedRequests());
+      });
+      other.Send(ForwardedHead("GET", "/safe/x", "r1"));
+      if (grace < std::chrono::seconds(8)) {
+        BOOST_TEST(Contains(other.ReadMessage(), "HTTP/1.1 421 "));
+        continue;
+      }
+      TestConnection target = fixture.first().Accept();
+      target.ReadMessage();
+      target.Send(SignedResponse("r1", "done"));
+      BOOST_TEST(Contains(other.ReadMessage(), "done"));
+    }
+  }
+}
+
 // Guards against callers that use the listener of the instances: without what
 // an instance states, and from unknown addresses, nothing is served. Neither
 // may look as if the request had run.
