Soak: a port that is taken is not bound for ever

Three of eight processes had started, and nothing happened after that.

FindFreePort() bound the port that it had drawn again, not another one, if that was among those taken: the variable still held it. So it went on for ever as soon as the kernel gave out the control port or the port for callers once more, at one process of a few thousand. The processes are started one after the other, each after its ports are drawn, which fits the three of eight; they wrote their lines about each other (810) 8 s after their start and had nothing else to tell. By reading; the run itself has no stack. The product is not involved.

Other waits without a bound, or with a long one: a connect to a process that accepts nothing (two minutes), a write to one that reads nothing (none): 10 s now. The read of WaitUntilReady() began its time anew. A run that lasts 45 s longer than asked for, and 1 s for each process (30 s with two builds), ends with status 2 and says what it waits for, of which process, for how long, and where the logs are. A process that is not ready in time is named.

--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -117,7 +117,7 @@
   while (NowMs() < until) {
     const auto peer = HttpPeer::Connect(options_.ip, ready_port_);
     if (peer && peer->Send("GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n") &&
-        peer->Read(timeout_ms).Status() == 200) {
+        peer->Read(static_cast<int>(until - NowMs())).Status() == 200) {
       return true;
     }
     SleepMs(kIntervalMs);
--- a/tools/soak/http_peer.cc
+++ b/tools/soak/http_peer.cc
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <strings.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -25,6 +26,8 @@
 }
 
 constexpr int kBacklog = 512;
+// Bounds connects and writes, which wait while the peer stands still.
+constexpr timeval kMaxWait{10, 0};
 
 // Returns a socket that is bound to `ip` and `port`, or to a free port if that
 // is 0.
@@ -85,6 +88,7 @@
                                             uint16_t port) {
   auto peer = std::make_unique<HttpPeer>(
       socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  setsockopt(peer->fd_, SOL_SOCKET, SO_SNDTIMEO, &kMaxWait, sizeof kMaxWait);
   const sockaddr_in address = AddressOf(ip, port);
   if (connect(peer->fd_, reinterpret_cast<const sockaddr*>(&address),
               sizeof address) != 0) {
@@ -341,11 +345,13 @@
 
 uint16_t FindFreePort(const std::string& ip,
                       const std::vector<uint16_t>& taken) {
-  uint16_t port = 0;
-  do {
+  while (true) {
+    uint16_t port = 0;
     close(BindSocket(ip, &port));
-  } while (std::find(taken.begin(), taken.end(), port) != taken.end());
-  return port;
+    if (std::find(taken.begin(), taken.end(), port) == taken.end()) {
+      return port;
+    }
+  }
 }
 
 }  // namespace endiveyard::soak
--- a/tools/soak/http_peer.h
+++ b/tools/soak/http_peer.h
@@ -38,11 +38,12 @@
   HttpPeer(const HttpPeer&) = delete;
   HttpPeer& operator=(const HttpPeer&) = delete;
 
-  // Returns null if the connection is refused.
+  // Returns null if the connection is refused, or not established within 10 s.
   static std::unique_ptr<HttpPeer> Connect(const std::string& ip,
                                            uint16_t port);
 
-  // Returns false once the peer has closed the connection.
+  // Returns false once the peer has closed the connection, or has not read for
+  // 10 s.
   bool Send(const std::string& bytes);
   // Returns what was read within `timeout_ms`; empty if that is nothing.
   HttpMessage Read(int timeout_ms);
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -22,6 +22,7 @@
 #include "soak/replica_process.h"
 #include "soak/replica_standin.h"
 #include "soak/run_ledger.h"
+#include "soak/run_watch.h"
 #include "soak/soak_configuration.h"
 
 // Runs processes of endiveyard against stand-ins that misbehave, sends signals
@@ -139,6 +140,7 @@
     WaitOrKill(front);
   }
   void WaitOrKill(FrontProcess& front) {
+    const Wait wait("end of " + front.name());
     if (!front.WaitForEnd(kGraceMs)) {
       Signal(&front, SIGKILL);
       front.WaitForEnd(kGraceMs);
@@ -250,7 +252,7 @@
     Terminate(*fronts_[n]);
     StartAgain(n);
     if (!fronts_[n]->WaitUntilReady(kReadyMs)) {
-      throw std::runtime_error("a process is not ready after 10 s");
+      throw std::runtime_error(fronts_[n]->name() + " is not ready after 10 s");
     }
   }
 }
@@ -275,6 +277,7 @@
                               FrontProcess* front,
                               HttpPeer* peer) {
   constexpr int kSlackMs = 1500;
+  const Wait wait("answer of " + front->name() + " to " + request.id);
   const HttpMessage answer = peer->Read(options_.timeout_ms + kSlackMs);
   ClientResult result;
   result.id = request.id;
@@ -431,6 +434,7 @@
   for (int count = 0; !Ended(); ++count) {
     if (!peer || peer->HasEnded()) {
       front = fronts_[random() % fronts_.size()].get();
+      const Wait wait("connection to " + front->name());
       peer = HttpPeer::Connect(front->ip(), front->port());
       if (!peer) {
         constexpr int kRetryMs = 50;
@@ -737,6 +741,16 @@
   return faults;
 }
 
+// Returns the time that a run may take, with its start and its end.
+int64_t MaxRunMs(const SoakOptions& options) {
+  constexpr int64_t kMsPerSecond = 1000;
+  constexpr int64_t kStartAndEndSeconds = 45;
+  // Where each process is replaced before the run, its end and its start.
+  const int64_t start_seconds = options.other_binary.empty() ? 1 : 30;
+  return kMsPerSecond * (options.seconds + kStartAndEndSeconds +
+                         start_seconds * options.fronts);
+}
+
 }  // namespace endiveyard::soak
 
 int main(int argc, char** argv) {
@@ -844,6 +858,7 @@
       folder = pattern;
     }
     soak.folder = folder;
+    endiveyard::soak::WatchRun(endiveyard::soak::MaxRunMs(soak), folder);
     std::string summary;
     std::vector<std::string> violations;
     if (kills.replicas > 0) {
--- a/tools/soak/replica_process.cc
+++ b/tools/soak/replica_process.cc
@@ -11,6 +11,7 @@
 #include <stdexcept>
 
 #include "soak/http_peer.h"
+#include "soak/run_watch.h"
 
 namespace endiveyard::soak {
 namespace {
@@ -102,6 +103,7 @@
     _exit(127);
   }
   close(pipe_fds[1]);
+  const Wait wait("port of replica " + options_.id);
   FILE* const output = fdopen(pipe_fds[0], "r");
   unsigned port = 0;
   const bool listens = std::fscanf(output, "%u", &port) == 1;
--- a/tools/soak/soak_configuration.cc
+++ b/tools/soak/soak_configuration.cc
@@ -4,6 +4,7 @@
 #include <stdexcept>
 
 #include "soak/http_peer.h"
+#include "soak/run_watch.h"
 
 namespace endiveyard::soak {
 
@@ -82,13 +83,15 @@
     const auto group = static_cast<size_t>(n % report_groups);
     options.seed_addresses = seeds[group];
     options.control_port = control_ports[group];
+    const Wait wait("start of " + options.name);
     fronts.push_back(std::make_unique<FrontProcess>(options));
     fronts.back()->Start();
   }
   constexpr int kReadyMs = 10000;
   for (const auto& it : fronts) {
+    const Wait wait(it->name() + " to be ready");
     if (!it->WaitUntilReady(kReadyMs)) {
-      throw std::runtime_error("a process is not ready after 10 s");
+      throw std::runtime_error(it->name() + " is not ready after 10 s");
     }
   }
   return fronts;
