Soak: the check of lost links counts processes in touch

The check counted processes that got SIGTERM or were just started. The users' rule counts machines in touch only, and SIGTERM and a start put one out of touch for stable_ms (RULES.md, "In touch", (1)).

The check now follows the rule: tries in touch, less than two thirds of the share elsewhere, more than 10 failed. It stays stricter than the rule in that the 1 in 50 of all tries is not granted. Against hidden faults: - With fewer than 30 tries in touch on either side, all tries decide as before. Processes that are out of touch for long can't hide a fault. - In every other cut of a kind, one process without links and one with links are not disturbed from 3 s before the cut until its end, so that the check has something to count. The other cuts disturb all, as before. - The summary reports both counts, as before.

--- a/tools/soak/first_tries.cc
+++ b/tools/soak/first_tries.cc
@@ -1,5 +1,6 @@
 #include "soak/first_tries.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <cstring>
@@ -126,18 +127,29 @@
   return text;
 }
 
-std::vector<std::string> FirstTries::Violations() {
+bool FirstTries::BreaksBound(const Comparison& tries) {
   // Clients wait for answers, so that there are few tries where these are late:
   // the share of all tries that the rule allows to fail isn't granted.
   constexpr int kMaxFailed = 10;
+  const auto& [cut_off, others] = tries;
+  // Compares the shares without dividing by zero.
+  return 3.0 * cut_off.served * others.all <
+             2.0 * others.served * cut_off.all &&
+         cut_off.all - cut_off.served > kMaxFailed;
+}
+
+std::vector<std::string> FirstTries::Violations() {
   const std::lock_guard<std::mutex> lock(mutex_);
   std::vector<std::string> violations;
   for (const auto& [mode, tries] : tries_) {
-    const auto& [cut_off, others] = tries.all;
-    // Compares the shares without dividing by zero.
-    if (3.0 * cut_off.served * others.all < 2.0 * others.served * cut_off.all &&
-        cut_off.all - cut_off.served > kMaxFailed) {
+    const bool decided_in_touch =
+        std::min(tries.in_touch.cut_off.all, tries.in_touch.others.all) >=
+        kMinTriesInTouch;
+    if (BreaksBound(tries.in_touch)) {
       violations.push_back("RECOVER, " + LineOf(mode, tries));
+    } else if (!decided_in_touch && BreaksBound(tries.all)) {
+      violations.push_back("RECOVER, by all tries, as few are in touch, " +
+                           LineOf(mode, tries));
     }
   }
   return violations;
--- a/tools/soak/first_tries.h
+++ b/tools/soak/first_tries.h
@@ -32,6 +32,9 @@
  public:
   // Tries count that are sent this long after a cut.
   static constexpr int64_t kStableMs = 4000;
+  // With fewer tries in touch, on either side, all tries decide: processes that
+  // are never in touch must not hide a fault.
+  static constexpr int kMinTriesInTouch = 30;
 
   explicit FirstTries(const std::string& file);
 
@@ -60,16 +63,17 @@
     Tries others;
   };
   struct Mode {
-    // All tries, by which the bound is checked.
     Comparison all;
-    // Those at machines that are in touch by the rules: a SIGTERM and a start
-    // put a machine out of touch, too.
+    // Those at machines that are in touch by the rules, by which the bound is
+    // checked: a SIGTERM and a start put a machine out of touch, too.
     Comparison in_touch;
   };
 
   static void Count(const FirstTry& first_try, Tries* tries);
   // Returns the tries by build; empty if there is only one build.
   static std::string DescribeBuilds(const Tries& tries);
+  // Returns true if too few are served without links.
+  static bool BreaksBound(const Comparison& tries);
   static std::string TextOf(const Comparison& tries);
   static std::string LineOf(const std::string& mode, const Mode& tries);
   void Write(const std::string& line);
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <numeric>
 #include <random>
+#include <set>
 #include <thread>
 
 #include <boost/program_options.hpp>
@@ -183,6 +184,16 @@
   // their stages in pairs.
   void Rejoin(size_t number);
   void Replace(size_t number, const std::string& stage);
+  // Disturbs these processes no more, until the next call. Few would be in
+  // touch for the time of a cut otherwise.
+  void Spare(const std::set<size_t>& numbers) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    spared_ = numbers;
+  }
+  bool IsSpared(size_t number) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return spared_.count(number) > 0;
+  }
   // Cuts the links of half of the processes again and again.
   void StrandFronts();
   // Counts a client's first try while links are cut.
@@ -207,6 +218,7 @@
   std::mutex upgrading_;  // held while a process changes its build
   std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
+  std::set<size_t> spared_;            // processes, see Spare()
   double peak_memory_mb_ = 0;          // of any process
   std::map<std::string, int> starts_;  // of processes, by build
 };
@@ -500,7 +512,8 @@
     if (Ended()) {
       break;
     }
-    switch (options_.signals ? draw(5) : 5) {
+    const int disturbance = options_.signals ? draw(5) : 5;
+    switch (IsSpared(number) ? 5 : disturbance) {
       case 0:
         freeze(50 + draw(1500));
         break;
@@ -543,6 +556,9 @@
 void Soak::KillInTurn() {
   for (size_t n = 0; !Ended(); ++n) {
     SleepUntilEnd(options_.kill_every_ms);
+    if (IsSpared(n % fronts_.size())) {
+      continue;
+    }
     FrontProcess& front = *fronts_[n % fronts_.size()];
     Signal(&front, SIGKILL);
     front.WaitForEnd(kGraceMs);
@@ -614,7 +630,13 @@
     std::vector<size_t> numbers(fronts_.size());
     std::iota(numbers.begin(), numbers.end(), size_t{0});
     std::shuffle(numbers.begin(), numbers.end(), random);
+    const size_t other = numbers.back();
     numbers.resize(std::max<size_t>(1, numbers.size() / 2));
+    // In every other cut of a kind.
+    if (round / options_.stranded.size() % 2 == 0) {
+      Spare({numbers.front(), other});
+    }
+    SleepUntilEnd(kPauseMs);
     const auto for_each_link = [&](const auto& apply) {
       for (const size_t n : numbers) {
         for (const auto& it : replicas_) {
@@ -641,7 +663,7 @@
     SleepUntilEnd(kStrandedMs);
     first_tries_.RecordHeal();
     for_each_link([](HttpListener& it) { it.Heal(); });
-    SleepUntilEnd(kPauseMs);
+    Spare({});
   }
 }
 
