--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <numeric>
 #include <random>
+#include <set>
 #include <thread>
 
 #include <boost/program_options.hpp>
@@ -22,6 +23,7 @@
 #include "soak/replica_process.h"
 #include "soak/replica_standin.h"
 #include "soak/run_ledger.h"
+#include "soak/run_watch.h"
 #include "soak/soak_configuration.h"
 
 // Runs processes of endiveyard against stand-ins that misbehave, sends signals
@@ -139,6 +141,7 @@
     WaitOrKill(front);
   }
   void WaitOrKill(FrontProcess& front) {
+    const Wait wait("end of " + front.name());
     if (!front.WaitForEnd(kGraceMs)) {
       Signal(&front, SIGKILL);
       front.WaitForEnd(kGraceMs);
@@ -181,6 +184,16 @@
   // their stages in pairs.
   void Rejoin(size_t number);
   void Replace(size_t number, const std::string& stage);
+  // Disturbs these processes no more, until the next call. Few would be in
+  // touch for the time of a cut otherwise.
+  void Spare(const std::set<size_t>& numbers) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    spared_ = numbers;
+  }
+  bool IsSpared(size_t number) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return spared_.count(number) > 0;
+  }
   // Cuts the links of half of the processes again and again.
   void StrandFronts();
   // Counts a client's first try while links are cut.
@@ -205,6 +218,7 @@
   std::mutex upgrading_;  // held while a process changes its build
   std::mutex replacing_;  // held while a replica gets another id
   std::mutex mutex_;
+  std::set<size_t> spared_;            // processes, see Spare()
   double peak_memory_mb_ = 0;          // of any process
   std::map<std::string, int> starts_;  // of processes, by build
 };
@@ -250,7 +264,7 @@
     Terminate(*fronts_[n]);
     StartAgain(n);
     if (!fronts_[n]->WaitUntilReady(kReadyMs)) {
-      throw std::runtime_error("a process is not ready after 10 s");
+      throw std::runtime_error(fronts_[n]->name() + " is not ready after 10 s");
     }
   }
 }
@@ -275,6 +289,7 @@
                               FrontProcess* front,
                               HttpPeer* peer) {
   constexpr int kSlackMs = 1500;
+  const Wait wait("answer of " + front->name() + " to " + request.id);
   const HttpMessage answer = peer->Read(options_.timeout_ms + kSlackMs);
   ClientResult result;
   result.id = request.id;
@@ -431,6 +446,7 @@
   for (int count = 0; !Ended(); ++count) {
     if (!peer || peer->HasEnded()) {
       front = fronts_[random() % fronts_.size()].get();
+      const Wait wait("connection to " + front->name());
       peer = HttpPeer::Connect(front->ip(), front->port());
       if (!peer) {
         constexpr int kRetryMs = 50;
@@ -496,7 +512,8 @@
     if (Ended()) {
       break;
     }
-    switch (options_.signals ? draw(5) : 5) {
+    const int disturbance = options_.signals ? draw(5) : 5;
+    switch (IsSpared(number) ? 5 : disturbance) {
       case 0:
         freeze(50 + draw(1500));
         break;
@@ -539,6 +556,9 @@
 void Soak::KillInTurn() {
   for (size_t n = 0; !Ended(); ++n) {
     SleepUntilEnd(options_.kill_every_ms);
+    if (IsSpared(n % fronts_.size())) {
+      continue;
+    }
     FrontProcess& front = *fronts_[n % fronts_.size()];
     Signal(&front, SIGKILL);
     front.WaitForEnd(kGraceMs);
@@ -610,7 +630,13 @@
     std::vector<size_t> numbers(fronts_.size());
     std::iota(numbers.begin(), numbers.end(), size_t{0});
     std::shuffle(numbers.begin(), numbers.end(), random);
+    const size_t other = numbers.back();
     numbers.resize(std::max<size_t>(1, numbers.size() / 2));
+    // In every other cut of a kind.
+    if (round / options_.stranded.size() % 2 == 0) {
+      Spare({numbers.front(), other});
+    }
+    SleepUntilEnd(kPauseMs);
     const auto for_each_link = [&](const auto& apply) {
       for (const size_t n : numbers) {
         for (const auto& it : replicas_) {
@@ -637,7 +663,7 @@
     SleepUntilEnd(kStrandedMs);
     first_tries_.RecordHeal();
     for_each_link([](HttpListener& it) { it.Heal(); });
-    SleepUntilEnd(kPauseMs);
+    Spare({});
   }
 }
 
@@ -737,6 +763,16 @@
   return faults;
 }
 
+// Returns the time that a run may take, with its start and its end.
+int64_t MaxRunMs(const SoakOptions& options) {
+  constexpr int64_t kMsPerSecond = 1000;
+  constexpr int64_t kStartAndEndSeconds = 45;
+  // Where each process is replaced before the run, its end and its start.
+  const int64_t start_seconds = options.other_binary.empty() ? 1 : 30;
+  return kMsPerSecond * (options.seconds + kStartAndEndSeconds +
+                         start_seconds * options.fronts);
+}
+
 }  // namespace endiveyard::soak
 
 int main(int argc, char** argv) {
@@ -844,6 +880,7 @@
       folder = pattern;
     }
     soak.folder = folder;
+    endiveyard::soak::WatchRun(endiveyard::soak::MaxRunMs(soak), folder);
     std::string summary;
     std::vector<std::string> violations;
     if (kills.replicas > 0) {
