Soak: clients as they are, zones, few cores, streams of any length

The soak played one zone and region, full cores, streams of 12 small events and clients that read everything, so nothing was said about what users' machines do: three zones and regions, a quarter of a core for a process, thousands of connections, streams of 2 to 60 events and several kilobytes with pauses, and clients that leave midway, take up again and again, read slowly, repeat at once or wait for Retry-After.

Zones and the shapes of streams are the default; the rest are options.

--- a/tools/soak/front_process.cc
+++ b/tools/soak/front_process.cc
@@ -1,6 +1,7 @@
 #include "soak/front_process.h"
 
 #include <fcntl.h>
+#include <sched.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -22,6 +23,14 @@
 
 }  // namespace
 
+std::string ZoneOf(int number) {
+  return std::string("zone-") + static_cast<char>('a' + number % kZones);
+}
+
+std::string RegionOf(int number) {
+  return std::string("region-") + static_cast<char>('a' + number % kZones);
+}
+
 FrontProcess::FrontProcess(const Options& options)
     : options_(options),
       port_(FindFreePort(options.ip, {options.control_port})),
@@ -42,11 +51,16 @@
   for (const std::string& it : options_.seed_addresses) {
     seeds += (seeds.empty() ? "" : ",") + it;
   }
+  std::string zones;
+  for (int n = 0; n < kZones; ++n) {
+    zones += "zones." + ZoneOf(n) + "=" + RegionOf(n) + "\n";
+  }
   std::ofstream out(options_.folder + "/" + options_.name + ".conf");
   out << "node=" << options_.name << "\nrole=front\nmachine_class=front\n"
       << "serves=front,control\nip=" << options_.ip
-      << "\nzone=zone-a\nregion=region-a\nzones.zone-a=region-a\n"
-      << "listen.front=" << options_.ip << ":" << port_
+      << "\nzone=" << ZoneOf(options_.number)
+      << "\nregion=" << RegionOf(options_.number) << "\n"
+      << zones << "listen.front=" << options_.ip << ":" << port_
       << "\nlisten.ready_address=" << options_.ip << ":" << ready_port_
       << "\nlisten.control=" << options_.ip << ":" << options_.control_port
       << "\ninternal_port_range=" << options_.control_port << ","
@@ -87,6 +101,14 @@
     if (getppid() != parent) {
       _exit(127);
     }
+    if (options_.cores > 0) {
+      cpu_set_t cores;
+      CPU_ZERO(&cores);
+      for (int n = 0; n < options_.cores; ++n) {
+        CPU_SET(n, &cores);
+      }
+      sched_setaffinity(0, sizeof cores, &cores);
+    }
     const int fd =
         open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(fd, STDOUT_FILENO);
--- a/tools/soak/front_process.h
+++ b/tools/soak/front_process.h
@@ -12,6 +12,12 @@
 
 namespace endiveyard::soak {
 
+// Zones, one in each of kZones regions. Processes and replicas are spread over
+// them by their number.
+inline constexpr int kZones = 3;
+std::string ZoneOf(int number);
+std::string RegionOf(int number);
+
 // A process of endiveyard, started as deploy/system.toml does. One thread
 // controls it; others may ask for its address and its disturbances.
 class FrontProcess {
@@ -24,6 +30,8 @@
     std::string registry_address;
     std::vector<std::string> seed_addresses;  // control addresses of all
     uint16_t control_port = 0;
+    int number = 0;  // decides about its zone
+    int cores = 0;   // of the machine that it may use; 0 for all
   };
   struct Build {
     std::string binary;
--- a/tools/soak/http_peer.cc
+++ b/tools/soak/http_peer.cc
@@ -167,7 +167,12 @@
   return true;
 }
 
-HttpMessage HttpPeer::Read(int timeout_ms) {
+void HttpPeer::LimitReceiveBuffer(int bytes) {
+  setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+}
+
+HttpMessage HttpPeer::Read(int timeout_ms,
+                           const std::function<bool()>& after_piece) {
   const int64_t until = NowMs() + timeout_ms;
   HttpMessage message;
   std::string line;
@@ -199,6 +204,9 @@
       message.complete = true;
       return message;
     }
+    if (after_piece && !after_piece()) {
+      return message;
+    }
   }
   return message;
 }
--- a/tools/soak/http_peer.h
+++ b/tools/soak/http_peer.h
@@ -45,7 +45,12 @@
   // Returns false once the peer has closed the connection.
   bool Send(const std::string& bytes);
   // Returns what was read within `timeout_ms`; empty if that is nothing.
-  HttpMessage Read(int timeout_ms);
+  // Calls `after_piece`, if there is one, after each chunk of a body, and stops
+  // when that returns false.
+  HttpMessage Read(int timeout_ms,
+                   const std::function<bool()>& after_piece = nullptr);
+  // Bounds what the system receives before it is read.
+  void LimitReceiveBuffer(int bytes);
   // True if the connection has ended, as seen by the last Read() or now.
   bool HasEnded();
   // Waits for `ms` or until the peer closes the connection, which returns true.
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -14,6 +14,8 @@
 #include <boost/program_options.hpp>
 
 #include "soak/build_plan.h"
+#include "soak/client_plan.h"
+#include "soak/connection_crowd.h"
 #include "soak/first_tries.h"
 #include "soak/front_process.h"
 #include "soak/http_peer.h"
@@ -46,6 +48,11 @@
   int timeout_ms = 2000;  // of the routes and the clients
   int max_work_ms = 120;  // of a replica on one request, before its answer
   int max_attempts = 2;   // of the routes
+  // Of the routes whose requests may run once at most.
+  int once_attempts = 2;
+  int max_idle_ms = 60000;  // of the connections of replicas
+  int cores = 0;  // for all processes together; 0 for all of the machine
+  ClientHabits habits;
   double fault_rate = 0.15;
   std::vector<ReplicaFault> faults;
   double pipeline_rate = 0;
@@ -102,6 +109,7 @@
         builds_({options.binary, options.other_binary, options.build_change,
                  options.seed, static_cast<size_t>(options.fronts),
                  int64_t{1000} * options.seconds}),
+        plan_(options.habits, options.seed),
         registry_(Ip(1), ViewCount()),
         first_tries_(options.folder + "/first-tries.txt") {}
 
@@ -146,6 +154,7 @@
   }
   void StartReplicas();
   void PutConfiguration(int version);
+  std::unique_ptr<ConnectionCrowd> OpenCrowd() const;
   void RunClient(int number);
   void SendOne(int number,
                int count,
@@ -164,7 +173,8 @@
                           HttpPeer* peer);
   // Repeats a request that was refused, and takes up a stream that broke off,
   // at any process.
-  void Repeat(ClientRequest request,
+  void Repeat(int client,
+              ClientRequest request,
               ClientResult result,
               FrontProcess* front,
               std::mt19937_64* random);
@@ -196,6 +206,7 @@
   int64_t end_ms_ = 0;
   RunLedger ledger_;
   BuildPlan builds_;
+  const ClientPlan plan_;
   HandleTable handles_;
   RegistryStandin registry_;
   std::vector<std::unique_ptr<ReplicaStandin>> replicas_;
@@ -222,6 +233,7 @@
     options.fault_rate = options_.fault_rate;
     options.faults = options_.faults;
     options.max_work_ms = options_.max_work_ms;
+    options.max_idle_ms = options_.max_idle_ms;
     if (builds_.is_mixed()) {
       options.describe_caller = [this](size_t view) {
         const FrontProcess& front = *fronts_[view];
@@ -244,7 +256,7 @@
 void Soak::StartFronts() {
   fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
                                 options_.fronts, registry_, ViewCount(),
-                                options_.report_groups);
+                                options_.report_groups, options_.cores);
   constexpr int kReadyMs = 10000;
   for (size_t n = 0; builds_.is_mixed() && n < fronts_.size(); ++n) {
     Terminate(*fronts_[n]);
@@ -268,15 +280,29 @@
 void Soak::PutConfiguration(int version) {
   registry_.Put(
       "config", "main",
-      ConfigurationSpec(version, options_.timeout_ms, options_.max_attempts));
+      ConfigurationSpec(version, options_.timeout_ms, options_.max_attempts,
+                        options_.once_attempts));
+}
+
+std::unique_ptr<ConnectionCrowd> Soak::OpenCrowd() const {
+  if (options_.habits.crowd == 0) {
+    return nullptr;
+  }
+  std::vector<std::pair<std::string, uint16_t>> addresses;
+  for (const auto& it : fronts_) {
+    addresses.emplace_back(it->ip(), it->port());
+  }
+  return std::make_unique<ConnectionCrowd>(addresses, options_.habits.crowd);
 }
 
 ClientResult Soak::ReadResult(const ClientRequest& request,
                               FrontProcess* front,
                               HttpPeer* peer) {
   constexpr int kSlackMs = 1500;
-  const HttpMessage answer = peer->Read(options_.timeout_ms + kSlackMs);
   ClientResult result;
+  const HttpMessage answer =
+      ReadAs(plan_.ForAnswer(request.id), options_.timeout_ms + kSlackMs, peer,
+             &result.left);
   result.id = request.id;
   result.first_id = request.first_id;
   result.begun_after = request.begun_after;
@@ -290,6 +316,7 @@
       answer.Header("Endiveyard-Response-Signature") == "sig-" + request.id;
   result.answered_id = answer.Header("Endiveyard-Request-Id");
   result.body = answer.body;
+  result.retry_after = answer.Header("Retry-After");
   result.answered_ms = NowMs();
   result.in_time = result.answered_ms - result.sent_ms < options_.timeout_ms;
   result.build = front->BuildsDuring(result.sent_ms, result.answered_ms);
@@ -323,14 +350,14 @@
          request.body;
 }
 
-void Soak::Repeat(ClientRequest request,
+void Soak::Repeat(int client,
+                  ClientRequest request,
                   ClientResult result,
                   FrontProcess* front,
                   std::mt19937_64* random) {
-  constexpr int kMaxRepeats = 4;
   constexpr int kMaxPauseMs = 100;
   const std::string base = request.id;
-  for (int n = 1; n <= kMaxRepeats && !Ended(); ++n) {
+  for (int n = 1; n <= plan_.MaxRepeats(client) && !Ended(); ++n) {
     const bool refused = result.status == 429 || result.status == 503;
     const bool broken_off = result.kind == RequestKind::kResumableStream &&
                             result.status == 200 && !result.complete;
@@ -341,17 +368,21 @@
       request.begun_after = last;
     }
     const bool take_up = request.begun_after > 0;
-    if (!broken_off && !refused) {
+    const bool repeats_failure =
+        plan_.RepeatsFailures(client) && result.status != 200;
+    if (!broken_off && !refused && !repeats_failure) {
       return;
     }
-    if (broken_off || std::uniform_real_distribution<double>()(*random) >=
-                          options_.same_id_rate) {
+    if (!refused || std::uniform_real_distribution<double>()(*random) >=
+                        options_.same_id_rate) {
       request.id = base + "-" + std::to_string(n);
     }
     if (!take_up) {
       request.first_id = request.id;
     }
-    SleepMs(1 + static_cast<int64_t>(random->operator()() % kMaxPauseMs));
+    SleepMs(plan_.PauseMs(
+        client, result.retry_after,
+        1 + static_cast<int64_t>(random->operator()() % kMaxPauseMs)));
     // Often at the same process, which may still have the connection on which
     // the request was refused.
     if (random->operator()() % 2 == 0) {
@@ -417,9 +448,10 @@
     const ClientResult result = ReadResult(it, front, peer);
     CountFirstTry(*front,
                   {"", "", false, it.id, sent_ms,
-                   result.status == 200 && result.complete, EndOf(result)});
+                   result.status == 200 && (result.complete || result.left),
+                   EndOf(result)});
     if (requests == 1) {
-      Repeat(it, result, front, random);
+      Repeat(number, it, result, front, random);
     }
   }
 }
@@ -650,7 +682,7 @@
 }
 
 std::vector<std::string> Soak::Run() {
-  ledger_.set_max_attempts(options_.max_attempts);
+  ledger_.set_max_attempts(options_.max_attempts, options_.once_attempts);
   ledger_.set_is_calm([this](const std::string& name, int64_t begin_ms,
                              int64_t end_ms) {
     const auto it =
@@ -687,6 +719,7 @@
   if (!options_.stranded.empty()) {
     disturbers.emplace_back([this] { StrandFronts(); });
   }
+  const auto crowd = OpenCrowd();
   for (std::thread& it : clients) {
     it.join();
   }
@@ -702,6 +735,10 @@
              "; peak memory of a process " +
              std::to_string(static_cast<int>(peak_memory_mb_)) + " MB" +
              first_tries_.Summary();
+  if (crowd) {
+    summary_ += "; at most " + std::to_string(crowd->most_open()) +
+                " connections of the crowd";
+  }
   for (const std::string& it : first_tries_.Violations()) {
     ledger_.RecordViolation(it);
   }
@@ -781,6 +818,12 @@
       "ones are refused (live_on); may be repeated")(
       "max-attempts", po::value(&soak.max_attempts),
       "replicas that get one request at most")(
+      "once-attempts", po::value(&soak.once_attempts),
+      "the same for requests that may run once at most")(
+      "max-idle-ms", po::value(&soak.max_idle_ms),
+      "replicas close connections that are idle for up to this time")(
+      "cores", po::value(&soak.cores),
+      "cores of the machine that all processes share; 0 for all")(
       "same-id-rate", po::value(&soak.same_id_rate),
       "share of the repeats of refused requests that have the same id")(
       "max-change-ms", po::value(&soak.max_change_ms),
@@ -813,6 +856,7 @@
       "framing", po::value(&framing),
       "how the responses of these replicas end: with their connection "
       "(connection) or with the last chunk (chunks)");
+  endiveyard::soak::AddOptions(&soak.habits, &options);
   po::variables_map values;
   try {
     po::store(po::parse_command_line(argc, argv, options), values);
--- a/tools/soak/replica_kills.cc
+++ b/tools/soak/replica_kills.cc
@@ -160,8 +160,9 @@
   for (size_t n = 0; n < replicas_.size(); ++n) {
     StartReplica(n);
   }
-  registry_.Put("config", "main",
-                ConfigurationSpec(kVersion, kTimeoutMs, kMaxAttempts));
+  registry_.Put(
+      "config", "main",
+      ConfigurationSpec(kVersion, kTimeoutMs, kMaxAttempts, kMaxAttempts));
   fronts_ = StartFrontProcesses(options_.binary, options_.folder, network_,
                                 options_.fronts, registry_, 1);
   end_ms_ = NowMs() + int64_t{1000} * options_.seconds;
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -5,6 +5,9 @@
 #include <cstdlib>
 #include <utility>
 
+#include "soak/front_process.h"
+#include "soak/stream_shape.h"
+
 namespace endiveyard::soak {
 namespace {
 
@@ -176,12 +179,14 @@
 std::vector<std::string> ReplicaStandin::Specs(const std::string& state) const {
   const std::lock_guard<std::mutex> lock(mutex_);
   const bool is_engine = !stage_.empty();
+  const int number =
+      std::atoi(options_.ip.c_str() + options_.ip.rfind('.') + 1);
   std::vector<std::string> specs;
   for (const auto& it : listeners_) {
     specs.push_back(
         R"({"service":")" + options_.service + R"(","address":")" +
-        options_.ip + ":" + std::to_string(it->port()) +
-        R"(","zone":"zone-a","version":")" +
+        options_.ip + ":" + std::to_string(it->port()) + R"(","zone":")" +
+        ZoneOf(number) + R"(","version":")" +
         VersionOf(options_.ip, incarnation_) + R"(","slots":)" +
         (is_engine ? "64" : "6") + R"(,"state":")" + state +
         R"(","cold_remaining_ms":0)" +
@@ -210,10 +215,10 @@
 }
 
 void ReplicaStandin::Serve(HttpPeer& peer, size_t view) {
-  constexpr int kIdleMs = 60000;
   Connection connection{peer, view, "", false};
+  const int idle_ms = 1 + DrawNumber(options_.max_idle_ms);
   while (true) {
-    const HttpMessage request = peer.Read(kIdleMs);
+    const HttpMessage request = peer.Read(idle_ms);
     if (!request.complete) {
       return;
     }
@@ -555,15 +560,19 @@
     default:
       return Answer(connection, request, fault);
   }
-  const int special = DrawNumber(kEventsOfStream);
+  const StreamShape shape = ShapeOf(id);
+  const int special = DrawNumber(shape.events);
   std::string sent;
   const bool skips =
       fault == ReplicaFault::kLateFirstId && run.begun_after == 0;
-  for (int n = run.begun_after + (skips ? kSkippedEvents : 0) + 1;
-       n <= kEventsOfStream; ++n) {
-    constexpr int kMaxEventIntervalMs = 20;
+  const int skipped = std::min(kSkippedEvents, shape.events - 1);
+  for (int n = run.begun_after + (skips ? skipped : 0) + 1; n <= shape.events;
+       ++n) {
     const bool stalls = fault == ReplicaFault::kLate && n == special;
-    if (!Work(peer, stalls ? kMaxLateMs : kMaxEventIntervalMs)) {
+    if (!Work(peer, stalls ? kMaxLateMs : shape.max_interval_ms)) {
+      return false;
+    }
+    if (n == shape.pause_before_event && peer.WaitForEnd(shape.pause_ms)) {
       return false;
     }
     std::string event = EventOf(n, run);
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -97,6 +97,9 @@
     double fault_rate = 0;
     std::vector<ReplicaFault> faults;  // one of them is drawn
     int max_work_ms = 0;
+    // A connection that is idle for up to this time is closed, perhaps while a
+    // request is on its way.
+    int max_idle_ms = 60000;
     // Returns the process with a view of the registry, for reports. May be
     // empty if there is only one view.
     std::function<std::string(size_t view)> describe_caller;
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "soak/http_peer.h"
+#include "soak/stream_shape.h"
 
 namespace endiveyard::soak {
 namespace {
@@ -68,9 +69,11 @@
 }
 
 std::string EventOf(int number, const Run& run) {
+  const size_t padding = ShapeOf(run.id).padding_bytes;
   return "id: " + std::to_string(number) + "\ndata: piece " +
          std::to_string(number) + " of " + run.id + std::string(kRunField) +
-         std::to_string(run.number) + "\n\n";
+         std::to_string(run.number) +
+         (padding == 0 ? "" : ", " + std::string(padding, 'x')) + "\n\n";
 }
 
 int LastEventOf(const std::string& body, int begun_after) {
@@ -211,7 +214,9 @@
     for (const RunRecord* run : RunsOfTry(it)) {
       replicas.insert(run->run.replica);
     }
-    if (static_cast<int>(replicas.size()) > max_attempts_) {
+    const int allowed =
+        MayRunOnce(it.kind) ? max_attempts_once_ : max_attempts_;
+    if (static_cast<int>(replicas.size()) > allowed) {
       over_run_.push_back(Describe("ran on too many replicas", it));
     }
   }
@@ -361,7 +366,7 @@
     ++last;
   }
   if (result.complete) {
-    return begin == result.body.size() && last == kEventsOfStream
+    return begin == result.body.size() && last == ShapeOf(result.id).events
                ? ""
                : "ORDER, ends as complete before its last event";
   }
@@ -537,6 +542,7 @@
   int take_ups = 0;
   int gone_on = 0;
   int same_id = 0;
+  int left = 0;
   std::map<std::string, std::string> builds;  // by request
   std::map<std::string, int> asked;           // by build
   for (const ClientResult& it : results_) {
@@ -546,6 +552,7 @@
   int across = 0;
   int across_gone_on = 0;
   for (const ClientResult& it : results_) {
+    left += it.left ? 1 : 0;
     if (it.first_id != it.id) {
       ++take_ups;
       gone_on += it.status == 200 ? 1 : 0;
@@ -574,6 +581,9 @@
             " of them at another build than that of the first request";
   }
   text += "; " + std::to_string(same_id) + " requests with an id sent before";
+  if (left > 0) {
+    text += "; " + std::to_string(left) + " answers left midway";
+  }
   for (const auto& [build, count] : asked) {
     if (!build.empty()) {
       text += "; processes with " + build + " were asked " +
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -26,7 +26,6 @@
 inline constexpr int kRetrySlack = 56;
 inline constexpr int64_t kRetryWindowMs = 10000;
 
-inline constexpr int kEventsOfStream = 12;
 // The whole body of the answer to the request `id`, unless it is a stream.
 std::string BodyOf(const std::string& id);
 
@@ -79,10 +78,12 @@
   bool connection_ended = false;
   bool signed_by_target = false;
   std::string answered_id;  // request id in the answer; may be empty
+  std::string retry_after;  // as in the answer; may be empty
   std::string body;
   // The process was killed or frozen at some time while the request was open.
   bool process_disturbed = false;
   bool in_time = false;  // ended before the deadline of the request
+  bool left = false;     // the client closed the connection midway
 };
 
 // Collects what replicas ran and what clients got, and finds contradictions.
@@ -111,8 +112,12 @@
       std::function<bool(const std::string&, int64_t, int64_t)> is_calm) {
     is_calm_ = std::move(is_calm);
   }
-  // The routes allow so many replicas to run one request.
-  void set_max_attempts(int max_attempts) { max_attempts_ = max_attempts; }
+  // The routes allow so many replicas to run one request, and `once` of those
+  // that may run once at most.
+  void set_max_attempts(int max_attempts, int once) {
+    max_attempts_ = max_attempts;
+    max_attempts_once_ = once;
+  }
   void RecordResult(const ClientResult& result);
   // Records a violation that was seen elsewhere.
   void RecordViolation(const std::string& text);
@@ -203,6 +208,7 @@
   std::map<std::string, std::vector<int64_t>> sent_ms_;  // by request
   std::vector<std::string> violations_;
   int max_attempts_ = 0;  // 0 if it is not checked
+  int max_attempts_once_ = 0;
   // Tries of clients that ran on more replicas than allowed.
   std::vector<std::string> over_run_;
   std::map<std::string, Deadline> deadlines_;  // by request, of the last try
--- a/tools/soak/soak_configuration.cc
+++ b/tools/soak/soak_configuration.cc
@@ -13,24 +13,30 @@
          std::to_string(1 + pid % kNets) + ".";
 }
 
-std::string ConfigurationSpec(int version, int timeout_ms, int max_attempts) {
+std::string ConfigurationSpec(int version,
+                              int timeout_ms,
+                              int max_attempts,
+                              int once_attempts) {
   std::string routes;
   const auto add = [&](const std::string& name, const std::string& kind,
-                       const std::string& service, const std::string& more) {
+                       const std::string& service, int priority, int attempts,
+                       const std::string& more) {
     routes += std::string(routes.empty() ? "" : ",") + R"({"name":")" + name +
               R"(","host":")" + kHost + R"(","path_prefix":"/)" + name +
               R"(/","kind":")" + kind + R"(","timeout_ms":)" +
               std::to_string(timeout_ms) +
-              R"(,"target_latency_ms":800,"priority":1,"service":")" + service +
-              R"(","max_attempts":)" + std::to_string(max_attempts) + more +
-              "}";
+              R"(,"target_latency_ms":800,"priority":)" +
+              std::to_string(priority) + R"(,"service":")" + service +
+              R"(","max_attempts":)" + std::to_string(attempts) + more + "}";
   };
   const std::string stream = R"(,"session_affinity":true,"target_gap_ms":300)";
-  add("order", "unsafe", "orders", "");
-  add("lookup", "safe", "orders", "");
-  add("once", "streaming", "chat", stream + R"(,"resumable":false)");
-  add("chat", "streaming", "chat", stream + R"(,"resumable":true)");
-  add("added" + std::to_string(version), "safe", "orders", "");
+  add("order", "unsafe", "orders", 2, once_attempts, "");
+  add("lookup", "safe", "orders", 2, max_attempts, "");
+  add("once", "streaming", "chat", 1, once_attempts,
+      stream + R"(,"resumable":false)");
+  add("chat", "streaming", "chat", 0, max_attempts,
+      stream + R"(,"resumable":true)");
+  add("added" + std::to_string(version), "safe", "orders", 2, max_attempts, "");
   return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
          routes +
          R"(],"services":[{"name":"orders","health_path":"/healthz",)"
@@ -48,7 +54,8 @@
     int count,
     const RegistryStandin& registry,
     size_t registry_views,
-    int report_groups) {
+    int report_groups,
+    int cores) {
   constexpr int kFirstHost = 100;
   const auto ip = [&network](int n) {
     return network + std::to_string(kFirstHost + n);
@@ -82,6 +89,8 @@
     const auto group = static_cast<size_t>(n % report_groups);
     options.seed_addresses = seeds[group];
     options.control_port = control_ports[group];
+    options.number = n;
+    options.cores = cores;
     fronts.push_back(std::make_unique<FrontProcess>(options));
     fronts.back()->Start();
   }
--- a/tools/soak/soak_configuration.h
+++ b/tools/soak/soak_configuration.h
@@ -22,12 +22,17 @@
 
 // Returns the configuration with the routes of RequestKind, and one more that
 // only this version has.
-std::string ConfigurationSpec(int version, int timeout_ms, int max_attempts);
+// `once_attempts` holds for requests that may run once at most.
+std::string ConfigurationSpec(int version,
+                              int timeout_ms,
+                              int max_attempts,
+                              int once_attempts);
 
 // Starts `count` processes at the addresses from `network` + "100" on, and
 // waits until they are ready. Processes of different groups, of which there are
-// `report_groups`, cannot report to each other. Throws std::runtime_error if
-// processes are not ready.
+// `report_groups`, cannot report to each other. They share the first `cores`
+// cores of the machine; 0 for all. Throws std::runtime_error if processes are
+// not ready.
 std::vector<std::unique_ptr<FrontProcess>> StartFrontProcesses(
     const std::string& binary,
     const std::string& folder,
@@ -35,7 +40,8 @@
     int count,
     const RegistryStandin& registry,
     size_t registry_views,
-    int report_groups = 1);
+    int report_groups = 1,
+    int cores = 0);
 
 }  // namespace endiveyard::soak
 
