Soak: faults of the registry

--registry-fault plays silent, busy, slow, lost, restore, compact, some and cut in a seeded series (HACKING.md). The stand-in pages its lists, drops what has been replaced for more than 20 s (its changes grew without bound), and answers 410 to older watches. Each process has a view of its own if the registry has faults.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -17,6 +17,7 @@
 #include "soak/first_tries.h"
 #include "soak/front_process.h"
 #include "soak/http_peer.h"
+#include "soak/registry_faults.h"
 #include "soak/registry_standin.h"
 #include "soak/replica_kills.h"
 #include "soak/replica_process.h"
@@ -60,6 +61,7 @@
   // How processes lose their links to all replicas, one way after the other:
   // none if it is empty.
   std::vector<std::string> stranded;
+  std::vector<RegistryFault> registry_faults;
   // Interval at which one process after the other is killed and started again,
   // instead of other signals; 0 for none.
   int kill_every_ms = 0;
@@ -121,10 +123,11 @@
     return std::mt19937_64(seed);
   }
   // Each process has its own view of the registry, with its own addresses of
-  // the replicas, if links between processes and replicas can be cut or reports
-  // are to say which build sent what.
+  // the replicas, if links between processes and replicas can be cut, reports
+  // are to say which build sent what, or the registry may turn some away.
   size_t ViewCount() const {
     return options_.stranded.empty() && !builds_.is_mixed() &&
+                   options_.registry_faults.empty() &&
                    std::count(options_.faults.begin(), options_.faults.end(),
                               ReplicaFault::kPause) == 0
                ? 1
@@ -687,6 +690,14 @@
   if (!options_.stranded.empty()) {
     disturbers.emplace_back([this] { StrandFronts(); });
   }
+  if (!options_.registry_faults.empty()) {
+    disturbers.emplace_back([this] {
+      PlayRegistryDisruptions(
+          PlanRegistryDisruptions(options_.registry_faults, options_.seed,
+                                  ViewCount(), kCalmMs, end_ms_ - begin_ms_),
+          begin_ms_, options_.folder + "/registry-faults.txt", &registry_);
+    });
+  }
   for (std::thread& it : clients) {
     it.join();
   }
@@ -754,6 +765,7 @@
   std::string upgrade;
   std::string folder;
   std::vector<std::string> fault_names;
+  std::vector<std::string> registry_fault_names;
   po::options_description options("soak");
   options.add_options()("help", "print this text")(
       "binary", po::value(&soak.binary)->required(), "the program endiveyard")(
@@ -779,8 +791,14 @@
       "half of the processes lose their links to all replicas for 9 s at a "
       "time; connections hang (hang), are reset (reset), or live on while new "
       "ones are refused (live_on); may be repeated")(
-      "max-attempts", po::value(&soak.max_attempts),
-      "replicas that get one request at most")(
+      "registry-fault", po::value(&registry_fault_names)->composing(),
+      "fault of the registry, in a series of those named: calls hang "
+      "(silent; cut: of half of the processes), get 503 (busy; some: of half "
+      "of the processes), are answered late (slow), writes are not answered "
+      "(lost), it comes back from a copy (restore) or drops its history "
+      "(compact); may be repeated")("max-attempts",
+                                    po::value(&soak.max_attempts),
+                                    "replicas that get one request at most")(
       "same-id-rate", po::value(&soak.same_id_rate),
       "share of the repeats of refused requests that have the same id")(
       "max-change-ms", po::value(&soak.max_change_ms),
@@ -822,6 +840,9 @@
     }
     po::notify(values);
     soak.faults = endiveyard::soak::FaultsNamed(fault_names);
+    for (const std::string& it : registry_fault_names) {
+      soak.registry_faults.push_back(endiveyard::soak::RegistryFaultNamed(it));
+    }
     for (const std::string& it : soak.stranded) {
       if (it != "hang" && it != "reset" && it != "live_on") {
         throw std::runtime_error("links are not cut in the way " + it);
--- a/tools/soak/registry_standin.cc
+++ b/tools/soak/registry_standin.cc
@@ -3,23 +3,34 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdlib>
+#include <set>
 
 namespace endiveyard::soak {
 namespace {
 
-int64_t QueryNumber(const std::string& target, const std::string& name) {
+// As the settings of the processes state.
+constexpr int64_t kHistoryMs = 20000;
+constexpr int64_t kCompactionIntervalMs = 500;
+// Of a list. The platform's pages are larger; the lists of a soak would fit on
+// one.
+constexpr size_t kPageItems = 8;
+constexpr int64_t kUsualAnswerMs = 10;
+constexpr int64_t kSlowFactor = 50;
+
+std::string QueryText(const std::string& target, const std::string& name) {
   const std::string query = "&" + target.substr(target.find('?') + 1);
-  const size_t at = query.find("&" + name + "=");
-  return at == std::string::npos
-             ? -1
-             : std::atoll(query.c_str() + at + name.size() + 2);
+  const std::string field = "&" + name + "=";
+  const size_t at = query.find(field);
+  if (at == std::string::npos) {
+    return "";
+  }
+  const size_t begin = at + field.size();
+  return query.substr(begin, query.find('&', begin) - begin);
 }
 
-std::string Response(const std::string& status, const std::string& body) {
-  return "HTTP/1.1 " + status +
-         "\r\nStore-Era: 1\r\nContent-Type: application/json\r\n"
-         "Content-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+int64_t QueryNumber(const std::string& target, const std::string& name) {
+  const std::string text = QueryText(target, name);
+  return text.empty() ? -1 : std::atoll(text.c_str());
 }
 
 constexpr std::string_view kSpecField = "\"spec\":";
@@ -30,6 +41,10 @@
   return object.substr(begin, object.rfind('}') - begin);
 }
 
+bool IsWrite(const HttpMessage& request) {
+  return request.start_line.compare(0, 4, "GET ") != 0;
+}
+
 }  // namespace
 
 RegistryStandin::RegistryStandin(const std::string& ip, size_t views) {
@@ -49,77 +64,170 @@
                           const std::string& name,
                           const std::vector<std::string>& specs) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  Record(kind, name, specs, false);
+  RecordLostAgain();
+  Record({0, 0, kind, name, specs, false, false});
 }
 
 void RegistryStandin::Delete(const std::string& kind, const std::string& name) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  Record(kind, name, {"null"}, true);
-}
-
-void RegistryStandin::Record(const std::string& kind,
-                             const std::string& name,
-                             const std::vector<std::string>& specs,
-                             bool deleted) {
-  ++revision_;
-  std::vector<std::string> objects;
-  objects.reserve(specs.size());
-  for (const std::string& it : specs) {
-    std::string object = R"({"metadata":{"name":")" + name +
-                         R"(","revision":)" + std::to_string(revision_) +
-                         R"(,"created":1,"finalizers":[],"deleting":false},)"
-                         R"("spec":)";
-    object += it;
-    object += R"(,"status":null})";
-    objects.push_back(std::move(object));
-  }
-  changes_.push_back({revision_, kind, name, std::move(objects), deleted});
+  RecordLostAgain();
+  Record({0, 0, kind, name, {"null"}, true, false});
+}
+
+void RegistryStandin::SetTrouble(const RegistryTrouble& trouble) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  trouble_ = trouble;
   changed_.notify_all();
 }
 
-const std::string& RegistryStandin::ObjectIn(const Change& change,
-                                             size_t view) {
-  return change.objects[change.objects.size() == 1 ? 0 : view];
+RegistryTrouble RegistryStandin::trouble() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return trouble_;
 }
 
-std::string RegistryStandin::Read(const std::string& target, size_t view) {
-  const std::string prefix = "/objects/";
-  const std::string kind =
-      target.substr(prefix.size(), target.find('?') - prefix.size());
-  const int64_t watch = QueryNumber(target, "watch");
-  std::unique_lock<std::mutex> lock(mutex_);
-  std::string entries;
-  const auto append = [&entries](const std::string& entry) {
-    entries += (entries.empty() ? "" : ",") + entry;
-  };
-  if (watch < 0) {
-    std::map<std::string, std::string> objects;
-    for (const Change& it : changes_) {
-      if (it.kind == kind && it.deleted) {
-        objects.erase(it.name);
-      } else if (it.kind == kind) {
-        objects[it.name] = ObjectIn(it, view);
-      }
+void RegistryStandin::ResetConnections() {
+  for (const auto& it : listeners_) {
+    it->ResetConnections();
+  }
+}
+
+int64_t RegistryStandin::era() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return era_;
+}
+
+void RegistryStandin::DropHistory() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  compacted_revision_ = revision_;
+  ++watch_cuts_;
+  changed_.notify_all();
+}
+
+void RegistryStandin::Restore(int64_t age_ms) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  RecordLostAgain();
+  const int64_t copied_at_ms = NowMs() - age_ms;
+  while (!changes_.empty() && changes_.back().at_ms > copied_at_ms) {
+    revision_ = changes_.back().revision - 1;
+    if (!changes_.back().by_caller) {
+      lost_.push_front(std::move(changes_.back()));
     }
-    for (const auto& it : objects) {
-      append(it.second);
+    changes_.pop_back();
+  }
+  compacted_revision_ = std::min(compacted_revision_, revision_);
+  ++era_;
+  ++watch_cuts_;
+  changed_.notify_all();
+}
+
+void RegistryStandin::WriteLostAgain() {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  RecordLostAgain();
+}
+
+void RegistryStandin::RecordLostAgain() {
+  for (Change& it : std::exchange(lost_, {})) {
+    Record(std::move(it));
+  }
+}
+
+void RegistryStandin::Record(Change change) {
+  change.revision = ++revision_;
+  change.at_ms = NowMs();
+  changes_.push_back(std::move(change));
+  Compact();
+  changed_.notify_all();
+}
+
+void RegistryStandin::Compact() {
+  const int64_t now_ms = NowMs();
+  if (now_ms - compacted_at_ms_ < kCompactionIntervalMs) {
+    return;
+  }
+  compacted_at_ms_ = now_ms;
+  const auto begin_of_history = std::find_if(
+      changes_.begin(), changes_.end(),
+      [&](const Change& it) { return now_ms - it.at_ms <= kHistoryMs; });
+  std::deque<Change> kept(std::make_move_iterator(begin_of_history),
+                          std::make_move_iterator(changes_.end()));
+  std::set<Key> seen;
+  for (auto it = std::make_reverse_iterator(begin_of_history);
+       it != changes_.rend(); ++it) {
+    compacted_revision_ = std::max(compacted_revision_, it->revision);
+    if (seen.insert({it->kind, it->name}).second && !it->deleted) {
+      kept.push_front(std::move(*it));
+    }
+  }
+  changes_ = std::move(kept);
+}
+
+std::string RegistryStandin::ObjectIn(const Change& change, size_t view) {
+  return R"({"metadata":{"name":")" + change.name + R"(","revision":)" +
+         std::to_string(change.revision) +
+         R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" +
+         change.specs[change.specs.size() == 1 ? 0 : view] +
+         R"(,"status":null})";
+}
+
+std::string RegistryStandin::Respond(const std::string& status,
+                                     const std::string& body) const {
+  return "HTTP/1.1 " + status + "\r\nStore-Era: " + std::to_string(era_) +
+         "\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string RegistryStandin::List(const std::string& kind,
+                                  const std::string& after,
+                                  size_t view) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  std::map<std::string, const Change*> objects;
+  for (const Change& it : changes_) {
+    if (it.kind == kind && it.deleted) {
+      objects.erase(it.name);
+    } else if (it.kind == kind) {
+      objects[it.name] = &it;
     }
-    return R"({"items":[)" + entries + R"(],"has_more":false,"current_rev":)" +
-           std::to_string(revision_) + "}";
   }
+  std::string items;
+  size_t count = 0;
+  auto it = objects.upper_bound(after);
+  for (; it != objects.end() && count < kPageItems; ++it, ++count) {
+    items += (items.empty() ? "" : ",") + ObjectIn(*it->second, view);
+  }
+  return Respond("200 OK", R"({"items":[)" + items + R"(],"has_more":)" +
+                               (it == objects.end() ? "false" : "true") +
+                               R"(,"current_rev":)" +
+                               std::to_string(revision_) + "}");
+}
+
+std::string RegistryStandin::Watch(const std::string& kind,
+                                   int64_t revision,
+                                   int64_t wait_ms,
+                                   size_t view) {
+  std::unique_lock<std::mutex> lock(mutex_);
+  const uint64_t cuts = watch_cuts_;
+  const auto is_gone = [&] {
+    return cuts != watch_cuts_ || revision < compacted_revision_ ||
+           revision > revision_;
+  };
+  std::string events;
   const auto collect = [&] {
     for (const Change& it : changes_) {
-      if (it.kind == kind && it.revision > watch) {
-        append(std::string(R"({"deleted":)") + (it.deleted ? "true" : "false") +
-               R"(,"object":)" + ObjectIn(it, view) + "}");
+      if (it.kind == kind && it.revision > revision) {
+        events += std::string(events.empty() ? "" : ",") + R"({"deleted":)" +
+                  (it.deleted ? "true" : "false") + R"(,"object":)" +
+                  ObjectIn(it, view) + "}";
       }
     }
-    return !entries.empty();
+    return !events.empty();
   };
-  changed_.wait_for(
-      lock, std::chrono::milliseconds(QueryNumber(target, "wait_ms")), collect);
-  return R"({"events":[)" + entries + R"(],"current_rev":)" +
-         std::to_string(revision_) + "}";
+  changed_.wait_for(lock, std::chrono::milliseconds(wait_ms),
+                    [&] { return is_gone() || collect(); });
+  if (is_gone()) {
+    return Respond("410 Gone", "{}");
+  }
+  return Respond("200 OK", R"({"events":[)" + events + R"(],"current_rev":)" +
+                               std::to_string(revision_) + "}");
 }
 
 std::optional<std::string> RegistryStandin::HandleObject(
@@ -136,6 +244,10 @@
           : path.substr(slash + 1, query == std::string::npos
                                        ? std::string::npos
                                        : query - slash - 1);
+  if (slash == std::string::npos && !IsWrite(request)) {
+    return std::nullopt;
+  }
+  const std::lock_guard<std::mutex> lock(mutex_);
   if (request.start_line.compare(0, 5, "POST ") == 0) {
     const std::string named = "\"name\":\"";
     const size_t begin = request.body.find(named) + named.size();
@@ -149,13 +261,9 @@
   if (request.start_line.compare(0, 7, "DELETE ") == 0) {
     return Remove(kind, name, QueryNumber(request.Target(), "revision"));
   }
-  if (slash == std::string::npos) {
-    return std::nullopt;
-  }
-  const std::lock_guard<std::mutex> lock(mutex_);
   const Change* const current = Find(kind, name);
-  return current == nullptr ? Response("404 Not Found", "{}")
-                            : Response("200 OK", ObjectIn(*current, view));
+  return current == nullptr ? Respond("404 Not Found", "{}")
+                            : Respond("200 OK", ObjectIn(*current, view));
 }
 
 const RegistryStandin::Change* RegistryStandin::Find(
@@ -170,12 +278,11 @@
 std::string RegistryStandin::Create(const std::string& kind,
                                     const std::string& name,
                                     const std::string& body) {
-  const std::lock_guard<std::mutex> lock(mutex_);
   if (Find(kind, name) != nullptr) {
-    return Response("409 Conflict", "{}");
+    return Respond("409 Conflict", "{}");
   }
-  Record(kind, name, {SpecOf(body)}, false);
-  return Response("201 Created", "{}");
+  Record({0, 0, kind, name, {SpecOf(body)}, false, true});
+  return Respond("201 Created", "{}");
 }
 
 std::string RegistryStandin::Replace(const std::string& kind,
@@ -183,50 +290,82 @@
                                      const std::string& body) {
   const std::string revision_field = "\"revision\":";
   const size_t revision = body.rfind(revision_field, body.find(kSpecField));
-  const std::lock_guard<std::mutex> lock(mutex_);
   const Change* const current = Find(kind, name);
   if (current == nullptr) {
-    return Response("404 Not Found", "{}");
+    return Respond("404 Not Found", "{}");
   }
   // Without a revision, whatever there is is replaced.
   if (revision != std::string::npos &&
       std::atoll(body.c_str() + revision + revision_field.size()) !=
           current->revision) {
-    return Response("409 Conflict", "{}");
+    return Respond("409 Conflict", "{}");
   }
-  Record(kind, name, {SpecOf(body)}, false);
-  return Response("200 OK", "{}");
+  Record({0, 0, kind, name, {SpecOf(body)}, false, true});
+  return Respond("200 OK", "{}");
 }
 
 std::string RegistryStandin::Remove(const std::string& kind,
                                     const std::string& name,
                                     int64_t revision) {
-  const std::lock_guard<std::mutex> lock(mutex_);
   const Change* const current = Find(kind, name);
   if (current == nullptr) {
-    return Response("404 Not Found", "{}");
+    return Respond("404 Not Found", "{}");
   }
   if (revision >= 0 && revision != current->revision) {
-    return Response("409 Conflict", "{}");
+    return Respond("409 Conflict", "{}");
+  }
+  Record({0, 0, kind, name, {"null"}, true, true});
+  return Respond("200 OK", "{}");
+}
+
+bool RegistryStandin::WaitWhileSilent(HttpPeer& peer, size_t view) {
+  constexpr int kIntervalMs = 10;
+  while (trouble().IsSilent(view)) {
+    SleepMs(kIntervalMs);
   }
-  Record(kind, name, {"null"}, true);
-  return Response("200 OK", "{}");
+  return !peer.HasEnded();
+}
+
+std::string RegistryStandin::Answer(const HttpMessage& request, size_t view) {
+  if (trouble().IsTurnedAway(view)) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return Respond("503 Service Unavailable", "{}");
+  }
+  if (const auto answer = HandleObject(request, view)) {
+    return *answer;
+  }
+  const std::string target = request.Target();
+  const size_t begin = std::string_view("/objects/").size();
+  const std::string kind = target.substr(begin, target.find('?') - begin);
+  const int64_t watch = QueryNumber(target, "watch");
+  return watch < 0 ? List(kind, QueryText(target, "after"), view)
+                   : Watch(kind, watch, QueryNumber(target, "wait_ms"), view);
 }
 
 void RegistryStandin::Serve(HttpPeer& peer, size_t view) {
   constexpr int kIdleMs = 60000;
   while (true) {
     const HttpMessage request = peer.Read(kIdleMs);
+    const int64_t era_of_call = era();
     if (!request.complete) {
       return;
     }
-    if (const auto answer = HandleObject(request, view)) {
-      if (!peer.Send(*answer)) {
-        return;
+    if (!WaitWhileSilent(peer, view)) {
+      // A write may be carried out after its caller has given up.
+      if (IsWrite(request) && era() == era_of_call) {
+        Answer(request, view);
       }
-      continue;
+      return;
+    }
+    const std::string answer = Answer(request, view);
+    if (trouble().loses_answers && IsWrite(request)) {
+      peer.WaitForEnd(kIdleMs);
+      return;
+    }
+    if (trouble().is_slow) {
+      SleepMs(kUsualAnswerMs * kSlowFactor);
     }
-    if (!peer.Send(Response("200 OK", Read(request.Target(), view)))) {
+    if (!WaitWhileSilent(peer, view) || !peer.Send(answer)) {
       return;
     }
   }
