--- a/tests/front/instance_recorder_test.cc
+++ b/tests/front/instance_recorder_test.cc
@@ -9,105 +9,14 @@
 #include <vector>
 
 #include "fake_clock.h"
+#include "fake_registry.h"
 #include "front/instance_record.h"
 
 namespace endiveyard {
 namespace {
 
-constexpr const char* kKind = "kind";
 constexpr Duration kSecond = std::chrono::seconds(1);
 
-// Objects of one kind, 100 to a page. Answers come 4 ms later.
-class FakeRegistry : public RegistryClient, public RegistryObjectClient {
- public:
-  explicit FakeRegistry(Clock* clock) : clock_(clock) {}
-
-  void ListPage(
-      const std::string& kind,
-      const std::string& after,
-      std::function<void(absl::StatusOr<RegistryPage>)> done) override {
-    ++full_price_lists;
-    ListStalePage(kind, after, std::move(done));
-  }
-  void ListStalePage(
-      const std::string& kind,
-      const std::string& after,
-      std::function<void(absl::StatusOr<RegistryPage>)> done) override {
-    BOOST_TEST(kind == kKind);
-    Answer([this, after, done] {
-      if (unavailable) {
-        done(absl::UnavailableError("down"));
-        return;
-      }
-      constexpr size_t kPage = 100;
-      RegistryPage page;
-      for (auto it = objects.upper_bound(after); it != objects.end(); ++it) {
-        if (page.items.size() == kPage) {
-          page.has_more = true;
-          break;
-        }
-        page.items.push_back(it->second);
-      }
-      done(page);
-    });
-  }
-  void Watch(
-      const std::string& /*kind*/,
-      int64_t /*revision*/,
-      Duration /*timeout*/,
-      std::function<void(absl::StatusOr<RegistryChanges>)> /*done*/) override {}
-  void Read(
-      const std::string& /*kind*/,
-      const std::string& /*name*/,
-      std::function<void(absl::StatusOr<RegistryObject>)> /*done*/) override {}
-  void Write(const std::string& /*kind*/,
-             const RegistryObject& written,
-             std::function<void(absl::Status)> done) override {
-    write_times.insert(clock_->now());
-    Answer([this, written, done] {
-      const bool exists = objects.count(written.name) > 0;
-      if (unavailable) {
-        done(absl::UnavailableError("down"));
-      } else if (written.revision == 0 && exists) {
-        done(absl::AbortedError("exists"));
-      } else if (written.revision != 0 && !exists) {
-        done(absl::NotFoundError("none"));
-      } else {
-        objects[written.name] = {written.name, written.spec, false,
-                                 ++revision_};
-        done(absl::OkStatus());
-      }
-    });
-  }
-  void Remove(const std::string& /*kind*/,
-              const std::string& name,
-              int64_t revision,
-              std::function<void(absl::Status)> done) override {
-    ++removals;
-    Answer([this, name, revision, done] {
-      const auto it = objects.find(name);
-      if (it != objects.end() && it->second.revision == revision) {
-        objects.erase(it);
-      }
-      done(absl::OkStatus());
-    });
-  }
-
-  std::map<std::string, RegistryObject> objects;
-  bool unavailable = false;
-  std::multiset<TimePoint> write_times;
-  int removals = 0;
-  int full_price_lists = 0;
-
- private:
-  void Answer(std::function<void()> action) {
-    clock_->Schedule(std::chrono::milliseconds(4), std::move(action));
-  }
-
-  Clock* clock_;
-  int64_t revision_ = 0;
-};
-
 struct Instance {
   Instance(Clock* clock, FakeRegistry* registry, int number) {
     InstanceRecorderHandlers handlers;
@@ -133,7 +42,8 @@
     handlers.on_failure = [this](const absl::Status&) { ++failures; };
     recorder = std::make_unique<InstanceRecorder>(
         registry, registry,
-        InstanceRecorderOptions{kKind, "front-" + std::to_string(number),
+        InstanceRecorderOptions{kKindOfFakeRegistry,
+                                "front-" + std::to_string(number),
                                 "10.0.0." + std::to_string(number)},
         std::move(handlers));
     recorder->Start();
--- a/tests/front/instance_shares_test.cc
+++ b/tests/front/instance_shares_test.cc
@@ -10,6 +10,7 @@
 #include "endiveyard/load_exchange/peer_directory.h"
 #include "endiveyard/placement/service_retry_budget.h"
 #include "fake_clock.h"
+#include "fake_registry.h"
 #include "front/instance_recorder.h"
 
 namespace endiveyard {
@@ -17,66 +18,6 @@
 
 constexpr uint16_t kRegion = 7;
 constexpr Duration kSecond = std::chrono::seconds(1);
-constexpr Duration kAnswerTime = std::chrono::milliseconds(4);
-
-using Objects = std::map<std::string, RegistryObject>;
-
-// What one instance reaches of a registry with one kind of objects.
-class RegistryLink : public RegistryClient, public RegistryObjectClient {
- public:
-  RegistryLink(Clock* clock, Objects* objects)
-      : clock_(clock), objects_(objects) {}
-
-  void ListPage(
-      const std::string& /*kind*/,
-      const std::string& after,
-      std::function<void(absl::StatusOr<RegistryPage>)> done) override {
-    clock_->Schedule(kAnswerTime, [this, after, done] {
-      if (is_cut) {
-        done(absl::UnavailableError("cut"));
-        return;
-      }
-      RegistryPage page;
-      for (auto it = objects_->upper_bound(after); it != objects_->end();
-           ++it) {
-        page.items.push_back(it->second);
-      }
-      done(page);
-    });
-  }
-  void Watch(
-      const std::string& /*kind*/,
-      int64_t /*revision*/,
-      Duration /*timeout*/,
-      std::function<void(absl::StatusOr<RegistryChanges>)> /*done*/) override {}
-  void Read(
-      const std::string& /*kind*/,
-      const std::string& /*name*/,
-      std::function<void(absl::StatusOr<RegistryObject>)> /*done*/) override {}
-  void Write(const std::string& /*kind*/,
-             const RegistryObject& written,
-             std::function<void(absl::Status)> done) override {
-    clock_->Schedule(kAnswerTime, [this, written, done] {
-      if (is_cut) {
-        done(absl::UnavailableError("cut"));
-        return;
-      }
-      (*objects_)[written.name] = written;
-      (*objects_)[written.name].revision = 1;
-      done(absl::OkStatus());
-    });
-  }
-  void Remove(const std::string& /*kind*/,
-              const std::string& /*name*/,
-              int64_t /*revision*/,
-              std::function<void(absl::Status)> /*done*/) override {}
-
-  bool is_cut = false;
-
- private:
-  Clock* const clock_;
-  Objects* const objects_;
-};
 
 std::string IpOf(uint32_t address) {
   return "10.0.0." + std::to_string(address);
@@ -91,7 +32,7 @@
   Instance(uint32_t address,
            const RetryBound& bound,
            Clock* clock,
-           Objects* objects)
+           FakeRegistry::Objects* objects)
       : directory(address, kRegion, {}),
         budget(bound),
         link(clock, objects),
@@ -123,7 +64,8 @@
     handlers.on_failure = [](const absl::Status&) {};
     recorder_ = std::make_unique<InstanceRecorder>(
         &link, &link,
-        InstanceRecorderOptions{"kind", IpOf(address), IpOf(address)},
+        InstanceRecorderOptions{kKindOfFakeRegistry, IpOf(address),
+                                IpOf(address)},
         std::move(handlers));
     recorder_->Start();
   }
@@ -138,7 +80,7 @@
 
   PeerDirectory directory;
   ServiceRetryBudget budget;
-  RegistryLink link;
+  FakeRegistry link;
 
  private:
   Clock* const clock_;
@@ -159,12 +101,12 @@
   void Start(uint32_t n) {
     // The process before has ended, but callbacks of it are still to come.
     if (instances_.count(n) > 0) {
-      instances_[n]->link.is_cut = true;
+      instances_[n]->link.unavailable = true;
       ended_.push_back(std::move(instances_[n]));
     }
     instances_[n] =
         std::make_unique<Instance>(n + 1, bound_, &clock_, &objects_);
-    instances_[n]->link.is_cut = is_cut_ && IsInSecondHalf(n);
+    instances_[n]->link.unavailable = is_cut_ && IsInSecondHalf(n);
   }
 
   void StartFirstHalf() {
@@ -176,7 +118,7 @@
   void SetCut(bool is_cut) {
     is_cut_ = is_cut;
     for (const auto& [n, it] : instances_) {
-      it->link.is_cut = is_cut && IsInSecondHalf(n);
+      it->link.unavailable = is_cut && IsInSecondHalf(n);
     }
   }
 
@@ -228,7 +170,7 @@
   const uint32_t parts_;
   bool is_cut_ = false;
   Clock clock_;
-  Objects objects_;
+  FakeRegistry::Objects objects_;
   std::map<uint32_t, std::unique_ptr<Instance>> instances_;
   std::vector<std::unique_ptr<Instance>> ended_;
 };
