Soak: requests and prompt parts that crash replicas, and rate limits

Five ways to break the users' rules of BUDGET and LIMIT were counted by no run with real processes: a request that crashes replicas and comes again, a prompt part that does, and a replica's Server-Limit.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -14,6 +14,7 @@
 #include <boost/program_options.hpp>
 
 #include "soak/build_plan.h"
+#include "soak/crash_ledger.h"
 #include "soak/first_tries.h"
 #include "soak/front_process.h"
 #include "soak/http_peer.h"
@@ -63,6 +64,7 @@
   // Interval at which one process after the other is killed and started again,
   // instead of other signals; 0 for none.
   int kill_every_ms = 0;
+  bool kill_all = false;  // all processes at once, instead
   // A second build; empty for none.
   std::string other_binary;
   BuildChange build_change = BuildChange::kDrawn;
@@ -120,13 +122,24 @@
     std::seed_seq seed{options_.seed, part};
     return std::mt19937_64(seed);
   }
+  bool Plays(ReplicaFault fault) const {
+    return std::count(options_.faults.begin(), options_.faults.end(), fault) >
+           0;
+  }
+  // True if the crash ledger is needed.
+  bool PlaysCrashes() const {
+    return Plays(ReplicaFault::kCrashRequest) ||
+           Plays(ReplicaFault::kCrashPart) || Plays(ReplicaFault::kRateLimit);
+  }
+  // Makes some requests crash replicas.
+  void MakeCrashing(ClientRequest* request, std::mt19937_64* random) const;
+  bool IsCalm(const std::string& name, int64_t begin_ms, int64_t end_ms) const;
   // Each process has its own view of the registry, with its own addresses of
   // the replicas, if links between processes and replicas can be cut or reports
   // are to say which build sent what.
   size_t ViewCount() const {
     return options_.stranded.empty() && !builds_.is_mixed() &&
-                   std::count(options_.faults.begin(), options_.faults.end(),
-                              ReplicaFault::kPause) == 0
+                   !Plays(ReplicaFault::kPause) && !PlaysCrashes()
                ? 1
                : static_cast<size_t>(options_.fronts);
   }
@@ -195,6 +208,10 @@
   int64_t begin_ms_ = 0;
   int64_t end_ms_ = 0;
   RunLedger ledger_;
+  CrashLedger crash_ledger_{
+      [this](const std::string& name, int64_t begin_ms, int64_t end_ms) {
+        return IsCalm(name, begin_ms, end_ms);
+      }};
   BuildPlan builds_;
   HandleTable handles_;
   RegistryStandin registry_;
@@ -220,7 +237,19 @@
     options.stage = n < plain ? "" : n < plain + prefill ? "prefill" : "decode";
     options.seed = RandomFor(static_cast<uint64_t>(n))();
     options.fault_rate = options_.fault_rate;
-    options.faults = options_.faults;
+    std::copy_if(options_.faults.begin(), options_.faults.end(),
+                 std::back_inserter(options.faults), [](ReplicaFault it) {
+                   return it != ReplicaFault::kCrashRequest &&
+                          it != ReplicaFault::kCrashPart;
+                 });
+    if (PlaysCrashes()) {
+      options.crash_ledger = &crash_ledger_;
+      options.restart = [this, n] {
+        const std::lock_guard<std::mutex> lock(replacing_);
+        const auto number = static_cast<size_t>(n);
+        Replace(number, replicas_[number]->stage());
+      };
+    }
     options.max_work_ms = options_.max_work_ms;
     if (builds_.is_mixed()) {
       options.describe_caller = [this](size_t view) {
@@ -402,6 +431,7 @@
           (shared.empty() ? ":8000\r\n" : ":6000\r\n");
     }
     request.body = std::string(static_cast<size_t>(draw(2000)), 'q');
+    MakeCrashing(&request, random);
     bytes += BytesOf(request);
     ledger_.RecordRequest(ServiceOf(request.target), request.id,
                           TimeLeftMs(request));
@@ -424,6 +454,38 @@
   }
 }
 
+void Soak::MakeCrashing(ClientRequest* request, std::mt19937_64* random) const {
+  if (!(Plays(ReplicaFault::kCrashRequest) ||
+        Plays(ReplicaFault::kCrashPart)) ||
+      NowMs() < begin_ms_ + kCalmMs ||
+      std::uniform_real_distribution<double>()(*random) >=
+          options_.fault_rate) {
+    return;
+  }
+  const bool by_part =
+      Plays(ReplicaFault::kCrashPart) &&
+      (!Plays(ReplicaFault::kCrashRequest) || (*random)() % 2 == 0);
+  const std::string prompt =
+      "Endiveyard-Model: m\r\nEndiveyard-Token-Count: 8000,40\r\n"
+      "Endiveyard-Prompt-Prefix: a";
+  if (by_part) {
+    std::string last_part = "b" + request->id.substr(1);
+    std::replace(last_part.begin(), last_part.end(), '-', 'f');
+    request->target =
+        ((*random)() % 2 == 0 ? "/chat/" : "/once/") + request->id;
+    request->prompt = prompt + std::to_string((*random)() % 4) + ":2000," +
+                      std::string(kCrashingPart) + ":1000," + last_part +
+                      ":5000\r\n";
+    return;
+  }
+  const char* const paths[] = {"/order/", "/lookup/", "/once/", "/chat/"};
+  request->target =
+      paths[options_.seed % std::size(paths)] + std::string(kCrashingTarget);
+  request->body = "crash";
+  request->prompt =
+      IsStream(KindOf(request->target)) ? prompt + "0:2000,c1:6000\r\n" : "";
+}
+
 void Soak::RunClient(int number) {
   std::mt19937_64 random = RandomFor(1000 + static_cast<uint64_t>(number));
   std::unique_ptr<HttpPeer> peer;
@@ -539,10 +601,18 @@
 void Soak::KillInTurn() {
   for (size_t n = 0; !Ended(); ++n) {
     SleepUntilEnd(options_.kill_every_ms);
-    FrontProcess& front = *fronts_[n % fronts_.size()];
-    Signal(&front, SIGKILL);
-    front.WaitForEnd(kGraceMs);
-    StartAgain(n % fronts_.size());
+    std::vector<size_t> numbers{n % fronts_.size()};
+    if (options_.kill_all) {
+      numbers.resize(fronts_.size());
+      std::iota(numbers.begin(), numbers.end(), size_t{0});
+    }
+    for (const size_t it : numbers) {
+      Signal(fronts_[it].get(), SIGKILL);
+    }
+    for (const size_t it : numbers) {
+      fronts_[it]->WaitForEnd(kGraceMs);
+      StartAgain(it);
+    }
   }
   Settle();
 }
@@ -649,16 +719,22 @@
   first_tries_.RecordTry(first_try);
 }
 
+bool Soak::IsCalm(const std::string& name,
+                  int64_t begin_ms,
+                  int64_t end_ms) const {
+  const auto it =
+      std::find_if(fronts_.begin(), fronts_.end(),
+                   [&](const auto& front) { return front->name() == name; });
+  return it != fronts_.end() && !(*it)->WasDisturbed(begin_ms, end_ms) &&
+         !(*it)->WasStarted(begin_ms, end_ms);
+}
+
 std::vector<std::string> Soak::Run() {
   ledger_.set_max_attempts(options_.max_attempts);
-  ledger_.set_is_calm([this](const std::string& name, int64_t begin_ms,
-                             int64_t end_ms) {
-    const auto it =
-        std::find_if(fronts_.begin(), fronts_.end(),
-                     [&](const auto& front) { return front->name() == name; });
-    return it != fronts_.end() && !(*it)->WasDisturbed(begin_ms, end_ms) &&
-           !(*it)->WasStarted(begin_ms, end_ms);
-  });
+  ledger_.set_is_calm(
+      [this](const std::string& name, int64_t begin_ms, int64_t end_ms) {
+        return IsCalm(name, begin_ms, end_ms);
+      });
   StartReplicas();
   PutConfiguration(7);
   StartFronts();
@@ -698,8 +774,11 @@
   if (peak_memory_mb_ > kMaxMemoryMb) {
     ledger_.RecordViolation("MEMORY, a process took more than its machine has");
   }
+  for (const std::string& it : crash_ledger_.Violations()) {
+    ledger_.RecordViolation(it);
+  }
   summary_ = ledger_.Summary() + "; " + ledger_.RepeatSummary() +
-             "; peak memory of a process " +
+             crash_ledger_.Summary() + "; peak memory of a process " +
              std::to_string(static_cast<int>(peak_memory_mb_)) + " MB" +
              first_tries_.Summary();
   for (const std::string& it : first_tries_.Violations()) {
@@ -730,7 +809,7 @@
   for (int n = 1; names.empty() && n < static_cast<int>(ReplicaFault::kCount);
        ++n) {
     const auto fault = static_cast<ReplicaFault>(n);
-    if (fault != ReplicaFault::kLateFirstId && fault != ReplicaFault::kPause) {
+    if (fault < ReplicaFault::kLateFirstId) {
       faults.push_back(fault);
     }
   }
@@ -772,7 +851,7 @@
       "share of the requests that a replica handles wrongly")(
       "fault", po::value(&fault_names)->composing(),
       "fault of the replicas; may be repeated; default: all but "
-      "late_first_id and pause")(
+      "late_first_id, pause, crash_request, crash_part and rate_limit")(
       "pipeline-rate", po::value(&soak.pipeline_rate),
       "share of the turns of a client that send two or three requests at once")(
       "stranded", po::value(&soak.stranded)->composing(),
@@ -795,6 +874,8 @@
       "kill-every-ms", po::value(&soak.kill_every_ms),
       "interval at which one process after the other is killed and started "
       "again, instead of other signals")(
+      "kill-all", po::value(&soak.kill_all),
+      "kill-every-ms concerns all processes at once")(
       "report-groups", po::value(&soak.report_groups),
       "processes of different groups cannot report to each other")(
       "signals", po::value(&soak.signals),
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <thread>
 #include <utility>
 
 namespace endiveyard::soak {
@@ -51,7 +52,10 @@
                    "unframed",
                    "unframed_reset",
                    "late_first_id",
-                   "pause"};
+                   "pause",
+                   "crash_request",
+                   "crash_part",
+                   "rate_limit"};
 
 std::string HeadOf(const std::string& id, const std::string& framing) {
   return "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
@@ -59,8 +63,11 @@
          "\r\n";
 }
 
-std::string WithLength(const std::string& id, const std::string& body) {
-  return HeadOf(id, "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+std::string WithLength(const std::string& id,
+                       const std::string& more,
+                       const std::string& body) {
+  return HeadOf(id, more + "Content-Length: " + std::to_string(body.size()) +
+                        "\r\n") +
          body;
 }
 
@@ -100,7 +107,7 @@
          fault == ReplicaFault::kAnswerAgainCut ||
          fault == ReplicaFault::kAnswerAgainCutClose ||
          fault == ReplicaFault::kSurplusBytes ||
-         fault == ReplicaFault::kUnframed;
+         fault == ReplicaFault::kUnframed || fault == ReplicaFault::kRateLimit;
 }
 
 }  // namespace
@@ -152,14 +159,23 @@
 
 void ReplicaStandin::Restart(const std::string& stage) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  if (limit_per_s_ > 0) {
+    options_.crash_ledger->RecordLimitEnd(IdOf(incarnation_), NowMs());
+  }
   ++incarnation_;
   stage_ = stage;
+  call_times_ms_.clear();
+  limit_per_s_ = 0;
 }
 
 std::string ReplicaStandin::id() const {
   const std::lock_guard<std::mutex> lock(mutex_);
+  return IdOf(incarnation_);
+}
+
+std::string ReplicaStandin::IdOf(int incarnation) const {
   return "i-" + options_.ip.substr(options_.ip.rfind('.') + 1) + "-" +
-         std::to_string(incarnation_);
+         std::to_string(incarnation);
 }
 
 std::string ReplicaStandin::stage() const {
@@ -202,7 +218,8 @@
 
 ReplicaFault ReplicaStandin::DrawFault() {
   constexpr int kRange = 1000000;
-  if (!faulty_ || DrawNumber(kRange) >= options_.fault_rate * kRange) {
+  if (!faulty_ || options_.faults.empty() ||
+      DrawNumber(kRange) >= options_.fault_rate * kRange) {
     return ReplicaFault::kNone;
   }
   const int last = static_cast<int>(options_.faults.size()) - 1;
@@ -214,7 +231,7 @@
   Connection connection{peer, view, "", false};
   while (true) {
     const HttpMessage request = peer.Read(kIdleMs);
-    if (!request.complete) {
+    if (!request.complete || has_crashed_) {
       return;
     }
     if (!peer.Send(std::exchange(connection.copy, "")) || connection.closes ||
@@ -239,6 +256,117 @@
   return !peer.WaitForEnd(DrawNumber(max_ms));
 }
 
+ReplicaCall ReplicaStandin::CallOf(const Arrival& arrival) {
+  return {arrival.id, arrival.replica, arrival.process, arrival.read_only,
+          NowMs()};
+}
+
+void ReplicaStandin::Crash() {
+  constexpr int kMinAwayMs = 2500;
+  constexpr int kMaxAwayMs = 5000;
+  if (has_crashed_.exchange(true)) {
+    return;
+  }
+  for (const auto& it : listeners_) {
+    it->Refuse();
+  }
+  for (const auto& it : listeners_) {
+    it->ResetConnections();
+  }
+  const int away_ms = kMinAwayMs + DrawNumber(kMaxAwayMs - kMinAwayMs);
+  std::thread([this, away_ms] {
+    SleepMs(away_ms);
+    options_.restart();
+    has_crashed_ = false;
+    for (const auto& it : listeners_) {
+      it->Heal();
+    }
+  }).detach();
+}
+
+std::optional<std::pair<CrashCause, std::string>> ReplicaStandin::CauseOf(
+    const HttpMessage& request) {
+  if (request.Target().find(kCrashingTarget) != std::string::npos) {
+    return std::pair(CrashCause::kRequest, request.Target());
+  }
+  if (request.Header("Endiveyard-Prompt-Prefix").find(kCrashingPart) !=
+      std::string::npos) {
+    return std::pair(CrashCause::kPart, std::string(kCrashingPart));
+  }
+  return std::nullopt;
+}
+
+void ReplicaStandin::RecordForCrashLedger(const HttpMessage& request,
+                                          const Arrival& arrival) {
+  if (options_.crash_ledger == nullptr) {
+    return;
+  }
+  const ReplicaCall call = CallOf(arrival);
+  if (const auto cause = CauseOf(request)) {
+    options_.crash_ledger->RecordCall(cause->first, cause->second, call);
+  }
+  options_.crash_ledger->RecordCall(call);
+  const std::lock_guard<std::mutex> lock(mutex_);
+  call_times_ms_.push_back(call.at_ms);
+  if (limit_per_s_ > 0 && call.at_ms >= limit_end_ms_) {
+    limit_per_s_ = 0;
+    options_.crash_ledger->RecordLimitEnd(arrival.replica, call.at_ms);
+  }
+}
+
+bool ReplicaStandin::CrashesBy(HttpPeer& peer, const HttpMessage& request) {
+  const auto cause = CauseOf(request);
+  if (!cause || options_.crash_ledger == nullptr) {
+    return false;
+  }
+  if (has_crashed_) {
+    return true;
+  }
+  if (cause->first == CrashCause::kPart) {
+    peer.Send(HeadOf(request.Header("Endiveyard-Request-Id"),
+                     "Content-Type: text/event-stream\r\n"
+                     "Transfer-Encoding: chunked\r\n"));
+  }
+  options_.crash_ledger->RecordCrash(cause->first, cause->second, NowMs());
+  Crash();
+  return true;
+}
+
+void ReplicaStandin::BeginLimit() {
+  constexpr int64_t kLimitMs = 12000;
+  constexpr int64_t kMeasuredMs = 4000;
+  constexpr double kMsPerS = 1000;
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const int64_t now_ms = NowMs();
+  // One limit in each incarnation.
+  if (limit_end_ms_ > 0 && limit_incarnation_ == incarnation_) {
+    return;
+  }
+  const auto calls =
+      std::count_if(call_times_ms_.begin(), call_times_ms_.end(),
+                    [&](int64_t it) { return it > now_ms - kMeasuredMs; });
+  limit_per_s_ =
+      std::max(1.0, static_cast<double>(calls) / 2 * kMsPerS / kMeasuredMs);
+  limit_end_ms_ = now_ms + kLimitMs;
+  limit_incarnation_ = incarnation_;
+}
+
+std::string ReplicaStandin::LimitHeader() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (limit_per_s_ == 0) {
+    return "";
+  }
+  return "Server-Limit: " + std::to_string(limit_per_s_) + "\r\n";
+}
+
+void ReplicaStandin::RecordLimitTold(size_t view) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  if (limit_per_s_ > 0) {
+    options_.crash_ledger->RecordLimit(
+        IdOf(incarnation_), options_.process_of(view), limit_per_s_, NowMs());
+  }
+}
+
 bool ReplicaStandin::Handle(Connection& connection,
                             const HttpMessage& request) {
   HttpPeer& peer = connection.peer;
@@ -272,6 +400,7 @@
       !left.empty()) {
     arrival.time_left_ms = std::atoll(left.c_str());
   }
+  RecordForCrashLedger(request, arrival);
   if (request.Header("Endiveyard-Expect-Instance") != run.replica ||
       (!stage.empty() && prefills != (stage == "prefill"))) {
     ledger_->RecordArrival(arrival);
@@ -283,6 +412,9 @@
   }
   ledger_->RecordArrival(arrival);
   const ReplicaFault fault = DrawFault();
+  if (fault == ReplicaFault::kRateLimit) {
+    BeginLimit();
+  }
   if (fault == ReplicaFault::kPause) {
     return AskForPause(connection, arrival);
   }
@@ -310,16 +442,19 @@
   }
   run.kind = KindOf(request.Target());
   run.begun_after = std::atoi(request.Header("Last-Event-Id").c_str());
-  run.sound = RunsToTheEnd(fault);
+  run.sound = RunsToTheEnd(fault) && !CauseOf(request);
   if (options_.describe_caller) {
     run.caller = options_.describe_caller(connection.view);
   }
   run = ledger_->RecordRun(run);
   const bool keeps =
-      Work(peer, options_.max_work_ms) &&
+      Work(peer, options_.max_work_ms) && !CrashesBy(peer, request) &&
       (IsStream(run.kind) ? AnswerStream(connection, request, run, fault)
                           : Answer(connection, request, fault));
   ledger_->RecordRunEnd(run.number);
+  if (keeps) {
+    RecordLimitTold(connection.view);
+  }
   return keeps;
 }
 
@@ -378,6 +513,9 @@
       fault == ReplicaFault::kNone ||
       (fault > ReplicaFault::kCloseBeforeRun && fault != ReplicaFault::kPause);
   ledger_->RecordArrival(arrival);
+  if (fault == ReplicaFault::kRateLimit) {
+    BeginLimit();
+  }
   if (fault == ReplicaFault::kPause) {
     return AskForPause(connection, arrival);
   }
@@ -400,9 +538,10 @@
   }
   const std::string body = R"({"kv_handle":")" + handles_->Add(id) +
                            R"(","tokens":6000,"version":1})";
-  const std::string answer =
-      "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
-      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  const std::string answer = "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
+                             "\r\n" + LimitHeader() +
+                             "Content-Length: " + std::to_string(body.size()) +
+                             "\r\n\r\n" + body;
   switch (fault) {
     case ReplicaFault::kCutHead:
     case ReplicaFault::kCutBody:
@@ -422,8 +561,13 @@
       KeepCopy(connection, answer, fault);
       [[fallthrough]];
     default:
-      return peer.Send(answer);
+      break;
+  }
+  if (!peer.Send(answer)) {
+    return false;
   }
+  RecordLimitTold(connection.view);
+  return true;
 }
 
 void ReplicaStandin::SendWithoutEnd(HttpPeer& peer, const std::string& head) {
@@ -442,7 +586,7 @@
   HttpPeer& peer = connection.peer;
   const std::string id = request.Header("Endiveyard-Request-Id");
   const std::string body = BodyOf(id);
-  const std::string answer = WithLength(id, body);
+  const std::string answer = WithLength(id, LimitHeader(), body);
   const size_t head_size = answer.size() - body.size();
   const auto cut_at = [this](size_t begin, size_t end) {
     return begin +
@@ -523,7 +667,8 @@
   const std::string& id = run.id;
   const bool unframed =
       fault == ReplicaFault::kUnframed || fault == ReplicaFault::kUnframedReset;
-  const std::string type = "Content-Type: text/event-stream\r\n";
+  const std::string type =
+      LimitHeader() + "Content-Type: text/event-stream\r\n";
   const std::string head =
       HeadOf(id, unframed ? type : type + "Transfer-Encoding: chunked\r\n");
   switch (fault) {
@@ -542,6 +687,7 @@
     case ReplicaFault::kUnframed:
     case ReplicaFault::kUnframedReset:
     case ReplicaFault::kLateFirstId:
+    case ReplicaFault::kRateLimit:
       break;
     case ReplicaFault::kCutHead:
     case ReplicaFault::kResetInHead:
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "soak/crash_ledger.h"
 #include "soak/http_peer.h"
 #include "soak/run_ledger.h"
 
@@ -77,6 +78,15 @@
   // Refuses and asks for a pause. Played only if it is asked for, since each
   // process needs a view of the registry of its own.
   kPause,
+  // Clients send requests with kCrashingTarget, which crash each replica before
+  // its answer, or with kCrashingPart, which do so after the head of the
+  // answer. Played only if they are asked for; the rate of faults is then the
+  // share of these requests.
+  kCrashRequest,
+  kCrashPart,
+  // The replica states for some seconds that it takes half of the requests that
+  // it gets. Played only if it is asked for.
+  kRateLimit,
   kCount
 };
 
@@ -85,6 +95,11 @@
 // Returns nullopt if no fault has this name.
 std::optional<ReplicaFault> FaultNamed(std::string_view name);
 
+// Stands in the targets of requests that crash replicas.
+inline constexpr std::string_view kCrashingTarget = "crashing";
+// The part of prompts that crashes replicas.
+inline constexpr std::string_view kCrashingPart = "dead1";
+
 // One replica: a plain service, or an engine for prefill or decode.
 class ReplicaStandin {
  public:
@@ -105,6 +120,9 @@
     std::function<std::string(size_t view)> process_of;
     // Has the replica started again and registered under its new id.
     std::function<void()> rejoin;
+    // The same, some seconds after it has crashed.
+    std::function<void()> restart;
+    CrashLedger* crash_ledger = nullptr;  // null if it is not needed
   };
 
   ReplicaStandin(const Options& options,
@@ -139,6 +157,8 @@
                 ReplicaFault fault);
   // Returns false when the connection is to be closed.
   bool Handle(Connection& connection, const HttpMessage& request);
+  // Returns what `arrival` says about a call that arrives now.
+  static ReplicaCall CallOf(const Arrival& arrival);
   bool Prefill(Connection& connection,
                const HttpMessage& request,
                Arrival arrival);
@@ -157,8 +177,23 @@
                     const Run& run,
                     ReplicaFault fault);
   void Rejoin();
+  // Ends all connections and has the replica started again after some seconds.
+  void Crash();
+  // What makes the request crash replicas; nullopt if nothing does.
+  static std::optional<std::pair<CrashCause, std::string>> CauseOf(
+      const HttpMessage& request);
+  // Crashes if the request, whose answer is to begin, makes it.
+  bool CrashesBy(HttpPeer& peer, const HttpMessage& request);
+  void RecordForCrashLedger(const HttpMessage& request, const Arrival& arrival);
+  // Begins to state a rate limit.
+  void BeginLimit();
+  // Returns the header with the rate limit; empty if there is none.
+  std::string LimitHeader() const;
+  // A process has got a response, with the limit if there is one.
+  void RecordLimitTold(size_t view);
   // Works for up to `max_ms`. Returns false if the peer leaves meanwhile.
   bool Work(HttpPeer& peer, int max_ms);
+  std::string IdOf(int incarnation) const;
   static std::string VersionOf(const std::string& ip, int incarnation);
   // Sends bytes until the peer closes the connection.
   static void SendWithoutEnd(HttpPeer& peer, const std::string& head);
@@ -173,6 +208,11 @@
   std::mt19937_64 random_;
   int incarnation_ = 1;
   std::atomic<bool> faulty_{false};
+  std::atomic<bool> has_crashed_{false};
+  std::vector<int64_t> call_times_ms_;  // of the present incarnation
+  double limit_per_s_ = 0;              // 0 for none
+  int limit_incarnation_ = 0;           // that stated the last limit
+  int64_t limit_end_ms_ = 0;
   std::vector<std::unique_ptr<HttpListener>> listeners_;
 };
 
