Crashes: requests that end their replica before its head are found

Callers sent one request again and again that crashes each engine that runs it, before the head of the response. It was sent on long after three engines had ended, by processes that nothing had disturbed.

Of the calls lost in a crash, only those with a head counted if there was one. A call that crashed its engine before the head was left out as one that waited, and streams that had just begun were held responsible instead. With all engines gone nobody could clear these.

Now all lost calls count. Of keys that explain as many crashes, those of calls with a head come first, as before. Reports leave the others out where they explain nothing, so that a long queue takes no room.

--- a/include/endiveyard/placement/crash_suspects.h
+++ b/include/endiveyard/placement/crash_suspects.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
@@ -148,12 +149,17 @@
     bool alive = false;
     // Does not count before: the replica may have cut off its answers and live.
     TimePoint in_doubt_until{};
-    // The calls that may have caused it: those that the replica was answering,
-    // or, as long as none is known, those that waited for an answer.
+    // Those that the replica was answering come first.
     std::vector<Call> calls;
     std::set<SuspectKey> cleared;
     int reports_left = 0;
-    bool explained = false;  // by one of `explanations_`
+    bool explained = false;      // by one of `explanations_`
+    bool culprit_known = false;  // by one with kCulpritCrashes or more
+
+    // False for calls that only waited while others were being answered.
+    bool IsLikely(const Call& call) const {
+      return call.answering || !calls.front().answering;
+    }
   };
   // The keys that cannot be told apart from one that is left in `crashes`
   // separate crashes, including that key.
@@ -171,13 +177,21 @@
   // Derives `crashes_by_key_` and `explanations_` from the evidence.
   void Update(TimePoint now);
   void Explain();
+  // Returns the keys that are not cleared.
+  static std::set<SuspectKey> KeysLeft(const Crash& crash);
+  // Separate crashes that the key may have caused, and crashes where a likely
+  // call has it.
+  using Rank = std::pair<int, int>;
+  static Rank RankOf(SuspectKey key, const std::vector<Crash*>& crashes);
   // Returns true if a call with these keys is part of an explanation.
   bool IsExplanation(const SuspectKeys& keys) const;
   // Returns true if the report lacks what clears its replica or its calls.
   static bool IsOutdated(const Crash& crash, const CrashReport& report);
-  static CrashReport ReportOf(uint64_t replica_key,
-                              const Crash& crash,
-                              TimePoint now);
+  CrashReport ReportOf(uint64_t replica_key,
+                       const Crash& crash,
+                       TimePoint now) const;
+  // Leaves out the calls that are less likely and have no key in another crash.
+  void RemoveLoneWaitingCalls(const Crash& crash, CrashReport* report) const;
 
   std::map<uint64_t, Crash> crashes_;
   CrashesByKey crashes_by_key_;
--- a/src/placement/crash_suspects.cc
+++ b/src/placement/crash_suspects.cc
@@ -165,32 +165,30 @@
 }
 
 bool CrashSuspects::AddCall(Crash* crash, Call call) {
-  // Calls that only waited do not count beside one that was being answered.
-  const bool any_answering = !crash->calls.empty() && crash->calls[0].answering;
-  if (any_answering && !call.answering) {
-    return false;
-  }
-  if (call.answering && !any_answering) {
-    crash->calls.clear();
-  }
-  const auto includes = [](const SuspectKeys& a, const SuspectKeys& b) {
-    return std::includes(a.begin(), a.end(), b.begin(), b.end());
+  const auto includes = [](const Call& a, const Call& b) {
+    return (a.answering || !b.answering) &&
+           std::includes(a.keys.begin(), a.keys.end(), b.keys.begin(),
+                         b.keys.end());
   };
   // Reports leave out keys that are cleared. The key of the request itself
   // tells calls with the same parts apart.
-  for (Call& it : crash->calls) {
-    if (includes(it.keys, call.keys)) {
+  std::vector<Call>& calls = crash->calls;
+  for (auto it = calls.begin(); it != calls.end(); ++it) {
+    if (includes(*it, call)) {
       return false;
     }
-    if (includes(call.keys, it.keys)) {
-      it = std::move(call);
-      return true;
+    if (includes(call, *it)) {
+      calls.erase(it);
+      break;
     }
   }
-  if (crash->calls.size() >= kMaxLostCallsPerCrash) {
-    return false;
+  if (calls.size() >= kMaxLostCallsPerCrash) {
+    if (!call.answering || calls.back().answering) {
+      return false;
+    }
+    calls.pop_back();
   }
-  crash->calls.push_back(std::move(call));
+  calls.insert(call.answering ? calls.begin() : calls.end(), std::move(call));
   return true;
 }
 
@@ -308,6 +306,7 @@
   std::vector<Crash*> by_time;
   for (auto& [replica_key, crash] : crashes_) {
     crash.explained = false;
+    crash.culprit_known = false;
     if (now < crash.in_doubt_until) {
       next_doubt_end_ = std::min(next_doubt_end_, crash.in_doubt_until);
     } else if (!crash.alive) {
@@ -318,21 +317,37 @@
             [](const Crash* a, const Crash* b) { return a->at < b->at; });
   crashes_by_key_.clear();
   for (Crash* crash : by_time) {
-    std::set<SuspectKey> left;
-    for (const Call& it : crash->calls) {
-      for (const SuspectKey key : it.keys) {
-        if (crash->cleared.count(key) == 0) {
-          left.insert(key);
-        }
-      }
-    }
-    for (const SuspectKey key : left) {
+    for (const SuspectKey key : KeysLeft(*crash)) {
       crashes_by_key_[key].push_back(crash);
     }
   }
   Explain();
 }
 
+std::set<SuspectKey> CrashSuspects::KeysLeft(const Crash& crash) {
+  std::set<SuspectKey> left;
+  for (const Call& it : crash.calls) {
+    for (const SuspectKey key : it.keys) {
+      if (crash.cleared.count(key) == 0) {
+        left.insert(key);
+      }
+    }
+  }
+  return left;
+}
+
+CrashSuspects::Rank CrashSuspects::RankOf(SuspectKey key,
+                                          const std::vector<Crash*>& crashes) {
+  const auto likely =
+      std::count_if(crashes.begin(), crashes.end(), [key](const Crash* crash) {
+        return std::any_of(
+            crash->calls.begin(), crash->calls.end(), [&](const Call& it) {
+              return crash->IsLikely(it) && Contains(it.keys, key);
+            });
+      });
+  return {CountSeparate(key, crashes), static_cast<int>(likely)};
+}
+
 void CrashSuspects::Explain() {
   explanations_.clear();
   std::map<SuspectKey, std::vector<Crash*>> unexplained;
@@ -344,22 +359,22 @@
   // The keys that explain the most crashes come first. Crashes that they
   // explain do not count against other keys.
   while (!unexplained.empty()) {
-    std::map<SuspectKey, int> counts;
-    int highest = 0;
+    std::map<SuspectKey, Rank> ranks;
+    Rank highest;
     for (const auto& [key, crashes] : unexplained) {
-      counts[key] = CountSeparate(key, crashes);
-      highest = std::max(highest, counts[key]);
+      ranks[key] = RankOf(key, crashes);
+      highest = std::max(highest, ranks[key]);
     }
-    if (highest < kSuspectCrashes) {
+    if (highest.first < kSuspectCrashes) {
       return;
     }
     std::set<Crash*> explained;
-    for (const auto& [key, count] : counts) {
-      if (count < highest) {
+    for (const auto& [key, rank] : ranks) {
+      if (rank < highest) {
         continue;
       }
       const std::vector<Crash*>& crashes = unexplained[key];
-      Explanation explanation{SignatureOf(key, crashes), highest};
+      Explanation explanation{SignatureOf(key, crashes), highest.first};
       const bool known = std::any_of(
           explanations_.begin(), explanations_.end(), [&](const auto& it) {
             return it.signature == explanation.signature;
@@ -371,6 +386,7 @@
     }
     for (Crash* it : explained) {
       it->explained = true;
+      it->culprit_known = highest.first >= kCulpritCrashes;
     }
     for (auto it = unexplained.begin(); it != unexplained.end();) {
       std::vector<Crash*>& crashes = it->second;
@@ -439,7 +455,7 @@
 
 CrashReport CrashSuspects::ReportOf(uint64_t replica_key,
                                     const Crash& crash,
-                                    TimePoint now) {
+                                    TimePoint now) const {
   CrashReport report;
   report.replica_key = replica_key;
   report.age = std::chrono::duration_cast<Duration>(now - crash.at);
@@ -449,6 +465,9 @@
   }
   size_t keys = 0;
   for (const Call& it : crash.calls) {
+    if (crash.culprit_known && !crash.IsLikely(it) && !IsExplanation(it.keys)) {
+      continue;
+    }
     LostCall call{{},
                   std::chrono::duration_cast<Duration>(now - it.sent_at),
                   it.answering};
@@ -473,6 +492,7 @@
 
 std::vector<CrashReport> CrashSuspects::TakeNews(size_t max_keys,
                                                  TimePoint now) {
+  Update(now);
   std::vector<CrashReport> news;
   size_t keys = 0;
   for (auto& [replica_key, crash] : crashes_) {
@@ -512,12 +532,32 @@
               [this](const LostCall& it) { return !IsExplanation(it.keys); }),
           report.calls.end());
     }
+    RemoveLoneWaitingCalls(crashes_.at(replica_key), &report);
     keys += KeysOf(report);
     digest.push_back(std::move(report));
   }
   return digest;
 }
 
+void CrashSuspects::RemoveLoneWaitingCalls(const Crash& crash,
+                                           CrashReport* report) const {
+  if (crash.calls.empty() || !crash.calls.front().answering) {
+    return;
+  }
+  const auto is_lone = [this](SuspectKey key) {
+    const auto it = crashes_by_key_.find(key);
+    return it == crashes_by_key_.end() || it->second.size() < 2;
+  };
+  report->calls.erase(std::remove_if(report->calls.begin(), report->calls.end(),
+                                     [&](const LostCall& it) {
+                                       return !it.answering &&
+                                              std::all_of(it.keys.begin(),
+                                                          it.keys.end(),
+                                                          is_lone);
+                                     }),
+                      report->calls.end());
+}
+
 bool CrashSuspects::IsExplanation(const SuspectKeys& keys) const {
   return std::any_of(explanations_.begin(), explanations_.end(),
                      [&keys](const Explanation& it) {
--- a/tests/placement/crash_suspects_test.cc
+++ b/tests/placement/crash_suspects_test.cc
@@ -123,6 +123,26 @@
   }
 }
 
+// Guards against a request that crashes replicas before its response begins and
+// is taken for one that waited, since they were answering others. These are not
+// held responsible, though no replica is left to clear what they share.
+BOOST_AUTO_TEST_CASE(RequestThatCrashesReplicasBeforeTheHeadIsFound) {
+  CrashSuspects suspects;
+  CrashSuspects peer;
+  for (int n = 1; n <= 5; ++n) {
+    RecordCrash(&suspects, n, {n % 2 == 0 ? kFirst : kDocument});
+    suspects.RecordLostCall(static_cast<uint64_t>(n), {kDeadly},
+                            At(n * 1000 - 60), false, At(n * 1000));
+    for (const CrashReport& it : suspects.TakeNews(1000, At(n * 1000 + 20))) {
+      peer.ApplyReport(it, At(n * 1000 + 20), false);
+    }
+    for (CrashSuspects* it : {&suspects, &peer}) {
+      BOOST_TEST(IsCulprit(it, {kDeadly}, n * 1000 + 50) == (n >= 3));
+      BOOST_TEST(!IsCulprit(it, {kDocument, 77}, n * 1000 + 50));
+    }
+  }
+}
+
 // Guards against a queue at the replica that is so long that the call that
 // crashed it is not kept, at the instance that lost it or at one that hears of
 // it last.
