Soak: addresses of replicas are used again by another service

Now an engine and a plain replica start again at each other's address in every fourth change, 0.3 s before the registry says so: in that time the instances send requests there under the old id.

The check is ROUTE: a replica accepts a request of a route of another service. Repeats are counted at the service of the request, which the address no longer tells.

--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -155,9 +155,6 @@
                FrontProcess* front,
                HttpPeer* peer,
                std::mt19937_64* random);
-  static std::string ServiceOf(const std::string& target) {
-    return IsStream(KindOf(target)) ? "chat" : "orders";
-  }
   // Returns the time until the client gives up its request, over all tries.
   int64_t TimeLeftMs(const ClientRequest& request) const;
   std::string BytesOf(const ClientRequest& request) const;
@@ -184,6 +181,9 @@
   // their stages in pairs.
   void Rejoin(size_t number);
   void Replace(size_t number, const std::string& stage);
+  // Has this replica and one of another service, which end, start again at each
+  // other's address.
+  void SwapServices(size_t number);
   // Disturbs these processes no more, until the next call. Few would be in
   // touch for the time of a cut otherwise.
   void Spare(const std::set<size_t>& numbers) {
@@ -377,7 +377,7 @@
     if (!peer || TimeLeftMs(request) < kMinTimeLeftMs) {
       return;
     }
-    ledger_.RecordRequest(ServiceOf(request.target), request.id,
+    ledger_.RecordRequest(ServiceOf(KindOf(request.target)), request.id,
                           TimeLeftMs(request));
     request.sent_ms = NowMs();
     peer->Send(BytesOf(request));
@@ -418,7 +418,7 @@
     }
     request.body = std::string(static_cast<size_t>(draw(2000)), 'q');
     bytes += BytesOf(request);
-    ledger_.RecordRequest(ServiceOf(request.target), request.id,
+    ledger_.RecordRequest(ServiceOf(KindOf(request.target)), request.id,
                           TimeLeftMs(request));
     sent.push_back(request);
   }
@@ -570,10 +570,34 @@
 void Soak::Replace(size_t number, const std::string& stage) {
   ReplicaStandin& replica = *replicas_[number];
   registry_.Delete("servers", replica.id());
-  replica.Restart(stage);
+  replica.Restart(replica.service(), stage);
   registry_.Put("servers", replica.id(), replica.Specs("ready"));
 }
 
+void Soak::SwapServices(size_t number) {
+  // Replicas that ended are registered for a while.
+  constexpr int64_t kLapseMs = 300;
+  ReplicaStandin& replica = *replicas_[number];
+  const std::string service = replica.service();
+  const std::string stage = replica.stage();
+  const auto other =
+      std::find_if(replicas_.begin(), replicas_.end(),
+                   [&](const auto& it) { return it->service() != service; });
+  if (other == replicas_.end()) {
+    return;
+  }
+  const std::string ids[] = {replica.id(), (*other)->id()};
+  replica.Restart((*other)->service(), (*other)->stage());
+  (*other)->Restart(service, stage);
+  SleepUntilEnd(kLapseMs);
+  for (const std::string& it : ids) {
+    registry_.Delete("servers", it);
+  }
+  for (const ReplicaStandin* it : {&replica, other->get()}) {
+    registry_.Put("servers", it->id(), it->Specs("ready"));
+  }
+}
+
 void Soak::Rejoin(size_t number) {
   const std::lock_guard<std::mutex> lock(replacing_);
   const std::string stage = replicas_[number]->stage();
@@ -592,7 +616,7 @@
 void Soak::ChangeReplicas() {
   std::mt19937_64 random = RandomFor(3000);
   int version = 8;
-  while (!Ended()) {
+  for (int replaced = 0; !Ended();) {
     constexpr int kMinChangeMs = 200;
     SleepUntilEnd(kMinChangeMs + static_cast<int64_t>(
                                      random() % static_cast<uint64_t>(std::max(
@@ -614,7 +638,10 @@
     }
     SleepUntilEnd(drain_ms);
     const std::lock_guard<std::mutex> lock(replacing_);
-    if (replica.id() == id) {
+    constexpr int kReplacedPerSwap = 4;
+    if (replica.id() == id && ++replaced % kReplacedPerSwap == 0) {
+      SwapServices(number);
+    } else if (replica.id() == id) {
       Replace(number, replica.stage());
     }
   }
--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -142,6 +142,7 @@
     : options_(options),
       ledger_(ledger),
       handles_(handles),
+      service_(options.service),
       stage_(options.stage),
       random_(options.seed) {
   for (size_t n = 0; n < options.views; ++n) {
@@ -150,9 +151,11 @@
   }
 }
 
-void ReplicaStandin::Restart(const std::string& stage) {
+void ReplicaStandin::Restart(const std::string& service,
+                             const std::string& stage) {
   const std::lock_guard<std::mutex> lock(mutex_);
   ++incarnation_;
+  service_ = service;
   stage_ = stage;
 }
 
@@ -162,6 +165,11 @@
          std::to_string(incarnation_);
 }
 
+std::string ReplicaStandin::service() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return service_;
+}
+
 std::string ReplicaStandin::stage() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return stage_;
@@ -179,9 +187,8 @@
   std::vector<std::string> specs;
   for (const auto& it : listeners_) {
     specs.push_back(
-        R"({"service":")" + options_.service + R"(","address":")" +
-        options_.ip + ":" + std::to_string(it->port()) +
-        R"(","zone":"zone-a","version":")" +
+        R"({"service":")" + service_ + R"(","address":")" + options_.ip + ":" +
+        std::to_string(it->port()) + R"(","zone":"zone-a","version":")" +
         VersionOf(options_.ip, incarnation_) + R"(","slots":)" +
         (is_engine ? "64" : "6") + R"(,"state":")" + state +
         R"(","cold_remaining_ms":0)" +
@@ -247,9 +254,11 @@
   if (request.start_line.compare(0, 7, "DELETE ") == 0) {
     return peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   }
+  std::string service;
   std::string stage;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    service = service_;
     run.version = VersionOf(options_.ip, incarnation_);
     stage = stage_;
   }
@@ -263,7 +272,9 @@
   const bool prefills = request.Header("Endiveyard-Stage") == "prefill";
   Arrival arrival;
   arrival.id = run.id;
-  arrival.service = options_.service;
+  const std::string wanted_service =
+      run.id.empty() ? service : ServiceOf(KindOf(request.Target()));
+  arrival.service = wanted_service;
   arrival.replica = run.replica;
   arrival.read_only = prefills;
   arrival.process =
@@ -278,6 +289,10 @@
     return Refuse(connection, Misdirected(run.id), Misdirected(""),
                   DrawFault());
   }
+  if (wanted_service != service) {
+    ledger_->RecordViolation("ROUTE, request " + run.id + " for " +
+                             wanted_service + " is accepted by " + service);
+  }
   if (prefills) {
     return Prefill(connection, request, arrival);
   }
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -90,9 +90,9 @@
  public:
   struct Options {
     std::string ip;
-    size_t views = 1;  // of the registry
-    std::string service;
-    std::string stage;  // empty for a plain service
+    size_t views = 1;     // of the registry
+    std::string service;  // the first one
+    std::string stage;    // empty for a plain service
     uint64_t seed = 0;
     double fault_rate = 0;
     std::vector<ReplicaFault> faults;  // one of them is drawn
@@ -113,8 +113,9 @@
 
   // Starts a new incarnation with another id, and another version of the
   // software, at the same address. Connections stay open.
-  void Restart(const std::string& stage);
+  void Restart(const std::string& service, const std::string& stage);
   std::string id() const;
+  std::string service() const;
   std::string stage() const;  // empty for a plain service
   // Its entry in the registry, by view.
   std::vector<std::string> Specs(const std::string& state) const;
@@ -169,6 +170,7 @@
   RunLedger* const ledger_;
   HandleTable* const handles_;
   mutable std::mutex mutex_;
+  std::string service_;
   std::string stage_;
   std::mt19937_64 random_;
   int incarnation_ = 1;
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -58,6 +58,10 @@
                            : RequestKind::kOnceStream;
 }
 
+std::string ServiceOf(RequestKind kind) {
+  return IsStream(kind) ? "chat" : "orders";
+}
+
 bool IsStream(RequestKind kind) {
   return kind == RequestKind::kResumableStream ||
          kind == RequestKind::kOnceStream;
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -18,6 +18,8 @@
 // Returns the kind of the route that `target`, a path, belongs to.
 RequestKind KindOf(const std::string& target);
 bool IsStream(RequestKind kind);
+// Returns the service that runs it.
+std::string ServiceOf(RequestKind kind);
 // True if a request may run once at most.
 bool MayRunOnce(RequestKind kind);
 
