--- a/tools/soak/replica_standin.cc
+++ b/tools/soak/replica_standin.cc
@@ -152,6 +152,7 @@
     : options_(options),
       ledger_(ledger),
       handles_(handles),
+      service_(options.service),
       stage_(options.stage),
       random_(options.seed) {
   for (size_t n = 0; n < options.views; ++n) {
@@ -160,12 +161,14 @@
   }
 }
 
-void ReplicaStandin::Restart(const std::string& stage) {
+void ReplicaStandin::Restart(const std::string& service,
+                             const std::string& stage) {
   const std::lock_guard<std::mutex> lock(mutex_);
   if (limit_per_s_ > 0) {
     options_.crash_ledger->RecordLimitEnd(IdOf(incarnation_), NowMs());
   }
   ++incarnation_;
+  service_ = service;
   stage_ = stage;
   call_times_ms_.clear();
   limit_per_s_ = 0;
@@ -181,6 +184,11 @@
          std::to_string(incarnation);
 }
 
+std::string ReplicaStandin::service() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return service_;
+}
+
 std::string ReplicaStandin::stage() const {
   const std::lock_guard<std::mutex> lock(mutex_);
   return stage_;
@@ -200,11 +208,10 @@
   std::vector<std::string> specs;
   for (const auto& it : listeners_) {
     specs.push_back(
-        R"({"service":")" + options_.service + R"(","address":")" +
-        options_.ip + ":" + std::to_string(it->port()) + R"(","zone":")" +
-        ZoneOf(number) + R"(","version":")" +
-        VersionOf(options_.ip, incarnation_) + R"(","slots":)" +
-        (is_engine ? "64" : "6") + R"(,"state":")" + state +
+        R"({"service":")" + service_ + R"(","address":")" + options_.ip + ":" +
+        std::to_string(it->port()) + R"(","zone":")" + ZoneOf(number) +
+        R"(","version":")" + VersionOf(options_.ip, incarnation_) +
+        R"(","slots":)" + (is_engine ? "64" : "6") + R"(,"state":")" + state +
         R"(","cold_remaining_ms":0)" +
         (is_engine
              ? R"(,"stage":")" + stage_ +
@@ -380,9 +387,11 @@
   if (request.start_line.compare(0, 7, "DELETE ") == 0) {
     return peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   }
+  std::string service;
   std::string stage;
   {
     const std::lock_guard<std::mutex> lock(mutex_);
+    service = service_;
     run.version = VersionOf(options_.ip, incarnation_);
     stage = stage_;
   }
@@ -396,7 +405,9 @@
   const bool prefills = request.Header("Endiveyard-Stage") == "prefill";
   Arrival arrival;
   arrival.id = run.id;
-  arrival.service = options_.service;
+  const std::string wanted_service =
+      run.id.empty() ? service : ServiceOf(KindOf(request.Target()));
+  arrival.service = wanted_service;
   arrival.replica = run.replica;
   arrival.read_only = prefills;
   arrival.process =
@@ -412,6 +423,10 @@
     return Refuse(connection, Misdirected(run.id), Misdirected(""),
                   DrawFault());
   }
+  if (wanted_service != service) {
+    ledger_->RecordViolation("ROUTE, request " + run.id + " for " +
+                             wanted_service + " is accepted by " + service);
+  }
   if (prefills) {
     return Prefill(connection, request, arrival);
   }
