Stream starts: a record neither excuses faults nor holds against all replicas

Found by the review, by reading. And sound streams were refused for as long as an entry lived where one replica serves and counts its events over all streams, or where those that began elsewhere before were as many. Failed reads came every 500 ms from each instance.

Only what two replicas agree on is recorded. Reads that fail come less and less often, 4 s apart at last.

--- a/include/endiveyard/placement/stream_starts.h
+++ b/include/endiveyard/placement/stream_starts.h
@@ -65,7 +65,8 @@
 // beside another one, so that a new convention is taken over.
 //
 // What other processes have learned holds from the first stream on, unless
-// several replicas contradict it, more than confirm it. A group of which
+// several replicas contradict it, or the only one does so for long. It never
+// makes whole what the habits of two replicas show to be late. A group of which
 // nothing is known is expected to begin like the others of its service. Not
 // thread-safe.
 class StreamStarts {
@@ -73,8 +74,8 @@
   // Records what other processes have learned, in place of what was recorded
   // before.
   void RecordKnown(const std::vector<StreamStart>& known);
-  // Returns the first ids that the replicas have shown to this process, in
-  // order.
+  // Returns the first ids that two replicas or more have shown to this process,
+  // in order. A single one may have a fault.
   std::vector<StreamStart> Learned(TimePoint now) const;
   // Returns true if a stream of a group has been recorded of which nothing is
   // known from elsewhere, since the last call.
@@ -100,11 +101,11 @@
   using FirstIds = std::set<int64_t>;
 
   static bool HasHabit(const Replica& replica);
+  // Returns true for a habit that counts beside a lower one.
+  static bool IsHigherHabit(const Replica& replica);
   static void Count(Replica* replica, int64_t first_id, TimePoint now);
   // Judges by the replicas of the group only.
   static bool IsLateByHabit(const Replicas& replicas, int64_t first_id);
-  // Returns true if the first id is known from elsewhere.
-  bool IsKnown(const StreamGroup& group, int64_t first_id) const;
   // Judges by what is known from elsewhere.
   bool IsLateByKnown(const StreamGroup& group,
                      const Replicas& replicas,
--- a/src/front/stream_start_record.cc
+++ b/src/front/stream_start_record.cc
@@ -1,6 +1,7 @@
 #include "front/stream_start_record.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include <simdjson.h>
 
@@ -95,10 +96,14 @@
       continue;
     }
     if (merged.size() >= kMaxEntries) {
-      const auto oldest = std::min_element(
+      // Times far in the future are as wrong as old ones.
+      const auto age_of = [unix_ms](const auto& entry) {
+        return std::abs(unix_ms - entry.second);
+      };
+      const auto oldest = std::max_element(
           merged.begin(), merged.end(),
-          [](const auto& a, const auto& b) { return a.second < b.second; });
-      if (unix_ms - oldest->second < confirmation_ms) {
+          [&](const auto& a, const auto& b) { return age_of(a) < age_of(b); });
+      if (age_of(*oldest) < confirmation_ms) {
         continue;  // all are in use
       }
       merged.erase(oldest);
--- a/src/front/stream_start_recorder.cc
+++ b/src/front/stream_start_recorder.cc
@@ -18,6 +18,8 @@
 // brings nothing new.
 constexpr Duration kMinReadInterval = kCheckInterval;
 constexpr Duration kMaxReadIntervalOfUnknown = std::chrono::minutes(1);
+// Time after a read that has failed; it doubles with each one in a row.
+constexpr Duration kMaxRetryInterval = std::chrono::seconds(4);
 // Time after a write that has failed.
 constexpr Duration kWriteRetryInterval = std::chrono::seconds(5);
 // The record is read again after this time, since a registry that was restored
@@ -63,9 +65,10 @@
       return;
     }
     const Duration age = std::chrono::duration_cast<Duration>(now - read_at_);
-    if (!recorded_ || IsWriteDue() ||
-        (unknown_group_met && age >= read_interval_) ||
-        age >= kMaxReadInterval) {
+    const bool is_due = !recorded_ || IsWriteDue() ||
+                        (unknown_group_met && age >= read_interval_) ||
+                        age >= kMaxReadInterval;
+    if (is_due && age >= retry_interval_) {
       Read();
     }
   }
@@ -107,6 +110,9 @@
                         recorded_ ? recorded_->size() : 0);
     }
     has_failed_ = !succeeded;
+    retry_interval_ = succeeded ? Duration(0)
+                                : std::clamp(2 * retry_interval_,
+                                             kCheckInterval, kMaxRetryInterval);
     if (succeeded && IsWriteDue()) {
       Write();
     }
@@ -162,6 +168,7 @@
   bool has_failed_ = false;
   TimePoint read_at_{};                        // begin of the last read
   Duration read_interval_ = kMinReadInterval;  // for unknown groups
+  Duration retry_interval_{};                  // after failed reads
   // As last read or written; nullopt before the first read.
   std::optional<RecordedStreamStarts> recorded_;
   int64_t revision_ = 0;  // 0 if there is no record
--- a/src/placement/stream_starts.cc
+++ b/src/placement/stream_starts.cc
@@ -32,9 +32,8 @@
     return true;
   }
   unknown_group_met_ |= known_.count(group) == 0;
-  const bool is_late =
-      !IsKnown(group, first_id) && (IsLateByHabit(*replicas, first_id) ||
-                                    IsLateByKnown(group, *replicas, first_id));
+  const bool is_late = IsLateByHabit(*replicas, first_id) ||
+                       IsLateByKnown(group, *replicas, first_id);
   if (replicas->size() < kMaxReplicasOfStreamGroup ||
       replicas->count(replica_key) > 0) {
     Count(&(*replicas)[replica_key], first_id, now);
@@ -47,6 +46,10 @@
          replica.streams >= 2 * replica.other_streams;
 }
 
+bool StreamStarts::IsHigherHabit(const Replica& replica) {
+  return HasHabit(replica) && replica.streams >= kStreamsOfHigherHabit;
+}
+
 void StreamStarts::Count(Replica* replica, int64_t first_id, TimePoint now) {
   replica->last_at = now;
   ++replica->all_streams;
@@ -71,7 +74,7 @@
     }
     lone = habits.empty() ? &it : nullptr;
     ++habits[it.first_id];
-    if (it.first_id == first_id && it.streams >= kStreamsOfHigherHabit) {
+    if (it.first_id == first_id && IsHigherHabit(it)) {
       ++with_this_habit;
     }
   }
@@ -84,11 +87,6 @@
          });
 }
 
-bool StreamStarts::IsKnown(const StreamGroup& group, int64_t first_id) const {
-  const auto it = known_.find(group);
-  return it != known_.end() && it->second.count(first_id) > 0;
-}
-
 bool StreamStarts::IsLateByKnown(const StreamGroup& group,
                                  const Replicas& replicas,
                                  int64_t first_id) const {
@@ -111,14 +109,27 @@
   }
   int confirming = 0;
   int contradicting = 0;
+  int64_t contradicting_streams = 0;
+  int with_this_habit = 0;
   for (const auto& [key, it] : replicas) {
     if (expected.count(it.first_id) > 0) {
       ++confirming;
     } else if (it.all_streams >= streams_of_contradiction) {
       ++contradicting;
+      contradicting_streams += it.all_streams;
     }
+    if (IsHigherHabit(it) && it.first_id == first_id) {
+      ++with_this_habit;
+    }
+  }
+  if (with_this_habit >= kReplicasOfConvention) {
+    return false;
   }
-  return contradicting < kReplicasOfConvention || confirming >= contradicting;
+  // A service may have one replica only.
+  const bool is_contradicted =
+      contradicting >= kReplicasOfConvention ||
+      (contradicting > 0 && contradicting_streams >= kStreamsOfLoneReplica);
+  return !is_contradicted || confirming >= contradicting;
 }
 
 void StreamStarts::RecordKnown(const std::vector<StreamStart>& known) {
@@ -138,17 +149,10 @@
   std::vector<StreamStart> learned;
   for (const auto& [group, replicas] : groups_) {
     std::map<int64_t, int> replicas_with;  // by first id
-    const Replica* lone = nullptr;
-    int with_habit = 0;
     for (const auto& [key, it] : replicas) {
-      if (!HasHabit(it) || now - it.last_at > kStreamStartLifetime) {
-        continue;
+      if (IsHigherHabit(it) && now - it.last_at <= kStreamStartLifetime) {
+        ++replicas_with[it.first_id];
       }
-      lone = ++with_habit == 1 ? &it : nullptr;
-      replicas_with[it.first_id] += it.streams >= kStreamsOfHigherHabit ? 1 : 0;
-    }
-    if (lone != nullptr && lone->streams >= kStreamsOfLoneReplica) {
-      learned.push_back({group, lone->first_id});
     }
     for (const auto& [first_id, count] : replicas_with) {
       if (count >= kReplicasOfConvention) {
--- a/tests/front/stream_start_record_test.cc
+++ b/tests/front/stream_start_record_test.cc
@@ -71,6 +71,9 @@
   BOOST_TEST(merged.size() == full.size());
   BOOST_TEST(merged.count(added) == 1);
   BOOST_TEST(merged.count(StartOf("v0", 1)) == 0);
+  const StreamStart future = StartOf("v1", 1);
+  full[future] = kUnixMs + 10000 * kHourMs;
+  BOOST_TEST(MergeStreamStarts(full, {added}, kUnixMs).count(future) == 0);
 }
 
 }  // namespace endiveyard
