Retry bound: more instances than retries that start in an outage

More instances than the slack has retries then exceed the bound where hardly any requests come. Such an instance now takes a part by those that it hears, if these are more than the slack has retries. Nothing changes in smaller fleets.

Left: the same where they do not hear each other, either.

--- a/include/endiveyard/placement/service_retry_budget.h
+++ b/include/endiveyard/placement/service_retry_budget.h
@@ -58,6 +58,9 @@
   // Records how many instances share the bound, including this one and those
   // that it does not hear.
   void RecordInstanceCount(size_t instances, TimePoint now);
+  // Records how many instances are heard, including this one. Counts as long as
+  // it is unknown how many share the bound.
+  void RecordHeardCount(size_t instances) { heard_count_ = instances; }
   // Records until when all others count this instance. After that, those that
   // have started meanwhile may divide the slack among fewer.
   void RecordCounted(TimePoint until, TimePoint now);
@@ -81,6 +84,7 @@
   RetryBound bound_;
   std::optional<TimePoint> started_at_;
   size_t instance_count_ = 0;  // 0 if unknown
+  size_t heard_count_ = 0;
   TimePoint instance_count_at_{};
   std::optional<TimePoint> counted_until_;  // nullopt if unknown
   std::optional<TimePoint> recounted_at_;
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -179,6 +179,8 @@
   void set_retry_bound(RetryBound bound);
   // Sets the number of instances that share the retry bound.
   void set_instance_count(size_t instances);
+  // Sets the number of instances that are heard.
+  void SetHeardCount(size_t instances);
   // Sets until when all others count this instance among these.
   void SetCountedUntil(TimePoint until);
 
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -916,6 +916,7 @@
     if (usage_duty_) {
       usage_duty_->Tick(registry_era_.latest(), now);
     }
+    relay_.SetHeardCount(load_exchange_.InstanceCount());
     if (const auto instances = load_exchange_.SharingCount()) {
       relay_.set_instance_count(*instances);
       relay_.SetCountedUntil(load_exchange_.CountedUntil());
--- a/src/placement/service_retry_budget.cc
+++ b/src/placement/service_retry_budget.cc
@@ -51,7 +51,10 @@
 double ServiceRetryBudget::SlackShare(TimePoint now) const {
   // One retry is always possible, unless there are more instances than retries.
   if (instance_count_ == 0) {
-    return 1;
+    const auto heard = static_cast<double>(heard_count_);
+    return bound_.slack > 0 && bound_.slack < heard
+               ? bound_.slack * kUsableSlackShare / heard
+               : 1;
   }
   const bool is_counted = IsCountedByAll(now);
   const double usable = is_counted ? kUsableSlackShare : 1 - kUsableSlackShare;
--- a/src/relay/relay.cc
+++ b/src/relay/relay.cc
@@ -409,6 +409,10 @@
                                                     BootClock::now());
 }
 
+void Relay::SetHeardCount(size_t instances) {
+  impl_->context().retry_budget.RecordHeardCount(instances);
+}
+
 void Relay::SetCountedUntil(TimePoint until) {
   impl_->context().retry_budget.RecordCounted(until, BootClock::now());
 }
--- a/tests/front/instance_shares_test.cc
+++ b/tests/front/instance_shares_test.cc
@@ -72,6 +72,7 @@
 
   void Tick() {
     const TimePoint now = clock_->now();
+    budget.RecordHeardCount(directory.InstanceCount(now));
     if (const auto n = directory.SharingCount(now)) {
       budget.RecordInstanceCount(*n, now);
       budget.RecordCounted(directory.CountedUntil(now), now);
@@ -106,7 +107,8 @@
     }
     instances_[n] =
         std::make_unique<Instance>(n + 1, bound_, &clock_, &objects_);
-    instances_[n]->link.unavailable = is_cut_ && IsInSecondHalf(n);
+    instances_[n]->link.unavailable =
+        is_outage_ || (is_cut_ && IsInSecondHalf(n));
   }
 
   void StartFirstHalf() {
@@ -122,6 +124,14 @@
     }
   }
 
+  // Cuts all off from the registry, but not from each other.
+  void StartInAnOutage() {
+    is_outage_ = true;
+    for (uint32_t n = 0; n < parts_; ++n) {
+      Start(n);
+    }
+  }
+
   // Every call fails in this time, and as many retries as possible are sent.
   // Returns the most retries in a window beyond the bound; few requests come.
   double LargestExcess(Duration duration) {
@@ -169,6 +179,7 @@
   const RetryBound bound_;
   const uint32_t parts_;
   bool is_cut_ = false;
+  bool is_outage_ = false;
   Clock clock_;
   FakeRegistry::Objects objects_;
   std::map<uint32_t, std::unique_ptr<Instance>> instances_;
@@ -218,4 +229,16 @@
   }
 }
 
+// Guards against more instances than retries that each have one, since they
+// have started while the registry cannot be read.
+BOOST_AUTO_TEST_CASE(InstancesThatStartInAnOutageKeepTheRetryBound) {
+  for (const Fleet& it : Fleets()) {
+    RetryBound bound;
+    bound.slack = it.slack;
+    HalvedFleet fleet(it.instances, bound);
+    fleet.StartInAnOutage();
+    BOOST_TEST(fleet.LargestExcess(60 * kSecond) <= 0);
+  }
+}
+
 }  // namespace endiveyard
