Streams: attempts that come again with the same id keep their version

A caller got events of two software versions in one stream over its tries. Its first try was refused as not run; it sent the request again with the same id, which was begun at another version, and a third instance took the stream up at the version of the first try.

An attempt is told to the others when it is sent. One that ends without an event was forgotten by its instance only; the others still believed the report, and the two reports made them doubt it only once the second had arrived.

Now the instance remembers it, begins it again at the same version while that has replicas, as do those that were told, and withdraws what it has told: the version 0, which older builds take for a second one that differs.

Tried first: the attempt that did not begin counts like one that another instance told. Also tried: the withdrawn version counts again if it is told again; a late record of it would be believed.

Left: a take-up that arrives before the withdrawal or the second report.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -50,6 +50,10 @@
 std::map<std::string, VersionCounts> CountReplicas(
     const std::vector<const Replica*>& replicas);
 
+// In a report, the version of a stream that did not begin where others were
+// told. Builds that do not know it take it for a second one that differs.
+inline constexpr uint64_t kWithdrawnVersion = 0;
+
 // A stream and the digest of the version that began it, as told to other
 // instances.
 struct StreamReport {
@@ -110,7 +114,9 @@
   VersionPeriods PeriodsSince(TimePoint since) const;
 
   // Returns the version for a new stream; nullopt if the service has no
-  // replica that runs requests.
+  // replica that runs requests. An attempt with the same id that was to begin
+  // earlier keeps its version while that has replicas: instances that were told
+  // of it would take up the stream there.
   std::optional<std::string> Choose(const std::string& service,
                                     const StreamId& stream) const;
   // Returns the version that began the stream within `max_age`, or nullopt if
@@ -142,7 +148,8 @@
                    TimePoint now);
   // Records that the attempt has ended without any event, so that the stream,
   // if another attempt with the same id has begun it, may be of another
-  // version.
+  // version. TakeNews() returns it without a version if others may have been
+  // told of it.
   void RecordNotBegun(const StreamId& stream);
 
   // Records that an instance lives whose build begins streams at any version,
@@ -167,7 +174,9 @@
   void TellAgain();
 
   size_t remembered_services() const { return services_.size(); }
-  size_t remembered_streams() const { return begun_.size() + told_.size(); }
+  size_t remembered_streams() const {
+    return begun_.size() + told_.size() + withdrawn_.size();
+  }
 
  private:
   // In order of time. Nothing is known before the first one.
@@ -185,8 +194,17 @@
     uint64_t version = 0;
     TimePoint at{};
     bool conflicting = false;  // instances differ
+    bool withdrawn = false;    // not begun, unless at another version
+  };
+  // An attempt that others may have been told of and that has not begun.
+  struct WithdrawnStream {
+    uint64_t version = 0;
+    TimePoint at{};
+    int reports_left = 0;
   };
 
+  // True if `version` is the one that is remembered of the attempt.
+  bool IsVersionOfAttempt(uint64_t attempt, const std::string& version) const;
   // Returns the extremes of the numbers of replicas since `since`; nullopt if
   // they are not known for the whole time.
   std::optional<VersionCounts> CountsSince(const std::string& service,
@@ -216,6 +234,7 @@
   std::optional<TimePoint> other_rules_at_;  // when such a peer last lived
   std::unordered_map<uint64_t, BegunStream> begun_;
   std::unordered_map<uint64_t, ToldStream> told_;
+  std::unordered_map<uint64_t, WithdrawnStream> withdrawn_;
   TimePoint next_removal_{};
 };
 
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -252,6 +252,19 @@
   return known;
 }
 
+bool StreamVersions::IsVersionOfAttempt(uint64_t attempt,
+                                        const std::string& version) const {
+  if (const auto it = begun_.find(attempt); it != begun_.end()) {
+    return it->second.version == version;
+  }
+  if (const auto it = withdrawn_.find(attempt); it != withdrawn_.end()) {
+    return it->second.version == Digest64(version);
+  }
+  const auto told = told_.find(attempt);
+  return told != told_.end() && !told->second.conflicting &&
+         told->second.version == Digest64(version);
+}
+
 std::optional<std::string> StreamVersions::Choose(
     const std::string& service,
     const StreamId& stream) const {
@@ -262,6 +275,9 @@
   std::optional<std::string> chosen;
   double best = std::numeric_limits<double>::infinity();
   for (const auto& [version, count] : it->second.back().counts) {
+    if (count.most > 0 && IsVersionOfAttempt(stream.attempt, version)) {
+      return version;
+    }
     const double rank =
         Rank(RankOfOneReplica(version, stream.choice), count.most);
     if (rank < best) {
@@ -344,7 +360,8 @@
     return it->second.version;
   }
   const auto told = told_.find(stream.attempt);
-  if (told == told_.end() || told->second.conflicting) {
+  if (told == told_.end() || told->second.conflicting ||
+      told->second.withdrawn) {
     return std::nullopt;
   }
   // What others tell only selects among the possible versions: reports are not
@@ -373,6 +390,10 @@
                                  const std::string& version,
                                  TimePoint now) {
   RemoveOld(now);
+  if (const auto it = withdrawn_.find(stream.attempt);
+      it != withdrawn_.end() && it->second.version == Digest64(version)) {
+    withdrawn_.erase(it);
+  }
   const auto it = begun_.find(stream.attempt);
   if (it == begun_.end()) {
     if (begun_.size() < kMaxBegunStreams) {
@@ -443,7 +464,19 @@
 }
 
 void StreamVersions::RecordNotBegun(const StreamId& stream) {
-  begun_.erase(stream.attempt);
+  const auto it = begun_.find(stream.attempt);
+  if (it == begun_.end()) {
+    return;
+  }
+  const BegunStream begun = it->second;
+  begun_.erase(it);
+  const bool may_be_told =
+      begun.reports_left < kReportCopies ||
+      HaveNumbersChanged(begun.service, begun.at - kBoundsMargin);
+  if (may_be_told && withdrawn_.size() < kMaxBegunStreams) {
+    withdrawn_[stream.attempt] = {Digest64(begun.version), begun.at,
+                                  kReportCopies};
+  }
 }
 
 void StreamVersions::RecordPeerOfOtherRules(TimePoint now) {
@@ -456,8 +489,18 @@
     return;
   }
   const auto [it, added] = told_.insert({report.stream, {report.version, now}});
-  if (!added && it->second.version != report.version) {
-    it->second.conflicting = true;
+  ToldStream& told = it->second;
+  if (added) {
+    return;
+  }
+  if (report.version == kWithdrawnVersion) {
+    told.withdrawn = true;
+  } else if (told.version != report.version) {
+    // The withdrawn version may still be told by a record that is not replaced
+    // yet.
+    told.conflicting = told.conflicting || !told.withdrawn;
+    told.version = report.version;
+    told.withdrawn = false;
   }
 }
 
@@ -478,6 +521,12 @@
       news.push_back({stream, Digest64(begun.version)});
     }
   }
+  for (auto& [stream, withdrawn] : withdrawn_) {
+    if (news.size() < max && withdrawn.reports_left > 0) {
+      --withdrawn.reports_left;
+      news.push_back({stream, kWithdrawnVersion});
+    }
+  }
   return news;
 }
 
@@ -499,6 +548,7 @@
   };
   remove_old(&begun_);
   remove_old(&told_);
+  remove_old(&withdrawn_);
 }
 
 }  // namespace endiveyard
--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -69,6 +69,60 @@
   BOOST_TEST(moved < 420);
 }
 
+// Guards against a refused attempt that begins at another version when its
+// caller sends it again with the same id, while another instance takes the
+// stream up at the first one: the one that refused it, or one that was told.
+BOOST_AUTO_TEST_CASE(AttemptsWithTheSameIdAreNotTakenUpAtTheVersionBefore) {
+  constexpr int kStreams = 200;
+  int moved = 0;
+  for (int n = 0; n < kStreams; ++n) {
+    const StreamId stream = MakeStream(n);
+    StreamVersions first;
+    StreamVersions told;
+    StreamVersions untold;
+    const auto tell = [&](StreamVersions* from, StreamVersions* to) {
+      for (const StreamReport& it : from->TakeNews(10, At(2))) {
+        to->ApplyReport(it, At(2));
+      }
+    };
+    for (StreamVersions* it : {&first, &told, &untold}) {
+      it->RecordReplicas(MakeView(2, 8), At(0));
+      it->RecordReplicas(MakeView(3, 7), At(1));
+    }
+    const std::string version = *first.Choose(kService, stream);
+    first.RecordBegun(kService, stream, version, At(1));
+    tell(&first, &told);
+    first.RecordNotBegun(stream);
+    for (StreamVersions* it : {&first, &told, &untold}) {
+      it->RecordReplicas(MakeView(8, 2), At(2));
+    }
+    BOOST_TEST(*first.Choose(kService, stream) == version);
+    BOOST_TEST(*told.Choose(kService, stream) ==
+               told.Find(kService, stream, kSecond, At(2)).value_or(version));
+
+    const std::string again = *untold.Choose(kService, stream);
+    moved += again != version ? 1 : 0;
+    untold.RecordBegun(kService, stream, again, At(2));
+    tell(&first, &told);
+    for (const StreamVersions* it : {&first, &told}) {
+      const auto taken_up =
+          it->FindRemembered(kService, stream, kSecond, At(2));
+      BOOST_TEST(taken_up.value_or(again) == again);
+    }
+    // A record of the withdrawn version may be read late.
+    told.ApplyReport({stream.attempt, Digest64(version)}, At(2));
+    BOOST_TEST(!told.FindRemembered(kService, stream, kSecond, At(2)));
+    tell(&untold, &told);
+    BOOST_TEST(told.FindRemembered(kService, stream, kSecond, At(2))
+                   .value_or(version) == again);
+    // A version without replicas takes up nothing.
+    first.RecordReplicas(version == "v1" ? MakeView(0, 9) : MakeView(9, 0),
+                         At(3));
+    BOOST_TEST(*first.Choose(kService, stream) != version);
+  }
+  BOOST_TEST(moved > kStreams / 4);
+}
+
 // Guards against streams with the same document at several versions, each of
 // which would have to prefill it.
 BOOST_AUTO_TEST_CASE(StreamsWithTheSameDocumentAreBegunAtOneVersion) {
