Streams: versions are not computed from a view that nobody confirms

What callers see (ORDER): a stream that one process began goes on at replicas of another software version at another process.

Cause: while calls to the registry hang for one instance and are answered for others, a watch that hangs fails only after 5.7 s (stable_ms 4000, config_apply_ms 2500). Until then the instance takes its view for current, begins streams by it and tells nobody of them, whereas a take-up elsewhere counts on views that are at most 2.5 s late. The model took for granted that a cut is known after a second, within that delay.

While a service has several versions, and 20 s after, an instance now reads the changes of the replicas when their last answer is older than half of max_staleness; a view that is older than max_staleness is not current, also while other calls or pages of a list are answered. With a single version nothing is read more often; the numbers of a single version count for 4.3 s longer instead.

Evidence: with calls that hang for 4 s in the model, 23 streams are joined in its histories of four steps and 9 in the long ones (two tests), none now. Real processes, StreamsBegunWhileCallsHangAreNotJoined: 2 streams joined on (one run, load about 15), none with the change (three runs), where streams go on before and after.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -102,6 +102,15 @@
   // does not. Then, the numbers of replicas say nothing.
   void set_is_view_current(bool is_current) { is_view_current_ = is_current; }
   bool is_view_current() const { return is_view_current_; }
+  // Sets how much later than others an instance that knows of a single version
+  // may see a change: it does not confirm its view, see MustConfirmView().
+  void set_single_version_delay(Duration delay) {
+    single_version_delay_ = delay;
+  }
+  // Returns true if a service has, or had until recently, several versions. An
+  // instance that does not notice that it no longer hears of changes begins
+  // streams at versions that others do not compute.
+  bool MustConfirmView(TimePoint now) const;
   // Records what is known of the time before the first call of
   // RecordReplicas(). What the last period of a service became until that call
   // is not known, so that it is joined with what this instance saw first.
@@ -211,6 +220,7 @@
 
   std::map<std::string, Periods> services_;
   std::map<std::string, RecentCounts> recent_;
+  Duration single_version_delay_ = std::chrono::seconds(5);
   bool is_view_current_ = true;
   std::optional<TimePoint> first_view_at_;
   std::optional<TimePoint> other_rules_at_;  // when such a peer last lived
--- a/include/endiveyard/registry/registry_mirror.h
+++ b/include/endiveyard/registry/registry_mirror.h
@@ -95,6 +95,8 @@
   std::function<void(const RegistryObject&)> on_change;
   std::function<void(const absl::Status&)> on_failure;
   std::function<void()> on_success;
+  // After a whole list or the changes of an answer. May be empty.
+  std::function<void()> on_current{};
   // Runs `action` after `delay`.
   std::function<void(Duration delay, std::function<void()> action)> schedule;
 };
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -54,6 +54,10 @@
 // A service map counts as the latest version until a registry call fails, or
 // for this long after the timeout of the watch that has to confirm it.
 constexpr Duration kConfirmationMargin = std::chrono::milliseconds(1000);
+// While several software versions serve, the view of the replicas is confirmed
+// after this part of the time within which changes have to be applied, so that
+// calls that hang are noticed within that time.
+constexpr int kConfirmationDivisor = 2;
 // The registry removes an entry after this many heartbeats of silence, and its
 // removal is known after the margin.
 constexpr int kHeartbeatsPerEntry = 3;
@@ -385,9 +389,30 @@
 
   // Without the registry, the view is as good as that of the others only if
   // none of them has it.
-  bool IsViewCurrent() const {
+  bool IsViewCurrent() {
     return standstill_check_.is_confirmed() &&
-           (!registry_lost_ || load_exchange_.IsRegistryLostByAll());
+           (registry_lost_ ? load_exchange_.IsRegistryLostByAll()
+                           : !IsReplicaViewOld());
+  }
+
+  // Calls may hang, and other ones be answered meanwhile.
+  bool IsReplicaViewOld() {
+    const TimePoint now = BootClock::now();
+    return now - replicas_confirmed_at_ > settings_.max_staleness &&
+           relay_.stream_versions()->MustConfirmView(now);
+  }
+
+  void ConfirmReplicaView(TimePoint now) {
+    const bool is_due = now - replicas_confirmed_at_ >
+                        settings_.max_staleness / kConfirmationDivisor;
+    if (is_confirming_replicas_ || registry_lost_ || !is_due ||
+        !relay_.stream_versions()->MustConfirmView(now)) {
+      return;
+    }
+    is_confirming_replicas_ = true;
+    replica_mirror_->Refresh([this](const absl::Status& /*status*/) {
+      is_confirming_replicas_ = false;
+    });
   }
 
   void UpdateViewState() {
@@ -462,6 +487,10 @@
 
   void StartRegistryMirrors() {
     const uint64_t seed = Digest64(settings_.instance);
+    relay_.stream_versions()->set_single_version_delay(
+        mirror_timing_.watch_timeout + kConfirmationMargin +
+        LongestChangeBatchDelay(settings_.max_staleness) -
+        std::min(settings_.max_staleness, mirror_timing_.watch_timeout));
     registry_era_.Subscribe([this](int64_t era, int64_t before) {
       HandleRegistryRestore(era, before);
     });
@@ -472,6 +501,10 @@
     replicas.on_change = [this](const RegistryObject& object) {
       HandleReplicaChange(object);
     };
+    replicas.on_current = [this] {
+      replicas_confirmed_at_ = BootClock::now();
+      UpdateViewState();
+    };
     replica_mirror_ = std::make_unique<RegistryMirror>(
         &registry_client_, std::string(platform::kReplicaKind), seed,
         mirror_timing_, &registry_era_, std::move(replicas));
@@ -893,6 +926,7 @@
     if (!standstill_check_.awaits_news()) {
       routing_state_.news_applied_at = now;
     }
+    ConfirmReplicaView(now);
     UpdateViewState();
     for (const std::string& id : routing_state_.replicas.Expire(now)) {
       JsonFields fields;
@@ -1071,6 +1105,8 @@
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
   std::optional<TimePoint> service_map_confirmed_at_;
+  TimePoint replicas_confirmed_at_{};
+  bool is_confirming_replicas_ = false;
   std::optional<TimePoint> drain_start_;
   uint64_t logged_rejected_datagrams_ = 0;
   TimePoint rejected_datagrams_logged_at_{};
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -22,6 +22,8 @@
 constexpr int kReportCopies = 2;
 // Other instances have seen a change of the replicas this much later.
 constexpr Duration kViewDelay = std::chrono::seconds(5);
+// Views are confirmed until a service has had a single version for this long.
+constexpr Duration kConfirmedTime = std::chrono::seconds(20);
 // A caller that has not taken up its stream after this time has left.
 constexpr Duration kOpenTime = std::chrono::seconds(20);
 // A stream may have begun this much earlier by the bounds of an instance that
@@ -272,6 +274,20 @@
   return chosen;
 }
 
+bool StreamVersions::MustConfirmView(TimePoint now) const {
+  return std::any_of(services_.begin(), services_.end(), [now](const auto& it) {
+    const Periods& periods = it.second;
+    for (size_t n = 0; n < periods.size(); ++n) {
+      const bool has_ended =
+          n + 1 < periods.size() && now - periods[n + 1].since > kConfirmedTime;
+      if (!has_ended && periods[n].counts.size() > 1) {
+        return true;
+      }
+    }
+    return false;
+  });
+}
+
 std::optional<VersionCounts> StreamVersions::CountsSince(
     const std::string& service,
     TimePoint since) const {
@@ -283,8 +299,10 @@
   const Periods& periods = it->second;
   std::optional<VersionCounts> joined;
   for (size_t n = 0; n < periods.size(); ++n) {
+    const Duration delay =
+        periods[n].counts.size() == 1 ? single_version_delay_ : Duration(0);
     const bool has_ended =
-        n + 1 < periods.size() && periods[n + 1].since <= since;
+        n + 1 < periods.size() && periods[n + 1].since <= since - delay;
     if (has_ended) {
       continue;
     }
--- a/src/registry/registry_mirror.cc
+++ b/src/registry/registry_mirror.cc
@@ -242,6 +242,7 @@
     list_ = RegistryList();
     handlers_.on_list(list);
     revision_ = list.revision;
+    RecordCurrent();
     Perform(policy_.AfterSuccess(list.revision, false));
     if (!refresh_pending_) {
       StartRefresh();
@@ -322,6 +323,13 @@
       handlers_.on_change(it);
     }
     revision_ = changes.revision;
+    RecordCurrent();
+  }
+
+  void RecordCurrent() {
+    if (handlers_.on_current) {
+      handlers_.on_current();
+    }
   }
 
   void Watch(int64_t revision) {
