--- a/tests/front_processes/stream_versions_test.cc
+++ b/tests/front_processes/stream_versions_test.cc
@@ -30,7 +30,7 @@
     std::string pattern =
         (std::filesystem::temp_directory_path() / "fronts-XXXXXX").string();
     folder_ = mkdtemp(pattern.data());
-    registry_.Put("config", "main", ConfigurationSpec(7, kTimeoutMs, 1));
+    registry_.Put("config", "main", ConfigurationSpec(7, kTimeoutMs, 1, 1));
     AddReplica(10);
     AddReplica(11);
     fronts_ = StartFrontProcesses(ENDIVEYARD_FRONT_BINARY, folder_, network_, 2,
