Version record: written again after the registry was restored

What callers see (ORDER): after all instances were killed, a stream goes on at replicas of another software version than those that began it.

Cause: instances remember what they have recorded. If the registry comes back from a copy, the last changes of the numbers of replicas are gone from the record, and nobody writes them again until the numbers change once more. A copy that ends with the present numbers looks complete even to an instance that reads it, so that processes that start then take the present numbers for those of all the time.

After a change of the registry's era, the record is written again if the numbers have changed within the last minute; the instances whose turn it is (four at most) write.

Ruled out as sufficient: forgetting what was recorded, since the record that is read again ends with the present numbers.

--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -483,6 +483,7 @@
     routing_state_.replicas.RecordRegistryFailure();
     service_map_confirmed_at_.reset();
     routing_state_.service_map_current = false;
+    version_recorder_->OnRegistryRestored();
   }
 
   void StartRegistryMirrors() {
--- a/src/front/version_recorder.cc
+++ b/src/front/version_recorder.cc
@@ -50,6 +50,14 @@
     }
   }
 
+  void OnRegistryRestored() {
+    ++restores_;
+    if (is_past_read_) {
+      failures_ = 0;
+      ScheduleWrite();
+    }
+  }
+
  private:
   // Calls `action` on this object after `delay`, unless it is gone.
   void Schedule(Duration delay, void (Impl::*action)()) {
@@ -115,8 +123,18 @@
     return (position.index + change % position.count) % position.count;
   }
 
+  // The copy that a registry came back from may end with the present numbers,
+  // and lack others before them.
+  bool NeedsWrite(const VersionPeriods& current) const {
+    const bool may_lack_changes =
+        recorded_restores_ != restores_ &&
+        std::any_of(current.begin(), current.end(),
+                    [](const auto& it) { return it.second.size() > 1; });
+    return may_lack_changes || NeedsRecording(recorded_, current);
+  }
+
   void ScheduleWrite() {
-    if (is_write_pending_ || !NeedsRecording(recorded_, Current())) {
+    if (is_write_pending_ || !NeedsWrite(Current())) {
       return;
     }
     const auto age =
@@ -130,6 +148,8 @@
     if (turn < kMaxTurns) {
       is_write_pending_ = true;
       Schedule(kWriteDelay + turn * kTurnTime, &Impl::ReadBeforeWrite);
+    } else {
+      recorded_restores_ = restores_;  // others write
     }
   }
 
@@ -147,7 +167,7 @@
     }
     Apply(object);
     const VersionPeriods current = Current();
-    if (!NeedsRecording(recorded_, current)) {
+    if (!NeedsWrite(current)) {
       is_write_pending_ = false;
       return;
     }
@@ -157,15 +177,17 @@
     record.spec =
         EncodeVersionRecord(current, handlers_.now(), handlers_.unix_ms());
     const std::weak_ptr<Impl> weak = weak_from_this();
-    client_->Write(options_.kind, record,
-                   [weak, current](const absl::Status& status) {
-                     if (const auto self = weak.lock()) {
-                       if (status.ok()) {
-                         self->recorded_ = current;
-                       }
-                       self->OnWritten(status);
-                     }
-                   });
+    client_->Write(
+        options_.kind, record,
+        [weak, current, restores = restores_](const absl::Status& status) {
+          if (const auto self = weak.lock()) {
+            if (status.ok()) {
+              self->recorded_ = current;
+              self->recorded_restores_ = restores;
+            }
+            self->OnWritten(status);
+          }
+        });
   }
 
   void OnWritten(const absl::Status& status) {
@@ -186,10 +208,12 @@
   const VersionRecorderHandlers handlers_;
   std::optional<TimePoint> started_at_;
   bool is_past_read_ = false;
-  bool is_write_pending_ = false;  // or waits for its turn
-  int failures_ = 0;               // in a row
-  VersionPeriods recorded_;        // as it was last read or written
-  int64_t revision_ = 0;           // of the record; 0 if there is none
+  bool is_write_pending_ = false;   // or waits for its turn
+  int failures_ = 0;                // in a row
+  VersionPeriods recorded_;         // as it was last read or written
+  int64_t revision_ = 0;            // of the record; 0 if there is none
+  uint64_t restores_ = 0;           // of the registry
+  uint64_t recorded_restores_ = 0;  // before the last write
 };
 
 VersionRecorder::VersionRecorder(RegistryObjectClient* client,
@@ -207,4 +231,8 @@
   impl_->OnReplicasChanged();
 }
 
+void VersionRecorder::OnRegistryRestored() {
+  impl_->OnRegistryRestored();
+}
+
 }  // namespace endiveyard
--- a/src/front/version_recorder.h
+++ b/src/front/version_recorder.h
@@ -46,6 +46,9 @@
   // To be called after each change of the replicas, from the first complete
   // list on.
   void OnReplicasChanged();
+  // To be called after the registry has come back from a copy, which may lack
+  // what was recorded.
+  void OnRegistryRestored();
 
  private:
   class Impl;
--- a/tests/front/version_recorder_test.cc
+++ b/tests/front/version_recorder_test.cc
@@ -184,4 +184,40 @@
   BOOST_TEST(registry.object.spec != before);
 }
 
+// Guards against streams that go on at another version after all instances were
+// killed: the registry came back from a copy without the last changes, and the
+// instances took them for recorded.
+BOOST_AUTO_TEST_CASE(RecordsLostInARestoreAreWrittenAgain) {
+  Clock clock;
+  FakeObjectRegistry registry(&clock);
+  auto fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(30 * kSecond);
+  const RegistryObject copy = registry.object;
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(4 * kSecond);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(4 * kSecond);
+  BOOST_TEST(registry.object.spec != copy.spec);
+  registry.object = copy;
+  registry.writes = 0;
+  for (const auto& it : fleet) {
+    it->recorder->OnRegistryRestored();
+  }
+  clock.Advance(4 * kSecond);
+  BOOST_TEST(registry.writes >= 1);
+  BOOST_TEST(registry.writes <= 4);
+  fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(kSecond);
+  for (int n = 0; n < 100; ++n) {
+    // All began at v1 while there was no other version.
+    const StreamId stream =
+        MakeStreamId(kService, "r" + std::to_string(n), std::nullopt);
+    const auto version = fleet.front()->versions.Find(
+        kService, stream, 12 * kSecond, clock.now());
+    BOOST_TEST((!version || version == "v1"));
+  }
+}
+
 }  // namespace endiveyard
