Version record: one of an earlier era is not believed

Cause: front-1 had started at ...416.971, while the registry hung.

A record in a copy is as old as the copy and looks like a present one.

The record states the era of the registry in which it was written. A process that starts does not believe one of an earlier era, and reads it again until another instance has written it in this era, for 10 s; what began before its start is in doubt meanwhile. After a restore, the record is always written again. Older builds skip the field and write none; their records are believed as before.

--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -552,6 +552,7 @@
 
   void StartVersionRecorder() {
     VersionRecorderHandlers handlers;
+    handlers.era = [this] { return registry_era_.latest(); };
     handlers.position = [this] { return load_exchange_.Position(); };
     handlers.now = [] { return BootClock::now(); };
     handlers.unix_ms = UnixMs;
--- a/src/front/version_record.cc
+++ b/src/front/version_record.cc
@@ -83,8 +83,11 @@
 
 std::string EncodeVersionRecord(const VersionPeriods& periods,
                                 TimePoint now,
-                                int64_t unix_ms) {
-  std::string text = "{\"services\":{";
+                                int64_t unix_ms,
+                                int64_t era) {
+  std::string text =
+      (era == 0 ? std::string("{") : "{\"era\":" + std::to_string(era) + ",") +
+      "\"services\":{";
   for (const auto& [service, entries] : periods) {
     text += text.back() == '{' ? "" : ",";
     text += JsonQuoted(service) + ":[";
@@ -126,6 +129,13 @@
   return periods;
 }
 
+int64_t DecodeVersionRecordEra(std::string_view text) {
+  simdjson::dom::parser parser;
+  int64_t era = 0;
+  return parser.parse(text.data(), text.size())["era"].get(era) == SUCCESS ? era
+                                                                           : 0;
+}
+
 bool NeedsRecording(const VersionPeriods& recorded,
                     const VersionPeriods& current) {
   return std::any_of(
--- a/src/front/version_record.h
+++ b/src/front/version_record.h
@@ -17,10 +17,15 @@
 // of instances jump by some seconds.
 inline constexpr Duration kMaxClockDifference = std::chrono::seconds(3);
 
-// Returns JSON. `unix_ms` is the time of day at `now`.
+// Returns JSON. `unix_ms` is the time of day at `now`, `era` that of the
+// registry; 0 if that is not known.
 std::string EncodeVersionRecord(const VersionPeriods& periods,
                                 TimePoint now,
-                                int64_t unix_ms);
+                                int64_t unix_ms,
+                                int64_t era = 0);
+
+// Returns the era in which the record was written; 0 if it states none.
+int64_t DecodeVersionRecordEra(std::string_view text);
 
 // Returns the periods of a record. Each begins later by kMaxClockDifference
 // than it says, so that none is taken for ended before it was. Entries that
--- a/src/front/version_recorder.cc
+++ b/src/front/version_recorder.cc
@@ -91,16 +91,29 @@
       handlers_.on_read(object.status(), 0);
       return;
     }
-    is_past_read_ = true;
     Apply(object);
     handlers_.on_read(object.status(), recorded_.size());
+    if (IsOfEarlierEra(object) && ++failures_ < kMaxFailures) {
+      // Others write it again.
+      Schedule(kRetryDelay, &Impl::ReadFirst);
+      return;
+    }
+    is_past_read_ = true;
+    failures_ = 0;
     ScheduleWrite();
   }
 
+  // Such a record lacks the changes that were lost in a restore.
+  bool IsOfEarlierEra(const absl::StatusOr<RegistryObject>& object) const {
+    const int64_t era = object.ok() ? DecodeVersionRecordEra(object->spec) : 0;
+    return era != 0 && handlers_.era() != 0 && era != handlers_.era();
+  }
+
   void Apply(const absl::StatusOr<RegistryObject>& object) {
-    recorded_ = object.ok() ? DecodeVersionRecord(object->spec, handlers_.now(),
-                                                  handlers_.unix_ms())
-                            : VersionPeriods();
+    recorded_ = object.ok() && !IsOfEarlierEra(object)
+                    ? DecodeVersionRecord(object->spec, handlers_.now(),
+                                          handlers_.unix_ms())
+                    : VersionPeriods();
     revision_ = object.ok() ? object->revision : 0;
     versions_->RecordPast(recorded_);
   }
@@ -123,14 +136,9 @@
     return (position.index + change % position.count) % position.count;
   }
 
-  // The copy that a registry came back from may end with the present numbers,
-  // and lack others before them.
   bool NeedsWrite(const VersionPeriods& current) const {
-    const bool may_lack_changes =
-        recorded_restores_ != restores_ &&
-        std::any_of(current.begin(), current.end(),
-                    [](const auto& it) { return it.second.size() > 1; });
-    return may_lack_changes || NeedsRecording(recorded_, current);
+    return recorded_restores_ != restores_ ||
+           NeedsRecording(recorded_, current);
   }
 
   void ScheduleWrite() {
@@ -174,8 +182,8 @@
     RegistryObject record;
     record.name = options_.name;
     record.revision = revision_;
-    record.spec =
-        EncodeVersionRecord(current, handlers_.now(), handlers_.unix_ms());
+    record.spec = EncodeVersionRecord(current, handlers_.now(),
+                                      handlers_.unix_ms(), handlers_.era());
     const std::weak_ptr<Impl> weak = weak_from_this();
     client_->Write(
         options_.kind, record,
--- a/src/front/version_recorder.h
+++ b/src/front/version_recorder.h
@@ -19,6 +19,8 @@
 };
 
 struct VersionRecorderHandlers {
+  // Returns the era of the registry; 0 if it is not known.
+  std::function<int64_t()> era;
   std::function<InstancePosition()> position;
   std::function<TimePoint()> now;
   std::function<int64_t()> unix_ms;
--- a/tests/front/fake_object_registry.h
+++ b/tests/front/fake_object_registry.h
@@ -52,6 +52,7 @@
   }
 
   RegistryObject object;
+  int64_t era = 1;
   bool unavailable = false;
   int reads = 0;
   int writes = 0;
--- a/tests/front/version_record_test.cc
+++ b/tests/front/version_record_test.cc
@@ -90,4 +90,14 @@
                             one({{"v1", {2, 2}}, {"v2", {1, 1}}})));
 }
 
+// Guards against a record of an earlier era that passes for a present one, and
+// against records of builds that state none.
+BOOST_AUTO_TEST_CASE(EraOfARecordIsRead) {
+  const TimePoint now = TimePointFromMicros(1000000000);
+  BOOST_TEST(DecodeVersionRecordEra(EncodeVersionRecord({}, now, 1, 7)) == 7);
+  BOOST_TEST(DecodeVersionRecordEra(EncodeVersionRecord({}, now, 1)) == 0);
+  BOOST_TEST(DecodeVersionRecordEra("{\"services\":{}}") == 0);
+  BOOST_TEST(DecodeVersionRecordEra("no record") == 0);
+}
+
 }  // namespace endiveyard
--- a/tests/front/version_recorder_test.cc
+++ b/tests/front/version_recorder_test.cc
@@ -35,6 +35,7 @@
            size_t count)
       : clock(clock) {
     VersionRecorderHandlers handlers;
+    handlers.era = [registry] { return registry->era; };
     handlers.position = [index, count] {
       InstancePosition position;
       position.index = index;
@@ -202,6 +203,7 @@
   clock.Advance(4 * kSecond);
   BOOST_TEST(registry.object.spec != copy.spec);
   registry.object = copy;
+  registry.era = 2;
   registry.writes = 0;
   for (const auto& it : fleet) {
     it->recorder->OnRegistryRestored();
@@ -222,6 +224,48 @@
   }
 }
 
+// Guards against streams that go on at another version at a process that starts
+// right after a restore: it reads a record that lacks the last changes.
+BOOST_AUTO_TEST_CASE(RecordsOfAnEarlierEraAreNotBelieved) {
+  Clock clock;
+  FakeObjectRegistry registry(&clock);
+  auto fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(30 * kSecond);
+  const RegistryObject copy = registry.object;
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(4 * kSecond);
+  ShowAll(fleet, MakeView(6, 6));
+  registry.object = copy;
+  registry.era = 2;
+  auto started = StartFleet(&clock, &registry, 1);
+  ShowAll(started, MakeView(6, 6));
+  clock.Advance(kSecond / 4);
+  const auto count_found = [&] {
+    int found = 0;
+    for (int n = 0; n < 100; ++n) {
+      const StreamId stream =
+          MakeStreamId(kService, "r" + std::to_string(n), std::nullopt);
+      const auto version = started.front()->versions.Find(
+          kService, stream, 3 * kSecond, clock.now());
+      BOOST_TEST((!version || version == "v1"));
+      found += version ? 1 : 0;
+    }
+    return found;
+  };
+  BOOST_TEST(count_found() == 0);
+  // Those that were there before write it again.
+  for (const auto& it : fleet) {
+    it->recorder->OnRegistryRestored();
+  }
+  clock.Advance(2 * kSecond);
+  BOOST_TEST(started.front()
+                 ->versions.PeriodsSince(clock.now() - 10 * kSecond)
+                 .at(kService)
+                 .size() > 1u);
+  count_found();
+}
+
 // Guards against streams that go on at another version after all instances were
 // killed, where the time of day of those that start has jumped by seconds.
 BOOST_AUTO_TEST_CASE(TimesOfDayThatJumpJoinNoStreams) {
