--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -483,6 +483,7 @@
     routing_state_.replicas.RecordRegistryFailure();
     service_map_confirmed_at_.reset();
     routing_state_.service_map_current = false;
+    version_recorder_->OnRegistryRestored();
   }
 
   void StartRegistryMirrors() {
@@ -551,6 +552,7 @@
 
   void StartVersionRecorder() {
     VersionRecorderHandlers handlers;
+    handlers.era = [this] { return registry_era_.latest(); };
     handlers.position = [this] { return load_exchange_.Position(); };
     handlers.now = [] { return BootClock::now(); };
     handlers.unix_ms = UnixMs;
--- a/src/front/version_recorder.cc
+++ b/src/front/version_recorder.cc
@@ -50,6 +50,14 @@
     }
   }
 
+  void OnRegistryRestored() {
+    ++restores_;
+    if (is_past_read_) {
+      failures_ = 0;
+      ScheduleWrite();
+    }
+  }
+
  private:
   // Calls `action` on this object after `delay`, unless it is gone.
   void Schedule(Duration delay, void (Impl::*action)()) {
@@ -83,16 +91,29 @@
       handlers_.on_read(object.status(), 0);
       return;
     }
-    is_past_read_ = true;
     Apply(object);
     handlers_.on_read(object.status(), recorded_.size());
+    if (IsOfEarlierEra(object) && ++failures_ < kMaxFailures) {
+      // Others write it again.
+      Schedule(kRetryDelay, &Impl::ReadFirst);
+      return;
+    }
+    is_past_read_ = true;
+    failures_ = 0;
     ScheduleWrite();
   }
 
+  // Such a record lacks the changes that were lost in a restore.
+  bool IsOfEarlierEra(const absl::StatusOr<RegistryObject>& object) const {
+    const int64_t era = object.ok() ? DecodeVersionRecordEra(object->spec) : 0;
+    return era != 0 && handlers_.era() != 0 && era != handlers_.era();
+  }
+
   void Apply(const absl::StatusOr<RegistryObject>& object) {
-    recorded_ = object.ok() ? DecodeVersionRecord(object->spec, handlers_.now(),
-                                                  handlers_.unix_ms())
-                            : VersionPeriods();
+    recorded_ = object.ok() && !IsOfEarlierEra(object)
+                    ? DecodeVersionRecord(object->spec, handlers_.now(),
+                                          handlers_.unix_ms())
+                    : VersionPeriods();
     revision_ = object.ok() ? object->revision : 0;
     versions_->RecordPast(recorded_);
   }
@@ -115,8 +136,13 @@
     return (position.index + change % position.count) % position.count;
   }
 
+  bool NeedsWrite(const VersionPeriods& current) const {
+    return recorded_restores_ != restores_ ||
+           NeedsRecording(recorded_, current);
+  }
+
   void ScheduleWrite() {
-    if (is_write_pending_ || !NeedsRecording(recorded_, Current())) {
+    if (is_write_pending_ || !NeedsWrite(Current())) {
       return;
     }
     const auto age =
@@ -130,6 +156,8 @@
     if (turn < kMaxTurns) {
       is_write_pending_ = true;
       Schedule(kWriteDelay + turn * kTurnTime, &Impl::ReadBeforeWrite);
+    } else {
+      recorded_restores_ = restores_;  // others write
     }
   }
 
@@ -147,25 +175,27 @@
     }
     Apply(object);
     const VersionPeriods current = Current();
-    if (!NeedsRecording(recorded_, current)) {
+    if (!NeedsWrite(current)) {
       is_write_pending_ = false;
       return;
     }
     RegistryObject record;
     record.name = options_.name;
     record.revision = revision_;
-    record.spec =
-        EncodeVersionRecord(current, handlers_.now(), handlers_.unix_ms());
+    record.spec = EncodeVersionRecord(current, handlers_.now(),
+                                      handlers_.unix_ms(), handlers_.era());
     const std::weak_ptr<Impl> weak = weak_from_this();
-    client_->Write(options_.kind, record,
-                   [weak, current](const absl::Status& status) {
-                     if (const auto self = weak.lock()) {
-                       if (status.ok()) {
-                         self->recorded_ = current;
-                       }
-                       self->OnWritten(status);
-                     }
-                   });
+    client_->Write(
+        options_.kind, record,
+        [weak, current, restores = restores_](const absl::Status& status) {
+          if (const auto self = weak.lock()) {
+            if (status.ok()) {
+              self->recorded_ = current;
+              self->recorded_restores_ = restores;
+            }
+            self->OnWritten(status);
+          }
+        });
   }
 
   void OnWritten(const absl::Status& status) {
@@ -186,10 +216,12 @@
   const VersionRecorderHandlers handlers_;
   std::optional<TimePoint> started_at_;
   bool is_past_read_ = false;
-  bool is_write_pending_ = false;  // or waits for its turn
-  int failures_ = 0;               // in a row
-  VersionPeriods recorded_;        // as it was last read or written
-  int64_t revision_ = 0;           // of the record; 0 if there is none
+  bool is_write_pending_ = false;   // or waits for its turn
+  int failures_ = 0;                // in a row
+  VersionPeriods recorded_;         // as it was last read or written
+  int64_t revision_ = 0;            // of the record; 0 if there is none
+  uint64_t restores_ = 0;           // of the registry
+  uint64_t recorded_restores_ = 0;  // before the last write
 };
 
 VersionRecorder::VersionRecorder(RegistryObjectClient* client,
@@ -207,4 +239,8 @@
   impl_->OnReplicasChanged();
 }
 
+void VersionRecorder::OnRegistryRestored() {
+  impl_->OnRegistryRestored();
+}
+
 }  // namespace endiveyard
--- a/src/front/version_recorder.h
+++ b/src/front/version_recorder.h
@@ -19,6 +19,8 @@
 };
 
 struct VersionRecorderHandlers {
+  // Returns the era of the registry; 0 if it is not known.
+  std::function<int64_t()> era;
   std::function<InstancePosition()> position;
   std::function<TimePoint()> now;
   std::function<int64_t()> unix_ms;
@@ -46,6 +48,9 @@
   // To be called after each change of the replicas, from the first complete
   // list on.
   void OnReplicasChanged();
+  // To be called after the registry has come back from a copy, which may lack
+  // what was recorded.
+  void OnRegistryRestored();
 
  private:
   class Impl;
--- a/tests/front/version_recorder_test.cc
+++ b/tests/front/version_recorder_test.cc
@@ -35,6 +35,7 @@
            size_t count)
       : clock(clock) {
     VersionRecorderHandlers handlers;
+    handlers.era = [registry] { return registry->era; };
     handlers.position = [index, count] {
       InstancePosition position;
       position.index = index;
@@ -42,8 +43,9 @@
       return position;
     };
     handlers.now = [clock] { return clock->now(); };
-    handlers.unix_ms = [clock] {
-      return 1790000000000 + clock->now().time_since_epoch().count() / 1000;
+    handlers.unix_ms = [this, clock] {
+      return 1790000000000 + ahead_ms +
+             clock->now().time_since_epoch().count() / 1000;
     };
     handlers.schedule = [clock](Duration delay, std::function<void()> action) {
       clock->Schedule(delay, std::move(action));
@@ -66,6 +68,7 @@
   }
 
   Clock* clock;
+  int64_t ahead_ms = 0;  // of its time of day
   StreamVersions versions;
   std::unique_ptr<VersionRecorder> recorder;
 };
@@ -184,4 +187,124 @@
   BOOST_TEST(registry.object.spec != before);
 }
 
+// Guards against streams that go on at another version after all instances were
+// killed: the registry came back from a copy without the last changes, and the
+// instances took them for recorded.
+BOOST_AUTO_TEST_CASE(RecordsLostInARestoreAreWrittenAgain) {
+  Clock clock;
+  FakeObjectRegistry registry(&clock);
+  auto fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(30 * kSecond);
+  const RegistryObject copy = registry.object;
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(4 * kSecond);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(4 * kSecond);
+  BOOST_TEST(registry.object.spec != copy.spec);
+  registry.object = copy;
+  registry.era = 2;
+  registry.writes = 0;
+  for (const auto& it : fleet) {
+    it->recorder->OnRegistryRestored();
+  }
+  clock.Advance(4 * kSecond);
+  BOOST_TEST(registry.writes >= 1);
+  BOOST_TEST(registry.writes <= 4);
+  fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(kSecond);
+  for (int n = 0; n < 100; ++n) {
+    // All began at v1 while there was no other version.
+    const StreamId stream =
+        MakeStreamId(kService, "r" + std::to_string(n), std::nullopt);
+    const auto version = fleet.front()->versions.Find(
+        kService, stream, 12 * kSecond, clock.now());
+    BOOST_TEST((!version || version == "v1"));
+  }
+}
+
+// Guards against streams that go on at another version at a process that starts
+// right after a restore: it reads a record that lacks the last changes.
+BOOST_AUTO_TEST_CASE(RecordsOfAnEarlierEraAreNotBelieved) {
+  Clock clock;
+  FakeObjectRegistry registry(&clock);
+  auto fleet = StartFleet(&clock, &registry, 8);
+  ShowAll(fleet, MakeView(6, 6));
+  clock.Advance(30 * kSecond);
+  const RegistryObject copy = registry.object;
+  ShowAll(fleet, MakeView(12, 0));
+  clock.Advance(4 * kSecond);
+  ShowAll(fleet, MakeView(6, 6));
+  registry.object = copy;
+  registry.era = 2;
+  auto started = StartFleet(&clock, &registry, 1);
+  ShowAll(started, MakeView(6, 6));
+  clock.Advance(kSecond / 4);
+  const auto count_found = [&] {
+    int found = 0;
+    for (int n = 0; n < 100; ++n) {
+      const StreamId stream =
+          MakeStreamId(kService, "r" + std::to_string(n), std::nullopt);
+      const auto version = started.front()->versions.Find(
+          kService, stream, 3 * kSecond, clock.now());
+      BOOST_TEST((!version || version == "v1"));
+      found += version ? 1 : 0;
+    }
+    return found;
+  };
+  BOOST_TEST(count_found() == 0);
+  // Those that were there before write it again.
+  for (const auto& it : fleet) {
+    it->recorder->OnRegistryRestored();
+  }
+  clock.Advance(2 * kSecond);
+  BOOST_TEST(started.front()
+                 ->versions.PeriodsSince(clock.now() - 10 * kSecond)
+                 .at(kService)
+                 .size() > 1u);
+  count_found();
+}
+
+// Guards against streams that go on at another version after all instances were
+// killed, where the time of day of those that start has jumped by seconds.
+BOOST_AUTO_TEST_CASE(TimesOfDayThatJumpJoinNoStreams) {
+  constexpr Duration kViewDelay = std::chrono::milliseconds(2500);
+  constexpr int64_t kMaxJumpMs = 5000;
+  for (int64_t ahead_ms = -2 * kMaxJumpMs; ahead_ms <= kMaxJumpMs;
+       ahead_ms += 1000) {
+    Clock clock;
+    FakeObjectRegistry registry(&clock);
+    auto fleet = StartFleet(&clock, &registry, 8);
+    ShowAll(fleet, MakeView(9, 3));
+    clock.Advance(30 * kSecond);
+    const TimePoint begun_at = clock.now();
+    std::vector<std::pair<StreamId, std::string>> streams;
+    for (int n = 0; n < 50; ++n) {
+      const StreamId id =
+          MakeStreamId(kService, "r" + std::to_string(n), std::nullopt);
+      streams.emplace_back(id, *fleet.front()->versions.Choose(kService, id));
+    }
+    ShowAll(fleet, MakeView(3, 9));
+    clock.Advance(4 * kSecond);
+    fleet = StartFleet(&clock, &registry, 8);
+    for (const auto& it : fleet) {
+      it->ahead_ms = ahead_ms;
+    }
+    ShowAll(fleet, MakeView(3, 9));
+    int joined = 0;
+    for (int n = 0; n < 20; ++n) {
+      clock.Advance(kSecond / 4);
+      const auto age =
+          std::chrono::duration_cast<Duration>(clock.now() - begun_at);
+      for (const auto& [id, version] : streams) {
+        const auto found = fleet.front()->versions.Find(
+            kService, id, age + kViewDelay, clock.now());
+        joined += found && *found != version ? 1 : 0;
+      }
+    }
+    BOOST_TEST(joined == 0, "ahead by " << ahead_ms << " ms: " << joined);
+  }
+}
+
 }  // namespace endiveyard
