Load exchange: an outage of the registry is of all that it has named

Callers saw streams of two software versions (ORDER) where instances do not hear each other and some cannot read the registry.

Cause: an instance without the registry took its view for current if it heard no other instance, or if those it heard had said that they cannot read the registry and no "can read" had arrived for 2 s. Instances that the registry had named, or that had fallen silent, were not asked. It then took up streams by old numbers of replicas.

Now every instance that is live or that the registry has named must have said so within 2 s, and no instance the opposite. An instance decides alone only if the registry has named it and no other. Nothing changes in the reports. Price: take-ups that only the view decides are refused as not run in an outage of the registry for all where an instance is not heard, as in fleets above 17 instances (docs/stream-versions.md).

Tests: load_exchange, front, placement and platform pass. What EvidenceOfCrashesReachesInstancesThatAreNotHeard sets up is shared with the new test; its checks are the same.

--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -104,8 +104,9 @@
   void SetTakesLastRequests(bool takes_last_requests);
   // Returns the digest of the own region, as in reports.
   uint16_t region() const;
-  // Returns true if others have told lately that they cannot read the registry,
-  // and none that it can. Also true if no other instance is known.
+  // Returns true if all others, those that the registry has named included,
+  // have told lately that they cannot read the registry. False before the
+  // registry has named this one.
   bool IsRegistryLostByAll() const;
   // Returns the number of datagrams that were no valid report.
   uint64_t rejected_datagrams() const;
--- a/include/endiveyard/load_exchange/peer_directory.h
+++ b/include/endiveyard/load_exchange/peer_directory.h
@@ -99,6 +99,8 @@
   // not heard. nullopt before the registry has named this instance, since
   // instances that are heard need not be all there are.
   std::optional<size_t> SharingCount(TimePoint now) const;
+  // Returns the addresses of the others that SharingCount() counts, in order.
+  std::optional<std::vector<uint32_t>> OtherSharers(TimePoint now) const;
 
   // Returns until when the others count this instance: as its record says, or
   // longer while all that the registry has named are heard.
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -234,7 +234,8 @@
   uint16_t region() const { return region_; }
 
   bool IsRegistryLostByAll() const {
-    return peer_registry_state_.IsLostByAll(InstanceCount(), BootClock::now());
+    const TimePoint now = BootClock::now();
+    return peer_registry_state_.IsLostByAll(directory_.OtherSharers(now), now);
   }
 
   void Stop() {
@@ -307,7 +308,8 @@
         it.apply(*report, now);
       }
     }
-    peer_registry_state_.RecordReport(report->registry_lost, now);
+    peer_registry_state_.RecordReport(report->sender, report->registry_lost,
+                                      now);
     forwarding_peers_.RecordReport(
         report->sender,
         {report->takes_requests && !report->leaving, report->region,
--- a/src/load_exchange/peer_directory.cc
+++ b/src/load_exchange/peer_directory.cc
@@ -210,8 +210,13 @@
 }
 
 std::optional<size_t> PeerDirectory::SharingCount(TimePoint now) const {
-  return is_sharing_known_ ? std::optional(Sharers(now).size() + 1)
-                           : std::nullopt;
+  const auto others = OtherSharers(now);
+  return others ? std::optional(others->size() + 1) : std::nullopt;
+}
+
+std::optional<std::vector<uint32_t>> PeerDirectory::OtherSharers(
+    TimePoint now) const {
+  return is_sharing_known_ ? std::optional(Sharers(now)) : std::nullopt;
 }
 
 TimePoint PeerDirectory::CountedUntil(TimePoint now) const {
--- a/tests/load_exchange/parted_fleet_test.cc
+++ b/tests/load_exchange/parted_fleet_test.cc
@@ -76,6 +76,26 @@
   }
 }
 
+struct Instance {
+  Instance(const std::string& ip, const std::vector<std::string>& registered)
+      : placer(Location()),
+        exchange(io,
+                 {ip, "r", 0, {}},
+                 &placer,
+                 &suspects,
+                 &versions,
+                 &forwarding_peers) {
+    exchange.RecordRegistered(registered);
+  }
+
+  boost::asio::io_context io;
+  Placer placer;
+  CrashSuspects suspects;
+  StreamVersions versions;
+  ForwardingPeers forwarding_peers;
+  LoadExchange exchange;
+};
+
 }  // namespace
 
 // Guards against parts of a fleet that do not hear each other and each spend
@@ -206,30 +226,23 @@
   BOOST_TEST((directory.CountedUntil(At(silent)) == At(90000)));
 }
 
+// Guards against an instance that is cut off from the registry, hears nobody,
+// and takes up streams by its old view, while others read the registry (ORDER).
+BOOST_AUTO_TEST_CASE(AnInstanceThatHearsNobodyDoesNotDecideAlone) {
+  const std::string own_ip = "10.0.0.1";
+  BOOST_TEST(!Instance(own_ip, {}).exchange.IsRegistryLostByAll());
+  BOOST_TEST(!Instance(own_ip, {"10.0.0.2"}).exchange.IsRegistryLostByAll());
+  BOOST_TEST(
+      !Instance(own_ip, {own_ip, "10.0.0.2"}).exchange.IsRegistryLostByAll());
+  BOOST_TEST(Instance(own_ip, {own_ip}).exchange.IsRegistryLostByAll());
+}
+
 // Guards against instances that do not hear each other and each have to lose
 // replicas before they refuse requests that crash them (BUDGET).
 BOOST_AUTO_TEST_CASE(EvidenceOfCrashesReachesInstancesThatAreNotHeard) {
-  struct Instance {
-    explicit Instance(const std::string& ip)
-        : placer(Location()),
-          exchange(io,
-                   {ip, "r", 0, {}},
-                   &placer,
-                   &suspects,
-                   &versions,
-                   &forwarding_peers) {
-      exchange.RecordRegistered({"10.0.0.1", "10.0.0.2"});
-    }
-
-    boost::asio::io_context io;
-    Placer placer;
-    CrashSuspects suspects;
-    StreamVersions versions;
-    ForwardingPeers forwarding_peers;
-    LoadExchange exchange;
-  };
-  Instance first("10.0.0.1");
-  Instance second("10.0.0.2");
+  const std::vector<std::string> both = {"10.0.0.1", "10.0.0.2"};
+  Instance first("10.0.0.1", both);
+  Instance second("10.0.0.2", both);
   const SuspectKeys keys = {7};
   uint64_t fingerprint = 0;
   BOOST_TEST(first.exchange.Hears("10.0.0.1"));
@@ -250,7 +263,7 @@
   BOOST_TEST((second.suspects.Judge(keys, BootClock::now()) ==
               CrashVerdict::kCulprit));
   // A process that starts in place of the first reads what that has written.
-  Instance restarted("10.0.0.1");
+  Instance restarted("10.0.0.1", both);
   restarted.exchange.ApplyReportOfUnheard(
       first.exchange.ReportForUnheard(&fingerprint), std::chrono::seconds(2));
   BOOST_TEST((restarted.suspects.Judge(keys, BootClock::now()) ==
