--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -96,13 +96,13 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   run.number = static_cast<int64_t>(runs_.size());
   run_numbers_[run.id].push_back(run.number);
-  runs_.push_back({run, NowMs(), std::nullopt});
+  runs_.push_back({run, now_ms_(), std::nullopt});
   return run;
 }
 
 void RunLedger::RecordRunEnd(int64_t number) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  runs_[static_cast<size_t>(number)].end_ms = NowMs();
+  runs_[static_cast<size_t>(number)].end_ms = now_ms_();
 }
 
 std::vector<const RunLedger::RunRecord*> RunLedger::RunsOf(
@@ -122,9 +122,9 @@
   const std::lock_guard<std::mutex> lock(mutex_);
   Deadline& deadline = deadlines_[id] = Deadline();
   deadline.time_left_ms = time_left_ms;
-  deadline.end_ms = NowMs() + time_left_ms;
+  deadline.end_ms = now_ms_() + time_left_ms;
   Traffic& traffic = traffic_[service];
-  traffic.requests.push_back(NowMs());
+  traffic.requests.push_back(now_ms_());
   // What arrives from now on belongs to this request.
   traffic.arrived.erase(id);
   traffic.read.erase(id);
@@ -140,7 +140,7 @@
     return;
   }
   if (!traffic.arrived.insert(arrival.id).second) {
-    traffic.repeats.push_back(NowMs());
+    traffic.repeats.push_back(now_ms_());
   }
 }
 
@@ -150,7 +150,7 @@
     return;
   }
   Deadline& deadline = it->second;
-  const int64_t now_ms = NowMs();
+  const int64_t now_ms = now_ms_();
   const bool is_late = deadline.first_call_ms &&
                        now_ms - *deadline.first_call_ms > kTimeGivenSlackMs;
   time_given_.sent_again_late += is_late ? 1 : 0;
@@ -174,7 +174,7 @@
                             const std::string& process,
                             int64_t pause_ms) {
   const std::lock_guard<std::mutex> lock(mutex_);
-  pauses_[{replica, process}].push_back({NowMs(), NowMs() + pause_ms, 0});
+  pauses_[{replica, process}].push_back({now_ms_(), now_ms_() + pause_ms, 0});
 }
 
 void RunLedger::RecordCallInPause(const Arrival& arrival) {
@@ -182,7 +182,7 @@
   if (it == pauses_.end()) {
     return;
   }
-  const int64_t now_ms = NowMs();
+  const int64_t now_ms = now_ms_();
   for (Pause& pause : it->second) {
     if (now_ms <= pause.begin_ms + kPauseSlackMs || now_ms >= pause.end_ms ||
         !is_calm_(arrival.process, pause.begin_ms, now_ms)) {
@@ -313,7 +313,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(
           std::chrono::system_clock::now().time_since_epoch())
           .count() -
-      NowMs();
+      now_ms_();
   std::string text;
   for (const ClientResult& it : results_) {
     if (it.first_id != first_id) {
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "soak/http_peer.h"
+
 namespace endiveyard::soak {
 
 enum class RequestKind { kSafe, kUnsafe, kResumableStream, kOnceStream };
@@ -114,6 +116,10 @@
       std::function<bool(const std::string&, int64_t, int64_t)> is_calm) {
     is_calm_ = std::move(is_calm);
   }
+  // Replaces the clock, for tests.
+  void set_now_ms(std::function<int64_t()> now_ms) {
+    now_ms_ = std::move(now_ms);
+  }
   // The routes allow so many replicas to run one request, and `once` of those
   // that may run once at most.
   void set_max_attempts(int max_attempts, int once) {
@@ -216,6 +222,7 @@
   std::map<std::string, Deadline> deadlines_;  // by request, of the last try
   TimeGiven time_given_;
   std::function<bool(const std::string&, int64_t, int64_t)> is_calm_;
+  std::function<int64_t()> now_ms_ = NowMs;
   // By replica and process.
   std::map<std::pair<std::string, std::string>, std::vector<Pause>> pauses_;
   int calls_in_pauses_ = 0;
