Streams: those begun at a view that is not current are told at once

Callers of an instance that could not read the registry turned to another one and got the rest of their stream from another software version. An instance that knows that its view is old tells the others which version it begins a stream at, but with its next report of work, up to 60 ms later and more in larger fleets. The other one computed the version meanwhile.

The instance now sends the streams in a report of their own as soon as they begin, 5 ms apart at least, before the replica has answered; the bytes delay its next report of work. Only while its view is not current, and in fleets in which all are told.

--- a/include/endiveyard/placement/stream_versions.h
+++ b/include/endiveyard/placement/stream_versions.h
@@ -4,11 +4,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
@@ -178,6 +180,13 @@
   // times, since reports may be lost; at most `max` of them.
   std::vector<StreamReport> TakeNews(size_t max, TimePoint now);
 
+  // Sets what to call when a stream begins of which others cannot know, since
+  // the view of this instance is not current: they have to be told before the
+  // caller can turn to them.
+  void set_on_untold_stream(std::function<void()> on_untold_stream) {
+    on_untold_stream_ = std::move(on_untold_stream);
+  }
+
   // Makes TakeNews() return streams again that it has returned before: an
   // instance has started, which was not told.
   void TellAgain();
@@ -240,6 +249,7 @@
   std::map<std::string, RecentCounts> recent_;
   Duration single_version_delay_ = std::chrono::seconds(5);
   bool is_view_current_ = true;
+  std::function<void()> on_untold_stream_;
   std::optional<TimePoint> first_view_at_;
   std::optional<TimePoint> other_rules_at_;  // when such a peer last lived
   std::unordered_map<uint64_t, BegunStream> begun_;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -38,6 +38,9 @@
 constexpr size_t kMinPacesPerReport = 4;
 // Limit on the streams in one report: half a kilobyte.
 constexpr size_t kMaxStreamsPerReport = 32;
+// Minimum time between reports of streams that must not wait for a report of
+// work. The first event of a stream takes about as long.
+constexpr Duration kMinStreamsInterval = std::chrono::milliseconds(5);
 // An instance that has just started does not know the others yet. Until then,
 // it takes as much of a rate limit as if there were this many.
 constexpr Duration kJoiningTime = std::chrono::seconds(2);
@@ -88,6 +91,7 @@
         work_timer_(io),
         region_timer_(io),
         members_timer_(io),
+        streams_timer_(io),
         own_address_(ParseIp(options_.ip)),
         region_(static_cast<uint16_t>(Digest64(options_.region))),
         directory_(own_address_, region_, ParseIps(options_.seed_ips)),
@@ -113,6 +117,11 @@
                                     ec.message());
     }
     started_at_ = BootClock::now();
+    stream_versions_.set_on_untold_stream([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->TellStreamsSoon();
+      }
+    });
     Receive();
     SendMembers();
     SendWork();
@@ -242,7 +251,7 @@
     error_code ec;
     socket_.close(ec);
     for (asio::steady_timer* it :
-         {&work_timer_, &region_timer_, &members_timer_}) {
+         {&work_timer_, &region_timer_, &members_timer_, &streams_timer_}) {
       it->cancel();
     }
   }
@@ -523,6 +532,34 @@
     Schedule(&work_timer_, delay, &Impl::SendWork);
   }
 
+  // A report of work may come later than the caller of a stream that has broken
+  // off turns to another instance.
+  void TellStreamsSoon() {
+    const TimePoint now = BootClock::now();
+    if (tells_streams_soon_ || IsLargeFleet(now)) {
+      return;
+    }
+    tells_streams_soon_ = true;
+    const auto since_last =
+        std::chrono::duration_cast<Duration>(now - streams_told_at_);
+    Schedule(&streams_timer_,
+             std::max(Duration(0), kMinStreamsInterval - since_last),
+             &Impl::SendStreams);
+  }
+
+  void SendStreams() {
+    const TimePoint now = BootClock::now();
+    tells_streams_soon_ = false;
+    streams_told_at_ = now;
+    PeerLoadReport report = MakeReport(ReportScope::kMembers);
+    report.streams = stream_versions_.TakeNews(kMaxStreamsPerReport, now);
+    if (!report.streams.empty()) {
+      const std::vector<uint32_t> mates = directory_.Mates(now);
+      direct_bytes_ +=
+          mates.size() * (Send(report, mates) + kDatagramHeaderBytes);
+    }
+  }
+
   // Reports the work of the own region to one instance of each other region.
   void SendRegion() {
     const TimePoint now = BootClock::now();
@@ -613,6 +650,7 @@
   asio::steady_timer work_timer_;
   asio::steady_timer region_timer_;
   asio::steady_timer members_timer_;
+  asio::steady_timer streams_timer_;
   const uint32_t own_address_;
   const uint16_t region_;
   PeerDirectory directory_;
@@ -632,6 +670,8 @@
   Duration region_interval_{};
   TimePoint last_work_report_{};
   size_t direct_bytes_ = 0;  // since the last report of work
+  bool tells_streams_soon_ = false;
+  TimePoint streams_told_at_{};
   TimePoint last_welcome_{};
   bool last_report_had_work_ = false;
   std::deque<PendingUpdate> pending_for_regions_;
--- a/src/placement/stream_versions.cc
+++ b/src/placement/stream_versions.cc
@@ -423,6 +423,9 @@
     it->second.reports_left = kReportCopies;
     it->second.conflicting = true;
   }
+  if (!is_view_current_ && on_untold_stream_) {
+    on_untold_stream_();
+  }
 }
 
 void StreamVersions::RecordCompleted(const StreamId& stream) {
