--- a/tools/soak/http_peer.cc
+++ b/tools/soak/http_peer.cc
@@ -41,7 +41,16 @@
   }
   sockaddr_in address = AddressOf(ip, *port);
   socklen_t size = sizeof address;
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+  // A socket that was closed is bound until no thread waits for it any more.
+  constexpr int kMaxWaitMs = 1000;
+  constexpr int kIntervalMs = 10;
+  int result = bind(fd, reinterpret_cast<sockaddr*>(&address), size);
+  for (int ms = 0; result != 0 && *port != 0 && ms < kMaxWaitMs;
+       ms += kIntervalMs) {
+    SleepMs(kIntervalMs);
+    result = bind(fd, reinterpret_cast<sockaddr*>(&address), size);
+  }
+  if (result != 0 ||
       getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
     throw std::runtime_error("cannot bind to " + ip);
   }
