Stream starts: the record is read as soon as the registry is regained

A read that has failed is now repeated when any call to the registry succeeds again. StreamStartsAreReadOnceTheRegistryIsRegained fails without it.

--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -372,6 +372,7 @@
       if (registry_lost_) {
         registry_lost_ = false;
         LogText(kLogRegistryRegained, "detail", "");
+        stream_start_recorder_->OnRegistryRegained();
         UpdateViewState();
       }
     };
--- a/src/front/stream_start_recorder.cc
+++ b/src/front/stream_start_recorder.cc
@@ -46,6 +46,12 @@
     Schedule(Duration(static_cast<int64_t>(offset)));
   }
 
+  void OnRegistryRegained() {
+    if (has_failed_ && !is_calling_) {
+      Read();
+    }
+  }
+
  private:
   // Calls Check() after `delay`, unless this object is gone.
   void Schedule(Duration delay) {
@@ -191,4 +197,8 @@
   impl_->Start();
 }
 
+void StreamStartRecorder::OnRegistryRegained() {
+  impl_->OnRegistryRegained();
+}
+
 }  // namespace endiveyard
--- a/src/front/stream_start_recorder.h
+++ b/src/front/stream_start_recorder.h
@@ -46,6 +46,9 @@
 
   // Starts reading and writing.
   void Start();
+  // The registry answers again, so that a read that has failed is repeated at
+  // once: streams may come now.
+  void OnRegistryRegained();
 
  private:
   class Impl;
--- a/tests/front/stream_start_recorder_test.cc
+++ b/tests/front/stream_start_recorder_test.cc
@@ -136,4 +136,22 @@
   BOOST_TEST(registry.object.revision > 0);
 }
 
+// Guards against the first streams after an outage that are passed on without
+// their first events: a process that started in it serves at once.
+BOOST_AUTO_TEST_CASE(StreamStartsAreReadOnceTheRegistryIsRegained) {
+  Clock clock;
+  FakeObjectRegistry registry(&clock);
+  auto fleet = StartFleet(&clock, &registry, 1);
+  clock.Advance(kSecond);
+  fleet[0]->Learn();
+  clock.Advance(3 * kSecond);
+  registry.unavailable = true;
+  fleet = StartFleet(&clock, &registry, 1);
+  clock.Advance(20 * kSecond);
+  registry.unavailable = false;
+  fleet[0]->recorder->OnRegistryRegained();
+  clock.Advance(std::chrono::milliseconds(10));
+  BOOST_TEST(!fleet[0]->Begin(1, 3));
+}
+
 }  // namespace endiveyard
