--- a/include/endiveyard/placement/stream_starts.h
+++ b/include/endiveyard/placement/stream_starts.h
@@ -64,11 +64,11 @@
 // one replica incarnation do. What two replicas have as a habit is right, also
 // beside another one, so that a new convention is taken over.
 //
-// What other processes have learned holds from the first stream on, unless
-// several replicas contradict it, or the only one does so for long. It never
-// makes whole what the habits of two replicas show to be late. A group of which
-// nothing is known is expected to begin like the others of its service. Not
-// thread-safe.
+// What other processes have learned counts from the first stream on. It does
+// not count for a group where several replicas, or a lone one over many
+// streams, begin elsewhere, and it does not override the habits of two
+// replicas. A group of which nothing is known is expected to begin like the
+// others of its service. Not thread-safe.
 class StreamStarts {
  public:
   // Records what other processes have learned, in place of what was recorded
