--- a/tests/placement/stream_versions_test.cc
+++ b/tests/placement/stream_versions_test.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <random>
-#include <set>
 
 #include "endiveyard/base/digest.h"
 #include "endiveyard/placement/caller_patience.h"
@@ -513,10 +512,9 @@
       const int64_t since = it.begun_at - 2 * kViewDelaySeconds;
       for (size_t n = 0; n < 2; ++n) {
         const Instance& instance = instances_[n];
-        if (history_.back().first < since &&
-            LastSingleVersionEnd() < since - kSingleVersionDelaySeconds &&
-            instance.known_since <= since && instance.last_cut < since &&
-            !it.begun_without_registry && !Find(instance, refreshed[n], it)) {
+        if (history_.back().first < since && instance.known_since <= since &&
+            instance.last_cut < since && !it.begun_without_registry &&
+            !Find(instance, refreshed[n], it)) {
           ++lost;
         }
       }
@@ -554,18 +552,6 @@
     bool begun_without_registry = false;
   };
 
-  // Returns when the last single version got another one beside it.
-  int64_t LastSingleVersionEnd() const {
-    int64_t end = 0;
-    for (size_t n = 0; n + 1 < history_.size(); ++n) {
-      const std::vector<std::string>& replicas = history_[n].second;
-      if (std::set<std::string>(replicas.begin(), replicas.end()).size() == 1) {
-        end = history_[n + 1].first;
-      }
-    }
-    return end;
-  }
-
   // A frozen instance wakes, and the caller's request is the first that it
   // reads.
   std::optional<std::string> Find(const Instance& instance,
