--- a/review/support-2/case_stale_view.cc
+++ b/review/support-2/case_stale_view.cc
@@ -1,17 +1,12 @@
-// What a process does with an old view of the store, after its connections to
-// the store or an answer of the store were lost.
-//
-// --mode drain: all open connections to the store go silent, as the pages say
-// they may; then a replica reports that it is leaving. DRAIN binds machines
-// that are in touch again, which they are `stable_ms` later.
+// What a process does with an old view of the store.
 //
 // --mode removed: the store cuts off watches that have waited for a while, as
 // the pages say it may; a replica that never reports that it leaves removes its
 // entry. DRAIN binds all machines in touch, which they are all the time.
 //
-// --mode config: the store loses answers for less than half a second, and a
-// configuration is acknowledged meanwhile. CONFIG binds machines that are in
-// touch again, which they are `stable_ms` after the end.
+// --mode config: for less than half a second the store loses answers to one of
+// four watches, and a configuration is acknowledged meanwhile. CONFIG binds
+// machines that are in touch again, which they are `stable_ms` after the end.
 #include <algorithm>
 #include <thread>
 
@@ -168,14 +163,16 @@
 
 int main(int argc, char** argv) {
   const CaseOptions options = ParseOptions(argc, argv);
-  const bool is_removal = options.mode == "removed";
-  const bool is_drain = options.mode == "drain" || is_removal;
+  const bool is_drain = options.mode == "removed";
   Record record(options.record);
   const std::string network = Network();
   RegistryStandin store(network + "1", 1);
-  StoreProxy proxy(network + "2", network + "1", store.port(0));
-  const std::string store_address =
-      network + "2:" + std::to_string(proxy.port());
+  // One for each process, so that one of them can lose answers.
+  std::vector<std::unique_ptr<StoreProxy>> proxies;
+  for (int n = 0; n < kFronts; ++n) {
+    proxies.push_back(std::make_unique<StoreProxy>(
+        network + std::to_string(2 + n), network + "1", store.port(0)));
+  }
 
   std::mutex mutex;
   std::vector<Run> runs;
@@ -190,8 +187,10 @@
   }
   store.Put("config", "main", ConfigurationSpec(3, "desk-a", {}));
 
-  if (is_removal && options.trouble) {
-    proxy.set_watch_limit_ms(kWatchLimitMs);
+  if (is_drain && options.trouble) {
+    for (const auto& it : proxies) {
+      it->set_watch_limit_ms(kWatchLimitMs);
+    }
     record.Say("the store cuts off watches that have waited for " +
                std::to_string(kWatchLimitMs) + " ms");
   }
@@ -205,7 +204,9 @@
   for (int n = 0; n < kFronts; ++n) {
     fronts.push_back(std::make_unique<Front>(
         options, "front-" + std::to_string(n + 1),
-        network + std::to_string(101 + n), n == 0 ? "a" : "b", store_address,
+        network + std::to_string(101 + n), n == 0 ? "a" : "b",
+        network + std::to_string(2 + n) + ":" +
+            std::to_string(proxies[static_cast<size_t>(n)]->port()),
         seeds));
     fronts.back()->Start();
   }
@@ -250,7 +251,7 @@
   // Calm for longer than `stable_ms`, so that all machines are in touch.
   SleepMs(6000);
   int64_t bound_ms = 0;  // from which on the rule counts requests
-  if (is_removal) {
+  if (is_drain) {
     PlainReplica& leaving = *replicas[0];
     store.Delete("servers", leaving.id());
     const int64_t acknowledged_ms = record.Now();
@@ -261,37 +262,13 @@
     leaving.Exit();
     record.Say(leaving.id() + " exits");
     SleepMs(2000);
-  } else if (is_drain) {
-    PlainReplica& leaving = *replicas[0];
-    // An entry changes, as entries do.
-    replicas[2]->entry.cold_remaining_ms = 5;
-    store.Put("servers", replicas[2]->id(), SpecOf(replicas[2]->entry));
-    SleepMs(600);
-    if (options.trouble) {
-      proxy.SilenceOpenConnections();
-    }
-    const int64_t silent_ms = record.Now();
-    record.Say(options.trouble
-                   ? "open connections to the store go silent"
-                   : "(open connections to the store would go silent)");
-    SleepMs(100);
-    leaving.entry.state = "draining";
-    store.Put("servers", leaving.id(), SpecOf(leaving.entry));
-    const int64_t acknowledged_ms = record.Now();
-    record.Say("the store has accepted that " + leaving.id() + " is draining");
-    bound_ms = std::max(acknowledged_ms + kBoundMs, silent_ms + kStableMs);
-    // It serves for `drain_ms` and a little longer.
-    SleepMs(4800);
-    leaving.Exit();
-    record.Say(leaving.id() + " exits");
-    SleepMs(3000);
   } else {
     store.Put("config", "main", ConfigurationSpec(7, "desk-a", {"idle"}));
     record.Say("configuration 7 acknowledged");
     SleepMs(600);
-    proxy.set_loses_answers(options.trouble);
-    record.Say(options.trouble ? "the store loses answers"
-                               : "(the store would lose answers)");
+    proxies[0]->set_loses_answers(options.trouble);
+    record.Say(options.trouble ? "the store loses answers to watches of front-1"
+                               : "(the store would lose answers to watches of front-1)");
     SleepMs(150);
     store.Put("config", "main",
               ConfigurationSpec(12, "desk-b", {"idle", "added"}));
@@ -300,7 +277,7 @@
         "configuration 12 acknowledged: /order/ moves to desk-b, /added/ is "
         "new");
     SleepMs(250);
-    proxy.set_loses_answers(false);
+    proxies[0]->set_loses_answers(false);
     record.Say("the store is sound again");
     bound_ms = std::max(acknowledged_ms + kBoundMs, record.Now() + kStableMs);
     SleepMs(8000);
--- a/review/support-2/small_fleet.cc
+++ b/review/support-2/small_fleet.cc
@@ -213,16 +213,11 @@
           ip,
           [this](HttpPeer& peer) { Serve(peer); })) {}
 
-void StoreProxy::SilenceOpenConnections() {
-  ++generation_;
-}
-
 void StoreProxy::Serve(HttpPeer& peer) {
   // A connection of the system to the store carries one call.
   constexpr int kSilentMs = 60000;
   constexpr int kStepMs = 5;
   constexpr int kCallMs = 40000;
-  const int generation = generation_;
   const auto store = HttpPeer::Connect(store_ip_, store_port_);
   const HttpMessage call = peer.Read(kCallMs);
   if (!store || call.start_line.empty()) {
@@ -234,8 +229,8 @@
   }
   store->Send(text + "\r\n" + call.body);
   // Waits for the answer, and for the end of the caller.
-  const bool is_limited = watch_limit_ms_ > 0 &&
-                          call.start_line.find("watch=") != std::string::npos;
+  const bool is_watch = call.start_line.find("watch=") != std::string::npos;
+  const bool is_limited = watch_limit_ms_ > 0 && is_watch;
   const int64_t until = NowMs() + (is_limited ? watch_limit_ms_.load() : kCallMs);
   HttpMessage answer;
   std::atomic<bool> has_answer{false};
@@ -253,7 +248,10 @@
   if (!answer.complete && is_limited) {
     return;
   }
-  if (!answer.complete || generation != generation_ || loses_answers_) {
+  const bool is_lost =
+      loses_answers_ && is_watch &&
+      call.start_line.find("/objects/config?") != std::string::npos;
+  if (!answer.complete || is_lost) {
     peer.WaitForEnd(kSilentMs);
     return;
   }
--- a/review/support-2/small_fleet.h
+++ b/review/support-2/small_fleet.h
@@ -107,11 +107,9 @@
              uint16_t store_port);
 
   uint16_t port() const { return listener_->port(); }
-  // Nothing passes any more on the connections that are open now. They stay
-  // open, and new ones work.
-  void SilenceOpenConnections();
-  // Until `loses` is false, what the store answers is lost. A connection on
-  // which an answer was lost returns nothing further.
+  // While `loses` is true, the answers of the store to watches of the
+  // configuration are lost. A connection on which an answer was lost returns
+  // nothing further.
   void set_loses_answers(bool loses) { loses_answers_ = loses; }
   // Watches that have waited for this time are cut off; 0 for never.
   void set_watch_limit_ms(int ms) { watch_limit_ms_ = ms; }
@@ -121,7 +119,6 @@
 
   const std::string store_ip_;
   const uint16_t store_port_;
-  std::atomic<int> generation_{0};
   std::atomic<bool> loses_answers_{false};
   std::atomic<int> watch_limit_ms_{0};
   std::unique_ptr<soak::HttpListener> listener_;
