Review 2, case 7: streams of two versions after a restart under the same id

Cause: the version of a run is that of the last entry in the store, which a replica that restarts while the store is away cannot replace. The later cases move up by one.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,7 +3,7 @@
 # run. TROUBLE=0 leaves out the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-program=target/review-2/case_token_ids
+program=target/review-2/case_long_heads
 if [ ! -x "$program" ] || [ ! -x target/endiveyard-front ]; then
   echo "build deploy/system.toml and run review/build-2.sh first" >&2
   exit 2
--- a/review/support-2/small_fleet.cc
+++ b/review/support-2/small_fleet.cc
@@ -266,7 +266,8 @@
 std::string SpecOf(const ReplicaEntry& entry) {
   return R"({"service":")" + entry.service + R"(","address":")" +
          entry.address + R"(","zone":")" + entry.zone +
-         R"(","version":"v1","slots":)" + std::to_string(entry.slots) +
+         R"(","version":")" + entry.version + R"(","slots":)" +
+         std::to_string(entry.slots) +
          R"(,"state":")" + entry.state + R"(","cold_remaining_ms":)" +
          std::to_string(entry.cold_remaining_ms) +
          (entry.is_engine
--- a/review/support-2/small_fleet.h
+++ b/review/support-2/small_fleet.h
@@ -134,6 +134,7 @@
   int cold_remaining_ms = 0;
   bool is_engine = false;
   int64_t born = 0;
+  std::string version = "v1";
 };
 std::string SpecOf(const ReplicaEntry& entry);
 
