--- a/review/support-2/case_long_heads.cc
+++ b/review/support-2/case_long_heads.cc
@@ -2,9 +2,9 @@
 // size that a head may have, and then send bytes without end, a few at a time.
 //
 // The stand-in for the platform ends a process that holds more memory than
-// `limits.memory_mb`, as DEPLOY.md says. A process that ends by itself counts as
-// running all the while, so LOST counts the requests on kept connections that
-// it had passed on to sound engines and that got no answer.
+// `limits.memory_mb`, as DEPLOY.md says. A process that ends by itself counts
+// as running all the while, so LOST counts the requests on kept connections
+// that it had passed on to sound engines and that got no answer.
 #include <algorithm>
 #include <csignal>
 #include <map>
@@ -39,10 +39,9 @@
   int events;
   bool resumable;
 };
-constexpr RouteTraffic kTraffic[] = {
-    {"quote", 22.5, 10000, 11992, 38, true},
-    {"summary", 32.9, 8000, 826, 29, false},
-    {"tag", 43.5, 2500, 2368, 2, true}};
+constexpr RouteTraffic kTraffic[] = {{"quote", 22.5, 10000, 11992, 38, true},
+                                     {"summary", 32.9, 8000, 826, 29, false},
+                                     {"tag", 43.5, 2500, 2368, 2, true}};
 constexpr int64_t kMaxLost = 3;
 
 struct Request {
@@ -118,9 +117,8 @@
         peer.Send(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             "Endiveyard-Replica-Id: i-" +
-            std::to_string(engine) +
-            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-            body);
+            std::to_string(engine) + "\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
         continue;
       }
       const std::string head =
@@ -143,11 +141,10 @@
           std::begin(kTraffic), std::end(kTraffic), [&](const auto& it) {
             return path.compare(1, std::string(it.name).size(), it.name) == 0;
           });
-      if (!peer.Send(head +
-                     "Endiveyard-Response-Signature: 3e1b.07\r\n"
-                     "Endiveyard-Replica-Load: 20,0,64\r\n"
-                     "Content-Type: text/event-stream\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n")) {
+      if (!peer.Send(head + "Endiveyard-Response-Signature: 3e1b.07\r\n"
+                            "Endiveyard-Replica-Load: 20,0,64\r\n"
+                            "Content-Type: text/event-stream\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n")) {
         return;
       }
       const std::string last = request.Header("Last-Event-Id");
@@ -192,10 +189,10 @@
   }
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < kFronts; ++n) {
-    fronts.push_back(std::make_unique<Front>(
-        options, "front-" + std::to_string(n + 1),
-        network + std::to_string(101 + n), n == 0 ? "a" : "b", store_address,
-        seeds));
+    fronts.push_back(
+        std::make_unique<Front>(options, "front-" + std::to_string(n + 1),
+                                network + std::to_string(101 + n),
+                                n == 0 ? "a" : "b", store_address, seeds));
     fronts.back()->Start();
   }
   for (const auto& it : fronts) {
@@ -235,25 +232,24 @@
     }
     const std::string tokens = std::to_string(route.prompt_tokens);
     const bool is_sent =
-        peer && peer->Send(PostRequest(
-                    "/" + std::string(route.name) + "/x", it.id,
-                    route.deadline_ms,
-                    "Endiveyard-Model: m\r\nEndiveyard-Token-Count: " + tokens +
-                        "," + std::to_string(route.events * 2) +
-                        "\r\nEndiveyard-Prompt-Prefix: aa:100," +
-                        std::to_string(1000 + number) + ":" +
-                        std::to_string(route.prompt_tokens - 100) + "\r\n"));
+        peer &&
+        peer->Send(PostRequest(
+            "/" + std::string(route.name) + "/x", it.id, route.deadline_ms,
+            "Endiveyard-Model: m\r\nEndiveyard-Token-Count: " + tokens + "," +
+                std::to_string(route.events * 2) +
+                "\r\nEndiveyard-Prompt-Prefix: aa:100," +
+                std::to_string(1000 + number) + ":" +
+                std::to_string(route.prompt_tokens - 100) + "\r\n"));
     if (is_sent) {
       const HttpMessage answer = peer->Read(route.deadline_ms + 500);
       it.status = answer.start_line.empty() ? 0 : answer.Status();
       it.complete = answer.complete;
     }
     it.has_ended = true;
-    record.Write("client: " + it.id + " sent at " + std::to_string(it.sent_ms) +
-                 " to " + front.name() +
-                 (it.on_kept_connection ? " (kept connection): " : ": ") +
-                 std::to_string(it.status) +
-                 (it.complete ? "" : " (not complete)"));
+    record.Write(
+        "client: " + it.id + " sent at " + std::to_string(it.sent_ms) + " to " +
+        front.name() + (it.on_kept_connection ? " (kept connection): " : ": ") +
+        std::to_string(it.status) + (it.complete ? "" : " (not complete)"));
     {
       const std::lock_guard<std::mutex> lock(mutex);
       requests[it.id] = it;
@@ -342,10 +338,10 @@
     }
   }
   for (int n = 0; n < kFronts; ++n) {
-    record.Say(fronts[static_cast<size_t>(n)]->name() + ": peak " +
-               std::to_string(
-                   static_cast<int>(peak_mb[static_cast<size_t>(n)])) +
-               " MB");
+    record.Say(
+        fronts[static_cast<size_t>(n)]->name() + ": peak " +
+        std::to_string(static_cast<int>(peak_mb[static_cast<size_t>(n)])) +
+        " MB");
   }
   record.Say(std::to_string(requests.size()) + " requests, " +
              std::to_string(ended) + " ended, " + std::to_string(served) +
--- a/review/support-2/case_same_id.cc
+++ b/review/support-2/case_same_id.cc
@@ -1,6 +1,6 @@
 // Engines crash, come back under the ids that they had with a newer version of
-// their software, and crash again, while the store is away and cannot take their
-// new entries. What two versions write doesn't fit together.
+// their software, and crash again, while the store is away and cannot take
+// their new entries. What two versions write doesn't fit together.
 //
 // With TROUBLE=0 the store is there, and everything else is the same.
 #include <algorithm>
@@ -91,9 +91,10 @@
       const std::string expected = request.Header("Endiveyard-Expect-Instance");
       const std::string id = request.Header("Endiveyard-Request-Id");
       if (!expected.empty() && expected != id_) {
-        peer.Send("HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Replica-Id: " +
-                  id_ + "\r\nEndiveyard-Request-Id: " + id +
-                  "\r\nContent-Length: 0\r\n\r\n");
+        peer.Send(
+            "HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Replica-Id: " +
+            id_ + "\r\nEndiveyard-Request-Id: " + id +
+            "\r\nContent-Length: 0\r\n\r\n");
         continue;
       }
       if (id.empty()) {
@@ -151,7 +152,8 @@
 std::set<std::string> VersionsIn(const std::string& body) {
   std::set<std::string> versions;
   for (const std::string version : {"v1", "v2"}) {
-    if (body.find("written by " + version + "\n") != std::string::npos) {
+    if (body.find(std::string("written by ").append(version).append("\n")) !=
+        std::string::npos) {
       versions.insert(version);
     }
   }
@@ -187,8 +189,8 @@
             R"("idle_timeout_ms":15000}})");
   std::vector<std::unique_ptr<Engine>> engines;
   for (int n = 0; n < kEngines; ++n) {
-    engines.push_back(std::make_unique<Engine>(
-        n, network + std::to_string(11 + n), &record));
+    engines.push_back(
+        std::make_unique<Engine>(n, network + std::to_string(11 + n), &record));
     store.Put("servers", engines.back()->id(), SpecOf(engines.back()->entry));
   }
   const std::string store_address =
@@ -200,10 +202,10 @@
   }
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < kFronts; ++n) {
-    fronts.push_back(std::make_unique<Front>(
-        options, "front-" + std::to_string(n + 1),
-        network + std::to_string(101 + n), n == 0 ? "a" : "b", store_address,
-        seeds));
+    fronts.push_back(
+        std::make_unique<Front>(options, "front-" + std::to_string(n + 1),
+                                network + std::to_string(101 + n),
+                                n == 0 ? "a" : "b", store_address, seeds));
     fronts.back()->Start();
   }
   for (const auto& it : fronts) {
@@ -220,6 +222,7 @@
   size_t complete = 0;
   std::vector<std::string> joined;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int n = 0; n < kClients; ++n) {
     clients.emplace_back([&, n] {
       SleepMs(n * 20);
@@ -246,10 +249,9 @@
             headers += "Last-Event-Id: " + std::to_string(last) +
                        "\r\nResumes: " + first + "\r\n";
           }
-          const ClientResult result =
-              Ask(*fronts[front],
-                  PostRequest("/quote/x", id, kDeadlineMs, headers),
-                  kDeadlineMs + 500);
+          const ClientResult result = Ask(
+              *fronts[front], PostRequest("/quote/x", id, kDeadlineMs, headers),
+              kDeadlineMs + 500);
           is_complete = result.status == 200 && result.complete;
           const std::set<std::string> got = VersionsIn(result.body);
           versions.insert(got.begin(), got.end());
@@ -329,8 +331,8 @@
     it.join();
   }
   const std::lock_guard<std::mutex> lock(mutex);
-  record.Say(std::to_string(streams) + " streams, " +
-             std::to_string(complete) + " complete");
+  record.Say(std::to_string(streams) + " streams, " + std::to_string(complete) +
+             " complete");
   record.Say("ORDER: " + std::to_string(joined.size()) +
              " streams hold events of two software versions");
   if (complete * 2 < streams) {
--- a/review/support-2/case_stale_view.cc
+++ b/review/support-2/case_stale_view.cc
@@ -87,9 +87,10 @@
       const std::string request_id = request.Header("Endiveyard-Request-Id");
       const std::string expected = request.Header("Endiveyard-Expect-Instance");
       if (!expected.empty() && expected != id_) {
-        peer.Send("HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Replica-Id: " +
-                  id_ + "\r\nEndiveyard-Request-Id: " + request_id +
-                  "\r\nContent-Length: 0\r\n\r\n");
+        peer.Send(
+            "HTTP/1.1 421 Misdirected Request\r\nEndiveyard-Replica-Id: " +
+            id_ + "\r\nEndiveyard-Request-Id: " + request_id +
+            "\r\nContent-Length: 0\r\n\r\n");
         continue;
       }
       if (request_id.empty()) {  // the health path
@@ -101,14 +102,13 @@
       {
         const std::lock_guard<std::mutex> lock(mutex_);
         run = runs_.size();
-        runs_.push_back(
-            {record_.Now(), id_, entry.service, request_id, false});
+        runs_.push_back({record_.Now(), id_, entry.service, request_id, false});
       }
       record_.Write("run at " + id_ + " of " + entry.service + ": " +
                     request_id);
       // 15 to 110 ms, as on the sheets.
-      SleepMs(15 + static_cast<int64_t>(std::hash<std::string>()(request_id) %
-                                        96));
+      SleepMs(15 +
+              static_cast<int64_t>(std::hash<std::string>()(request_id) % 96));
       if (has_exited_) {
         return;
       }
@@ -133,9 +133,8 @@
                       const std::string& path,
                       const std::string& kind,
                       const std::string& service) {
-  return R"({"name":")" + name +
-         R"(","host":"yard.example","path_prefix":")" + path +
-         R"(","kind":")" + kind +
+  return R"({"name":")" + name + R"(","host":"yard.example","path_prefix":")" +
+         path + R"(","kind":")" + kind +
          R"(","timeout_ms":2500,"target_latency_ms":150,"priority":2,)" +
          R"("service":")" + service + R"(","max_attempts":1})";
 }
@@ -169,6 +168,7 @@
   RegistryStandin store(network + "1", 1);
   // One for each process, so that one of them can lose answers.
   std::vector<std::unique_ptr<StoreProxy>> proxies;
+  proxies.reserve(kFronts);
   for (int n = 0; n < kFronts; ++n) {
     proxies.push_back(std::make_unique<StoreProxy>(
         network + std::to_string(2 + n), network + "1", store.port(0)));
@@ -182,8 +182,7 @@
     replicas.push_back(std::make_unique<PlainReplica>(
         "i-" + std::to_string(n), n < 3 ? "desk-a" : "desk-b",
         network + std::to_string(11 + n), &record, &runs, &mutex));
-    store.Put("servers", replicas.back()->id(),
-              SpecOf(replicas.back()->entry));
+    store.Put("servers", replicas.back()->id(), SpecOf(replicas.back()->entry));
   }
   store.Put("config", "main", ConfigurationSpec(3, "desk-a", {}));
 
@@ -220,6 +219,7 @@
 
   std::atomic<bool> stop{false};
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int n = 0; n < kClients; ++n) {
     clients.emplace_back([&, n] {
       for (int k = 0; !stop; ++k) {
@@ -267,8 +267,9 @@
     record.Say("configuration 7 acknowledged");
     SleepMs(600);
     proxies[0]->set_loses_answers(options.trouble);
-    record.Say(options.trouble ? "the store loses answers to watches of front-1"
-                               : "(the store would lose answers to watches of front-1)");
+    record.Say(options.trouble
+                   ? "the store loses answers to watches of front-1"
+                   : "(the store would lose answers to watches of front-1)");
     SleepMs(150);
     store.Put("config", "main",
               ConfigurationSpec(12, "desk-b", {"idle", "added"}));
@@ -293,9 +294,8 @@
   int refused = 0;
   const std::lock_guard<std::mutex> lock(mutex);
   const auto try_of = [&](const std::string& request) {
-    return std::find_if(tries.begin(), tries.end(), [&](const Try& it) {
-      return it.request == request;
-    });
+    return std::find_if(tries.begin(), tries.end(),
+                        [&](const Try& it) { return it.request == request; });
   };
   record.Say("the rule counts requests that were sent later than " +
              std::to_string(bound_ms) + " ms");
@@ -311,8 +311,9 @@
                    std::to_string(it.arrived_ms) + " from " + sent->front);
       if (!it.answered) {
         ++lost;
-        record.Write("  and i-0 exited before it had answered; the client got " +
-                     std::to_string(sent->status));
+        record.Write(
+            "  and i-0 exited before it had answered; the client got " +
+            std::to_string(sent->status));
       }
     } else if (!is_drain && it.service == "desk-a" &&
                sent->path == "/order/x") {
@@ -333,10 +334,9 @@
                    ", got 404 though the route is there");
     }
   }
-  const size_t served = static_cast<size_t>(
-      std::count_if(tries.begin(), tries.end(), [](const Try& it) {
-        return it.status == 200 && it.complete;
-      }));
+  const size_t served = static_cast<size_t>(std::count_if(
+      tries.begin(), tries.end(),
+      [](const Try& it) { return it.status == 200 && it.complete; }));
   record.Say(std::to_string(tries.size()) + " requests, " +
              std::to_string(served) + " served");
   if (is_drain) {
--- a/review/support-2/case_token_ids.cc
+++ b/review/support-2/case_token_ids.cc
@@ -94,9 +94,8 @@
         peer.Send(
             "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
             "Endiveyard-Replica-Id: i-" +
-            std::to_string(engine) +
-            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-            body);
+            std::to_string(engine) + "\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body);
         continue;
       }
       {
@@ -157,10 +156,10 @@
   }
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < kFronts; ++n) {
-    fronts.push_back(std::make_unique<Front>(
-        options, "front-" + std::to_string(n + 1),
-        network + std::to_string(101 + n), n == 0 ? "a" : "b", store_address,
-        seeds));
+    fronts.push_back(
+        std::make_unique<Front>(options, "front-" + std::to_string(n + 1),
+                                network + std::to_string(101 + n),
+                                n == 0 ? "a" : "b", store_address, seeds));
     fronts.back()->Start();
   }
   for (const auto& it : fronts) {
@@ -176,6 +175,7 @@
   std::atomic<bool> is_stopping{false};  // front-1
   std::vector<Stream> streams;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int n = 0; n < kClients; ++n) {
     clients.emplace_back([&, n] {
       std::unique_ptr<HttpPeer> peer;
@@ -205,13 +205,12 @@
         if (!it.complete) {
           peer.reset();
         }
-        record.Write("client: " + it.id + " sent at " +
-                     std::to_string(it.sent_ms) + " to front-" +
-                     std::to_string(front + 1) +
-                     (it.on_kept_connection ? " (kept connection): " : ": ") +
-                     std::to_string(it.status) + ", " +
-                     std::to_string(it.events) + " events" +
-                     (it.complete ? "" : ", not complete"));
+        record.Write(
+            "client: " + it.id + " sent at " + std::to_string(it.sent_ms) +
+            " to front-" + std::to_string(front + 1) +
+            (it.on_kept_connection ? " (kept connection): " : ": ") +
+            std::to_string(it.status) + ", " + std::to_string(it.events) +
+            " events" + (it.complete ? "" : ", not complete"));
         const std::lock_guard<std::mutex> lock(mutex);
         streams.push_back(it);
       }
--- a/review/support-2/small_fleet.cc
+++ b/review/support-2/small_fleet.cc
@@ -209,9 +209,9 @@
                        uint16_t store_port)
     : store_ip_(store_ip),
       store_port_(store_port),
-      listener_(std::make_unique<HttpListener>(
-          ip,
-          [this](HttpPeer& peer) { Serve(peer); })) {}
+      listener_(std::make_unique<HttpListener>(ip, [this](HttpPeer& peer) {
+        Serve(peer);
+      })) {}
 
 void StoreProxy::Serve(HttpPeer& peer) {
   // A connection of the system to the store carries one call.
@@ -225,13 +225,14 @@
   }
   std::string text = call.start_line + "\r\n";
   for (const auto& [name, value] : call.headers) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   store->Send(text + "\r\n" + call.body);
   // Waits for the answer, and for the end of the caller.
   const bool is_watch = call.start_line.find("watch=") != std::string::npos;
   const bool is_limited = watch_limit_ms_ > 0 && is_watch;
-  const int64_t until = NowMs() + (is_limited ? watch_limit_ms_.load() : kCallMs);
+  const int64_t until =
+      NowMs() + (is_limited ? watch_limit_ms_.load() : kCallMs);
   HttpMessage answer;
   std::atomic<bool> has_answer{false};
   std::thread reader([&] {
@@ -257,7 +258,7 @@
   }
   text = answer.start_line + "\r\n";
   for (const auto& [name, value] : answer.headers) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   peer.Send(text + "\r\n" + answer.body);
   peer.WaitForEnd(1000);
@@ -265,9 +266,8 @@
 
 std::string SpecOf(const ReplicaEntry& entry) {
   return R"({"service":")" + entry.service + R"(","address":")" +
-         entry.address + R"(","zone":")" + entry.zone +
-         R"(","version":")" + entry.version + R"(","slots":)" +
-         std::to_string(entry.slots) +
+         entry.address + R"(","zone":")" + entry.zone + R"(","version":")" +
+         entry.version + R"(","slots":)" + std::to_string(entry.slots) +
          R"(,"state":")" + entry.state + R"(","cold_remaining_ms":)" +
          std::to_string(entry.cold_remaining_ms) +
          (entry.is_engine
@@ -297,8 +297,8 @@
                         const std::string& headers) {
   return "POST " + path +
          " HTTP/1.1\r\nHost: yard.example\r\nEndiveyard-Request-Id: " + id +
-         "\r\nEndiveyard-Deadline-Ms: " + std::to_string(deadline_ms) +
-         "\r\n" + headers + "Content-Length: 0\r\n\r\n";
+         "\r\nEndiveyard-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" +
+         headers + "Content-Length: 0\r\n\r\n";
 }
 
 int64_t UnixMs() {
