--- a/review/support-2/case_same_id.cc
+++ b/review/support-2/case_same_id.cc
@@ -114,7 +114,10 @@
       const std::string last = request.Header("Last-Event-Id");
       std::string line = "engine " + id_;
       line.append(" (").append(version).append(") runs ").append(id);
-      record_.Write(last.empty() ? line : line + " after event " + last);
+      if (!last.empty()) {
+        line.append(" after event ").append(last);
+      }
+      record_.Write(line);
       if (!peer.Send("HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
                      "\r\nEndiveyard-Response-Signature: 3e1b.07\r\n"
                      "Endiveyard-Replica-Load: 5,0,64\r\n"
