--- a/review/support-2/case_long_heads.cc
+++ b/review/support-2/case_long_heads.cc
@@ -125,6 +125,8 @@
           "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id + "\r\n";
       if (may_be_in_trouble && in_trouble) {
         ++long_heads;
+        record.Write("engine i-" + std::to_string(engine) + " answers " + id +
+                     " with a long head");
         if (!peer.Send(head + lines + "\r\n")) {
           return;
         }
@@ -136,6 +138,7 @@
         const std::lock_guard<std::mutex> lock(mutex);
         at_sound_engines.insert(id);
       }
+      record.Write("engine i-" + std::to_string(engine) + " runs " + id);
       const std::string path = request.Target();
       const auto* const route = std::find_if(
           std::begin(kTraffic), std::end(kTraffic), [&](const auto& it) {
@@ -185,7 +188,7 @@
   std::string seeds;
   for (int n = 0; n < kFronts; ++n) {
     seeds += (n > 0 ? "," : "") + network + std::to_string(101 + n) + ":" +
-             std::to_string(Front::kControlPort);
+             std::to_string(Front::ControlPort());
   }
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < kFronts; ++n) {
--- a/review/support-2/case_same_id.cc
+++ b/review/support-2/case_same_id.cc
@@ -25,7 +25,7 @@
 // A share of 0.25, the largest of `srv_crash` in the site file.
 constexpr int kCrashes = 3;
 constexpr int64_t kDownMs = 1500;
-constexpr int64_t kUpMs = 2000;  // until the second crash
+constexpr int64_t kUpMs = 3500;  // until the second crash
 // Of the store, the dose of the site file.
 constexpr int64_t kOutageMs = 4500;
 constexpr int kClients = 100;
@@ -202,7 +202,7 @@
   std::string seeds;
   for (int n = 0; n < kFronts; ++n) {
     seeds += (n > 0 ? "," : "") + network + std::to_string(101 + n) + ":" +
-             std::to_string(Front::kControlPort);
+             std::to_string(Front::ControlPort());
   }
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < kFronts; ++n) {
@@ -319,14 +319,17 @@
   crash();
   SleepMs(kDownMs);
   come_back(!options.trouble);
-  SleepMs(kUpMs);
-  // The newer version crashes once more.
-  crash();
+  const int64_t back_ms = record.Now();
   SleepMs(outage_ms + kOutageMs - record.Now());
   if (options.trouble) {
     store.SetTrouble({});
     record.Say("the store is back");
+    write_entries();
   }
+  SleepMs(back_ms + kUpMs - record.Now());
+  // The newer version crashes once more. By now, all views of the store have
+  // its entries, and streams that began right after its start have ended.
+  crash();
   SleepMs(kDownMs);
   come_back(true);
   SleepMs(5000);
--- a/review/support-2/case_stale_view.cc
+++ b/review/support-2/case_stale_view.cc
@@ -197,7 +197,7 @@
   std::string seeds;
   for (int n = 0; n < kFronts; ++n) {
     seeds += (n > 0 ? "," : "") + network + std::to_string(101 + n) + ":" +
-             std::to_string(Front::kControlPort);
+             std::to_string(Front::ControlPort());
   }
   std::vector<std::unique_ptr<Front>> fronts;
   for (int n = 0; n < kFronts; ++n) {
--- a/review/support-2/small_fleet.cc
+++ b/review/support-2/small_fleet.cc
@@ -23,6 +23,33 @@
 using soak::NowMs;
 using soak::SleepMs;
 
+namespace {
+
+// Ports that are free at the address of the first process. All processes have
+// the same ones, each at an address of its own.
+struct Ports {
+  Ports() {
+    const std::string ip = Network() + "101";
+    std::vector<uint16_t> taken;
+    for (uint16_t* it : {&callers, &readiness, &control, &peers}) {
+      *it = soak::FindFreePort(ip, taken);
+      taken.push_back(*it);
+    }
+  }
+
+  uint16_t callers = 0;
+  uint16_t readiness = 0;
+  uint16_t control = 0;
+  uint16_t peers = 0;
+};
+
+const Ports& PortsOfRun() {
+  static const Ports kPorts;
+  return kPorts;
+}
+
+}  // namespace
+
 CaseOptions ParseOptions(int argc, char** argv) {
   CaseOptions options;
   for (int n = 1; n + 1 < argc; n += 2) {
@@ -104,11 +131,11 @@
       << "\nrole=front\nmachine_class=front\nserves=front,control\nip=" << ip
       << "\nzone=" << zone << "\nregion=region-" << zone
       << "\nzones.a=region-a\nzones.b=region-b\nzones.c=region-c"
-      << "\nlisten.front=" << address(kPort)
-      << "\nlisten.ready_address=" << address(kReadyPort)
-      << "\nlisten.control=" << address(kControlPort)
-      << "\ninternal_port_range=" << kPeerPort << "," << kPeerPort + 15
-      << "\nseeds=" << seeds
+      << "\nlisten.front=" << address(PortsOfRun().callers)
+      << "\nlisten.ready_address=" << address(PortsOfRun().readiness)
+      << "\nlisten.control=" << address(PortsOfRun().control)
+      << "\ninternal_port_range=" << PortsOfRun().peers << ","
+      << PortsOfRun().peers << "\nseeds=" << seeds
       << "\nbootstrap=true\ncounts_toward_tolerance=false\n"
          "limits.cpu_share=0.25\nlimits.cpu_cores=1\nlimits.memory_mb="
       << kMemoryMb
@@ -169,7 +196,7 @@
   constexpr int kIntervalMs = 20;
   const int64_t until = NowMs() + timeout_ms;
   while (NowMs() < until) {
-    const auto peer = HttpPeer::Connect(ip_, kReadyPort);
+    const auto peer = HttpPeer::Connect(ip_, PortsOfRun().readiness);
     if (peer && peer->Send("GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n") &&
         peer->Read(static_cast<int>(until - NowMs())).Status() == 200) {
       return true;
@@ -179,6 +206,14 @@
   return false;
 }
 
+uint16_t Front::port() const {
+  return PortsOfRun().callers;
+}
+
+uint16_t Front::ControlPort() {
+  return PortsOfRun().control;
+}
+
 void Front::Signal(int signal) const {
   if (pid_ > 0) {
     kill(pid_, signal);
--- a/review/support-2/small_fleet.h
+++ b/review/support-2/small_fleet.h
@@ -83,12 +83,10 @@
 
   const std::string& name() const { return name_; }
   const std::string& ip() const { return ip_; }
-  uint16_t port() const { return kPort; }
+  uint16_t port() const;
 
-  static constexpr uint16_t kPort = 8149;
-  static constexpr uint16_t kReadyPort = 8141;
-  static constexpr uint16_t kControlPort = 8144;
-  static constexpr uint16_t kPeerPort = 7380;
+  // The port of the settings `seeds`, the same for all processes.
+  static uint16_t ControlPort();
   static constexpr int kMemoryMb = 260;  // as the settings say
 
  private:
