--- a/include/endiveyard/load_exchange/load_exchange.h
+++ b/include/endiveyard/load_exchange/load_exchange.h
@@ -62,6 +62,10 @@
   // bytes, so that the limit is kept on average.
   void SendDirect(uint32_t address, PeerLoadReport content);
 
+  // Sends a report with nothing but what all reports state and the hooks fill
+  // in.
+  void SendHeader(const std::vector<uint32_t>& addresses);
+
   // Opens the UDP port and starts sending and receiving. Errors: kUnavailable.
   absl::Status Start();
 
--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -80,6 +80,9 @@
   bool takes_last_requests = false;  // see ForwardingState
   // Version of the service map that the sender has in force; 0 if not told.
   int64_t map_version = 0;
+  // Time since the registry confirmed to the sender that it is the latest one,
+  // in whole ms; nullopt if it did not lately.
+  std::optional<Duration> map_age;
   int64_t unix_ms = 0;  // time of day at the sender; 0 if not told
   DutyHolderReport duty_holder;
   std::vector<WindowUsage> usage;   // at the sender, for the duty holder
--- a/include/endiveyard/registry/registry_mirror.h
+++ b/include/endiveyard/registry/registry_mirror.h
@@ -43,9 +43,16 @@
 };
 
 // Returns the timing with the fewest calls that applies changes within
-// `max_staleness` once the registry has been sound for `stable_time`. A watch
-// that the registry lost at the beginning of an outage ends before that.
+// `max_staleness`, for changes that are made once the registry has been sound
+// for `stable_time`: a watch whose answer was lost in an outage ends, and the
+// list after it, within the sum of both. Changes that are made before then, and
+// have to be applied, need MakeRefreshedMirrorTiming().
 MirrorTiming MakeMirrorTiming(Duration stable_time, Duration max_staleness);
+// Returns the timing of a mirror whose owner refreshes it within
+// `max_staleness`: a lost watch delays nothing then, and may be as long as the
+// registry keeps its `history`.
+MirrorTiming MakeRefreshedMirrorTiming(Duration history,
+                                       Duration max_staleness);
 // Returns the longest delay between watches that still applies changes within
 // `max_staleness`, if one call in between fails. For objects that change all
 // the time, such as replicas that come and go by themselves.
@@ -97,6 +104,9 @@
   std::function<void()> on_success;
   // After a whole list or the changes of an answer. May be empty.
   std::function<void()> on_current{};
+  // A refresh has returned changes while a watch waited for them: the answer to
+  // the watch was lost, or is late. May be empty.
+  std::function<void()> on_silent_watch{};
   // Runs `action` after `delay`.
   std::function<void(Duration delay, std::function<void()> action)> schedule;
 };
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -78,6 +78,7 @@
 inline constexpr int kLogInstanceRecordFailed = 811;
 inline constexpr int kLogStreamStartsRead = 812;
 inline constexpr int kLogStreamStartsWritten = 813;
+inline constexpr int kLogRegistryWatchSilent = 814;
 inline constexpr int kLogSettingsReloaded = 106;
 inline constexpr int kLogLinesSuppressed = 107;  // log_lines_suppressed
 inline constexpr int kLogStandstillEnded = 108;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -21,6 +21,7 @@
 #include "endiveyard/duties/duty_holder.h"
 #include "endiveyard/duties/duty_holder_view.h"
 #include "endiveyard/load_exchange/load_exchange.h"
+#include "endiveyard/placement/service_map_confirmation.h"
 #include "endiveyard/placement/service_map_currency.h"
 #include "endiveyard/placement/service_map_selector.h"
 #include "endiveyard/registry/registry_era.h"
@@ -51,8 +52,7 @@
 
 // Interval at which the log is flushed and expired replicas are removed.
 constexpr Duration kMaintenanceInterval = std::chrono::milliseconds(250);
-// A service map counts as the latest version until a registry call fails, or
-// for this long after the timeout of the watch that has to confirm it.
+// Time after the timeout of a watch within which its answer is handled.
 constexpr Duration kConfirmationMargin = std::chrono::milliseconds(1000);
 // While several software versions serve, the view of the replicas is confirmed
 // after this part of the time within which changes have to be applied, so that
@@ -223,13 +223,17 @@
         signals_(io_, SIGTERM, SIGINT, SIGHUP),
         maintenance_timer_(io_),
         duty_timer_(io_) {
-    // An instance reports its version only where keys depend on it.
     LoadReportHooks hooks;
-    hooks.fill = [this](PeerLoadReport* report, TimePoint) {
-      report->map_version = VersionOfKeys();
+    hooks.fill = [this](PeerLoadReport* report, TimePoint now) {
+      report->map_version = ServiceMapVersion();
+      if (service_maps_.is_registry_current()) {
+        report->map_age = service_map_confirmation_.OwnAge(now);
+      }
     };
     hooks.apply = [this](const PeerLoadReport& report, TimePoint now) {
       service_map_currency_.RecordPeer(report.sender, report.map_version, now);
+      service_map_confirmation_.RecordPeer(
+          ServiceMapVersion(), report.map_version, report.map_age, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
     if (settings_.duties && settings_.duties->reports_usage &&
@@ -317,6 +321,11 @@
     }
   }
 
+  // Returns the version of the service map, 0 if there is none.
+  int64_t ServiceMapVersion() const {
+    return routing_state_.service_map ? routing_state_.service_map->version : 0;
+  }
+
   // Returns the version of the service map if it has customers, otherwise 0.
   int64_t VersionOfKeys() const {
     const auto& map = routing_state_.service_map;
@@ -416,6 +425,36 @@
     });
   }
 
+  // Reads the configuration when neither this instance nor the others of its
+  // group did lately, and tells them what it has read.
+  void ConfirmServiceMap(TimePoint now) {
+    if (is_confirming_service_map_ || registry_lost_ ||
+        !routing_state_.service_map || standstill_check_.awaits_news()) {
+      return;
+    }
+    ReaderGroup group = MakeReaderGroup(load_exchange_.LiveInstances(),
+                                        load_exchange_.own_address());
+    if (!service_map_confirmation_.IsReadDue(group.rank, now)) {
+      return;
+    }
+    is_confirming_service_map_ = true;
+    configuration_mirror_->Refresh(
+        [this, others = std::move(group.others)](const absl::Status& status) {
+          is_confirming_service_map_ = false;
+          if (status.ok()) {
+            load_exchange_.SendHeader(others);
+          }
+        });
+  }
+
+  // A 404 is final for a caller, so the map has to be the latest one until this
+  // is called again.
+  void UpdateServiceMapCurrent(TimePoint now) {
+    routing_state_.service_map_current =
+        service_maps_.is_registry_current() &&
+        service_map_confirmation_.IsConfirmed(now + kMaintenanceInterval);
+  }
+
   void UpdateViewState() {
     load_exchange_.SetRegistryLost(registry_lost_);
     relay_.stream_versions()->set_is_view_current(IsViewCurrent());
@@ -437,7 +476,7 @@
 
   void ReadNews(uint64_t number) {
     if (standstill_check_.awaits_news()) {
-      service_map_confirmed_at_.reset();
+      service_map_confirmation_.Reset();
       routing_state_.service_map_current = false;
     }
     struct Read {
@@ -482,7 +521,7 @@
     fields.Integer("era", era).Integer("before", before);
     log_.Log(kLogRegistryRestored, fields, BootClock::now());
     routing_state_.replicas.RecordRegistryFailure();
-    service_map_confirmed_at_.reset();
+    service_map_confirmation_.Reset();
     routing_state_.service_map_current = false;
     version_recorder_->OnRegistryRestored();
   }
@@ -518,15 +557,19 @@
       if (standstill_check_.awaits_news()) {
         return;  // the answer may be older than the standstill
       }
-      service_map_confirmed_at_ = BootClock::now();
-      routing_state_.service_map_current = service_maps_.is_registry_current();
+      const TimePoint now = BootClock::now();
+      service_map_confirmation_.RecordRead(now);
+      UpdateServiceMapCurrent(now);
+    };
+    configuration.on_silent_watch = [this] {
+      LogText(kLogRegistryWatchSilent, "kind", platform::kConfigurationKind);
     };
     const auto record_failure = configuration.on_failure;
     configuration.on_failure = [this,
                                 record_failure](const absl::Status& status) {
       record_failure(status);
       // The registry may hold a newer version by now.
-      service_map_confirmed_at_.reset();
+      service_map_confirmation_.Reset();
       routing_state_.service_map_current = false;
     };
     configuration.on_list = [this](const RegistryList& list) {
@@ -539,7 +582,9 @@
     };
     configuration_mirror_ = std::make_unique<RegistryMirror>(
         &registry_client_, std::string(platform::kConfigurationKind), seed + 1,
-        mirror_timing_, &registry_era_, std::move(configuration));
+        MakeRefreshedMirrorTiming(settings_.registry_history,
+                                  settings_.max_staleness),
+        &registry_era_, std::move(configuration));
     routing_state_.refresh_replicas = [this](std::function<void(bool)> done) {
       RefreshReplicas(std::move(done));
     };
@@ -900,8 +945,7 @@
               std::string(map.status().message()));
       return;
     }
-    const int64_t before =
-        routing_state_.service_map ? routing_state_.service_map->version : 0;
+    const int64_t before = ServiceMapVersion();
     if (!service_maps_.Offer(*std::move(map),
                              {registry_era_.latest(), object.revision})) {
       routing_state_.service_map_current &= service_maps_.is_registry_current();
@@ -945,10 +989,8 @@
       log_.Log(kLogReplicaRemoved, fields, now);
       NotifyRoutingStateChanged();
     }
-    routing_state_.service_map_current =
-        service_map_confirmed_at_ && service_maps_.is_registry_current() &&
-        now - *service_map_confirmed_at_ <
-            mirror_timing_.watch_timeout + kConfirmationMargin;
+    ConfirmServiceMap(now);
+    UpdateServiceMapCurrent(now);
     UpdateServiceMapCurrency(now);
     if (usage_duty_) {
       usage_duty_->Tick(registry_era_.latest(), now);
@@ -1093,6 +1135,10 @@
   RoutingState routing_state_;
   ServiceMapSelector service_maps_;
   ServiceMapCurrency service_map_currency_{settings_.max_staleness};
+  ServiceMapConfirmation service_map_confirmation_{
+      MakeConfirmationTiming(settings_.max_staleness,
+                             kMaintenanceInterval,
+                             platform::kWatchResponseMargin)};
   RegistryEra registry_era_;
   platform::HttpRegistryClient registry_client_;
   Relay relay_;
@@ -1119,7 +1165,7 @@
   size_t logged_sharing_count_ = 0;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
-  std::optional<TimePoint> service_map_confirmed_at_;
+  bool is_confirming_service_map_ = false;
   TimePoint replicas_confirmed_at_{};
   bool is_confirming_replicas_ = false;
   std::optional<TimePoint> drain_start_;
--- a/src/load_exchange/load_exchange.cc
+++ b/src/load_exchange/load_exchange.cc
@@ -142,11 +142,18 @@
     content.takes_last_requests = header.takes_last_requests;
     content.scope = header.scope;
     content.map_version = header.map_version;
+    content.map_age = header.map_age;
     content.unix_ms = header.unix_ms;
     content.duty_holder = header.duty_holder;
     direct_bytes_ += Send(content, {address}) + kDatagramHeaderBytes;
   }
 
+  void SendHeader(const std::vector<uint32_t>& addresses) {
+    direct_bytes_ +=
+        addresses.size() * (Send(MakeReport(ReportScope::kMembers), addresses) +
+                            kDatagramHeaderBytes);
+  }
+
   std::vector<uint32_t> LiveInstances() const {
     return directory_.LiveInstances(BootClock::now());
   }
@@ -703,6 +710,10 @@
   impl_->SendDirect(address, std::move(content));
 }
 
+void LoadExchange::SendHeader(const std::vector<uint32_t>& addresses) {
+  impl_->SendHeader(addresses);
+}
+
 std::vector<uint32_t> LoadExchange::LiveInstances() const {
   return impl_->LiveInstances();
 }
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -324,8 +324,8 @@
                     it.interval, it.work, it.cached, it.members, it.profiles,
                     it.crashes, it.rate_limits, it.leaving_replicas, it.streams,
                     it.registry_lost, it.takes_requests, it.tells_streams,
-                    it.map_version, it.unix_ms, it.duty_holder, it.usage,
-                    it.usage_acks, it.paces, it.takes_last_requests);
+                    it.map_version, it.map_age, it.unix_ms, it.duty_holder,
+                    it.usage, it.usage_acks, it.paces, it.takes_last_requests);
   };
   return fields(*this) == fields(other);
 }
@@ -377,6 +377,7 @@
   root.setTakesRequests(report.takes_requests);
   root.setTakesLastRequests(report.takes_last_requests);
   root.setMapVersion(report.map_version);
+  root.setMapAgeMs(report.map_age ? ToMillis(*report.map_age) + 1 : 0);
   root.setUnixMs(report.unix_ms);
   EncodeUsage(report, root);
   EncodePaces(report.paces, root);
@@ -450,6 +451,9 @@
     report.takes_requests = root.getTakesRequests();
     report.takes_last_requests = root.getTakesLastRequests();
     report.map_version = root.getMapVersion();
+    if (root.getMapAgeMs() != 0) {
+      report.map_age = FromMillis(root.getMapAgeMs() - 1);
+    }
     report.unix_ms = root.getUnixMs();
     DecodeUsage(root, &report);
     for (const auto it : root.getPaces()) {
--- a/src/registry/registry_mirror.cc
+++ b/src/registry/registry_mirror.cc
@@ -29,6 +29,9 @@
 // Time between a lost watch and its next response, and of the call itself.
 constexpr Duration kWatchMargin = std::chrono::milliseconds(1500);
 constexpr Duration kMinWatchTimeout = std::chrono::milliseconds(1000);
+// Part of the registry's history that a watch takes. The next one continues
+// from the revision at which it ended.
+constexpr int kHistoryDivisor = 2;
 // Limit of the platform.
 constexpr Duration kMaxWatchTimeout = std::chrono::seconds(30);
 // Timeout of a watch that only returns what has changed already.
@@ -57,6 +60,15 @@
   return timing;
 }
 
+MirrorTiming MakeRefreshedMirrorTiming(Duration history,
+                                       Duration max_staleness) {
+  MirrorTiming timing;
+  timing.watch_timeout =
+      std::clamp(history / kHistoryDivisor, kMinWatchTimeout, kMaxWatchTimeout);
+  timing.change_batch_delay = max_staleness / kBatchDelayDivisor;
+  return timing;
+}
+
 Duration LongestChangeBatchDelay(Duration max_staleness) {
   return max_staleness / kLongestBatchDelayDivisor;
 }
@@ -153,6 +165,7 @@
   // Supersedes the action before, whose pending call or delay is abandoned.
   void Perform(const MirrorAction& action) {
     const uint64_t step = ++step_;
+    is_watching_ = false;
     if (action.delay > Duration(0)) {
       const std::weak_ptr<Impl> weak = weak_from_this();
       MirrorAction undelayed = action;
@@ -296,6 +309,14 @@
       EndRefresh(served, absl::UnavailableError("registry was restored"));
       return;
     }
+    if (!IsCurrent(*changes)) {
+      EndRefresh(served, OldAnswerError());
+      return;
+    }
+    if (is_watching_ && !changes->objects.empty() &&
+        handlers_.on_silent_watch) {
+      handlers_.on_silent_watch();
+    }
     ApplyChanges(*changes);
     // Without changes, the watch in progress goes on.
     if (!changes->objects.empty()) {
@@ -332,7 +353,29 @@
     }
   }
 
+  // Within an era, revisions only rise. A watch that has ended may be overtaken
+  // by a refresh.
+  bool IsOvertaken(const RegistryChanges& changes) const {
+    return revision_ && changes.revision < *revision_;
+  }
+
+  // Returns false if the answer is older than what is known, in which case a
+  // new list has begun.
+  bool IsCurrent(const RegistryChanges& changes) {
+    if (!IsOvertaken(changes)) {
+      return true;
+    }
+    handlers_.on_failure(OldAnswerError());
+    Perform(policy_.AfterFailedWatch(OldAnswerError()));
+    return false;
+  }
+
+  static absl::Status OldAnswerError() {
+    return absl::UnavailableError("answer is older than what is known");
+  }
+
   void Watch(int64_t revision) {
+    is_watching_ = true;
     const std::weak_ptr<Impl> weak = weak_from_this();
     client_->Watch(
         kind_, revision, timing_.watch_timeout,
@@ -349,6 +392,13 @@
           if (!self->AcceptEra(changes->era)) {
             return;
           }
+          if (changes->objects.empty() && self->IsOvertaken(*changes)) {
+            self->Perform(self->policy_.AfterSuccess(*self->revision_, false));
+            return;
+          }
+          if (!self->IsCurrent(*changes)) {
+            return;
+          }
           self->ApplyChanges(*changes);
           self->Perform(self->policy_.AfterSuccess(changes->revision,
                                                    !changes->objects.empty()));
@@ -365,6 +415,7 @@
   uint64_t step_ = 0;                // number of the present action
   std::optional<int64_t> revision_;  // of what is known; none while listing
   std::vector<RefreshDone> awaiting_refresh_;
+  bool is_watching_ = false;
   // A refresh was sent less than kRefreshInterval ago.
   bool refresh_pending_ = false;
   MirrorHandlers handlers_;
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -273,6 +273,10 @@
        "wherever they begin."},
       {813, kInfo, "stream_starts_written",
        "Where streams begin was recorded, or could not be.", "None."},
+      {814, kInfo, "registry_watch_silent",
+       "A read found changes that a waiting watch did not return; they are "
+       "applied.",
+       "Frequent ones: check the registry and the way to it."},
       {901, kInfo, "request_placed", "A request was sent to a target.",
        "None."},
       {902, kInfo, "call_ended",
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -209,6 +209,7 @@
   PeerLoadReport report = MakeReport();
   const size_t bytes_without = EncodePeerLoadReport(report).size();
   report.map_version = int64_t{1} << 40;
+  report.map_age = Duration(0);
   report.unix_ms = 1796000000000;
   report.duty_holder = {7, uint64_t{5} << 32 | 2,
                         std::chrono::milliseconds(300)};
@@ -248,6 +249,7 @@
   report.region = 0xfffe;
   report.scope = ReportScope::kMembers;
   report.map_version = int64_t{1} << 30;
+  report.map_age = std::chrono::milliseconds(2400);
   report.unix_ms = 1796000000123;
   report.duty_holder = {0x0a010027, uint64_t{5} << 32 | 77,
                         std::chrono::milliseconds(4300)};
--- a/tests/registry/registry_mirror_test.cc
+++ b/tests/registry/registry_mirror_test.cc
@@ -46,6 +46,7 @@
       handled.push_back("failure");
     };
     handlers.on_success = [] {};
+    handlers.on_silent_watch = [this] { handled.push_back("silent watch"); };
     handlers.schedule = [this](Duration delay, std::function<void()> action) {
       delays.push_back(delay);
       scheduled = std::move(action);
@@ -117,7 +118,8 @@
                                           "watch things 10", "watch things 12",
                                           "watch things 12"};
   BOOST_TEST(client.calls == calls, boost::test_tools::per_element());
-  const std::vector<std::string> expected = {"list 0", "+a", "r1 ok", "r2 ok"};
+  const std::vector<std::string> expected = {"list 0", "silent watch", "+a",
+                                             "r1 ok", "r2 ok"};
   BOOST_TEST(handled == expected, boost::test_tools::per_element());
 }
 
@@ -138,6 +140,28 @@
   BOOST_TEST(handled == expected, boost::test_tools::per_element());
 }
 
+// Guards against an answer from before what is known, to a watch or to a
+// refresh: it would confirm an old view, and changes would be missed.
+BOOST_FIXTURE_TEST_CASE(OlderAnswersAreNotApplied, Fixture) {
+  client.list_done(RegistryPage{{}, 10, false});
+  client.watch_done(RegistryChanges{{{"old", "{}", false}}, 9});
+  scheduled();
+  BOOST_TEST(client.calls.back() == "list things");
+  client.list_done(RegistryPage{{}, 10, false});
+  mirror->Refresh([this](const absl::Status& status) {
+    handled.push_back(status.ok() ? "ok" : "failed");
+  });
+  client.watch_done(RegistryChanges{{{"old", "{}", false}}, 9});
+  // A watch that ends without changes may be overtaken by a refresh.
+  scheduled();
+  client.list_done(RegistryPage{{}, 12, false});
+  client.watch_done(RegistryChanges{{}, 11});
+  BOOST_TEST(client.calls.back() == "watch things 12");
+  const std::vector<std::string> expected = {"list 0",  "failure", "list 0",
+                                             "failure", "failed",  "list 0"};
+  BOOST_TEST(handled == expected, boost::test_tools::per_element());
+}
+
 // Guards against refreshes that never end: without the registry, or while a
 // list is read.
 BOOST_FIXTURE_TEST_CASE(RefreshesEndWithoutTheRegistry, Fixture) {
@@ -245,6 +269,10 @@
       BOOST_TEST((timing.watch_timeout + std::chrono::seconds(1) <
                   stable + staleness));
       BOOST_TEST((3 * timing.change_batch_delay <= staleness));
+      const MirrorTiming refreshed =
+          MakeRefreshedMirrorTiming(stable, staleness);
+      BOOST_TEST((refreshed.watch_timeout <= stable));
+      BOOST_TEST((refreshed.change_batch_delay == timing.change_batch_delay));
       BOOST_TEST((3 * LongestChangeBatchDelay(staleness) <= staleness));
     }
   }
--- a/tools/soak/registry_faults.cc
+++ b/tools/soak/registry_faults.cc
@@ -12,8 +12,8 @@
 
 constexpr uint64_t kPartOfSeed = 6000;
 constexpr std::array<const char*, static_cast<size_t>(RegistryFault::kCount)>
-    kNames = {"silent",  "busy",    "slow", "lost",
-              "restore", "compact", "some", "cut"};
+    kNames = {"silent",  "busy", "slow", "lost", "restore",
+              "compact", "some", "cut",  "deaf"};
 constexpr int64_t kMaxLengthMs = 7000;
 constexpr int64_t kMaxAbsenceMs = 1500;  // before a restore
 constexpr int64_t kMaxPauseMs = 2000;
@@ -44,6 +44,7 @@
     trouble.is_busy |= fault == RegistryFault::kBusy;
     trouble.is_slow |= fault == RegistryFault::kSlow;
     trouble.loses_answers |= fault == RegistryFault::kLost;
+    trouble.deafens_watches |= fault == RegistryFault::kDeaf;
     if (fault == RegistryFault::kSome) {
       trouble.turned_away = plan[n].half;
     }
--- a/tools/soak/registry_faults.h
+++ b/tools/soak/registry_faults.h
@@ -19,6 +19,7 @@
   kCompact,  // the history is dropped
   kSome,     // calls of half of the processes get 503
   kCut,      // calls of half of the processes hang
+  kDeaf,     // watches that wait hear of no change
   kCount
 };
 
--- a/tools/soak/registry_standin.cc
+++ b/tools/soak/registry_standin.cc
@@ -76,6 +76,7 @@
 
 void RegistryStandin::SetTrouble(const RegistryTrouble& trouble) {
   const std::lock_guard<std::mutex> lock(mutex_);
+  deafenings_ += trouble.deafens_watches ? 1 : 0;
   trouble_ = trouble;
   changed_.notify_all();
 }
@@ -96,6 +97,11 @@
   return era_;
 }
 
+int RegistryStandin::EndedDeafWatches(const std::string& kind) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return ended_deaf_watches_[kind];
+}
+
 void RegistryStandin::DropHistory() {
   const std::lock_guard<std::mutex> lock(mutex_);
   compacted_revision_ = revision_;
@@ -212,6 +218,7 @@
   };
   std::string events;
   const auto collect = [&] {
+    events.clear();
     for (const Change& it : changes_) {
       if (it.kind == kind && it.revision > revision) {
         events += std::string(events.empty() ? "" : ",") + R"({"deleted":)" +
@@ -221,8 +228,18 @@
     }
     return !events.empty();
   };
-  changed_.wait_for(lock, std::chrono::milliseconds(wait_ms),
-                    [&] { return is_gone() || collect(); });
+  bool is_deaf = trouble_.deafens_watches;
+  const uint64_t deafenings = deafenings_;
+  if (!is_gone() && !collect()) {
+    changed_.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
+      is_deaf = is_deaf || deafenings != deafenings_;
+      return is_gone() || (!is_deaf && collect());
+    });
+  }
+  ended_deaf_watches_[kind] += is_deaf ? 1 : 0;
+  if (is_deaf) {
+    collect();
+  }
   if (is_gone()) {
     return Respond("410 Gone", "{}");
   }
--- a/tools/soak/registry_standin.h
+++ b/tools/soak/registry_standin.h
@@ -22,6 +22,8 @@
   bool is_slow = false;    // answers take 50 times as long
   // Writes are carried out and not answered.
   bool loses_answers = false;
+  // Watches that wait hear of no change any more, until their time is over.
+  bool deafens_watches = false;
   std::vector<bool> turned_away{};  // views whose calls get 503
   std::vector<bool> cut{};          // views whose calls hang
 
@@ -53,6 +55,8 @@
 
   void SetTrouble(const RegistryTrouble& trouble);
   void ResetConnections();
+  // Returns how many watches of a kind have ended that had heard of no change.
+  int EndedDeafWatches(const std::string& kind);
   // Cuts the watches that wait; those from an earlier revision get 410.
   void DropHistory();
   // Comes back from a copy that is `age_ms` old, in a new era. All that was
@@ -118,6 +122,8 @@
   int64_t compacted_revision_ = 0;  // older watches get 410
   int64_t compacted_at_ms_ = 0;
   uint64_t watch_cuts_ = 0;
+  uint64_t deafenings_ = 0;
+  std::map<std::string, int> ended_deaf_watches_;  // by kind
   RegistryTrouble trouble_;
   std::vector<std::unique_ptr<HttpListener>> listeners_;
 };
