Pass on streams whose event ids increase by more than one (LOST)

Cause: the splitter took an id for out of sequence unless it was one above the one before. The step of one guarded against a damaged id, after which a stream had been resumed at the wrong event.

Change: an id is confirmed by the next one. An event with an unusual step is held until then, and the run is given up before it if the next id is not higher. What is usual is learned for each replica and software version (EventSteps); where replicas count by one, a larger step is still refused. Two replicas that give the same id after the same position are right. First events may have several tokens, so where streams begin takes the steps into account. A stream is not resumed at a replica that numbers in another way.

--- a/include/endiveyard/placement/stream_starts.h
+++ b/include/endiveyard/placement/stream_starts.h
@@ -5,19 +5,13 @@
 #include <cstdint>
 #include <map>
 #include <set>
-#include <string>
-#include <tuple>
-#include <unordered_map>
 #include <vector>
 
 #include "endiveyard/base/time_point.h"
+#include "endiveyard/placement/stream_groups.h"
 
 namespace endiveyard {
 
-// Limits on what is kept, and for how long after the last stream.
-inline constexpr size_t kMaxStreamGroups = 256;
-inline constexpr size_t kMaxReplicasOfStreamGroup = 512;
-inline constexpr Duration kStreamStartLifetime = std::chrono::minutes(10);
 // Streams after which a replica has a habit.
 inline constexpr int kStreamsOfHabit = 2;
 // Streams after which a habit counts beside a lower one.
@@ -29,22 +23,6 @@
 // Limit on the first ids of a group that are known from elsewhere.
 inline constexpr size_t kMaxKnownFirstIds = 4;
 
-// Streams that are expected to begin with the same event id.
-struct StreamGroup {
-  std::string service;
-  std::string version;  // of the software of the replica
-  std::string route;
-
-  bool operator<(const StreamGroup& other) const {
-    return std::tie(service, version, route) <
-           std::tie(other.service, other.version, other.route);
-  }
-  bool operator==(const StreamGroup& other) const {
-    return std::tie(service, version, route) ==
-           std::tie(other.service, other.version, other.route);
-  }
-};
-
 // The first event id of whole streams of a group.
 struct StreamStart {
   StreamGroup group;
@@ -75,7 +53,9 @@
   // before.
   void RecordKnown(const std::vector<StreamStart>& known);
   // Returns the first ids that two replicas or more have shown to this process,
-  // in order. A single one may have a fault.
+  // in order. A single one may have a fault. Without groups whose events are
+  // numbered by tokens: a process that does not know this yet would refuse
+  // streams that begin with a larger event.
   std::vector<StreamStart> Learned(TimePoint now) const;
   // Returns true if a stream of a group has been recorded of which nothing is
   // known from elsewhere, since the last call.
@@ -84,9 +64,13 @@
   // Records that a stream which nothing precedes began with `first_id` at the
   // replica with this key, see EngineKey(). Returns false if the first events
   // of the stream are missing: it begins above where streams of the group do.
+  // Where events are numbered by their tokens, the first one may be above that
+  // by the `largest_step` of the group, less one; 0 if it is not known. Other
+  // software versions then show nothing, as they may count in another way.
   bool Record(const StreamGroup& group,
               uint64_t replica_key,
               int64_t first_id,
+              int64_t largest_step,
               TimePoint now);
 
  private:
@@ -95,9 +79,11 @@
     int streams = 0;       // with `first_id`, of the last ones
     int other_streams = 0;
     int64_t all_streams = 0;  // also those that no longer count above
+    // Streams of the group do not all begin with the same id.
+    bool has_larger_steps = false;
     TimePoint last_at{};
   };
-  using Replicas = std::unordered_map<uint64_t, Replica>;
+  using Replicas = StreamGroups<Replica>::Replicas;
   using FirstIds = std::set<int64_t>;
 
   static bool HasHabit(const Replica& replica);
@@ -106,15 +92,17 @@
   static void Count(Replica* replica, int64_t first_id, TimePoint now);
   // Judges by the replicas of the group only.
   static bool IsLateByHabit(const Replicas& replicas, int64_t first_id);
+  bool IsLate(const StreamGroup& group,
+              int64_t first_id,
+              bool is_numbering_known,
+              TimePoint now);
   // Judges by what is known from elsewhere.
   bool IsLateByKnown(const StreamGroup& group,
                      const Replicas& replicas,
-                     int64_t first_id) const;
-  // Returns the replicas of the group without old ones, or nullptr if too many
-  // groups are kept.
-  Replicas* ReplicasOf(const StreamGroup& group, TimePoint now);
+                     int64_t first_id,
+                     bool is_numbering_known) const;
 
-  std::map<StreamGroup, Replicas> groups_;
+  StreamGroups<Replica> groups_;
   std::map<StreamGroup, FirstIds> known_;
   bool unknown_group_met_ = false;
 };
--- a/src/placement/stream_starts.cc
+++ b/src/placement/stream_starts.cc
@@ -1,7 +1,6 @@
 #include "endiveyard/placement/stream_starts.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace endiveyard {
@@ -13,34 +12,41 @@
 // group.
 constexpr int64_t kStreamsOfContradiction = 4;
 
-template <typename Replicas>
-void RemoveOld(Replicas* replicas, TimePoint now) {
-  for (auto it = replicas->begin(); it != replicas->end();) {
-    it = now - it->second.last_at > kStreamStartLifetime ? replicas->erase(it)
-                                                         : std::next(it);
-  }
-}
-
 }  // namespace
 
 bool StreamStarts::Record(const StreamGroup& group,
                           uint64_t replica_key,
                           int64_t first_id,
+                          int64_t largest_step,
                           TimePoint now) {
-  Replicas* const replicas = ReplicasOf(group, now);
-  if (replicas == nullptr) {
+  if (!groups_.HasRoomFor(group, now)) {
     return true;
   }
   unknown_group_met_ |= known_.count(group) == 0;
-  const bool is_late = IsLateByHabit(*replicas, first_id) ||
-                       IsLateByKnown(group, *replicas, first_id);
-  if (replicas->size() < kMaxReplicasOfStreamGroup ||
-      replicas->count(replica_key) > 0) {
-    Count(&(*replicas)[replica_key], first_id, now);
+  const int64_t slack = std::max<int64_t>(largest_step, 1) - 1;
+  const bool is_known = largest_step > 0;
+  const bool is_late =
+      IsLate(group, first_id, is_known, now) &&
+      (slack == 0 ||
+       (first_id > slack && IsLate(group, first_id - slack, is_known, now)));
+  if (Replica* const replica = groups_.Add(group, replica_key, now)) {
+    Count(replica, first_id, now);
+    replica->has_larger_steps = slack > 0;
   }
   return !is_late;
 }
 
+bool StreamStarts::IsLate(const StreamGroup& group,
+                          int64_t first_id,
+                          bool is_numbering_known,
+                          TimePoint now) {
+  static const Replicas kNone;
+  const Replicas* const known = groups_.Find(group, now);
+  const Replicas& replicas = known == nullptr ? kNone : *known;
+  return IsLateByHabit(replicas, first_id) ||
+         IsLateByKnown(group, replicas, first_id, is_numbering_known);
+}
+
 bool StreamStarts::HasHabit(const Replica& replica) {
   return replica.streams >= kStreamsOfHabit &&
          replica.streams >= 2 * replica.other_streams;
@@ -56,7 +62,9 @@
   if (first_id == replica->first_id) {
     ++replica->streams;
   } else if (++replica->other_streams > replica->streams) {
-    *replica = Replica{first_id, 1, 0, replica->all_streams, now};
+    replica->first_id = first_id;
+    replica->streams = 1;
+    replica->other_streams = 0;
   }
   if (replica->streams + replica->other_streams > kMaxCountedStreams) {
     replica->streams /= 2;
@@ -89,7 +97,8 @@
 
 bool StreamStarts::IsLateByKnown(const StreamGroup& group,
                                  const Replicas& replicas,
-                                 int64_t first_id) const {
+                                 int64_t first_id,
+                                 bool is_numbering_known) const {
   FirstIds expected;
   int64_t streams_of_contradiction = kStreamsOfContradiction;
   if (const auto it = known_.find(group); it != known_.end()) {
@@ -98,7 +107,8 @@
     // Other groups say less, so that the first streams can contradict them.
     streams_of_contradiction = 1;
     for (const auto& [other, first_ids] : known_) {
-      if (other.service == group.service) {
+      if (other.service == group.service &&
+          (is_numbering_known || other.version == group.version)) {
         expected.insert(first_ids.begin(), first_ids.end());
       }
     }
@@ -150,7 +160,8 @@
   for (const auto& [group, replicas] : groups_) {
     std::map<int64_t, int> replicas_with;  // by first id
     for (const auto& [key, it] : replicas) {
-      if (IsHigherHabit(it) && now - it.last_at <= kStreamStartLifetime) {
+      if (!it.has_larger_steps && IsHigherHabit(it) &&
+          now - it.last_at <= kStreamStartLifetime) {
         ++replicas_with[it.first_id];
       }
     }
@@ -167,20 +178,4 @@
   return std::exchange(unknown_group_met_, false);
 }
 
-StreamStarts::Replicas* StreamStarts::ReplicasOf(const StreamGroup& group,
-                                                 TimePoint now) {
-  if (groups_.size() >= kMaxStreamGroups && groups_.count(group) == 0) {
-    for (auto it = groups_.begin(); it != groups_.end();) {
-      RemoveOld(&it->second, now);
-      it = it->second.empty() ? groups_.erase(it) : std::next(it);
-    }
-    if (groups_.size() >= kMaxStreamGroups) {
-      return nullptr;
-    }
-  }
-  Replicas& replicas = groups_[group];
-  RemoveOld(&replicas, now);
-  return &replicas;
-}
-
 }  // namespace endiveyard
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -12,6 +12,7 @@
 #include "endiveyard/placement/caller_patience.h"
 #include "endiveyard/placement/crash_suspects.h"
 #include "endiveyard/placement/customer_shares.h"
+#include "endiveyard/placement/event_steps.h"
 #include "endiveyard/placement/forwarding_peers.h"
 #include "endiveyard/placement/link_monitor.h"
 #include "endiveyard/placement/stream_starts.h"
@@ -101,6 +102,7 @@
   bool closes_callers = false;  // in the next iteration of the event loop
   StreamVersions stream_versions;
   StreamStarts stream_starts;
+  EventSteps event_steps;
   CallerPatience caller_patience;
   LinkMonitor links;
   ForwardingPeers forwarding_peers;
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -123,6 +123,14 @@
   // Lets the request add to the retry budget of its service, once.
   void CountInBudget();
   void Place();
+  // Returns the streams that are expected to number their events like those of
+  // the replica: all of its service and software version.
+  StreamGroup NumberingGroupOf(const Replica& replica) const;
+  // Excludes replicas to which the position of the caller in the stream means
+  // another one.
+  void ExcludeReplicasNumberedOtherwise();
+  // Records how the call in progress has numbered its events.
+  void RecordEventSteps(bool is_complete);
   // Returns true if this instance may continue the stream whose beginning the
   // caller has. A receiver leaves that to the instance that has forwarded the
   // request, which counts the runs.
--- a/src/relay/relay_forwarding.cc
+++ b/src/relay/relay_forwarding.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -70,6 +71,9 @@
   const TimePoint now = BootClock::now();
   phase_ = Phase::kForwarding;
   forwarding_ = ForwardingCall();
+  // The other instance knows its targets, and holds what is in doubt.
+  sse_splitter_.BeginRun(
+      {EventNumbering::kByTokens, std::numeric_limits<int64_t>::max()});
   forwarding_->peer = peer;
   last_replica_id_ = IpText(peer);
   context_->forwarding_peers.RecordSent(peer);
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "endiveyard/telemetry/log_event_numbers.h"
@@ -52,6 +53,9 @@
   if (sse_splitter_.last_id()) {
     headers.last_event_id = sse_splitter_.last_id();
   }
+  sse_splitter_.BeginRun(context_->event_steps.RuleFor(
+      NumberingGroupOf(active_call_->replica), EngineKey(active_call_->replica),
+      BootClock::now()));
   TargetCallHandlers handlers;
   const std::weak_ptr<RelayExchange> weak = weak_from_this();
   handlers.on_head = [weak](const TargetResponseHead& head) {
@@ -227,10 +231,13 @@
       return;
     }
     ForwardEvents(events);
+    if (sse_splitter_.has_held_event()) {
+      RecordOutput();
+    }
     if (sse_splitter_.has_gap()) {
       // Events are missing, or they belong to another run of the request.
       AbandonRun(CallOutcome::kIncompleteResponse,
-                 "event id is not one above the id before it");
+                 "event id does not follow the id before it");
       return;
     }
     if (sse_splitter_.is_overlong()) {
@@ -247,9 +254,44 @@
 bool RelayExchange::RecordStreamStart() {
   const std::optional<int64_t> first_id = sse_splitter_.first_id();
   const Replica& replica = active_call_->replica;
+  const TimePoint now = BootClock::now();
   return !first_id || context_->stream_starts.Record(
                           {service_, replica.version, route_->name},
-                          EngineKey(replica), *first_id, BootClock::now());
+                          EngineKey(replica), *first_id,
+                          context_->event_steps.LargestStepOf(
+                              NumberingGroupOf(replica), now),
+                          now);
+}
+
+StreamGroup RelayExchange::NumberingGroupOf(const Replica& replica) const {
+  constexpr const char* kAllRoutes = "";
+  return {service_, replica.version, kAllRoutes};
+}
+
+void RelayExchange::ExcludeReplicasNumberedOtherwise() {
+  const TimePoint now = BootClock::now();
+  std::map<std::string, bool> is_mixed;  // by software version
+  for (const Replica* it : context_->routing_state.replicas.Usable(service_)) {
+    const StreamGroup group = NumberingGroupOf(*it);
+    const auto [version, is_new] = is_mixed.emplace(it->version, false);
+    if (is_new) {
+      version->second = context_->event_steps.IsMixed(group, now);
+    }
+    if (version->second &&
+        !sse_splitter_.IsNumberedLike(
+            context_->event_steps.RuleFor(group, EngineKey(*it), now))) {
+      excluded_replica_ids_.insert(it->id);
+    }
+  }
+}
+
+void RelayExchange::RecordEventSteps(bool is_complete) {
+  if (active_call_->streaming) {
+    context_->event_steps.Record(NumberingGroupOf(active_call_->replica),
+                                 EngineKey(active_call_->replica),
+                                 sse_splitter_.LargestStepOfRun(is_complete),
+                                 BootClock::now());
+  }
 }
 
 void RelayExchange::PauseForSlowCaller(
@@ -308,6 +350,7 @@
   ended.took = std::chrono::duration_cast<Duration>(BootClock::now() -
                                                     active_call_->sent_at);
   ended.earlier_requests = active_call_->head.earlier_requests;
+  RecordEventSteps(false);
   CloseActiveCall(CallResult::kFailed);
   ++delivered_calls_;
   if (outcome != CallOutcome::kNotRun) {
@@ -353,7 +396,8 @@
   }
   const bool success =
       active_call_->status >= 200 && active_call_->status < 300;
-  if ((active_call_->streaming && sse_splitter_.has_partial_event()) ||
+  if ((active_call_->streaming &&
+       (sse_splitter_.has_partial_event() || sse_splitter_.IsEndInDoubt())) ||
       (success && EndedWithoutAnswer())) {
     return CallOutcome::kIncompleteResponse;
   }
@@ -404,6 +448,9 @@
       break;
   }
   if (outcome == CallOutcome::kCompleted) {
+    if (active_call_->streaming && sse_splitter_.has_held_event()) {
+      ForwardEvents(sse_splitter_.TakeHeldEvent());
+    }
     ObserveCompletedRun(*active_call_);
     RecordSurvival(true);
   } else {
@@ -420,6 +467,7 @@
   ended.earlier_requests = active_call_->head.earlier_requests;
   ended.head = std::move(active_call_->head);
   ended.body = std::move(active_call_->body);
+  RecordEventSteps(transport_status == TransportStatus::kComplete);
   CloseActiveCall(result);
   if (outcome != CallOutcome::kNotSent) {
     ++delivered_calls_;
@@ -498,6 +546,9 @@
     case NextStep::kResume:
       sse_splitter_.DropPartialEvent();
       excluded_replica_ids_.insert(last_replica_id_);
+      if (step == NextStep::kResume) {
+        ExcludeReplicasNumberedOtherwise();
+      }
       if (kv_handle_) {
         // No run has used the handle. The next placement prefills the prompt on
         // the engine that runs the request.
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -68,6 +68,7 @@
   bool signals = true;
   // Processes of different groups cannot report to each other.
   int report_groups = 1;
+  std::string event_ids = "one";
   // How processes lose their links to all replicas, one way after the other:
   // none if it is empty.
   std::vector<std::string> stranded;
@@ -98,6 +99,7 @@
   std::string id;
   std::string first_id;  // see ClientResult
   int begun_after = 0;
+  std::string last_event_id = "0";
   std::string target;
   std::string prompt;  // header lines
   std::string body;
@@ -278,6 +280,12 @@
         Replace(number, replicas_[number]->stage());
       };
     }
+    if (options_.event_ids != "one") {
+      options.versions_by_tokens.insert("v2");
+    }
+    if (options_.event_ids == "tokens") {
+      options.versions_by_tokens.insert("v1");
+    }
     options.max_work_ms = options_.max_work_ms;
     options.max_idle_ms = options_.max_idle_ms;
     if (builds_.is_mixed()) {
@@ -384,11 +392,11 @@
 }
 
 std::string Soak::BytesOf(const ClientRequest& request) const {
-  const std::string take_up =
-      request.first_id == request.id
-          ? ""
-          : "Last-Event-Id: " + std::to_string(request.begun_after) +
-                "\r\nResumes: " + request.first_id + "\r\n";
+  const std::string take_up = request.first_id == request.id
+                                  ? ""
+                                  : "Last-Event-Id: " + request.last_event_id +
+                                        "\r\nResumes: " + request.first_id +
+                                        "\r\n";
   return "POST " + request.target + " HTTP/1.1\r\nHost: " + kHost +
          "\r\nEndiveyard-Request-Id: " + request.id +
          "\r\nEndiveyard-Deadline-Ms: " + std::to_string(TimeLeftMs(request)) +
@@ -413,6 +421,7 @@
       request.first_id =
           request.begun_after == 0 && last > 0 ? request.id : request.first_id;
       request.begun_after = last;
+      request.last_event_id = LastIdOf(result.body, request.last_event_id);
     }
     const bool take_up = request.begun_after > 0;
     const bool repeats_failure =
@@ -1004,6 +1013,9 @@
       "processes of different groups cannot report to each other")(
       "signals", po::value(&soak.signals),
       "signals to processes, changes of replicas and configuration")(
+      "event-ids", po::value(&soak.event_ids),
+      "events of streams are numbered by one (one), by their tokens (tokens), "
+      "or by tokens at one of the two software versions (mixed)")(
       "other-binary", po::value(&soak.other_binary),
       "a second build of the program: each process draws at each start which "
       "of the two it runs")(
@@ -1036,6 +1048,11 @@
         throw std::runtime_error("links are not cut in the way " + it);
       }
     }
+    if (soak.event_ids != "one" && soak.event_ids != "tokens" &&
+        soak.event_ids != "mixed") {
+      throw std::runtime_error("events are not numbered in the way " +
+                               soak.event_ids);
+    }
     if (!upgrade.empty()) {
       soak.build_change = endiveyard::soak::BuildChangeNamed(upgrade);
       if (soak.other_binary.empty()) {
--- a/tools/soak/replica_standin.h
+++ b/tools/soak/replica_standin.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -126,6 +127,8 @@
     // The same, some seconds after it has crashed.
     std::function<void()> restart;
     CrashLedger* crash_ledger = nullptr;  // null if it is not needed
+    // Software versions that number the events of a stream by their tokens.
+    std::set<std::string> versions_by_tokens;
   };
 
   ReplicaStandin(const Options& options,
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -74,9 +74,9 @@
 
 std::string EventOf(int number, const Run& run) {
   const size_t padding = ShapeOf(run.id).padding_bytes;
-  return "id: " + std::to_string(number) + "\ndata: piece " +
-         std::to_string(number) + " of " + run.id + std::string(kRunField) +
-         std::to_string(run.number) +
+  return "id: " + std::to_string(EventIdOf(run.id, number, run.counts_tokens)) +
+         "\ndata: piece " + std::to_string(number) + " of " + run.id +
+         std::string(kRunField) + std::to_string(run.number) +
          (padding == 0 ? "" : ", " + std::string(padding, 'x')) + "\n\n";
 }
 
@@ -88,6 +88,22 @@
   return begun_after;
 }
 
+std::string LastIdOf(const std::string& body, const std::string& id_before) {
+  constexpr std::string_view kIdField = "id: ";
+  const size_t end = body.rfind(kEventEnd);
+  const size_t begin = end == std::string::npos || end == 0
+                           ? std::string::npos
+                           : body.rfind(kEventEnd, end - 1);
+  const size_t event =
+      begin == std::string::npos ? 0 : begin + kEventEnd.size();
+  if (end == std::string::npos ||
+      body.compare(event, kIdField.size(), kIdField) != 0) {
+    return id_before;
+  }
+  const size_t id = event + kIdField.size();
+  return body.substr(id, body.find('\n', id) - id);
+}
+
 std::string BodyOf(const std::string& id) {
   return "done " + id;
 }
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -52,10 +52,11 @@
   std::string id;      // of the request
   RequestKind kind = RequestKind::kSafe;
   std::string replica;
-  std::string version;  // of the software of the replica
-  std::string caller;   // process and build; empty if not known
-  int begun_after = 0;  // last event of the stream that the caller has
-  bool sound = false;   // answers completely if it is not cut off
+  std::string version;         // of the software of the replica
+  bool counts_tokens = false;  // ids of events are numbers of tokens
+  std::string caller;          // process and build; empty if not known
+  int begun_after = 0;         // last event of the stream that the caller has
+  bool sound = false;          // answers completely if it is not cut off
 };
 
 // Event `number` of the stream of `run`.
@@ -63,6 +64,8 @@
 // Number of the last event in `body` that is whole; `begun_after` if there is
 // none.
 int LastEventOf(const std::string& body, int begun_after);
+// Id of that event, as text; `id_before` if there is none.
+std::string LastIdOf(const std::string& body, const std::string& id_before);
 
 // What a client got for a request. A client may send several with one id, one
 // after the other.
--- a/tools/soak/stream_shape.cc
+++ b/tools/soak/stream_shape.cc
@@ -57,4 +57,27 @@
   return shape;
 }
 
+int64_t EventIdOf(const std::string& request, int number, bool counts_tokens) {
+  if (!counts_tokens) {
+    return number;
+  }
+  std::mt19937_64 random(NumberOf("tokens of " + FirstIdOf(request)));
+  int64_t id = 0;
+  for (int n = 0; n < number; ++n) {
+    id += 1 + static_cast<int64_t>(random() % kMaxTokensOfEvent);
+  }
+  return id;
+}
+
+std::optional<int> EventNumberOf(const std::string& request,
+                                 int64_t event_id,
+                                 bool counts_tokens) {
+  for (int n = 0; n <= ShapeOf(request).events; ++n) {
+    if (EventIdOf(request, n, counts_tokens) == event_id) {
+      return n;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace endiveyard::soak
