--- a/src/relay/socket_options.cc
+++ b/src/relay/socket_options.cc
@@ -59,6 +59,15 @@
   }
 }
 
+bool WasReset(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t length = sizeof info;
+  // After an orderly end, a socket that was not shut down here waits for that.
+  return getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                    &length) == 0 &&
+         info.tcpi_state == TCP_CLOSE;
+}
+
 size_t SendQueueBytes(boost::asio::ip::tcp::socket& socket) {
   int bytes = 0;
   const bool is_known = ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
--- a/src/relay/socket_options.h
+++ b/src/relay/socket_options.h
@@ -27,6 +27,11 @@
 // Sets the size of the buffer for bytes that are sent, unless it is 0.
 void SetSendBuffer(boost::asio::ip::tcp::socket& socket, size_t bytes);
 
+// Returns true if the connection has ended by a reset of the peer, and not by
+// an orderly end. The kernel tells the error once, to whichever call comes
+// first; for the others, the stream just ends.
+bool WasReset(boost::asio::ip::tcp::socket& socket);
+
 // Returns the bytes that the peer has not acknowledged; 0 if not known.
 size_t SendQueueBytes(boost::asio::ip::tcp::socket& socket);
 
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -496,7 +496,8 @@
           if (self->ended_) {
             return;
           }
-          if (ec == asio::error::eof && self->parser_->need_eof()) {
+          if (ec == asio::error::eof && self->parser_->need_eof() &&
+              !self->HasFailedConnection()) {
             error_code eof_ec;
             self->parser_->put_eof(eof_ec);
             self->FinishResponse();
@@ -604,9 +605,19 @@
     End(TransportStatus::kComplete, "");
   }
 
+  // Returns true if the connection has not ended in order, although a read says
+  // so: the error was reported to another call. A response that ends with its
+  // connection is not complete then.
+  bool HasFailedConnection() {
+    return write_error_ || WasReset(connection_->socket);
+  }
+
   void EndWithReadError(TransportStatus if_closed, error_code ec) {
     // The kernel reports an error once, to the write if one is in progress.
-    const error_code cause = IsSilence(write_error_) ? write_error_ : ec;
+    const error_code cause =
+        IsSilence(write_error_) || (write_error_ && ec == asio::error::eof)
+            ? write_error_
+            : ec;
     End(IsSilence(cause) ? TransportStatus::kSilent : if_closed,
         cause.message());
   }
