Soak, splitter: reads are no deaf watches; comments and the overview of the code

A read of the registry in the moment between the trouble and the change would have counted as a deaf watch in ChangesThatWatchesDoNotHearOfAreApplied (seen in the source, not in a run). The test and the splitter's tests pass.

--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -63,7 +63,7 @@
   void DropPartialEvent();
 
   // Sets the id of the last event that the caller already has. The next event
-  // is expected to have the id after it.
+  // is expected to have a higher one.
   void StartAfter(int64_t id) {
     last_id_ = id;
     is_last_id_confirmed_ = true;
@@ -106,11 +106,12 @@
   // held from now on is recorded with the next one.
   EventOrder RecordEvent(std::string_view event);
   EventOrder RecordId(int64_t id);
+  // Records the id of an event that is returned. Precondition: it has a
+  // predecessor.
+  void RecordStep(int64_t id);
   // Returns true if larger steps are those of a target that counts tokens.
   // `has_step_of_one` says whether there is one beside them.
   bool MayCountTokens(bool has_step_of_one) const;
-  // The same for an id that is to be passed on.
-  void RecordStep(int64_t id);
 
   // Begins with the event that is held, and what follows it up to the next id.
   std::string partial_event_;
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -144,7 +144,9 @@
 }
 
 bool SseSplitter::IsEndInDoubt() const {
-  return held_id_ && !MayCountTokens(has_step_of_one_ || first_id_);
+  // No later event shows how the target counts, so that the first one has to.
+  const bool has_first_event = first_id_.has_value();
+  return held_id_ && !MayCountTokens(has_step_of_one_ || has_first_event);
 }
 
 int64_t SseSplitter::LargestStepOfRun(bool is_complete) const {
--- a/tools/soak/registry_standin.cc
+++ b/tools/soak/registry_standin.cc
@@ -15,6 +15,8 @@
 // one.
 constexpr size_t kPageItems = 8;
 constexpr int64_t kUsualAnswerMs = 10;
+// Watches that wait for less only read what has changed already.
+constexpr int64_t kMinWatchMs = 100;
 constexpr int64_t kSlowFactor = 50;
 
 std::string QueryText(const std::string& target, const std::string& name) {
@@ -228,11 +230,12 @@
     }
     return !events.empty();
   };
-  bool is_deaf = trouble_.deafens_watches;
+  const bool may_be_deaf = wait_ms >= kMinWatchMs;
+  bool is_deaf = may_be_deaf && trouble_.deafens_watches;
   const uint64_t deafenings = deafenings_;
   if (!is_gone() && !collect()) {
     changed_.wait_for(lock, std::chrono::milliseconds(wait_ms), [&] {
-      is_deaf = is_deaf || deafenings != deafenings_;
+      is_deaf = is_deaf || (may_be_deaf && deafenings != deafenings_);
       return is_gone() || (!is_deaf && collect());
     });
   }
