review: streams go on at another software version after a restart

All engines crash and start again under their ids at another version. Until the new entries are known, take-ups of streams are sent to them as to the old ones.

--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -30,6 +30,7 @@
 #include <memory>
 #include <mutex>
 #include <random>
+#include <set>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -309,17 +310,39 @@
   int port() const { return port_; }
   std::string Address() const { return ip_ + ":" + std::to_string(port_); }
 
+  // Closes the listener and all connections, as the end of a process does.
+  // The object has to stay, since its threads still end.
+  void Stop() {
+    stopped_ = true;
+    shutdown(fd_, SHUT_RDWR);
+    close(fd_);
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const int it : open_) {
+      shutdown(it, SHUT_RDWR);
+    }
+  }
+  bool stopped() const { return stopped_; }
+
  private:
   void Accept() {
-    while (true) {
+    while (!stopped_) {
       const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
       if (fd < 0) {
         SleepFor(0.01);
         continue;
       }
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        open_.insert(fd);
+      }
       std::thread([this, fd] {
         Peer peer(fd);
-        handler_(peer);
+        if (!stopped_) {
+          handler_(peer);
+        }
+        const std::lock_guard<std::mutex> lock(mutex_);
+        open_.erase(fd);
+        peer.Close();
       }).detach();
     }
   }
@@ -328,6 +351,9 @@
   const Handler handler_;
   int fd_ = -1;
   int port_ = 0;
+  std::atomic<bool> stopped_{false};
+  std::mutex mutex_;
+  std::set<int> open_;
 };
 
 // The platform's store. All answers state the era.
@@ -600,6 +626,8 @@
     double work = 0.02;
     int slots = 6;
     std::string version = "v1";
+    int port = 0;           // 0: a free one
+    std::string more_spec;  // further fields of the entry
   };
   // Returns true if it has answered the request itself.
   using Answerer = std::function<bool(Replica&, Peer&, const Message&)>;
@@ -609,9 +637,15 @@
         born_(UnixMs()),
         arrivals_(arrivals),
         answerer_(std::move(answerer)),
-        listener_(options_.ip, 0, [this](Peer& peer) { Serve(peer); }) {}
+        listener_(options_.ip, options_.port,
+                  [this](Peer& peer) { Serve(peer); }) {}
 
   const std::string& id() const { return options_.id; }
+  const Options& options() const { return options_; }
+  int port() const { return listener_.port(); }
+  // Ends the replica, with all its connections.
+  void Stop() { listener_.Stop(); }
+  bool stopped() const { return listener_.stopped(); }
 
   std::string Spec(const std::string& state) const {
     return "{\"service\":\"" + options_.service + "\",\"address\":\"" +
@@ -619,7 +653,7 @@
            "\",\"version\":\"" + options_.version +
            "\",\"slots\":" + std::to_string(options_.slots) + ",\"state\":\"" +
            state + "\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":" +
-           std::to_string(born_) + "}";
+           std::to_string(born_) + options_.more_spec + "}";
   }
 
   std::string CommonHeaders(const Message& request) const {
@@ -644,6 +678,20 @@
             options_.id + "\r\nContent-Length: 0\r\n\r\n");
         continue;
       }
+      if (request.Target() == "/report") {
+        const std::string report =
+            "{\"stage\":\"decode\",\"models\":[{\"name\":\"m\",\"version\":1,"
+            "\"adapters\":[]}],\"busy\":false,\"sequence\":1,\"waiting\":0,"
+            "\"running\":" +
+            std::to_string(running_) +
+            ",\"kv_used\":1000,\"kv_total\":540532,\"kv_handles\":0,\"born\":" +
+            std::to_string(born_) + "}";
+        peer.Send(
+            "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            "Content-Length: " +
+            std::to_string(report.size()) + "\r\n\r\n" + report);
+        continue;
+      }
       if (request.Target() == "/healthz") {
         peer.Send("HTTP/1.1 200 OK\r\nEndiveyard-Replica-Id: " + options_.id +
                   "\r\n" + (leaving_ ? "Server-Leaving: 1\r\n" : "") +
@@ -956,9 +1004,12 @@
   std::vector<std::unique_ptr<Front>>& fronts() { return fronts_; }
   const std::string& folder() const { return folder_; }
 
+  // Starts a replica, at an address of its own unless `options` names one.
   Replica& AddReplica(Replica::Options options,
                       Replica::Answerer answerer = nullptr) {
-    options.ip = ReplicaIp(static_cast<int>(replicas_.size()));
+    if (options.ip.empty()) {
+      options.ip = ReplicaIp(static_cast<int>(replicas_.size()));
+    }
     replicas_.push_back(std::make_unique<Replica>(
         std::move(options), &arrivals_, std::move(answerer)));
     return *replicas_.back();
