--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -32,10 +32,10 @@
   std::atomic<int> written_whole{0};
   const auto stream = [&](Replica& replica, Peer& peer,
                           const Message& request) {
-    bool is_sent = peer.Send("HTTP/1.1 200 OK\r\n" +
-                             replica.CommonHeaders(request) +
-                             "Content-Type: text/event-stream\r\n"
-                             "Transfer-Encoding: chunked\r\n\r\n");
+    bool is_sent =
+        peer.Send("HTTP/1.1 200 OK\r\n" + replica.CommonHeaders(request) +
+                  "Content-Type: text/event-stream\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n");
     for (int n = 1; n <= kEvents && is_sent; ++n) {
       SleepFor(kEventTime);
       const std::string event = "id: " + std::to_string(n * tokens_per_event) +
@@ -111,9 +111,8 @@
   int cut_around = 0;
   for (const Attempt& it : attempts) {
     const std::string last = "event " + std::to_string(kEvents) + "\n\n";
-    const bool is_whole =
-        it.status == 200 && !it.is_closed && !it.is_late &&
-        it.body.find(last) != std::string::npos;
+    const bool is_whole = it.status == 200 && !it.is_closed && !it.is_late &&
+                          it.body.find(last) != std::string::npos;
     whole += is_whole ? 1 : 0;
     if (is_whole || it.status != 200) {
       continue;
--- a/review/14/case.cc
+++ b/review/14/case.cc
@@ -45,6 +45,7 @@
   std::map<std::string, Attempt> attempts;
   const auto burst = [&](bool of_orders) {
     std::vector<std::thread> threads;
+    threads.reserve(callers.size());
     for (const auto& it : callers) {
       threads.emplace_back([&, of_orders] {
         const Attempt attempt = of_orders ? it->Send("POST", "/order/1", "one")
@@ -103,11 +104,12 @@
     }
   }
   char verdict[200];
-  snprintf(verdict, sizeof verdict,
-           "answered %zu of %zu; requests at the draining replica later than "
-           "%.1f s, by processes in touch: %d (0 allowed), of which lost at its "
-           "exit: %d",
-           answered, attempts.size(), kDrain, late, lost);
+  snprintf(
+      verdict, sizeof verdict,
+      "answered %zu of %zu; requests at the draining replica later than "
+      "%.1f s, by processes in touch: %d (0 allowed), of which lost at its "
+      "exit: %d",
+      answered, attempts.size(), kDrain, late, lost);
   if (answered < attempts.size() * 9 / 10) {
     deployment.End(2, verdict);
   }
--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -380,8 +380,8 @@
            static_cast<long long>(revision_));
   }
 
-  // While silent, the store answers nothing; calls of that time, and those whose
-  // answer falls into it, get no answer later either.
+  // While silent, the store answers nothing; calls of that time, and those
+  // whose answer falls into it, get no answer later either.
   void set_silent(bool silent) {
     const std::lock_guard<std::mutex> lock(mutex_);
     silent_ = silent;
@@ -454,9 +454,9 @@
       events.clear();
       for (const Object& it : history_) {
         if (it.kind == kind && it.revision > since) {
-          events += std::string(events.empty() ? "" : ",") + "{\"deleted\":" +
-                    (it.deleted ? "true" : "false") + ",\"object\":" + Text(it) +
-                    "}";
+          events += std::string(events.empty() ? "" : ",") +
+                    "{\"deleted\":" + (it.deleted ? "true" : "false") +
+                    ",\"object\":" + Text(it) + "}";
         }
       }
       return !events.empty();
@@ -637,8 +637,9 @@
         born_(UnixMs()),
         arrivals_(arrivals),
         answerer_(std::move(answerer)),
-        listener_(options_.ip, options_.port,
-                  [this](Peer& peer) { Serve(peer); }) {}
+        listener_(options_.ip, options_.port, [this](Peer& peer) {
+          Serve(peer);
+        }) {}
 
   const std::string& id() const { return options_.id; }
   const Options& options() const { return options_; }
