--- a/review/standin-3/standin.h
+++ b/review/standin-3/standin.h
@@ -969,8 +969,12 @@
 class Deployment {
  public:
   Deployment(const std::string& binary, int fronts) {
-    char folder[] = "/tmp/review-XXXXXX";
-    folder_ = mkdtemp(folder);
+    const char* const parent = getenv("REVIEW_TMP");
+    folder_ = std::string(parent == nullptr ? "/tmp" : parent) + "/run-XXXXXX";
+    if (mkdtemp(folder_.data()) == nullptr) {
+      fprintf(stderr, "cannot make a temporary folder\n");
+      exit(2);
+    }
     std::random_device random;
     net_ = "127." + std::to_string(20 + random() % 200) + "." +
            std::to_string(random() % 250) + ".";
