--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -83,17 +83,21 @@
       at_sound.insert(it.id);
     }
   }
-  int unanswered = 0;
+  std::map<std::string, int> unanswered_at;  // by process
   size_t answered = 0;
   for (const Attempt& it : attempts) {
     answered += it.status == 200 ? 1 : 0;
     const bool in_touch = it.sent - started > 4.2;
     if (in_touch && it.is_kept && it.is_closed && it.status == 0 &&
         at_sound.count(it.id) > 0) {
-      ++unanswered;
+      ++unanswered_at[it.id.substr(0, it.id.find('.'))];
       RECORD("unanswered: %s ran at a sound replica", it.id.c_str());
     }
   }
+  int unanswered = 0;  // of the process with the most
+  for (const auto& [front, count] : unanswered_at) {
+    unanswered = std::max(unanswered, count);
+  }
   char verdict[200];
   snprintf(verdict, sizeof verdict,
            "answered %zu; processes that ended by themselves: %d; requests of "
--- a/review/13/case.cc
+++ b/review/13/case.cc
@@ -27,7 +27,7 @@
 
 int main(int argc, char** argv) {
   const Arguments arguments = ParseArguments(argc, argv);
-  Deployment deployment(arguments.binary, 2);
+  Deployment deployment(arguments.binary, 4);
   const int tokens_per_event = arguments.trouble ? 3 : 1;
   std::atomic<int> written_whole{0};
   const auto stream = [&](Replica& replica, Peer& peer,
@@ -59,7 +59,7 @@
       ",\"stage\":\"decode\",\"models\":[{\"name\":\"m\",\"version\":1,"
       "\"adapters\":[]}]";
   Store& store = deployment.store();
-  for (int n = 0; n < 8; ++n) {
+  for (int n = 0; n < 4; ++n) {
     options.zone = std::string("zone-") + static_cast<char>('a' + n % 3);
     options.id = "e-" + std::to_string(n + 1);
     store.Put("servers", options.id,
@@ -76,7 +76,7 @@
   std::vector<Attempt> attempts;
   std::vector<std::thread> callers;
   for (const auto& front : deployment.fronts()) {
-    for (int n = 0; n < 12; ++n) {
+    for (int n = 0; n < 6; ++n) {
       callers.emplace_back([&, n] {
         Caller caller(front->name() + "." + std::to_string(n), *front);
         SleepFor(0.02 * n);
@@ -114,7 +114,7 @@
     const bool is_whole = it.status == 200 && !it.is_closed && !it.is_late &&
                           it.body.find(last) != std::string::npos;
     whole += is_whole ? 1 : 0;
-    if (is_whole || it.status != 200) {
+    if (is_whole || it.status != 200 || !it.is_closed) {
       continue;
     }
     ++cut;
