--- a/include/endiveyard/relay/sse_splitter.h
+++ b/include/endiveyard/relay/sse_splitter.h
@@ -124,6 +124,8 @@
   EventStepRule step_rule_;
   int64_t largest_step_ = 0;  // in all runs
   int64_t largest_step_of_run_ = 0;
+  // The last step of this run that was returned, until a later id confirms it.
+  int64_t unconfirmed_step_ = 0;
   bool has_step_of_one_ = false;  // in this run
   std::optional<int64_t> first_id_;
   std::optional<int64_t> last_id_;
--- a/src/relay/sse_splitter.cc
+++ b/src/relay/sse_splitter.cc
@@ -140,6 +140,7 @@
 void SseSplitter::BeginRun(const EventStepRule& rule) {
   step_rule_ = rule;
   largest_step_of_run_ = 0;
+  unconfirmed_step_ = 0;
   has_step_of_one_ = false;
 }
 
@@ -150,9 +151,11 @@
 }
 
 int64_t SseSplitter::LargestStepOfRun(bool is_complete) const {
-  const int64_t last_step =
-      is_complete && held_id_ ? StepTo(*held_id_, *last_id_) : 0;
-  return std::max(largest_step_of_run_, last_step);
+  if (!is_complete) {
+    return largest_step_of_run_;
+  }
+  const int64_t held_step = held_id_ ? StepTo(*held_id_, *last_id_) : 0;
+  return std::max({largest_step_of_run_, unconfirmed_step_, held_step});
 }
 
 std::string SseSplitter::TakeHeldEvent() {
@@ -207,6 +210,7 @@
   if (StepTo(id, held_id_.value_or(*last_id_)) == 0) {
     return EventOrder::kOutOfSequence;
   }
+  largest_step_of_run_ = std::max(largest_step_of_run_, unconfirmed_step_);
   if (held_id_) {
     largest_step_of_run_ =
         std::max(largest_step_of_run_, StepTo(*held_id_, *last_id_));
@@ -241,8 +245,11 @@
 void SseSplitter::RecordStep(int64_t id) {
   const int64_t step = StepTo(id, *last_id_);
   largest_step_ = std::max(largest_step_, step);
-  largest_step_of_run_ = std::max(largest_step_of_run_, int64_t{1});
+  unconfirmed_step_ = step;
   is_last_id_confirmed_ = step == 1;
+  if (is_last_id_confirmed_) {
+    largest_step_of_run_ = std::max(largest_step_of_run_, step);
+  }
   has_step_of_one_ = has_step_of_one_ || step == 1;
   last_id_ = id;
   doubted_id_.reset();
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -148,6 +148,12 @@
   // Makes some requests crash replicas.
   void MakeCrashing(ClientRequest* request, std::mt19937_64* random) const;
   bool IsCalm(const std::string& name, int64_t begin_ms, int64_t end_ms) const;
+  // True if no process, replica or link is ever disturbed. SIGHUP is sent.
+  bool IsCalmRun() const {
+    return !options_.signals && options_.fault_rate == 0 &&
+           options_.stranded.empty() && options_.registry_faults.empty() &&
+           options_.kill_every_ms == 0 && !builds_.is_mixed();
+  }
   // Each process has its own view of the registry, with its own addresses of
   // the replicas, if links between processes and replicas can be cut, reports
   // are to say which build sent what, or the registry may turn some away.
@@ -837,6 +843,11 @@
   StartFronts();
   begin_ms_ = NowMs();
   end_ms_ = begin_ms_ + int64_t{1000} * options_.seconds;
+  if (IsCalmRun()) {
+    // The first streams show how replicas number events.
+    constexpr int64_t kLearnMs = 5000;
+    ledger_.set_streams_whole_from(begin_ms_ + kLearnMs);
+  }
   std::vector<std::thread> clients;
   clients.reserve(static_cast<size_t>(options_.clients));
   for (int n = 0; n < options_.clients; ++n) {
--- a/tools/soak/run_ledger.cc
+++ b/tools/soak/run_ledger.cc
@@ -485,6 +485,10 @@
     if (!problem.empty()) {
       report(problem);
     }
+    if (streams_whole_from_ms_ && result.sent_ms >= *streams_whole_from_ms_ &&
+        !result.complete && !result.left && result.in_time) {
+      report("LOST, a stream is broken off that nothing has disturbed");
+    }
   } else if (result.status == 200) {
     const std::string expected = BodyOf(result.id);
     if (result.complete
--- a/tools/soak/run_ledger.h
+++ b/tools/soak/run_ledger.h
@@ -129,6 +129,8 @@
     max_attempts_ = max_attempts;
     max_attempts_once_ = once;
   }
+  // From this time on, nothing is disturbed, and streams that begin are whole.
+  void set_streams_whole_from(int64_t ms) { streams_whole_from_ms_ = ms; }
   void RecordResult(const ClientResult& result);
   // Records a violation that was seen elsewhere.
   void RecordViolation(const std::string& text);
@@ -224,6 +226,7 @@
   std::vector<std::string> over_run_;
   std::map<std::string, Deadline> deadlines_;  // by request, of the last try
   TimeGiven time_given_;
+  std::optional<int64_t> streams_whole_from_ms_;
   std::function<bool(const std::string&, int64_t, int64_t)> is_calm_;
   std::function<int64_t()> now_ms_ = NowMs;
   // By replica and process.
