--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -51,6 +51,7 @@
 inline constexpr int kLogConfigurationInvalid = 603;
 inline constexpr int kLogServiceMapApplied = 604;
 inline constexpr int kLogServiceMapRejected = 605;
+inline constexpr int kLogHeaderLimitLowered = 606;
 inline constexpr int kLogReplicaChanged = 312;
 inline constexpr int kLogReplicaRemoved = 313;
 inline constexpr int kLogReplicaEntryInvalid = 314;
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -63,6 +63,7 @@
   CallerLimits limits = context.routing_state.service_map
                             ? context.routing_state.service_map->limits
                             : CallerLimits();
+  limits.max_header_bytes = std::min(limits.max_header_bytes, kMaxHeaderLimit);
   if (kind == CallerKind::kPeer) {
     limits.max_header_bytes += kMaxForwardedHeaderBytes;
     limits.idle_timeout = std::max(limits.idle_timeout, kPeerIdleTimeout);
@@ -134,6 +135,16 @@
          (encodings > 0 && !only_chunked);
 }
 
+// Returns true if trailers say where the message ends or whom it is for. What
+// is before them has decided that, and another implementation may differ.
+bool HasMessageControl(const HeaderList& trailers) {
+  return std::any_of(trailers.begin(), trailers.end(), [](const auto& it) {
+    return EqualsIgnoreCase(it.first, "host") ||
+           EqualsIgnoreCase(it.first, "content-length") ||
+           EqualsIgnoreCase(it.first, "transfer-encoding");
+  });
+}
+
 // Makes a request line in absolute form the origin form with a Host header.
 void ReplaceHost(std::string_view authority, CallerRequest* request) {
   HeaderList& headers = request->headers;
@@ -178,10 +189,7 @@
 }
 
 void CallerConnection::Read() {
-  if (buffer_.is_reading() || closed_ ||
-      buffer_.size() >= (context_->caller_memory.IsScarce()
-                             ? kMaxPipelinedBytesWhenScarce
-                             : kMaxPipelinedBytes)) {
+  if (buffer_.is_reading() || closed_ || buffer_.size() >= MaxBufferedBytes()) {
     return;
   }
   socket_.async_read_some(buffer_.StartRead(),
@@ -190,6 +198,13 @@
                           });
 }
 
+size_t CallerConnection::MaxBufferedBytes() const {
+  // The head of a request is parsed as a whole.
+  return request_started_ || !context_->caller_memory.IsScarce()
+             ? kMaxPipelinedBytes
+             : kMaxPipelinedBytesWhenScarce;
+}
+
 void CallerConnection::OnRead(error_code ec, size_t n) {
   buffer_.FinishRead(n);
   if (closed_) {
@@ -228,7 +243,9 @@
       parser_.emplace();
       parser_->eager(true);
       parser_->header_limit(limits.max_header_bytes);
+      parser_->trailer_limit(limits.max_header_bytes);
       parser_->body_limit(limits.max_body_bytes);
+      parser_->reserve_limit(limits.max_body_bytes);
     }
     if (!request_started_) {
       request_started_ = true;
@@ -251,7 +268,7 @@
                   static_cast<size_t>(std::count(begin, begin + n, '\n'));
     }
     buffer_.Consume(n);
-    RecordBodyBytes(parser_->get().body().size());
+    RecordBodyBytes(parser_->message().body.size());
     if (!parser_->is_done() && request_body_bytes_ > 0 &&
         context_->buffered_body_bytes >
             context_->options.max_body_bytes_in_flight) {
@@ -261,6 +278,10 @@
     if (ec == http::error::need_more) {
       ec = {};
       if (n == 0 && !parser_->is_done()) {
+        if (buffer_.size() >= MaxBufferedBytes()) {
+          // A chunk header or trailers that are not read to their end.
+          HandleParseError(http::error::header_limit);
+        }
         return;
       }
     }
@@ -304,7 +325,7 @@
   if (ec == http::error::body_limit) {
     RespondWithErrorAndClose(413, "body_too_large", ParsedHeaders());
   } else if (ec == http::error::header_limit) {
-    RespondWithErrorAndClose(431, "headers_too_large", {});
+    RespondWithErrorAndClose(431, "headers_too_large", ParsedHeaders());
   } else {
     RespondWithErrorAndClose(400, "bad_request", ParsedHeaders());
   }
@@ -314,20 +335,17 @@
   ++timer_generation_;
   read_timer_.cancel();
   request_started_ = false;
-  auto message = parser_->release();
+  const bool keeps_alive = parser_->keep_alive();
+  ParsedMessage message = std::move(parser_->message());
   parser_.reset();
   parsed_head_bytes_ = 0;
   CallerRequest request;
   request.received = BootClock::now();
   request.pipelined = std::exchange(pipelined_, false);
-  request.method = std::string(message.method_string());
-  request.headers.reserve(
-      static_cast<size_t>(std::distance(message.begin(), message.end())));
-  for (const auto& it : message) {
-    request.headers.emplace_back(std::string(it.name_string()),
-                                 std::string(it.value()));
-  }
-  if (HasAmbiguousFraming(request.headers)) {
+  request.method = std::move(message.method);
+  request.headers = std::move(message.headers);
+  if (HasAmbiguousFraming(request.headers) ||
+      HasMessageControl(message.trailers)) {
     RespondWithErrorAndClose(400, "doubtful_framing", request.headers);
     return;
   }
@@ -336,8 +354,7 @@
     RespondWithErrorAndClose(kNotTakenStatus, "not_forwarded", request.headers);
     return;
   }
-  const auto target = ParseRequestTarget(
-      std::string_view(message.target().data(), message.target().size()));
+  const auto target = ParseRequestTarget(message.target);
   if (!target) {
     RespondWithErrorAndClose(400, "bad_request", request.headers);
     return;
@@ -346,13 +363,12 @@
   if (target->authority) {
     ReplaceHost(*target->authority, &request);
   }
-  constexpr unsigned kHttp11 = 11;
-  knows_chunks_ = message.version() >= kHttp11;
-  keep_alive_ = message.keep_alive() && knows_chunks_;
+  constexpr int kHttp11 = 11;
+  knows_chunks_ = message.version >= kHttp11;
+  keep_alive_ = keeps_alive && knows_chunks_;
   method_ = request.method;
-  if (!message.body().empty()) {
-    request.body =
-        std::make_shared<const std::string>(std::move(message.body()));
+  if (!message.body.empty()) {
+    request.body = std::make_shared<const std::string>(std::move(message.body));
   }
   message = {};
   request_bytes_ = MemoryOf(request);
@@ -388,14 +404,8 @@
 }
 
 HeaderList CallerConnection::ParsedHeaders() const {
-  HeaderList headers;
-  if (parser_ && parser_->is_header_done()) {
-    for (const auto& it : parser_->get()) {
-      headers.emplace_back(std::string(it.name_string()),
-                           std::string(it.value()));
-    }
-  }
-  return headers;
+  return parser_ && parser_->is_header_done() ? parser_->message().headers
+                                              : HeaderList();
 }
 
 void CallerConnection::RespondWithErrorAndClose(int status,
@@ -774,7 +784,7 @@
   // In progress, the body is part of the request.
   size_t request_bytes = request_bytes_;
   if (request_bytes == 0) {
-    const size_t capacity = parser_ ? parser_->get().body().capacity() : 0;
+    const size_t capacity = parser_ ? parser_->message().body.capacity() : 0;
     request_bytes =
         parsed_head_bytes_ +
         (capacity <= kMaxHeapBodyBytes ? capacity : request_body_bytes_);
--- a/src/relay/caller_connection.h
+++ b/src/relay/caller_connection.h
@@ -9,11 +9,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "relay/caller_memory.h"
 #include "relay/forwarded_request.h"
+#include "relay/message_parser.h"
 #include "relay/read_buffer.h"
 #include "relay/relay_context.h"
 
@@ -106,12 +105,11 @@
   void Finish();
   void Abort();
 
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void Read();
   void OnRead(boost::system::error_code ec, size_t n);
   void ParseBuffered();
+  // Limit on the bytes received and not yet parsed.
+  size_t MaxBufferedBytes() const;
   // Returns true for a head of so many fields that its request would be refused
   // for the memory that it takes.
   bool HasTooManyFields() const;
@@ -159,7 +157,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer read_timer_;
   ReadBuffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<MessageParser<true>> parser_;
   std::shared_ptr<RelayExchange> exchange_;
   std::deque<std::string> pending_writes_;
   std::function<void()> on_all_sent_;
--- a/src/relay/caller_memory.h
+++ b/src/relay/caller_memory.h
@@ -12,12 +12,11 @@
 
 namespace endiveyard {
 
-// Memory of one header field that was parsed: a node of the parser, besides its
-// text.
-inline constexpr size_t kParsedFieldBytes = 96;
 // Memory of one header field in a HeaderList, besides texts that are too long
 // to be stored in the string itself.
 inline constexpr size_t kHeaderFieldBytes = 64;
+// The same while fields are being parsed, as the list grows by doubling.
+inline constexpr size_t kParsedFieldBytes = 2 * kHeaderFieldBytes;
 // Memory of a connection of a caller: its object, area for reads and socket.
 inline constexpr size_t kConnectionBytes = 12 * 1024;
 // Memory of a request in progress: the exchange, its call, and the buffer of
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -1,7 +1,6 @@
 #include "endiveyard/relay/target_call.h"
 
 #include <algorithm>
-#include <array>
 #include <deque>
 #include <limits>
 #include <map>
@@ -13,12 +12,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "endiveyard/base/digest.h"
 #include "relay/header_rules.h"
+#include "relay/message_parser.h"
 #include "relay/socket_options.h"
 
 namespace endiveyard {
@@ -38,6 +36,7 @@
 constexpr uint64_t kMaxSkippedBytes = 1048576;
 // Statuses that HTTP defines classes for.
 constexpr int kMinStatus = 100;
+constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
 // Limit on the interim responses (status 1xx) to one request.
 constexpr int kMaxInterimResponses = 8;
@@ -370,6 +369,7 @@
     if (!parser_) {
       parser_.emplace();
       parser_->header_limit(kMaxResponseHeaderBytes);
+      parser_->trailer_limit(kMaxUnparsedBytes);
       // Boost 1.74 compares an unset limit as smaller than any size, which
       // would reject every body.
       parser_->body_limit(std::numeric_limits<uint64_t>::max());
@@ -383,7 +383,7 @@
     if (ec == http::error::need_more) {
       return false;
     }
-    if (ec && ec != http::error::need_buffer) {
+    if (ec) {
       End(TransportStatus::kInvalidResponse, ec.message());
       return true;
     }
@@ -394,14 +394,10 @@
   }
 
   bool HandleHead() {
-    const auto& message = parser_->get();
-    response_head_.status = static_cast<int>(message.result_int());
-    response_head_.reason = std::string(message.reason());
-    response_head_.headers.clear();
-    for (const auto& it : message) {
-      response_head_.headers.emplace_back(std::string(it.name_string()),
-                                          std::string(it.value()));
-    }
+    ParsedMessage& message = parser_->message();
+    response_head_.status = message.status;
+    response_head_.reason = std::move(message.reason);
+    response_head_.headers = std::move(message.headers);
     if (response_head_.status < kMinStatus ||
         response_head_.status > kMaxStatus) {
       // The parser takes any three digits.
@@ -414,7 +410,7 @@
           "status line within a line of the head");
       return true;
     }
-    if (message.result_int() >= 100 && message.result_int() < 200) {
+    if (response_head_.status < kMinFinalStatus) {
       if (++interim_responses_ > kMaxInterimResponses) {
         End(TransportStatus::kInvalidResponse, "too many interim responses");
         return true;
@@ -518,16 +514,14 @@
   // Parses the body from the buffered bytes. Returns false when the call has
   // ended.
   bool ParseBody() {
-    auto& body = parser_->get().body();
-    body.data = body_buffer_.data();
-    body.size = body_buffer_.size();
-    body.more = true;
     error_code ec;
     const size_t n = parser_->put(connection_->buffer.data(), ec);
     connection_->buffer.consume(n);
-    const size_t produced = body_buffer_.size() - body.size;
-    made_progress_ = n > 0 || produced > 0;
-    if (ec && ec != http::error::need_buffer && ec != http::error::need_more) {
+    body_buffer_.clear();
+    body_buffer_.swap(parser_->message().body);
+    const size_t produced = body_buffer_.size();
+    made_progress_ = n > 0;
+    if (ec && ec != http::error::need_more) {
       EndInBody(ec.message());
       return false;
     }
@@ -539,13 +533,13 @@
       return false;
     }
     if (produced > 0 && skipping_response_) {
-      skipped_body_.append(body_buffer_.data(), produced);
+      skipped_body_ += body_buffer_;
       if (HasOwnAnswer(skipped_body_, produced)) {
         EndInBody("response within the body of an earlier one");
       }
     } else if (produced > 0) {
       auto self = shared_from_this();
-      handlers_.on_body(std::string_view(body_buffer_.data(), produced));
+      handlers_.on_body(body_buffer_);
     }
     return !ended_;
   }
@@ -572,9 +566,9 @@
 
   void FinishResponse() {
     if (skipping_response_) {
-      const auto& message = parser_->get();
-      if (std::any_of(message.begin(), message.end(), [](const auto& it) {
-            return ContainsStatusLine(std::string(it.value()));
+      const HeaderList& trailers = parser_->message().trailers;
+      if (std::any_of(trailers.begin(), trailers.end(), [](const auto& it) {
+            return ContainsStatusLine(it.second);
           })) {
         EndInBody("response within the trailers of an earlier one");
         return;
@@ -655,10 +649,10 @@
   asio::steady_timer connect_timer_;
   asio::steady_timer timeout_timer_;
   std::unique_ptr<Connection> connection_;
-  std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::optional<MessageParser<false>> parser_;
   TargetResponseHead response_head_;
   std::string request_head_;
-  std::array<char, kReadBytes> body_buffer_{};
+  std::string body_buffer_;
   int skipped_responses_ = 0;
   int interim_responses_ = 0;
   uint64_t body_bytes_ = 0;   // of the current response
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -232,6 +232,10 @@
       {605, kError, "service_map_rejected",
        "A stored routing table cannot be read; the last one stays in force.",
        "Write a valid routing table."},
+      {606, kWarn, "header_limit_lowered",
+       "The routing table allows larger headers than instances take; those "
+       "above the limit that the line names are refused.",
+       "Lower limits.max_header_bytes to that limit."},
       {701, kWarn, "peer_rejected",
        "A peer failed authentication; its message had no effect.",
        "Check certificates; look for a stranger on the network."},
--- a/tests/placement/service_map_check_test.cc
+++ b/tests/placement/service_map_check_test.cc
@@ -105,11 +105,13 @@
   map.services[0].autoscaling->min_replicas = 31;
   map.services[0].autoscaling->failure_domain_prices["zone-b"] = -1;
   map.limits.header_timeout = std::chrono::seconds(20);
+  map.limits.max_header_bytes = kMaxHeaderLimit + 1;
   BOOST_TEST(HasError(map, "route r1", "target latency exceeds the timeout"));
   BOOST_TEST(HasError(map, "route r2", "allows no attempt"));
   BOOST_TEST(HasError(map, "service orders", "31 exceeds max_replicas 30"));
   BOOST_TEST(HasError(map, "service orders", "price in zone-b"));
   BOOST_TEST(HasWarning(map, "limits", "exceeds the idle timeout"));
+  BOOST_TEST(HasWarning(map, "limits", "above 64512 bytes are refused"));
 }
 
 // Guards against references and values that instances cannot follow.
