--- a/include/endiveyard/placement/crash_suspects.h
+++ b/include/endiveyard/placement/crash_suspects.h
@@ -4,7 +4,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -64,6 +63,18 @@
 // Makes what a report says `age` older.
 void AddAge(Duration age, CrashReport* report);
 
+// Evidence that was not kept, or not told to others, for lack of space.
+struct EvidenceLeftOut {
+  size_t calls = 0;          // lost calls that were not kept
+  size_t keys_of_calls = 0;  // their keys
+  size_t calls_untold = 0;   // lost calls left out of a report
+
+  bool operator==(const EvidenceLeftOut& other) const {
+    return calls == other.calls && keys_of_calls == other.keys_of_calls &&
+           calls_untold == other.calls_untold;
+  }
+};
+
 // How a request relates to the crashes of the last minutes.
 enum class CrashVerdict {
   kNone,
@@ -74,8 +85,15 @@
 // Limits on what is kept and on what a report may contain.
 inline constexpr size_t kMaxCrashes = 256;
 inline constexpr size_t kMaxLostCallsPerCrash = 64;
-// More than the shared parts of any prompt that is read (64 with the last one).
-inline constexpr size_t kMaxKeysPerLostCall = 64;
+// Limit on the keys of all lost calls together, which take half a megabyte and,
+// while they may have caused crashes, some twenty times that in indexes. A
+// prompt has as many keys as its head has room for: some 1,300 in 16 KB.
+inline constexpr size_t kMaxHeldKeys = 131072;
+// A lost call with more keys is told to others without those that answers had:
+// they are not what crashes replicas.
+inline constexpr size_t kFewKeys = 64;
+// Calls that only waited take no more than this part of the limit.
+inline constexpr size_t kMaxHeldKeysOfWaitingCalls = kMaxHeldKeys / 2;
 // Limits the keys of calls and the cleared keys each, so that a report fits
 // into a datagram.
 inline constexpr size_t kMaxKeysPerCrashReport = 256;
@@ -119,7 +137,8 @@
                    TimePoint begun_at,
                    TimePoint now);
   // Records that a request began its answer at `begun_at`, and that its replica
-  // went on with it.
+  // went on with it. Needed if there is evidence, or if the request has more
+  // than kFewKeys.
   void RecordAnswer(const SuspectKeys& keys, TimePoint begun_at, TimePoint now);
   // Records a response of the replica to any call, sent at `sent_at`.
   void RecordSignOfLife(uint64_t replica_key, TimePoint sent_at, TimePoint now);
@@ -137,6 +156,8 @@
   // Returns what an instance that knows nothing needs, latest crashes first,
   // with at most about `max_keys` keys.
   std::vector<CrashReport> Digest(size_t max_keys, TimePoint now);
+  // Returns what was left out since the last call; resets it.
+  EvidenceLeftOut TakeLeftOut() { return std::exchange(left_out_, {}); }
 
  private:
   struct Call {
@@ -151,8 +172,10 @@
     TimePoint in_doubt_until{};
     // Those that the replica was answering come first.
     std::vector<Call> calls;
-    std::set<SuspectKey> cleared;
+    SuspectKeys cleared;
     int reports_left = 0;
+    // First of the cleared keys in the next report, which take turns.
+    size_t next_cleared = 0;
     bool explained = false;      // by one of `explanations_`
     bool culprit_known = false;  // by one with kCulpritCrashes or more
 
@@ -171,14 +194,22 @@
   using CrashesByKey = std::unordered_map<SuspectKey, std::vector<Crash*>>;
 
   Crash* CrashOf(uint64_t replica_key, TimePoint at);
-  static bool AddCall(Crash* crash, Call call);
+  // Returns false if the crash has the call, or one that says as much, already,
+  // or if it is not kept.
+  bool AddCall(Crash* crash, Call call);
+  // Makes room for `call`, at the expense of calls that only waited and then of
+  // the oldest crashes that explain nothing, but for `crash`. Returns false if
+  // there is none.
+  bool MakeRoomFor(const Call& call, const Crash* crash);
+  size_t HeldKeys() const;
   void MarkChanged(Crash* crash);
   void RemoveExpired(TimePoint now);
   // Derives `crashes_by_key_` and `explanations_` from the evidence.
   void Update(TimePoint now);
   void Explain();
-  // Returns the keys that are not cleared.
-  static std::set<SuspectKey> KeysLeft(const Crash& crash);
+  // Returns one key of each set of keys that the same calls have, and that so
+  // cannot be told apart, if it is left in two crashes or more.
+  std::vector<SuspectKey> Candidates() const;
   // Separate crashes that the key may have caused, and crashes where a likely
   // call has it.
   using Rank = std::pair<int, int>;
@@ -187,15 +218,23 @@
   bool IsExplanation(const SuspectKeys& keys) const;
   // Returns true if the report lacks what clears its replica or its calls.
   static bool IsOutdated(const Crash& crash, const CrashReport& report);
-  CrashReport ReportOf(uint64_t replica_key,
-                       const Crash& crash,
-                       TimePoint now) const;
+  CrashReport ReportOf(uint64_t replica_key, Crash* crash, TimePoint now);
+  // Leaves out keys that an answer had, unless there are few keys.
+  SuspectKeys ToldKeys(const SuspectKeys& keys, TimePoint now) const;
   // Leaves out the calls that are less likely and have no key in another crash.
   void RemoveLoneWaitingCalls(const Crash& crash, CrashReport* report) const;
 
   std::map<uint64_t, Crash> crashes_;
   CrashesByKey crashes_by_key_;
   std::vector<Explanation> explanations_;
+  // When a request with a key last began its answer, for requests with many.
+  // Keys share places by their last bits, and the latest one counts.
+  struct AnsweredKey {
+    SuspectKey key = 0;
+    TimePoint at{};
+  };
+  std::vector<AnsweredKey> answered_;
+  EvidenceLeftOut left_out_;
   bool changed_ = false;
   TimePoint next_expiry_{};
   TimePoint next_doubt_end_ = TimePoint::max();
--- a/include/endiveyard/telemetry/log_event_numbers.h
+++ b/include/endiveyard/telemetry/log_event_numbers.h
@@ -64,6 +64,7 @@
 inline constexpr int kLogTargetLinksLost = 321;
 inline constexpr int kLogTargetLinksRegained = 322;
 inline constexpr int kLogLostCallChecked = 323;
+inline constexpr int kLogCrashEvidenceLeftOut = 324;
 inline constexpr int kLogCallLimitStarted = 330;
 inline constexpr int kLogCallLimitEnded = 331;
 inline constexpr int kLogCallLimitShrank = 332;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -64,6 +64,7 @@
 constexpr Duration kEntryRemovalMargin = std::chrono::milliseconds(1000);
 // Interval of the log lines that count datagrams which are no load report.
 constexpr Duration kRejectedDatagramsLogInterval = std::chrono::seconds(10);
+constexpr Duration kEvidenceLeftOutLogInterval = std::chrono::seconds(10);
 // Time between SIGTERM and closing the listener and idle connections. The
 // platform probes readiness every second and stops sending callers to an
 // instance after two failed probes.
@@ -979,6 +980,23 @@
     relay_.OnRoutingStateChanged();
   }
 
+  // Logs what the evidence about crashes had no room for.
+  void LogEvidenceLeftOut(TimePoint now) {
+    if (now - evidence_left_out_logged_at_ < kEvidenceLeftOutLogInterval) {
+      return;
+    }
+    const EvidenceLeftOut left_out = relay_.crash_suspects()->TakeLeftOut();
+    if (left_out == EvidenceLeftOut()) {
+      return;
+    }
+    evidence_left_out_logged_at_ = now;
+    JsonFields fields;
+    fields.Integer("calls", static_cast<int64_t>(left_out.calls))
+        .Integer("keys", static_cast<int64_t>(left_out.keys_of_calls))
+        .Integer("untold", static_cast<int64_t>(left_out.calls_untold));
+    log_.Log(kLogCrashEvidenceLeftOut, fields, now);
+  }
+
   void RunMaintenance() {
     const TimePoint now = BootClock::now();
     if (const auto read = standstill_check_.RecordTick(now)) {
@@ -1024,6 +1042,7 @@
     }
     LogFailedDutyCalls(now);
     LogRejectedDatagrams(now);
+    LogEvidenceLeftOut(now);
     LogCallLimits(now);
     metrics_.SetOpenExchanges(static_cast<double>(relay_.open_exchanges()));
     metrics_.SetCallerMemory(static_cast<double>(relay_.caller_bytes()));
@@ -1178,6 +1197,7 @@
   std::optional<TimePoint> drain_start_;
   uint64_t logged_rejected_datagrams_ = 0;
   TimePoint rejected_datagrams_logged_at_{};
+  TimePoint evidence_left_out_logged_at_{};
   size_t freed_caller_bytes_ = 0;
   TimePoint trimmed_at_{};
   bool routing_state_notification_pending_ = false;
--- a/src/placement/crash_suspects.cc
+++ b/src/placement/crash_suspects.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "endiveyard/base/digest.h"
@@ -28,6 +29,9 @@
 // instances do not return them to each other.
 constexpr Duration kExpiryMargin = std::chrono::seconds(10);
 
+// Places for keys that answers had: a quarter of a megabyte.
+constexpr size_t kAnsweredKeys = 16384;
+
 SuspectKey ToKey(uint64_t digest) {
   return static_cast<SuspectKey>(digest & 0xffffffffu);
 }
@@ -35,9 +39,6 @@
 void SortKeys(SuspectKeys* keys) {
   std::sort(keys->begin(), keys->end());
   keys->erase(std::unique(keys->begin(), keys->end()), keys->end());
-  if (keys->size() > kMaxKeysPerLostCall) {
-    keys->resize(kMaxKeysPerLostCall);
-  }
 }
 
 // Returns the number of keys in the report, counting at least one.
@@ -53,6 +54,25 @@
   return std::binary_search(keys.begin(), keys.end(), key);
 }
 
+// Returns false if `keys` has the key already.
+bool Insert(SuspectKeys* keys, SuspectKey key) {
+  const auto it = std::lower_bound(keys->begin(), keys->end(), key);
+  if (it != keys->end() && *it == key) {
+    return false;
+  }
+  keys->insert(it, key);
+  return true;
+}
+
+void RemoveKeys(const SuspectKeys& removed, SuspectKeys* keys) {
+  if (!removed.empty()) {
+    keys->erase(
+        std::remove_if(keys->begin(), keys->end(),
+                       [&](SuspectKey it) { return Contains(removed, it); }),
+        keys->end());
+  }
+}
+
 // Returns how many of `crashes`, in order of time, were not simultaneous with
 // the one before, unless `key` was sent again in between.
 template <typename Crash>
@@ -81,16 +101,10 @@
     SuspectKeys companions;
     for (const auto& it : crashes[n]->calls) {
       if (Contains(it.keys, key)) {
-        for (const SuspectKey companion : it.keys) {
-          if (crashes[n]->cleared.count(companion) == 0) {
-            companions.push_back(companion);
-          }
-        }
+        companions.insert(companions.end(), it.keys.begin(), it.keys.end());
       }
     }
-    std::sort(companions.begin(), companions.end());
-    companions.erase(std::unique(companions.begin(), companions.end()),
-                     companions.end());
+    SortKeys(&companions);
     if (n == 0) {
       signature = std::move(companions);
       continue;
@@ -124,10 +138,10 @@
       CombineDigests(Digest64(host, kRequestSeed), Digest64(path)),
       Digest64(body))));
   // The last part belongs to this request or its session only.
-  const size_t shared =
-      prompt == nullptr || prompt->parts.empty() ? 0 : prompt->parts.size() - 1;
-  for (size_t n = 0; n < std::min(shared, kMaxKeysPerLostCall - 1); ++n) {
-    const uint64_t id = prompt->parts[n].id;
+  const std::vector<uint64_t> shared =
+      prompt == nullptr ? std::vector<uint64_t>() : SharedPartIds(*prompt);
+  keys.reserve(1 + shared.size());
+  for (const uint64_t id : shared) {
     keys.push_back(ToKey(Digest64(
         std::string_view(reinterpret_cast<const char*>(&id), sizeof id),
         kPartSeed)));
@@ -172,6 +186,7 @@
   };
   // Reports leave out keys that are cleared. The key of the request itself
   // tells calls with the same parts apart.
+  RemoveKeys(crash->cleared, &call.keys);
   std::vector<Call>& calls = crash->calls;
   for (auto it = calls.begin(); it != calls.end(); ++it) {
     if (includes(*it, call)) {
@@ -182,16 +197,75 @@
       break;
     }
   }
+  if ((calls.size() >= kMaxLostCallsPerCrash &&
+       (!call.answering || calls.back().answering)) ||
+      !MakeRoomFor(call, crash)) {
+    ++left_out_.calls;
+    left_out_.keys_of_calls += call.keys.size();
+    return false;
+  }
   if (calls.size() >= kMaxLostCallsPerCrash) {
-    if (!call.answering || calls.back().answering) {
-      return false;
-    }
+    ++left_out_.calls;
+    left_out_.keys_of_calls += calls.back().keys.size();
     calls.pop_back();
   }
   calls.insert(call.answering ? calls.begin() : calls.end(), std::move(call));
   return true;
 }
 
+size_t CrashSuspects::HeldKeys() const {
+  size_t keys = 0;
+  for (const auto& [replica_key, crash] : crashes_) {
+    keys += crash.cleared.size();
+    for (const Call& it : crash.calls) {
+      keys += it.keys.size();
+    }
+  }
+  return keys;
+}
+
+bool CrashSuspects::MakeRoomFor(const Call& call, const Crash* crash) {
+  const size_t limit =
+      call.answering ? kMaxHeldKeys : kMaxHeldKeysOfWaitingCalls;
+  size_t held = HeldKeys();
+  if (held + call.keys.size() <= limit) {
+    return true;
+  }
+  if (!call.answering || call.keys.size() > limit) {
+    return false;
+  }
+  const auto drop = [&](Call* it) {
+    held -= it->keys.size();
+    ++left_out_.calls;
+    left_out_.keys_of_calls += it->keys.size();
+    it->keys.clear();
+  };
+  std::vector<Crash*> by_age;
+  for (auto& [replica_key, other] : crashes_) {
+    for (Call& it : other.calls) {
+      if (!it.answering && !it.keys.empty()) {
+        drop(&it);
+      }
+    }
+    if (!other.explained && &other != crash) {
+      by_age.push_back(&other);
+    }
+  }
+  std::sort(by_age.begin(), by_age.end(),
+            [](const Crash* a, const Crash* b) { return a->at < b->at; });
+  for (Crash* it : by_age) {
+    if (held + call.keys.size() <= limit) {
+      break;
+    }
+    std::for_each(it->calls.begin(), it->calls.end(),
+                  [&](Call& lost) { drop(&lost); });
+    held -= it->cleared.size();
+    it->cleared.clear();
+  }
+  changed_ = true;
+  return held + call.keys.size() <= limit;
+}
+
 void CrashSuspects::MarkChanged(Crash* crash) {
   crash->reports_left = kReportsPerFact;
   changed_ = true;
@@ -234,6 +308,15 @@
 void CrashSuspects::RecordAnswer(const SuspectKeys& keys,
                                  TimePoint begun_at,
                                  TimePoint now) {
+  if (keys.size() > kFewKeys) {
+    answered_.resize(kAnsweredKeys);
+    for (const SuspectKey it : keys) {
+      answered_[it % kAnsweredKeys] = {it, now};
+    }
+  }
+  if (crashes_.empty()) {
+    return;
+  }
   Update(now);
   for (const SuspectKey key : keys) {
     const auto it = crashes_by_key_.find(key);
@@ -241,7 +324,7 @@
       continue;
     }
     for (Crash* crash : it->second) {
-      if (crash->at < begun_at && crash->cleared.insert(key).second) {
+      if (crash->at < begun_at && Insert(&crash->cleared, key)) {
         MarkChanged(crash);
       }
     }
@@ -317,23 +400,46 @@
             [](const Crash* a, const Crash* b) { return a->at < b->at; });
   crashes_by_key_.clear();
   for (Crash* crash : by_time) {
-    for (const SuspectKey key : KeysLeft(*crash)) {
-      crashes_by_key_[key].push_back(crash);
+    for (Call& it : crash->calls) {
+      RemoveKeys(crash->cleared, &it.keys);
+      for (const SuspectKey key : it.keys) {
+        std::vector<Crash*>& crashes = crashes_by_key_[key];
+        if (crashes.empty() || crashes.back() != crash) {
+          crashes.push_back(crash);
+        }
+      }
     }
   }
   Explain();
 }
 
-std::set<SuspectKey> CrashSuspects::KeysLeft(const Crash& crash) {
-  std::set<SuspectKey> left;
-  for (const Call& it : crash.calls) {
-    for (const SuspectKey key : it.keys) {
-      if (crash.cleared.count(key) == 0) {
-        left.insert(key);
+std::vector<SuspectKey> CrashSuspects::Candidates() const {
+  std::unordered_map<SuspectKey, uint64_t> calls_of_key;  // digests
+  uint64_t number = 0;
+  for (const auto& [replica_key, crash] : crashes_) {
+    for (const Call& call : crash.calls) {
+      ++number;
+      for (const SuspectKey key : call.keys) {
+        const auto it = crashes_by_key_.find(key);
+        if (it != crashes_by_key_.end() &&
+            it->second.size() >= static_cast<size_t>(kSuspectCrashes)) {
+          uint64_t& digest = calls_of_key[key];
+          digest = CombineDigests(digest, number);
+        }
       }
     }
   }
-  return left;
+  std::unordered_map<uint64_t, SuspectKey> by_calls;
+  for (const auto& [key, digest] : calls_of_key) {
+    const auto [it, is_new] = by_calls.emplace(digest, key);
+    it->second = std::min(it->second, key);
+  }
+  std::vector<SuspectKey> candidates;
+  candidates.reserve(by_calls.size());
+  for (const auto& [digest, key] : by_calls) {
+    candidates.push_back(key);
+  }
+  return candidates;
 }
 
 CrashSuspects::Rank CrashSuspects::RankOf(SuspectKey key,
@@ -351,10 +457,8 @@
 void CrashSuspects::Explain() {
   explanations_.clear();
   std::map<SuspectKey, std::vector<Crash*>> unexplained;
-  for (const auto& [key, crashes] : crashes_by_key_) {
-    if (crashes.size() >= static_cast<size_t>(kSuspectCrashes)) {
-      unexplained.emplace(key, crashes);
-    }
+  for (const SuspectKey it : Candidates()) {
+    unexplained.emplace(it, crashes_by_key_.at(it));
   }
   // The keys that explain the most crashes come first. Crashes that they
   // explain do not count against other keys.
@@ -422,7 +526,7 @@
   }
   for (const SuspectKey key : report.cleared) {
     if (crash->cleared.size() < kMaxClearedKeysPerCrash) {
-      changed |= crash->cleared.insert(key).second;
+      changed |= Insert(&crash->cleared, key);
     }
   }
   if (report.alive && !crash->alive) {
@@ -448,44 +552,65 @@
                      [&](const LostCall& call) {
                        return std::any_of(call.keys.begin(), call.keys.end(),
                                           [&](SuspectKey key) {
-                                            return crash.cleared.count(key) > 0;
+                                            return Contains(crash.cleared, key);
                                           });
                      });
 }
 
-CrashReport CrashSuspects::ReportOf(uint64_t replica_key,
-                                    const Crash& crash,
+SuspectKeys CrashSuspects::ToldKeys(const SuspectKeys& keys,
                                     TimePoint now) const {
+  SuspectKeys told = keys;
+  if (keys.size() > kFewKeys && !answered_.empty()) {
+    told.erase(std::remove_if(
+                   told.begin(), told.end(),
+                   [&](SuspectKey it) {
+                     const AnsweredKey& slot = answered_[it % kAnsweredKeys];
+                     return slot.key == it && now - slot.at < kCrashLifetime;
+                   }),
+               told.end());
+  }
+  return told;
+}
+
+CrashReport CrashSuspects::ReportOf(uint64_t replica_key,
+                                    Crash* crash,
+                                    TimePoint now) {
   CrashReport report;
   report.replica_key = replica_key;
-  report.age = std::chrono::duration_cast<Duration>(now - crash.at);
-  report.alive = crash.alive;
-  if (crash.alive) {
+  report.age = std::chrono::duration_cast<Duration>(now - crash->at);
+  report.alive = crash->alive;
+  if (crash->alive) {
     return report;
   }
   size_t keys = 0;
-  for (const Call& it : crash.calls) {
-    if (crash.culprit_known && !crash.IsLikely(it) && !IsExplanation(it.keys)) {
+  for (const Call& it : crash->calls) {
+    if (crash->culprit_known && !crash->IsLikely(it) &&
+        !IsExplanation(it.keys)) {
       continue;
     }
-    LostCall call{{},
+    SuspectKeys left = it.keys;
+    RemoveKeys(crash->cleared, &left);
+    LostCall call{ToldKeys(left, now),
                   std::chrono::duration_cast<Duration>(now - it.sent_at),
                   it.answering};
-    std::copy_if(it.keys.begin(), it.keys.end(), std::back_inserter(call.keys),
-                 [&](SuspectKey key) { return crash.cleared.count(key) == 0; });
-    keys += call.keys.size();
-    if (keys > kMaxKeysPerCrashReport) {
-      break;
+    // A part of its keys would hold requests responsible that lack the others.
+    if (keys + call.keys.size() > kMaxKeysPerCrashReport) {
+      ++left_out_.calls_untold;
+      continue;
     }
+    keys += call.keys.size();
     if (!call.keys.empty()) {
       report.calls.push_back(std::move(call));
     }
   }
-  for (const SuspectKey key : crash.cleared) {
-    if (report.cleared.size() >= kMaxKeysPerCrashReport) {
-      break;
-    }
-    report.cleared.push_back(key);
+  const size_t cleared = crash->cleared.size();
+  for (size_t n = 0; n < std::min(cleared, kMaxKeysPerCrashReport); ++n) {
+    report.cleared.push_back(
+        crash->cleared[(crash->next_cleared + n) % cleared]);
+  }
+  if (cleared > kMaxKeysPerCrashReport) {
+    crash->next_cleared =
+        (crash->next_cleared + kMaxKeysPerCrashReport) % cleared;
   }
   return report;
 }
@@ -501,7 +626,7 @@
       continue;
     }
     --crash.reports_left;
-    news.push_back(ReportOf(replica_key, crash, now));
+    news.push_back(ReportOf(replica_key, &crash, now));
     keys += KeysOf(news.back());
   }
   return news;
@@ -523,7 +648,7 @@
     if (keys >= max_keys) {
       break;
     }
-    CrashReport report = ReportOf(replica_key, crashes_.at(replica_key), now);
+    CrashReport report = ReportOf(replica_key, &crashes_.at(replica_key), now);
     if (report.age >= kRecentCrash) {
       report.cleared.clear();
       report.calls.erase(
--- a/src/relay/relay_crash_evidence.cc
+++ b/src/relay/relay_crash_evidence.cc
@@ -1,3 +1,5 @@
+#include <limits>
+
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "relay/header_rules.h"
 #include "relay/relay_exchange.h"
@@ -90,7 +92,10 @@
     return;
   }
   answer_survived_ = true;
-  if (!context_->crash_suspects.empty()) {
+  const bool has_many_parts =
+      request_metadata_.prompt &&
+      request_metadata_.prompt->parts.size() >= kMaxPlacedParts;
+  if (!context_->crash_suspects.empty() || has_many_parts) {
     context_->crash_suspects.RecordAnswer(suspect_keys(), begun, now);
   }
 }
@@ -153,7 +158,12 @@
   if (!logged_at || now - *logged_at >= kRefusalsLogInterval) {
     logged_at = now;
     JsonFields event_fields;
-    event_fields.Text("route", route_->name).Text("parts", parts);
+    // The part that crashes replicas may be any of them.
+    event_fields.Text("route", route_->name)
+        .Text("parts", request_metadata_.prompt
+                           ? SharedPartsText(*request_metadata_.prompt,
+                                             std::numeric_limits<size_t>::max())
+                           : "");
     context_->log.Log(kLogCrashingRequestsRefused, event_fields, now);
   }
   JsonFields fields;
--- a/src/telemetry/log_event_catalogue.cc
+++ b/src/telemetry/log_event_catalogue.cc
@@ -125,6 +125,12 @@
        "A replica has closed the connection of a call, and was asked whether "
        "it lives.",
        "ended: it has crashed. alive: it cut off its answer; look at it."},
+      {324, kWarn, "crash_evidence_left_out",
+       "Calls that replicas lost when they crashed were not kept, or not told "
+       "to other instances, for lack of space; the line says how many. At most "
+       "one line in 10 s.",
+       "Look for prompts of very many parts; requests that crash replicas may "
+       "be found later."},
       {330, kInfo, "call_limit_started",
        "A replica that is new or has recovered takes a limited number of calls "
        "from all instances; the line names why.",
--- a/tests/placement/crash_spread_test.cc
+++ b/tests/placement/crash_spread_test.cc
@@ -53,6 +53,11 @@
     return result_;
   }
 
+  // All prompts have so many further parts in common.
+  void set_common_parts(uint32_t count) { common_parts_ = count; }
+  // Replicas begin to answer requests after this time at most. Those that wait
+  // are lost with the replica.
+  void set_max_wait_ms(int64_t ms) { max_wait_ms_ = ms; }
   // All instances end and start again at these times.
   void set_restarts(std::vector<int64_t> restarts_ms) {
     restarts_ms_ = std::move(restarts_ms);
@@ -111,6 +116,10 @@
     call.keys.push_back(kFirstDocument +
                         (call.deadly ? random_() % 3 : random_() % 30));
     call.keys.push_back(kFirstRequest + requests_++);
+    constexpr SuspectKey kFirstCommonPart = 1U << 24;
+    for (uint32_t n = 0; n < common_parts_; ++n) {
+      call.keys.push_back(kFirstCommonPart + n);
+    }
     result_.sound_requests += call.deadly ? 0 : 1;
     if (suspects_[call.instance].Judge(call.keys, Now()) ==
         CrashVerdict::kCulprit) {
@@ -126,7 +135,9 @@
       ++result_.late_requests;
     }
     call.sent_ms = now_ms_;
-    call.begins_ms = now_ms_ + 50 + static_cast<int64_t>(random_() % 800);
+    call.begins_ms =
+        now_ms_ + 50 +
+        static_cast<int64_t>(random_() % static_cast<uint64_t>(max_wait_ms_));
     replica.calls.push_back(call);
   }
 
@@ -255,6 +266,8 @@
   uint32_t requests_ = 0;
   int64_t now_ms_ = 0;
   int64_t fifth_crash_ms_ = 0;
+  uint32_t common_parts_ = 0;
+  int64_t max_wait_ms_ = 800;
   std::vector<int64_t> restarts_ms_;
   int64_t restarted_ms_ = 0;
   Result result_;
@@ -283,6 +296,27 @@
   BOOST_TEST(result.sound_refused <= result.sound_requests / 20);
 }
 
+// Guards against a part that is overlooked among many others (review/14), with
+// up to as many as a head of 16 KB has, while few and while many calls wait.
+BOOST_AUTO_TEST_CASE(FleetFindsTheCrashingPartOfLongPrompts) {
+  for (const uint32_t parts : {70U, 400U, 1300U}) {
+    for (const int64_t max_wait_ms : {800, 4000}) {
+      for (const uint32_t instances : {8U, 370U}) {
+        CrashingFleet fleet(instances, instances > 8 ? 4 : 1, parts);
+        fleet.set_common_parts(parts);
+        fleet.set_max_wait_ms(max_wait_ms);
+        const Result result = fleet.Run(15000, 0.05);
+        BOOST_TEST_CONTEXT("instances " << instances << " parts " << parts
+                                        << " wait " << max_wait_ms) {
+          BOOST_TEST(result.crashes >= 3);
+          BOOST_TEST(result.late_requests <= kMaxLateRequests);
+          BOOST_TEST(result.sound_refused <= result.sound_requests / 20);
+        }
+      }
+    }
+  }
+}
+
 // Guards against parts of a fleet that do not hear each other and each have to
 // lose replicas before they refuse requests that crash them.
 BOOST_AUTO_TEST_CASE(PartsThatDoNotHearEachOtherStopSendingRequestsThatCrash) {
--- a/tests/placement/crash_suspects_test.cc
+++ b/tests/placement/crash_suspects_test.cc
@@ -1,6 +1,8 @@
 #include "endiveyard/placement/crash_suspects.h"
 
 #include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <string>
@@ -215,14 +217,16 @@
 
 // Guards against a part that crashes replicas and is overlooked because many
 // others come before it, as in a long conversation.
-BOOST_AUTO_TEST_CASE(PartBehindManyOthersIsHeldResponsible) {
-  const auto keys_of = [](uint64_t document, uint64_t request) {
+BOOST_DATA_TEST_CASE(PartBehindManyOthersIsHeldResponsible,
+                     boost::unit_test::data::make({60, 64, 70, 1300}),
+                     parts_before) {
+  const auto keys_of = [&](uint64_t document, uint64_t request) {
     PromptShape prompt;
-    for (uint64_t part = 0; part < 60; ++part) {
-      prompt.parts.push_back({1000 + part, 50});
+    for (int part = 0; part < parts_before; ++part) {
+      prompt.further_part_ids.push_back(1000 + static_cast<uint64_t>(part));
     }
-    prompt.parts.push_back({document, 50});
-    prompt.parts.push_back({request, 50});
+    prompt.further_part_ids.push_back(document);
+    prompt.further_part_ids.push_back(request);
     return SuspectKeysOf(&prompt, "h", "/x", std::to_string(request));
   };
   constexpr uint64_t kDeadlyDocument = 1;
@@ -242,6 +246,41 @@
   }
 }
 
+// Guards against evidence without a bound on its memory: calls that only waited
+// give way to those that were being answered, and what is left out is counted.
+BOOST_AUTO_TEST_CASE(EvidenceOfLongPromptsIsBounded) {
+  const auto keys_of = [](uint32_t call) {
+    SuspectKeys keys;
+    for (uint32_t n = 0; n < 1300; ++n) {
+      keys.push_back(call * 1300 + n);
+    }
+    return keys;
+  };
+  CrashSuspects suspects;
+  constexpr uint32_t kCalls = 200;
+  for (uint32_t call = 0; call < kCalls; ++call) {
+    for (const uint64_t replica : {1, 2}) {
+      suspects.RecordLostCall(replica + call % 8 * 2, keys_of(call), At(1),
+                              false, At(2000 * static_cast<int64_t>(replica)));
+    }
+  }
+  EvidenceLeftOut left_out = suspects.TakeLeftOut();
+  BOOST_TEST(left_out.calls > 0u);
+  BOOST_TEST(2 * kCalls * 1300 - left_out.keys_of_calls <=
+             kMaxHeldKeysOfWaitingCalls);
+  BOOST_TEST((suspects.TakeLeftOut() == EvidenceLeftOut()));
+  for (uint32_t call = kCalls; call < kCalls + 20; ++call) {
+    for (const uint64_t replica : {101, 102, 103}) {
+      suspects.RecordLostCall(replica, keys_of(call), At(9000), true,
+                              At(static_cast<int64_t>(replica) * 100));
+    }
+  }
+  BOOST_TEST(suspects.TakeLeftOut().calls > 0u);
+  BOOST_TEST(IsCulprit(&suspects, keys_of(kCalls), 11000));
+  BOOST_TEST(IsCulprit(&suspects, keys_of(kCalls + 19), 11000));
+  BOOST_TEST(!IsCulprit(&suspects, keys_of(0), 11000));
+}
+
 // Guards against reports whose order, repetition or delay matters, and against
 // evidence that returns although it was cleared.
 BOOST_AUTO_TEST_CASE(ReportsMergeInAnyOrder) {
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -45,6 +45,23 @@
   BOOST_TEST(!empty.time_left);
 }
 
+// Guards against parts that are ignored behind many others (review/14).
+BOOST_AUTO_TEST_CASE(AllPartsOfAPromptAreDecoded) {
+  constexpr size_t kParts = 1300;
+  std::string text;
+  for (size_t n = 1; n <= kParts; ++n) {
+    text += (n > 1 ? "," : "") + std::to_string(n) + ":20";
+  }
+  const RequestMetadata metadata = PlatformWireProtocol().DecodeRequest(
+      {{"Endiveyard-Token-Count", "26000,80"},
+       {"Endiveyard-Prompt-Prefix", text}});
+  BOOST_REQUIRE(metadata.prompt);
+  BOOST_TEST(metadata.prompt->parts.size() == kMaxPlacedParts);
+  const std::vector<uint64_t> shared = SharedPartIds(*metadata.prompt);
+  BOOST_REQUIRE_EQUAL(shared.size(), kParts - 1);
+  BOOST_TEST(shared.back() == 0x1299u);
+}
+
 // Guards against a stream that is taken up as the continuation of another one:
 // headers that name several are as good as none.
 BOOST_AUTO_TEST_CASE(ResumedRequestIsDecoded) {
