Apply removals of replicas in time after a silence of the store (DRAIN)

Cause: a watch that is sent while the store is silent hangs until its timeout, 5.7 s, which is longer than stable_ms excuses a machine; and each failed call counted as an outage of the store, after which removed entries stay in use for two seconds.

The reads that confirm the configuration include the replicas now, in the same turn and shared by the same groups of instances, which tell each other up to which change they know them. ServiceMapConfirmation, which decides when, is RegistryConfirmation and used for both. A failure is an outage only if the registry has answered nobody for two heartbeats, the shortest time in which an entry lapses.

--- a/include/endiveyard/load_exchange/peer_load_report.h
+++ b/include/endiveyard/load_exchange/peer_load_report.h
@@ -83,6 +83,13 @@
   // Time since the registry confirmed to the sender that it is the latest one,
   // in whole ms; nullopt if it did not lately.
   std::optional<Duration> map_age;
+  // Highest revision of a replica that the sender has read, 0 if not told, and
+  // the era of the registry.
+  int64_t replica_change = 0;
+  int64_t replica_era = 0;
+  // Time since the registry confirmed to the sender that it knows all replicas,
+  // in whole ms; nullopt if it did not lately.
+  std::optional<Duration> replica_age;
   int64_t unix_ms = 0;  // time of day at the sender; 0 if not told
   DutyHolderReport duty_holder;
   std::vector<WindowUsage> usage;   // at the sender, for the duty holder
--- a/include/endiveyard/placement/replica_view.h
+++ b/include/endiveyard/placement/replica_view.h
@@ -57,6 +57,10 @@
 // three heartbeats of 1.2 s, the platform's default, and a margin.
 inline constexpr Duration kDefaultEntryLifetime =
     std::chrono::milliseconds(4600);
+// Shortest time that a registry is away when entries lapse: the last of three
+// heartbeats may have been written just before.
+inline constexpr Duration kDefaultShortestLapse =
+    std::chrono::milliseconds(2400);
 
 // Limit on the removed replicas that are remembered. Beyond it, the one that
 // was removed first is forgotten.
@@ -80,14 +84,22 @@
   // recovered recently and the replica is not draining, after the grace period.
   void Remove(const std::string& id, TimePoint now);
 
-  // Record that a registry call failed or succeeded.
+  // Record that a registry call failed or succeeded. A failure after which the
+  // registry is found to have answered all the while but for less than the
+  // shortest lapse, such as that of a single watch, is no outage: no entry has
+  // lapsed.
   void RecordRegistryFailure();
   void RecordRegistrySuccess(TimePoint now);
+  // Records that the registry has answered another instance. Has no effect
+  // while own calls fail.
+  void RecordRegistryAnswer(TimePoint at);
 
   // Removes the entries whose grace period has ended. Returns their ids.
   std::vector<std::string> Expire(TimePoint now);
 
   void set_entry_lifetime(Duration lifetime) { entry_lifetime_ = lifetime; }
+  // Sets the time that the registry has to be away for entries to lapse.
+  void set_shortest_lapse(Duration time) { shortest_lapse_ = time; }
 
   // Returns the replica if it is registered, draining or not.
   const Replica* Find(std::string_view id) const;
@@ -128,9 +140,11 @@
   Entries replicas_;
   std::map<std::string, Removed, std::less<>> removed_;
   Duration entry_lifetime_ = kDefaultEntryLifetime;
+  Duration shortest_lapse_ = kDefaultShortestLapse;
   int64_t era_ = 0;
   std::optional<TimePoint> restored_at_;
   bool registry_unavailable_ = false;
+  std::optional<TimePoint> registry_answered_at_;
   std::optional<TimePoint> registry_recovered_at_;
 };
 
--- a/include/endiveyard/registry/registry_mirror.h
+++ b/include/endiveyard/registry/registry_mirror.h
@@ -45,8 +45,8 @@
 // Returns the timing with the fewest calls that applies changes within
 // `max_staleness`, for changes that are made once the registry has been sound
 // for `stable_time`: a watch whose answer was lost in an outage ends, and the
-// list after it, within the sum of both. Changes that are made before then, and
-// have to be applied, need MakeRefreshedMirrorTiming().
+// list after it, within the sum of both. Changes that are made before then are
+// applied in time only if the owner also calls Refresh().
 MirrorTiming MakeMirrorTiming(Duration stable_time, Duration max_staleness);
 // Returns the timing of a mirror whose owner refreshes it within
 // `max_staleness`: a lost watch delays nothing then, and may be as long as the
@@ -111,6 +111,20 @@
   std::function<void(Duration delay, std::function<void()> action)> schedule;
 };
 
+// What a mirror knows of the registry.
+struct MirrorPosition {
+  int64_t era = 0;
+  // Revision up to which all changes are known; 0 while a list is read.
+  int64_t revision = 0;
+  // Highest revision of an object that was read since the last list began.
+  int64_t last_change = 0;
+
+  bool operator==(const MirrorPosition& other) const {
+    return era == other.era && revision == other.revision &&
+           last_change == other.last_change;
+  }
+};
+
 // Keeps its owner up to date on all objects of one kind, until it is destroyed.
 // A list and the changes after it are of one era. `era` is shared by the
 // mirrors of one registry, and a restore that one of them learns of makes all
@@ -137,6 +151,8 @@
   // Callers that come together share a call to the registry.
   void Refresh(std::function<void(const absl::Status&)> done);
 
+  MirrorPosition position() const;
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -21,7 +21,7 @@
 #include "endiveyard/duties/duty_holder.h"
 #include "endiveyard/duties/duty_holder_view.h"
 #include "endiveyard/load_exchange/load_exchange.h"
-#include "endiveyard/placement/service_map_confirmation.h"
+#include "endiveyard/placement/registry_confirmation.h"
 #include "endiveyard/placement/service_map_currency.h"
 #include "endiveyard/placement/service_map_selector.h"
 #include "endiveyard/registry/registry_era.h"
@@ -230,11 +230,21 @@
       if (service_maps_.is_registry_current()) {
         report->map_age = service_map_confirmation_.OwnAge(now);
       }
+      if (replica_mirror_ && replica_mirror_->position().revision != 0) {
+        report->replica_change = replica_mirror_->position().last_change;
+        report->replica_era = replica_mirror_->position().era;
+        report->replica_age = replica_confirmation_.OwnAge(now);
+      }
     };
     hooks.apply = [this](const PeerLoadReport& report, TimePoint now) {
       service_map_currency_.RecordPeer(report.sender, report.map_version, now);
+      const int64_t own_version = ServiceMapVersion();
       service_map_confirmation_.RecordPeer(
-          ServiceMapVersion(), report.map_version, report.map_age, now);
+          report.map_version > own_version    ? PeerKnowledge::kNewer
+          : report.map_version == own_version ? PeerKnowledge::kSame
+                                              : PeerKnowledge::kOlder,
+          report.map_age, now);
+      RecordReplicasOfPeer(report, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
     if (settings_.duties && settings_.duties->reports_usage &&
@@ -256,6 +266,8 @@
     routing_state_.replicas.set_entry_lifetime(
         kHeartbeatsPerEntry * settings_.heartbeat_interval +
         kEntryRemovalMargin);
+    routing_state_.replicas.set_shortest_lapse((kHeartbeatsPerEntry - 1) *
+                                               settings_.heartbeat_interval);
   }
 
   absl::Status Run() {
@@ -413,39 +425,69 @@
            relay_.stream_versions()->MustConfirmView(now);
   }
 
-  void ConfirmReplicaView(TimePoint now) {
-    const bool is_due = now - replicas_confirmed_at_ >
-                        settings_.max_staleness / kConfirmationDivisor;
-    if (is_confirming_replicas_ || registry_lost_ || !is_due ||
-        !relay_.stream_versions()->MustConfirmView(now)) {
-      return;
-    }
-    is_confirming_replicas_ = true;
-    replica_mirror_->Refresh([this](const absl::Status& /*status*/) {
-      is_confirming_replicas_ = false;
-    });
+  // Streams of several software versions need a read of this instance itself.
+  bool MustReadReplicas(TimePoint now) {
+    return now - replicas_confirmed_at_ >
+               settings_.max_staleness / kConfirmationDivisor &&
+           relay_.stream_versions()->MustConfirmView(now);
   }
 
-  // Reads the configuration when neither this instance nor the others of its
-  // group did lately, and tells them what it has read.
-  void ConfirmServiceMap(TimePoint now) {
-    if (is_confirming_service_map_ || registry_lost_ ||
-        !routing_state_.service_map || standstill_check_.awaits_news()) {
+  // Reads the configuration and the replicas when neither this instance nor the
+  // others of its group did lately, and tells them what it has read. A watch
+  // whose answer was lost delays no change by more than that.
+  void ConfirmRegistry(TimePoint now) {
+    if (open_confirmations_ > 0 || registry_lost_) {
       return;
     }
     ReaderGroup group = MakeReaderGroup(load_exchange_.LiveInstances(),
                                         load_exchange_.own_address());
-    if (!service_map_confirmation_.IsReadDue(group.rank, now)) {
+    const bool is_due = routing_state_.service_map &&
+                        !standstill_check_.awaits_news() &&
+                        (service_map_confirmation_.IsReadDue(group.rank, now) ||
+                         replica_confirmation_.IsReadDue(group.rank, now));
+    std::vector<RegistryMirror*> reads;
+    if (is_due && service_map_confirmation_.IsReadUseful(now)) {
+      reads.push_back(configuration_mirror_.get());
+    }
+    if ((is_due && replica_confirmation_.IsReadUseful(now)) ||
+        MustReadReplicas(now)) {
+      reads.push_back(replica_mirror_.get());
+    }
+    open_confirmations_ = reads.size();
+    for (RegistryMirror* const it : reads) {
+      it->Refresh(
+          [this, is_due, others = group.others](const absl::Status& status) {
+            --open_confirmations_;
+            if (status.ok() && is_due && open_confirmations_ == 0) {
+              load_exchange_.SendHeader(others);
+            }
+          });
+    }
+  }
+
+  void RecordReplicasOfPeer(const PeerLoadReport& report, TimePoint now) {
+    if (!replica_mirror_) {
       return;
     }
-    is_confirming_service_map_ = true;
-    configuration_mirror_->Refresh(
-        [this, others = std::move(group.others)](const absl::Status& status) {
-          is_confirming_service_map_ = false;
-          if (status.ok()) {
-            load_exchange_.SendHeader(others);
-          }
-        });
+    const MirrorPosition own = replica_mirror_->position();
+    if (own.revision == 0 || report.replica_change == 0 ||
+        report.replica_era != own.era) {
+      return;
+    }
+    const bool is_newer = report.replica_change > own.revision;
+    replica_confirmation_.RecordPeer(
+        is_newer ? PeerKnowledge::kNewer : PeerKnowledge::kSame,
+        report.replica_age, now);
+    if (report.replica_age) {
+      routing_state_.replicas.RecordRegistryAnswer(now - *report.replica_age);
+    }
+  }
+
+  // What is known of the configuration and of the replicas may be out of date.
+  void ResetConfirmations() {
+    service_map_confirmation_.Reset();
+    replica_confirmation_.Reset();
+    routing_state_.service_map_current = false;
   }
 
   // A 404 is final for a caller, so the map has to be the latest one until this
@@ -477,8 +519,7 @@
 
   void ReadNews(uint64_t number) {
     if (standstill_check_.awaits_news()) {
-      service_map_confirmation_.Reset();
-      routing_state_.service_map_current = false;
+      ResetConfirmations();
     }
     struct Read {
       size_t open = 2;
@@ -522,8 +563,7 @@
     fields.Integer("era", era).Integer("before", before);
     log_.Log(kLogRegistryRestored, fields, BootClock::now());
     routing_state_.replicas.RecordRegistryFailure();
-    service_map_confirmation_.Reset();
-    routing_state_.service_map_current = false;
+    ResetConfirmations();
     version_recorder_->OnRegistryRestored();
   }
 
@@ -545,8 +585,20 @@
     };
     replicas.on_current = [this] {
       replicas_confirmed_at_ = BootClock::now();
+      if (!standstill_check_.awaits_news()) {
+        replica_confirmation_.RecordRead(replicas_confirmed_at_);
+      }
       UpdateViewState();
     };
+    replicas.on_silent_watch = [this] {
+      LogText(kLogRegistryWatchSilent, "kind", platform::kReplicaKind);
+    };
+    const auto record_replica_failure = replicas.on_failure;
+    replicas.on_failure = [this,
+                           record_replica_failure](const absl::Status& status) {
+      record_replica_failure(status);
+      replica_confirmation_.Reset();
+    };
     replica_mirror_ = std::make_unique<RegistryMirror>(
         &registry_client_, std::string(platform::kReplicaKind), seed,
         mirror_timing_, &registry_era_, std::move(replicas));
@@ -1005,7 +1057,7 @@
     if (!standstill_check_.awaits_news()) {
       routing_state_.news_applied_at = now;
     }
-    ConfirmReplicaView(now);
+    ConfirmRegistry(now);
     UpdateViewState();
     for (const std::string& id : routing_state_.replicas.Expire(now)) {
       JsonFields fields;
@@ -1014,7 +1066,6 @@
       log_.Log(kLogReplicaRemoved, fields, now);
       NotifyRoutingStateChanged();
     }
-    ConfirmServiceMap(now);
     UpdateServiceMapCurrent(now);
     UpdateServiceMapCurrency(now);
     if (usage_duty_) {
@@ -1161,10 +1212,12 @@
   RoutingState routing_state_;
   ServiceMapSelector service_maps_;
   ServiceMapCurrency service_map_currency_{settings_.max_staleness};
-  ServiceMapConfirmation service_map_confirmation_{
+  const ConfirmationTiming confirmation_timing_ =
       MakeConfirmationTiming(settings_.max_staleness,
                              kMaintenanceInterval,
-                             platform::kWatchResponseMargin)};
+                             platform::kWatchResponseMargin);
+  RegistryConfirmation service_map_confirmation_{confirmation_timing_};
+  RegistryConfirmation replica_confirmation_{confirmation_timing_};
   RegistryEra registry_era_;
   platform::HttpRegistryClient registry_client_;
   Relay relay_;
@@ -1191,9 +1244,9 @@
   size_t logged_sharing_count_ = 0;
   std::unique_ptr<RegistryMirror> replica_mirror_;
   std::unique_ptr<RegistryMirror> configuration_mirror_;
-  bool is_confirming_service_map_ = false;
   TimePoint replicas_confirmed_at_{};
-  bool is_confirming_replicas_ = false;
+  // Reads by which what is known is confirmed, see ConfirmRegistry().
+  size_t open_confirmations_ = 0;
   std::optional<TimePoint> drain_start_;
   uint64_t logged_rejected_datagrams_ = 0;
   TimePoint rejected_datagrams_logged_at_{};
--- a/src/load_exchange/peer_load_report.cc
+++ b/src/load_exchange/peer_load_report.cc
@@ -325,7 +325,8 @@
                     it.crashes, it.rate_limits, it.leaving_replicas, it.streams,
                     it.registry_lost, it.takes_requests, it.tells_streams,
                     it.map_version, it.map_age, it.unix_ms, it.duty_holder,
-                    it.usage, it.usage_acks, it.paces, it.takes_last_requests);
+                    it.usage, it.usage_acks, it.paces, it.takes_last_requests,
+                    it.replica_change, it.replica_era, it.replica_age);
   };
   return fields(*this) == fields(other);
 }
@@ -378,6 +379,10 @@
   root.setTakesLastRequests(report.takes_last_requests);
   root.setMapVersion(report.map_version);
   root.setMapAgeMs(report.map_age ? ToMillis(*report.map_age) + 1 : 0);
+  root.setReplicaChange(report.replica_change);
+  root.setReplicaEra(report.replica_era);
+  root.setReplicaAgeMs(report.replica_age ? ToMillis(*report.replica_age) + 1
+                                          : 0);
   root.setUnixMs(report.unix_ms);
   EncodeUsage(report, root);
   EncodePaces(report.paces, root);
@@ -454,6 +459,11 @@
     if (root.getMapAgeMs() != 0) {
       report.map_age = FromMillis(root.getMapAgeMs() - 1);
     }
+    report.replica_change = root.getReplicaChange();
+    report.replica_era = root.getReplicaEra();
+    if (root.getReplicaAgeMs() != 0) {
+      report.replica_age = FromMillis(root.getReplicaAgeMs() - 1);
+    }
     report.unix_ms = root.getUnixMs();
     DecodeUsage(root, &report);
     for (const auto it : root.getPaces()) {
--- a/src/placement/service_map_confirmation.cc
+++ b/src/placement/registry_confirmation.cc
@@ -1,4 +1,4 @@
-#include "endiveyard/placement/service_map_confirmation.h"
+#include "endiveyard/placement/registry_confirmation.h"
 
 #include <algorithm>
 
@@ -39,46 +39,45 @@
                max_staleness / kMinReadDivisor);
   timing.first_read = timing.last_read / 2;
   timing.second_read = timing.last_read * 3 / 4;
-  timing.newer_version_read = max_staleness / kNewerVersionDivisor;
+  timing.newer_change_read = max_staleness / kNewerVersionDivisor;
   return timing;
 }
 
-void ServiceMapConfirmation::RecordRead(TimePoint now) {
+void RegistryConfirmation::RecordRead(TimePoint now) {
   read_at_ = now;
   confirmed_at_ = now;
-  newer_version_since_.reset();
+  newer_since_.reset();
 }
 
-void ServiceMapConfirmation::RecordPeer(int64_t own_version,
-                                        int64_t version,
-                                        std::optional<Duration> age,
-                                        TimePoint now) {
-  if (version > own_version) {
-    newer_version_since_ = newer_version_since_.value_or(now);
-  } else if (version == own_version && age && *age <= timing_.max_staleness) {
+void RegistryConfirmation::RecordPeer(PeerKnowledge peer,
+                                      std::optional<Duration> age,
+                                      TimePoint now) {
+  if (peer == PeerKnowledge::kNewer) {
+    newer_since_ = newer_since_.value_or(now);
+  } else if (peer == PeerKnowledge::kSame && age &&
+             *age <= timing_.max_staleness) {
     confirmed_at_ = std::max(confirmed_at_.value_or(now - *age), now - *age);
   }
 }
 
-void ServiceMapConfirmation::Reset() {
+void RegistryConfirmation::Reset() {
   read_at_.reset();
   confirmed_at_.reset();
 }
 
-std::optional<Duration> ServiceMapConfirmation::OwnAge(TimePoint now) const {
+std::optional<Duration> RegistryConfirmation::OwnAge(TimePoint now) const {
   if (!read_at_ || now - *read_at_ >= timing_.max_staleness) {
     return std::nullopt;
   }
   return std::chrono::duration_cast<Duration>(now - *read_at_);
 }
 
-bool ServiceMapConfirmation::IsConfirmed(TimePoint now) const {
+bool RegistryConfirmation::IsConfirmed(TimePoint now) const {
   return confirmed_at_ && now - *confirmed_at_ < timing_.max_staleness;
 }
 
-bool ServiceMapConfirmation::IsReadDue(size_t rank, TimePoint now) const {
-  if (newer_version_since_ &&
-      now - *newer_version_since_ >= timing_.newer_version_read) {
+bool RegistryConfirmation::IsReadDue(size_t rank, TimePoint now) const {
+  if (newer_since_ && now - *newer_since_ >= timing_.newer_change_read) {
     return true;
   }
   const Duration delay = rank == 0   ? timing_.first_read
@@ -87,4 +86,8 @@
   return !confirmed_at_ || now - *confirmed_at_ >= delay;
 }
 
+bool RegistryConfirmation::IsReadUseful(TimePoint now) const {
+  return newer_since_ || !read_at_ || now - *read_at_ >= timing_.first_read / 2;
+}
+
 }  // namespace endiveyard
--- a/src/placement/replica_view.cc
+++ b/src/placement/replica_view.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace endiveyard {
 namespace {
@@ -124,10 +125,18 @@
 }
 
 void ReplicaView::RecordRegistrySuccess(TimePoint now) {
-  if (registry_unavailable_) {
-    registry_unavailable_ = false;
+  if (std::exchange(registry_unavailable_, false) &&
+      (!registry_answered_at_ ||
+       now - *registry_answered_at_ >= shortest_lapse_)) {
     registry_recovered_at_ = now;
   }
+  RecordRegistryAnswer(now);
+}
+
+void ReplicaView::RecordRegistryAnswer(TimePoint at) {
+  if (!registry_unavailable_) {
+    registry_answered_at_ = std::max(registry_answered_at_.value_or(at), at);
+  }
 }
 
 std::vector<std::string> ReplicaView::Expire(TimePoint now) {
@@ -145,8 +154,9 @@
     // The grace period starts at the recovery, not when the removal became
     // known, so that removals that are unrelated to the outage take effect in
     // time.
-    if (it->second.removal_pending && registry_recovered_at_ &&
-        now - *registry_recovered_at_ >= kExpiredEntryGracePeriod) {
+    if (it->second.removal_pending &&
+        (!registry_recovered_at_ ||
+         now - *registry_recovered_at_ >= kExpiredEntryGracePeriod)) {
       expired.push_back(it->first);
       it = Erase(it, now);
       continue;
--- a/src/registry/registry_mirror.cc
+++ b/src/registry/registry_mirror.cc
@@ -154,6 +154,10 @@
     Perform(policy_.FirstAction());
   }
 
+  MirrorPosition position() const {
+    return {era_, revision_.value_or(0), last_change_};
+  }
+
   void Refresh(RefreshDone done) {
     awaiting_refresh_.push_back(std::move(done));
     if (!refresh_pending_) {
@@ -183,6 +187,7 @@
       if (!action.continues_list) {
         list_ = RegistryList();
         era_ = 0;
+        last_change_ = 0;
       }
       ListPage();
     } else {
@@ -244,6 +249,7 @@
       list_.era = page.era;
     }
     for (RegistryObject& it : page.items) {
+      last_change_ = std::max(last_change_, it.revision);
       list_.items.push_back(std::move(it));
     }
     handlers_.on_success();
@@ -341,6 +347,7 @@
   void ApplyChanges(const RegistryChanges& changes) {
     handlers_.on_success();
     for (const RegistryObject& it : changes.objects) {
+      last_change_ = std::max(last_change_, it.revision);
       handlers_.on_change(it);
     }
     revision_ = changes.revision;
@@ -414,6 +421,7 @@
   int64_t era_ = 0;                  // of the list and the changes after it
   uint64_t step_ = 0;                // number of the present action
   std::optional<int64_t> revision_;  // of what is known; none while listing
+  int64_t last_change_ = 0;          // see MirrorPosition
   std::vector<RefreshDone> awaiting_refresh_;
   bool is_watching_ = false;
   // A refresh was sent less than kRefreshInterval ago.
@@ -448,4 +456,8 @@
   impl_->Refresh(std::move(done));
 }
 
+MirrorPosition RegistryMirror::position() const {
+  return impl_->position();
+}
+
 }  // namespace endiveyard
--- a/tests/load_exchange/peer_load_report_test.cc
+++ b/tests/load_exchange/peer_load_report_test.cc
@@ -210,6 +210,9 @@
   const size_t bytes_without = EncodePeerLoadReport(report).size();
   report.map_version = int64_t{1} << 40;
   report.map_age = Duration(0);
+  report.replica_change = int64_t{1} << 41;
+  report.replica_era = 3;
+  report.replica_age = std::chrono::milliseconds(700);
   report.unix_ms = 1796000000000;
   report.duty_holder = {7, uint64_t{5} << 32 | 2,
                         std::chrono::milliseconds(300)};
--- a/tests/placement/service_map_confirmation_test.cc
+++ b/tests/placement/registry_confirmation_test.cc
@@ -1,4 +1,4 @@
-#include "endiveyard/placement/service_map_confirmation.h"
+#include "endiveyard/placement/registry_confirmation.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -25,7 +25,7 @@
     const ConfirmationTiming timing = TimingOf(bound);
     BOOST_TEST((timing.last_read + kCheckInterval + kReadTime <= bound));
     BOOST_TEST(
-        (timing.newer_version_read + kCheckInterval + kReadTime <= bound));
+        (timing.newer_change_read + kCheckInterval + kReadTime <= bound));
     BOOST_TEST((timing.first_read > Duration(0)));
     BOOST_TEST((timing.first_read < timing.second_read));
     BOOST_TEST((timing.second_read < timing.last_read));
@@ -36,8 +36,8 @@
 // instance that relies on a reader which no longer reads.
 BOOST_AUTO_TEST_CASE(TheFirstReaderReadsForItsGroup) {
   const ConfirmationTiming timing = TimingOf(milliseconds(2500));
-  ServiceMapConfirmation reader(timing);
-  ServiceMapConfirmation other(timing);
+  RegistryConfirmation reader(timing);
+  RegistryConfirmation other(timing);
   TimePoint now{std::chrono::hours(1)};
   BOOST_TEST(reader.IsReadDue(0, now));
   reader.RecordRead(now);
@@ -48,7 +48,7 @@
     BOOST_TEST(!other.IsReadDue(1, now));
     BOOST_TEST(!other.IsReadDue(2, now));
     reader.RecordRead(now);
-    other.RecordPeer(7, 7, reader.OwnAge(now), now);
+    other.RecordPeer(PeerKnowledge::kSame, reader.OwnAge(now), now);
   }
   BOOST_TEST(other.IsConfirmed(now));
   // What another instance has told is not told again.
@@ -62,18 +62,18 @@
 // than the bound, or that another instance has confirmed in another version.
 BOOST_AUTO_TEST_CASE(ConfirmationsEnd) {
   const Duration bound = milliseconds(2500);
-  ServiceMapConfirmation confirmation(TimingOf(bound));
+  RegistryConfirmation confirmation(TimingOf(bound));
   TimePoint now{std::chrono::hours(1)};
   BOOST_TEST(!confirmation.IsConfirmed(now));
-  confirmation.RecordPeer(7, 6, milliseconds(0), now);
-  confirmation.RecordPeer(7, 7, std::nullopt, now);
-  confirmation.RecordPeer(7, 7, bound + milliseconds(1), now);
+  confirmation.RecordPeer(PeerKnowledge::kOlder, milliseconds(0), now);
+  confirmation.RecordPeer(PeerKnowledge::kSame, std::nullopt, now);
+  confirmation.RecordPeer(PeerKnowledge::kSame, bound + milliseconds(1), now);
   BOOST_TEST(!confirmation.IsConfirmed(now));
-  confirmation.RecordPeer(7, 7, milliseconds(500), now);
+  confirmation.RecordPeer(PeerKnowledge::kSame, milliseconds(500), now);
   BOOST_TEST(confirmation.IsConfirmed(now + milliseconds(1999)));
   BOOST_TEST(!confirmation.IsConfirmed(now + milliseconds(2000)));
   // An older confirmation does not replace a later one.
-  confirmation.RecordPeer(7, 7, milliseconds(900), now);
+  confirmation.RecordPeer(PeerKnowledge::kSame, milliseconds(900), now);
   BOOST_TEST(confirmation.IsConfirmed(now + milliseconds(1999)));
   confirmation.RecordRead(now);
   confirmation.Reset();
@@ -85,13 +85,13 @@
 // version. Usually its next watch returns that first.
 BOOST_AUTO_TEST_CASE(NewerVersionsOfOthersAreRead) {
   const ConfirmationTiming timing = TimingOf(milliseconds(2500));
-  ServiceMapConfirmation confirmation(timing);
+  RegistryConfirmation confirmation(timing);
   TimePoint now{std::chrono::hours(1)};
   confirmation.RecordRead(now);
-  confirmation.RecordPeer(7, 9, milliseconds(0), now);
+  confirmation.RecordPeer(PeerKnowledge::kNewer, milliseconds(0), now);
   BOOST_TEST(!confirmation.IsReadDue(2, now));
-  now += timing.newer_version_read;
-  confirmation.RecordPeer(7, 9, milliseconds(0), now);
+  now += timing.newer_change_read;
+  confirmation.RecordPeer(PeerKnowledge::kNewer, milliseconds(0), now);
   BOOST_TEST(confirmation.IsReadDue(2, now));
   confirmation.RecordRead(now);
   BOOST_TEST(!confirmation.IsReadDue(2, now));
--- a/tests/placement/replica_view_test.cc
+++ b/tests/placement/replica_view_test.cc
@@ -59,6 +59,37 @@
   BOOST_TEST(view.Usable("s").empty());
 }
 
+// Guards against replicas that stay in use after their removal since a single
+// watch was cut off, or has timed out (review/6, review/15): the registry has
+// answered meanwhile, this instance or another one.
+BOOST_AUTO_TEST_CASE(FailuresOfSingleCallsAreNoOutage) {
+  for (const bool answers_others : {false, true}) {
+    ReplicaView view;
+    view.Reset({MakeReplica("a"), MakeReplica("b"), MakeReplica("c")}, At(0));
+    view.RecordRegistrySuccess(At(0));
+    for (int64_t ms = 1500; ms <= 9000; ms += 1500) {
+      view.RecordRegistryFailure();
+      view.RecordRegistrySuccess(At(ms + 50));
+    }
+    view.Remove("a", At(9100));
+    BOOST_TEST(view.Usable("s").size() == 2u);
+    // A watch that has waited for longer than entries need to lapse.
+    if (answers_others) {
+      view.RecordRegistryAnswer(At(13000));
+    }
+    view.RecordRegistryFailure();
+    view.RecordRegistryAnswer(At(14000));
+    view.RecordRegistrySuccess(At(14700));
+    view.Remove("b", At(14700));
+    BOOST_TEST(view.Usable("s").size() == (answers_others ? 1u : 2u));
+    // The grace period of an outage ends, whatever fails after it.
+    view.RecordRegistryFailure();
+    view.RecordRegistrySuccess(At(16000));
+    view.Expire(At(16700));
+    BOOST_TEST(view.Usable("s").size() == 1u);
+  }
+}
+
 // Guards against removing entries while the registry is unavailable and they
 // cannot be listed again.
 BOOST_AUTO_TEST_CASE(NothingExpiresWhileRegistryIsUnavailable) {
