--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -344,6 +344,8 @@
   request.pipelined = std::exchange(pipelined_, false);
   request.method = std::move(message.method);
   request.headers = std::move(message.headers);
+  // The list has grown by doubling, and MemoryOf() counts its entries.
+  request.headers.shrink_to_fit();
   if (HasAmbiguousFraming(request.headers) ||
       HasMessageControl(message.trailers)) {
     RespondWithErrorAndClose(400, "doubtful_framing", request.headers);
