Platform test: a response that is ready before its request comes

Cause: the test built 32 MB of response, in three copies, after the target had got the request. A safe request is sent to another target after 450 ms without a byte (SafeRequestsDoNotWaitForSilentTargets). The other target of the fixture accepts nothing, so that the caller got nothing within the 10 s of a read.

The response is built before the request, and its first byte is sent at once, after which the request stays. The test also checks that the other target got no connection. The test of callers that stop reading builds its body before as well.

--- a/tests/platform/silent_peer_test.cc
+++ b/tests/platform/silent_peer_test.cc
@@ -101,25 +101,30 @@
       it.timeout = seconds(60);
     }
   });
+  // Before the request, which is sent to the other target if this one takes
+  // half a second for its first byte.
+  const std::string body = LargeBody();
+  const std::string response = SignedResponse("r1", body);
+  const size_t first_part = response.size() - body.size() + 1;
   TestConnection caller = Connect();
   caller.Send(
       "GET /safe/x HTTP/1.1\r\nHost: h\r\nEndiveyard-Request-Id: r1\r\n"
       "Connection: close\r\n\r\n");
   TestConnection target = first().Accept();
   target.ReadMessage();
-  const std::string body = LargeBody();
-  const auto sent = std::async(std::launch::async, [&] {
-    target.SendUntilClosed(SignedResponse("r1", body), body.size());
-  });
+  target.Send(response.substr(0, first_part));
+  const auto sent = std::async(
+      std::launch::async, [&] { target.TrySend(response.substr(first_part)); });
   // The first one covers the time until the buffers are full.
   for (int n = 0; n < 2; ++n) {
     WaitUntilGivenUp(
         Peer::kDoesNotRead,
         std::chrono::duration_cast<milliseconds>(kShortPeerTimeout));
   }
-  const std::string response = caller.ReadUntilClose();
-  BOOST_TEST(response.size() > body.size());
-  BOOST_TEST(Contains(response.substr(response.size() - 9), "x\r\n0\r\n\r\n"));
+  BOOST_TEST_REQUIRE(!second().HasConnectionWithin(0));
+  const std::string received = caller.ReadUntilClose();
+  BOOST_TEST(received.size() > body.size());
+  BOOST_TEST(Contains(received.substr(received.size() - 9), "x\r\n0\r\n\r\n"));
 }
 
 // Guards against callers that never read again and hold their connection and
@@ -132,11 +137,11 @@
       it.timeout = seconds(1);
     }
   });
+  const std::string body = LargeBody();
   TestConnection caller = Connect();
   caller.Send(RequestHead("GET", "/safe/x", "r1"));
   TestConnection target = first().Accept();
   target.ReadMessage();
-  const std::string body = LargeBody();
   // Returns when the relay closes the connection at the route's timeout.
   target.SendUntilClosed(SignedResponse("r1", body), body.size());
   // Until the test program's own time limit.
