--- a/include/endiveyard/placement/crash_suspects.h
+++ b/include/endiveyard/placement/crash_suspects.h
@@ -147,7 +147,8 @@
   bool empty() const { return crashes_.empty(); }
 
   // Applies the report of another instance. `relay` makes what is new part of
-  // the own reports.
+  // the own reports. What is beyond the limits on a report is left out, as its
+  // sender is faulty.
   void ApplyReport(const CrashReport& report, TimePoint now, bool relay);
   // Returns what was learned recently, each fact several times, since reports
   // may be lost; at most about `max_keys` keys.
--- a/src/placement/crash_suspects.cc
+++ b/src/placement/crash_suspects.cc
@@ -525,14 +525,23 @@
   const bool added = known == crashes_.end();
   Crash* crash = CrashOf(report.replica_key, at);
   bool changed = added;
+  size_t keys = 0;
   for (const LostCall& it : report.calls) {
+    if (it.keys.size() > kMaxKeysPerCrashReport - keys) {
+      ++left_out_.calls;
+      left_out_.keys_of_calls += it.keys.size();
+      continue;
+    }
+    keys += it.keys.size();
     Call call{it.keys, now - it.sent_age, it.answering};
     SortKeys(&call.keys);
     changed |= AddCall(crash, std::move(call));
   }
-  for (const SuspectKey key : report.cleared) {
+  const size_t cleared =
+      std::min(report.cleared.size(), kMaxKeysPerCrashReport);
+  for (size_t n = 0; n < cleared; ++n) {
     if (crash->cleared.size() < kMaxClearedKeysPerCrash) {
-      changed |= Insert(&crash->cleared, key);
+      changed |= Insert(&crash->cleared, report.cleared[n]);
       ++max_held_keys_;
     }
   }
