Tie the limit on headers to the buffer that has to hold them

kMaxHeaderLimit becomes kLargestMaxHeaderBytes, with its unit, and an assertion at build time keeps it, the room for the header of forwarded requests and the read-ahead of a connection together. No change in what the program does.

--- a/include/endiveyard/placement/service_map.h
+++ b/include/endiveyard/placement/service_map.h
@@ -83,12 +83,12 @@
 };
 
 // Largest limit on headers that takes effect: heads are buffered as a whole.
-inline constexpr uint32_t kMaxHeaderLimit = 64512;
+inline constexpr uint32_t kLargestMaxHeaderBytes = 64512;
 
 // Limits on the requests of callers.
 struct CallerLimits {
-  // Of the head of a request, and of its trailers. Above `kMaxHeaderLimit`,
-  // that holds in its place.
+  // Of the head of a request, and of its trailers. Above
+  // `kLargestMaxHeaderBytes`, that holds in its place.
   uint32_t max_header_bytes = 16384;
   uint64_t max_body_bytes = 4194304;
   Duration header_timeout = std::chrono::seconds(3);
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -1029,11 +1029,11 @@
         .Integer("revision", object.revision)
         .Integer("era", registry_era_.latest());
     log_.Log(kLogServiceMapApplied, fields, BootClock::now());
-    if (applied.limits.max_header_bytes > kMaxHeaderLimit) {
+    if (applied.limits.max_header_bytes > kLargestMaxHeaderBytes) {
       JsonFields limit;
       limit.Integer("version", applied.version)
           .Integer("max_header_bytes", applied.limits.max_header_bytes)
-          .Integer("limit", kMaxHeaderLimit);
+          .Integer("limit", kLargestMaxHeaderBytes);
       log_.Log(kLogHeaderLimitLowered, limit, BootClock::now());
     }
     metrics_.SetConfigurationVersion(static_cast<double>(applied.version));
--- a/src/placement/service_map_check.cc
+++ b/src/placement/service_map_check.cc
@@ -197,8 +197,8 @@
 void CheckLimits(const CallerLimits& limits, Findings* findings) {
   Entry entry("limits", findings);
   entry.Error(limits.max_header_bytes == 0, "allows no headers");
-  entry.Warning(limits.max_header_bytes > kMaxHeaderLimit,
-                absl::StrCat("headers above ", kMaxHeaderLimit,
+  entry.Warning(limits.max_header_bytes > kLargestMaxHeaderBytes,
+                absl::StrCat("headers above ", kLargestMaxHeaderBytes,
                              " bytes are refused all the same"));
   entry.Error(limits.header_timeout <= Duration(0),
               "the timeout for headers is not positive");
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "endiveyard/telemetry/log_event_numbers.h"
+#include "relay/forwarded_request.h"
 #include "relay/header_rules.h"
 #include "relay/relay_exchange.h"
 #include "relay/request_target.h"
@@ -25,6 +26,9 @@
 // progress, and while memory is scarce.
 constexpr size_t kMaxPipelinedBytes = 65536;
 constexpr size_t kMaxPipelinedBytesWhenScarce = 16384;
+static_assert(kLargestMaxHeaderBytes + kMaxForwardedHeaderBytes <=
+                  kMaxPipelinedBytes,
+              "a head, also of a forwarded request, fits into the buffer");
 
 // A pipelined request waits until the caller has read the responses before it,
 // except for this much.
@@ -63,7 +67,8 @@
   CallerLimits limits = context.routing_state.service_map
                             ? context.routing_state.service_map->limits
                             : CallerLimits();
-  limits.max_header_bytes = std::min(limits.max_header_bytes, kMaxHeaderLimit);
+  limits.max_header_bytes =
+      std::min(limits.max_header_bytes, kLargestMaxHeaderBytes);
   if (kind == CallerKind::kPeer) {
     limits.max_header_bytes += kMaxForwardedHeaderBytes;
     limits.idle_timeout = std::max(limits.idle_timeout, kPeerIdleTimeout);
--- a/tests/placement/service_map_check_test.cc
+++ b/tests/placement/service_map_check_test.cc
@@ -105,7 +105,7 @@
   map.services[0].autoscaling->min_replicas = 31;
   map.services[0].autoscaling->failure_domain_prices["zone-b"] = -1;
   map.limits.header_timeout = std::chrono::seconds(20);
-  map.limits.max_header_bytes = kMaxHeaderLimit + 1;
+  map.limits.max_header_bytes = kLargestMaxHeaderBytes + 1;
   BOOST_TEST(HasError(map, "route r1", "target latency exceeds the timeout"));
   BOOST_TEST(HasError(map, "route r2", "allows no attempt"));
   BOOST_TEST(HasError(map, "service orders", "31 exceeds max_replicas 30"));
--- a/tests/platform/long_fields_test.cc
+++ b/tests/platform/long_fields_test.cc
@@ -119,7 +119,8 @@
   TestConnection caller = Connect();
   caller.Send(RequestHead(
       "GET", "/safe/x", "r1",
-      LineOf({"X-Long", std::string(kMaxHeaderLimit - kRestOfHead, 'v')})));
+      LineOf(
+          {"X-Long", std::string(kLargestMaxHeaderBytes - kRestOfHead, 'v')})));
   TestConnection target = first().Accept();
   BOOST_TEST(Contains(target.ReadMessage(), "X-Long: vvv"));
   target.Send(SignedResponse("r1", "yes"));
