--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -32,6 +32,7 @@
 #include "endiveyard/telemetry/log_event_numbers.h"
 #include "endiveyard/telemetry/metrics.h"
 #include "front/instance_recorder.h"
+#include "front/peer_knowledge.h"
 #include "front/replica_scaler.h"
 #include "front/standstill_check.h"
 #include "front/stream_recorder.h"
@@ -238,12 +239,8 @@
     };
     hooks.apply = [this](const PeerLoadReport& report, TimePoint now) {
       service_map_currency_.RecordPeer(report.sender, report.map_version, now);
-      const int64_t own_version = ServiceMapVersion();
       service_map_confirmation_.RecordPeer(
-          report.map_version > own_version    ? PeerKnowledge::kNewer
-          : report.map_version == own_version ? PeerKnowledge::kSame
-                                              : PeerKnowledge::kOlder,
-          report.map_age, now);
+          CompareServiceMaps(ServiceMapVersion(), report), report.map_age, now);
       RecordReplicasOfPeer(report, now);
     };
     load_exchange_.AddHooks(std::move(hooks));
@@ -485,15 +482,11 @@
     if (!replica_mirror_) {
       return;
     }
-    const MirrorPosition own = replica_mirror_->position();
-    if (own.revision == 0 || report.replica_change == 0 ||
-        report.replica_era != own.era) {
+    const auto knowledge = CompareReplicas(replica_mirror_->position(), report);
+    if (!knowledge) {
       return;
     }
-    const bool is_newer = report.replica_change > own.revision;
-    replica_confirmation_.RecordPeer(
-        is_newer ? PeerKnowledge::kNewer : PeerKnowledge::kSame,
-        report.replica_age, now);
+    replica_confirmation_.RecordPeer(*knowledge, report.replica_age, now);
     if (report.replica_age) {
       routing_state_.replicas.RecordRegistryAnswer(now - *report.replica_age);
     }
--- a/tests/registry/registry_mirror_test.cc
+++ b/tests/registry/registry_mirror_test.cc
@@ -220,6 +220,36 @@
               Duration(std::chrono::milliseconds(50))));
 }
 
+// Guards against confirmations of other instances that are compared with a
+// position this mirror does not have: while it lists again, all that it knows
+// may be gone.
+BOOST_FIXTURE_TEST_CASE(PositionsTellWhatIsKnown, Fixture) {
+  const auto is_at = [this](const MirrorPosition& expected) {
+    return mirror->position() == expected;
+  };
+  BOOST_TEST(is_at({0, 0, 0}));
+  client.list_done(RegistryPage{{{"a", "{}", false, 4}}, 10, true, 1});
+  BOOST_TEST(is_at({1, 0, 4}));
+  client.list_done(RegistryPage{{{"b", "{}", false, 12}}, 13, false, 1});
+  // The next watch returns what changed between the pages.
+  BOOST_TEST(is_at({1, 10, 12}));
+  client.watch_done(RegistryChanges{{{"a", "", true, 11}}, 14, 1});
+  BOOST_TEST(is_at({1, 14, 12}));
+  scheduled();
+  client.watch_done(RegistryChanges{{}, 16, 1});
+  BOOST_TEST(is_at({1, 16, 12}));
+  client.watch_done(absl::OutOfRangeError("gone"));
+  BOOST_TEST(is_at({0, 0, 0}));
+  client.list_done(RegistryPage{{{"a", "{}", false, 3}}, 5, false, 2});
+  BOOST_TEST(is_at({2, 5, 3}));
+  // A mirror of another kind learns of the next restore, and all list again
+  // after a pause.
+  era.Record(3);
+  BOOST_TEST(is_at({2, 5, 3}));
+  scheduled();
+  BOOST_TEST(is_at({0, 0, 0}));
+}
+
 // Guards against a list that begins anew for each refused page: with 3,000
 // targets in pages of 50, 297 instances whose processes were all killed did not
 // come back, since hardly any of them read 60 pages in a row.
