--- a/include/endiveyard/placement/survival_checks.h
+++ b/include/endiveyard/placement/survival_checks.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -14,7 +15,7 @@
 
 // What a check has found out about a replica.
 enum class SurvivalVerdict {
-  kAlive,    // it has answered a later request
+  kAlive,    // it has answered a later request, see SurvivalProof
   kGone,     // its process no longer has the address
   kUnknown,  // neither has been shown in time
 };
@@ -22,11 +23,21 @@
 // How a request whose only purpose is an answer of the replica has ended.
 enum class SurvivalProbeOutcome {
   kAnswered,      // by the replica
+  kSameId,        // by the replica, or by a later process under its id
   kOtherReplica,  // by another one, which has the address now
   kRefused,       // nothing listens at the address
   kFailed,        // anything else; shows nothing
 };
 
+// What has to be shown for a replica to count as alive.
+enum class SurvivalProof {
+  // Its process has not ended. A later process under its id does not answer on
+  // a connection that was open before the check began. If there is none, an
+  // answer counts once a later process would have registered.
+  kSameProcess,
+  kSameId,  // a process under its id runs
+};
+
 // Answer to one check.
 struct SurvivalAnswer {
   uint64_t check = 0;
@@ -54,13 +65,16 @@
   // Refused probes in a row that show that a replica is gone. In between, the
   // instance notices if it is its own links that are down.
   static constexpr int kRefusalsOfGoneReplica = 2;
+  // Time within which a process registers after it has begun to answer.
+  static constexpr Duration kRegistrationTime = std::chrono::milliseconds(1500);
 
-  explicit SurvivalChecks(Duration time_limit = kTimeLimit)
-      : time_limit_(time_limit) {}
+  explicit SurvivalChecks(Duration time_limit = kTimeLimit,
+                          Duration registration_time = kRegistrationTime)
+      : time_limit_(time_limit), registration_time_(registration_time) {}
 
   // Begins a check: does the replica outlive the moment `now`? Returns the
   // number of the check.
-  uint64_t Begin(uint64_t replica_key, TimePoint now);
+  uint64_t Begin(uint64_t replica_key, SurvivalProof proof, TimePoint now);
   // Drops a check that is no longer of interest.
   void Drop(uint64_t check);
 
@@ -70,14 +84,18 @@
   bool BeginProbe(uint64_t replica_key,
                   TimePoint now,
                   Duration pause = Duration(0));
+  // `connected_at` is when the connection of an answer was established.
   // `may_be_reached` is false while the links of this instance are in doubt, so
   // that a refused connection says nothing about the replica.
   std::vector<SurvivalAnswer> RecordProbeEnd(uint64_t replica_key,
                                              SurvivalProbeOutcome outcome,
+                                             TimePoint connected_at,
                                              bool may_be_reached,
                                              TimePoint now);
-  // The replica has answered a request that was sent at `sent_at`.
+  // A process under the id of the replica has answered a request that was sent
+  // at `sent_at` on a connection established at `connected_at`.
   std::vector<SurvivalAnswer> RecordResponse(uint64_t replica_key,
+                                             TimePoint connected_at,
                                              TimePoint sent_at);
   // Ends the checks whose time is up.
   std::vector<SurvivalAnswer> Expire(uint64_t replica_key, TimePoint now);
@@ -88,8 +106,14 @@
   bool empty() const { return replicas_.empty(); }
 
  private:
+  struct Check {
+    TimePoint begun_at{};
+    SurvivalProof proof = SurvivalProof::kSameProcess;
+    // When a process under the id, perhaps a later one, answered a probe.
+    std::optional<TimePoint> answered_at;
+  };
   struct ReplicaState {
-    std::map<uint64_t, TimePoint> checks;  // by number: when it began
+    std::map<uint64_t, Check> checks;  // by number
     std::optional<TimePoint> probe_sent_at;
     bool probe_in_progress = false;
     int failed_probes = 0;  // in a row
@@ -98,13 +122,25 @@
     std::optional<TimePoint> next_probe_at;
   };
 
-  // Answers the checks that began at or before `until`.
-  std::vector<SurvivalAnswer> AnswerUntil(uint64_t replica_key,
-                                          TimePoint until,
-                                          SurvivalVerdict verdict);
+  // Ends the checks of the replica for which `decide` returns a verdict.
+  std::vector<SurvivalAnswer> EndChecks(
+      uint64_t replica_key,
+      const std::function<std::optional<SurvivalVerdict>(Check&)>& decide);
+  // Returns true if an answer of a process under the id shows what the check
+  // has to show.
+  static bool IsProof(const Check& check, TimePoint connected_at) {
+    return check.proof == SurvivalProof::kSameId ||
+           connected_at < check.begun_at;
+  }
+  // Returns when the check ends if nothing more is learned.
+  TimePoint EndOf(const Check& check) const {
+    return check.answered_at ? *check.answered_at + registration_time_
+                             : check.begun_at + time_limit_;
+  }
   void EraseIfUnused(uint64_t replica_key);
 
   const Duration time_limit_;
+  const Duration registration_time_;
   std::map<uint64_t, ReplicaState> replicas_;
   std::map<uint64_t, uint64_t> replica_of_check_;
   // Ends of the pauses in which replicas were probed, by key of the replica.
--- a/include/endiveyard/relay/relay.h
+++ b/include/endiveyard/relay/relay.h
@@ -73,6 +73,8 @@
   // Time for which the end of a response that ends with its connection waits
   // for a sign that the target outlived it.
   Duration end_check_limit = SurvivalChecks::kTimeLimit;
+  // Time within which a target that answers has registered.
+  Duration registration_time = SurvivalChecks::kRegistrationTime;
   // Requests that arrive after a standstill of the process are held for up to
   // this long until the routing state is recent again.
   Duration news_wait = std::chrono::milliseconds(300);
--- a/include/endiveyard/relay/target_call.h
+++ b/include/endiveyard/relay/target_call.h
@@ -51,6 +51,7 @@
   HeaderList headers;
   BodyFraming framing = BodyFraming::kLength;
   int earlier_requests = 0;  // that the connection carried before this one
+  TimePoint connected_at{};  // when the connection was established
 };
 
 // How far the HTTP exchange of a call got before it ended.
@@ -112,6 +113,27 @@
   virtual bool WasRefused() const = 0;
 };
 
+// A connection to a target that is opened before its request is known. Closed
+// with this object unless a call has taken it over.
+class ReservedConnection {
+ public:
+  class Impl;
+
+  explicit ReservedConnection(std::shared_ptr<Impl> impl);
+  ~ReservedConnection();
+  ReservedConnection(const ReservedConnection&) = delete;
+  ReservedConnection& operator=(const ReservedConnection&) = delete;
+
+  // Returns false once the target has refused or closed the connection, or a
+  // call has taken it over.
+  bool IsOpen() const;
+
+ private:
+  friend class TargetClient;
+
+  std::shared_ptr<Impl> impl_;
+};
+
 // HTTP client with pooled connections to targets. A request is written at most
 // once: retries are up to the user of this class. Single-threaded.
 class TargetClient {
@@ -127,6 +149,13 @@
 
   std::shared_ptr<TargetCall> Start(TargetRequest request,
                                     TargetCallHandlers handlers);
+  // Sends the request on `connection`, which is open, once it is established.
+  // The address of the request is not used.
+  std::shared_ptr<TargetCall> Start(TargetRequest request,
+                                    TargetCallHandlers handlers,
+                                    ReservedConnection* connection);
+  std::unique_ptr<ReservedConnection> Reserve(const std::string& ip,
+                                              uint16_t port);
 
   // Returns true if a call to the address would use an open connection.
   bool HasIdleConnection(const std::string& ip,
--- a/include/endiveyard/relay/wire_protocol.h
+++ b/include/endiveyard/relay/wire_protocol.h
@@ -108,7 +108,8 @@
   // shows that it runs.
   virtual HeaderList EncodeProbe(const Replica& replica) const = 0;
   // Returns what the complete response to a probe of `replica` shows. A
-  // response that does not say whose it is shows nothing.
+  // response that does not say whose it is shows nothing, and one that states
+  // an id but not the process shows kSameId.
   virtual SurvivalProbeOutcome DecodeProbeAnswer(
       const Replica& replica,
       int status,
--- a/src/front/front_instance.cc
+++ b/src/front/front_instance.cc
@@ -63,6 +63,8 @@
 // removal is known after the margin.
 constexpr int kHeartbeatsPerEntry = 3;
 constexpr Duration kEntryRemovalMargin = std::chrono::milliseconds(1000);
+// Time after the heartbeat of a replica until its entry is known here.
+constexpr Duration kRegistrationMargin = std::chrono::milliseconds(300);
 // Interval of the log lines that count datagrams which are no load report.
 constexpr Duration kRejectedDatagramsLogInterval = std::chrono::seconds(10);
 constexpr Duration kEvidenceLeftOutLogInterval = std::chrono::seconds(10);
@@ -124,6 +126,7 @@
   options.retry_bound = settings.retry_bound;
   options.max_view_delay = settings.max_staleness;
   options.may_replace_process = true;
+  options.registration_time = settings.heartbeat_interval + kRegistrationMargin;
   options.peer_port = settings.peer_port;
   options.peer_ip = settings.own_ip;
   const size_t descriptors =
--- a/src/placement/survival_checks.cc
+++ b/src/placement/survival_checks.cc
@@ -10,9 +10,11 @@
 
 }  // namespace
 
-uint64_t SurvivalChecks::Begin(uint64_t replica_key, TimePoint now) {
+uint64_t SurvivalChecks::Begin(uint64_t replica_key,
+                               SurvivalProof proof,
+                               TimePoint now) {
   const uint64_t check = next_check_++;
-  replicas_[replica_key].checks[check] = now;
+  replicas_[replica_key].checks[check] = {now, proof, std::nullopt};
   replica_of_check_[check] = replica_key;
   return check;
 }
@@ -36,7 +38,10 @@
     return false;
   }
   ReplicaState& state = it->second;
-  if (state.checks.empty() || state.probe_in_progress ||
+  const bool is_useful =
+      std::any_of(state.checks.begin(), state.checks.end(),
+                  [](const auto& entry) { return !entry.second.answered_at; });
+  if (!is_useful || state.probe_in_progress ||
       (state.next_probe_at && now < *state.next_probe_at)) {
     return false;
   }
@@ -59,6 +64,7 @@
 std::vector<SurvivalAnswer> SurvivalChecks::RecordProbeEnd(
     uint64_t replica_key,
     SurvivalProbeOutcome outcome,
+    TimePoint connected_at,
     bool may_be_reached,
     TimePoint now) {
   const auto it = replicas_.find(replica_key);
@@ -74,32 +80,56 @@
   } else if (++state.refusals >= kRefusalsOfGoneReplica) {
     outcome = SurvivalProbeOutcome::kOtherReplica;
   }
-  if (outcome == SurvivalProbeOutcome::kAnswered ||
-      outcome == SurvivalProbeOutcome::kOtherReplica) {
-    state.failed_probes = state.refusals = 0;
-    return AnswerUntil(replica_key, sent_at,
-                       outcome == SurvivalProbeOutcome::kAnswered
-                           ? SurvivalVerdict::kAlive
-                           : SurvivalVerdict::kGone);
+  if (outcome == SurvivalProbeOutcome::kRefused ||
+      outcome == SurvivalProbeOutcome::kFailed) {
+    state.next_probe_at = now + kProbePause * (1 << state.failed_probes);
+    state.failed_probes = std::min(state.failed_probes + 1, kMaxPauseDoublings);
+    EraseIfUnused(replica_key);
+    return {};
   }
-  state.next_probe_at = now + kProbePause * (1 << state.failed_probes);
-  state.failed_probes = std::min(state.failed_probes + 1, kMaxPauseDoublings);
-  EraseIfUnused(replica_key);
-  return {};
+  state.failed_probes = state.refusals = 0;
+  return EndChecks(replica_key,
+                   [&](Check& check) -> std::optional<SurvivalVerdict> {
+                     if (check.begun_at > sent_at) {
+                       return std::nullopt;
+                     }
+                     if (outcome == SurvivalProbeOutcome::kOtherReplica) {
+                       return SurvivalVerdict::kGone;
+                     }
+                     if (outcome == SurvivalProbeOutcome::kAnswered ||
+                         IsProof(check, connected_at)) {
+                       return SurvivalVerdict::kAlive;
+                     }
+                     check.answered_at = check.answered_at.value_or(now);
+                     return std::nullopt;
+                   });
 }
 
-std::vector<SurvivalAnswer> SurvivalChecks::RecordResponse(uint64_t replica_key,
-                                                           TimePoint sent_at) {
-  // A request that was sent at the moment at which a check began may have been
-  // answered before it.
-  constexpr Duration kResolution{1};
-  return AnswerUntil(replica_key, sent_at - kResolution,
-                     SurvivalVerdict::kAlive);
+std::vector<SurvivalAnswer> SurvivalChecks::RecordResponse(
+    uint64_t replica_key,
+    TimePoint connected_at,
+    TimePoint sent_at) {
+  return EndChecks(
+      replica_key, [&](Check& check) -> std::optional<SurvivalVerdict> {
+        // A request that was sent at the moment at which a check began may have
+        // been answered before it.
+        if (check.begun_at < sent_at && IsProof(check, connected_at)) {
+          return SurvivalVerdict::kAlive;
+        }
+        return std::nullopt;
+      });
 }
 
 std::vector<SurvivalAnswer> SurvivalChecks::Expire(uint64_t replica_key,
                                                    TimePoint now) {
-  return AnswerUntil(replica_key, now - time_limit_, SurvivalVerdict::kUnknown);
+  return EndChecks(replica_key,
+                   [&](Check& check) -> std::optional<SurvivalVerdict> {
+                     if (now < EndOf(check)) {
+                       return std::nullopt;
+                     }
+                     return check.answered_at ? SurvivalVerdict::kAlive
+                                              : SurvivalVerdict::kUnknown;
+                   });
 }
 
 std::optional<TimePoint> SurvivalChecks::NextStep(uint64_t replica_key) const {
@@ -108,29 +138,34 @@
     return std::nullopt;
   }
   const ReplicaState& state = it->second;
-  // Numbers rise with time.
-  TimePoint next = state.checks.begin()->second + time_limit_;
-  if (!state.probe_in_progress) {
+  TimePoint next = TimePoint::max();
+  bool awaits_probe = false;
+  for (const auto& [number, check] : state.checks) {
+    next = std::min(next, EndOf(check));
+    awaits_probe = awaits_probe || !check.answered_at;
+  }
+  if (awaits_probe && !state.probe_in_progress) {
     next = std::min(next, state.next_probe_at.value_or(TimePoint()));
   }
   return next;
 }
 
-std::vector<SurvivalAnswer> SurvivalChecks::AnswerUntil(
+std::vector<SurvivalAnswer> SurvivalChecks::EndChecks(
     uint64_t replica_key,
-    TimePoint until,
-    SurvivalVerdict verdict) {
+    const std::function<std::optional<SurvivalVerdict>(Check&)>& decide) {
   std::vector<SurvivalAnswer> answers;
   const auto it = replicas_.find(replica_key);
   if (it == replicas_.end()) {
     return answers;
   }
-  std::map<uint64_t, TimePoint>& checks = it->second.checks;
-  while (!checks.empty() && checks.begin()->second <= until) {
-    const uint64_t check = checks.begin()->first;
-    answers.push_back({check, verdict});
-    replica_of_check_.erase(check);
-    checks.erase(checks.begin());
+  std::map<uint64_t, Check>& checks = it->second.checks;
+  for (auto check = checks.begin(); check != checks.end();) {
+    const std::optional<SurvivalVerdict> verdict = decide(check->second);
+    if (verdict) {
+      answers.push_back({check->first, *verdict});
+      replica_of_check_.erase(check->first);
+    }
+    check = verdict ? checks.erase(check) : std::next(check);
   }
   EraseIfUnused(replica_key);
   return answers;
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -46,13 +46,14 @@
         open_requests(options.max_open_requests),
         target_client(io, protocol, options.target_client),
         peer_client(io, protocol, MakePeerClientOptions(options)),
-        survival_prober(
-            std::make_shared<SurvivalProber>(io,
-                                             protocol,
-                                             links,
-                                             &target_client,
-                                             &placer,
-                                             options.end_check_limit)) {
+        survival_prober(std::make_shared<SurvivalProber>(
+            io,
+            protocol,
+            links,
+            &target_client,
+            &placer,
+            SurvivalChecks(options.end_check_limit,
+                           options.registration_time))) {
     placer.availability().set_seed(Digest64(options.ip, options.port));
     if (options.may_replace_process) {
       retry_budget.RecordStart(BootClock::now());
--- a/src/relay/relay_crash_evidence.cc
+++ b/src/relay/relay_crash_evidence.cc
@@ -141,6 +141,7 @@
   it->second.survival_check = context_->survival_prober->Begin(
       active_call_->replica,
       service == nullptr ? Service().probe_path : service->probe_path,
+      SurvivalProof::kSameId,
       [weak = std::weak_ptr<RelayContext>(context_),
        key](SurvivalVerdict verdict) {
         if (const auto context = weak.lock()) {
--- a/src/relay/relay_exchange.h
+++ b/src/relay/relay_exchange.h
@@ -199,6 +199,8 @@
   // Returns true if the response may have been cut off by the end of the
   // replica and would be taken for a complete one.
   bool IsEndInDoubt(TransportStatus transport_status) const;
+  // Returns true if the answers of the replica to probes state its process.
+  bool IsEngineService() const;
   // Finishes the run once it is known whether the replica outlived its
   // response.
   void CheckEnd();
--- a/src/relay/relay_prefill_call.cc
+++ b/src/relay/relay_prefill_call.cc
@@ -37,6 +37,7 @@
     self->context_->links.RecordResponse(BootClock::now());
     self->active_call_->status = head.status;
     self->active_call_->head.earlier_requests = head.earlier_requests;
+    self->active_call_->head.connected_at = head.connected_at;
     self->active_call_->response_metadata =
         self->context_->protocol.DecodeResponse(head.status, head.headers);
     self->RecordResponseHead();
--- a/src/relay/relay_response_end.cc
+++ b/src/relay/relay_response_end.cc
@@ -16,6 +16,11 @@
          outcome == CallOutcome::kErrorResponse;
 }
 
+bool RelayExchange::IsEngineService() const {
+  const Service* service = FindService(*service_map_, service_);
+  return service != nullptr && service->engine.has_value();
+}
+
 void RelayExchange::CheckEnd() {
   const Service* service = FindService(*service_map_, service_);
   const std::weak_ptr<RelayExchange> weak = weak_from_this();
@@ -23,7 +28,7 @@
   active_call_->survival_check = context_->survival_prober->Begin(
       active_call_->replica,
       service == nullptr ? Service().probe_path : service->probe_path,
-      [weak](SurvivalVerdict verdict) {
+      SurvivalProof::kSameProcess, [weak](SurvivalVerdict verdict) {
         if (const auto self = weak.lock()) {
           self->OnEndChecked(verdict);
         }
--- a/src/relay/relay_run_call.cc
+++ b/src/relay/relay_run_call.cc
@@ -74,6 +74,7 @@
     }
   };
   SendCall(headers, std::move(handlers));
+  context_->survival_prober->RecordRequest(active_call_->replica);
 }
 
 bool RelayExchange::OnRunHead(const TargetResponseHead& head) {
@@ -88,6 +89,9 @@
   active_call_->response_metadata =
       context_->protocol.DecodeResponse(head.status, head.headers);
   RecordResponseHead();
+  if (head.framing == BodyFraming::kConnection && !IsEngineService()) {
+    context_->survival_prober->RecordUnframedHead(active_call_->replica);
+  }
   if (active_call_->response_metadata.load) {
     context_->placer.RecordReportedLoad(active_call_->replica,
                                         *active_call_->response_metadata.load,
@@ -107,6 +111,7 @@
   if (active_call_->status != kMisdirectedRequest &&
       (metadata.request_id || metadata.signed_by_target)) {
     context_->survival_prober->RecordResponse(active_call_->replica,
+                                              active_call_->head.connected_at,
                                               active_call_->sent_at);
   }
   RecordAvailability(active_call_->replica, active_call_->status,
--- a/src/relay/survival_prober.cc
+++ b/src/relay/survival_prober.cc
@@ -15,6 +15,9 @@
 // Limit on the body of the answer to a probe, which is not needed beyond what
 // it says of the replica.
 constexpr uint64_t kMaxProbeResponseBytes = 65536;
+// Time after the last response that ended with its connection for which a
+// connection to the replica is held ready.
+constexpr Duration kReserveLifetime = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -36,19 +39,20 @@
                                const LinkMonitor& links,
                                TargetClient* client,
                                Placer* placer,
-                               Duration time_limit)
+                               SurvivalChecks checks)
     : io_(io),
       protocol_(protocol),
       links_(links),
       client_(*client),
       placer_(*placer),
-      checks_(time_limit) {}
+      checks_(std::move(checks)) {}
 
 uint64_t SurvivalProber::Begin(const Replica& replica,
                                const std::string& path,
+                               SurvivalProof proof,
                                Handler handler) {
   const uint64_t key = EngineKey(replica);
-  const uint64_t check = checks_.Begin(key, BootClock::now());
+  const uint64_t check = checks_.Begin(key, proof, BootClock::now());
   handlers_[check] = std::move(handler);
   std::shared_ptr<Probe>& probe = probes_[key];
   if (!probe) {
@@ -66,15 +70,50 @@
   checks_.Drop(check);
 }
 
-void SurvivalProber::RecordResponse(const Replica& replica, TimePoint sent_at) {
+void SurvivalProber::RecordResponse(const Replica& replica,
+                                    TimePoint connected_at,
+                                    TimePoint sent_at) {
   if (!checks_.empty()) {
-    Deliver(checks_.RecordResponse(EngineKey(replica), sent_at));
+    Deliver(checks_.RecordResponse(EngineKey(replica), connected_at, sent_at));
+  }
+}
+
+void SurvivalProber::RecordUnframedHead(const Replica& replica) {
+  if (stopped_) {
+    return;
+  }
+  const uint64_t key = EngineKey(replica);
+  Reserve& reserve = reserves_.try_emplace(key, io_).first->second;
+  OpenIfClosed(replica, &reserve);
+  reserve.expiry.expires_after(kReserveLifetime);
+  reserve.expiry.async_wait([weak = weak_from_this(), key](error_code ec) {
+    const auto self = weak.lock();
+    if (!ec && self) {
+      self->reserves_.erase(key);
+    }
+  });
+}
+
+void SurvivalProber::RecordRequest(const Replica& replica) {
+  if (reserves_.empty()) {
+    return;
+  }
+  const auto it = reserves_.find(EngineKey(replica));
+  if (it != reserves_.end()) {
+    OpenIfClosed(replica, &it->second);
+  }
+}
+
+void SurvivalProber::OpenIfClosed(const Replica& replica, Reserve* reserve) {
+  if (!reserve->connection || !reserve->connection->IsOpen()) {
+    reserve->connection = client_.Reserve(replica.ip, replica.port);
   }
 }
 
 void SurvivalProber::Stop() {
   stopped_ = true;
   handlers_.clear();
+  reserves_.clear();
   for (const auto& [key, probe] : probes_) {
     probe->timer.cancel();
     if (probe->call) {
@@ -141,13 +180,21 @@
       outcome = self->protocol_.DecodeProbeAnswer(
           probe->replica, probe->head.status, probe->head.headers, probe->body);
     }
-    if (outcome == SurvivalProbeOutcome::kAnswered) {
+    if (outcome == SurvivalProbeOutcome::kAnswered ||
+        outcome == SurvivalProbeOutcome::kSameId) {
       self->RecordStatements(*probe);
     }
     self->Finish(probe, outcome);
   };
   placer_.rate_limits().RecordSent(probe->key, BootClock::now());
-  probe->call = client_.Start(std::move(request), std::move(handlers));
+  const auto reserve = reserves_.find(probe->key);
+  if (reserve != reserves_.end() && reserve->second.connection &&
+      reserve->second.connection->IsOpen()) {
+    probe->call = client_.Start(std::move(request), std::move(handlers),
+                                reserve->second.connection.get());
+  } else {
+    probe->call = client_.Start(std::move(request), std::move(handlers));
+  }
 }
 
 void SurvivalProber::RecordStatements(const Probe& probe) {
@@ -170,8 +217,8 @@
                             SurvivalProbeOutcome outcome) {
   probe->call.reset();
   const bool may_be_reached = links_.state() == LinkMonitor::State::kConnected;
-  Deliver(checks_.RecordProbeEnd(probe->key, outcome, may_be_reached,
-                                 BootClock::now()));
+  Deliver(checks_.RecordProbeEnd(probe->key, outcome, probe->head.connected_at,
+                                 may_be_reached, BootClock::now()));
   Advance(probe);
 }
 
--- a/src/relay/survival_prober.h
+++ b/src/relay/survival_prober.h
@@ -32,21 +32,43 @@
                  const LinkMonitor& links,
                  TargetClient* client,
                  Placer* placer,
-                 Duration time_limit);
+                 SurvivalChecks checks);
 
   // Begins a check, see SurvivalChecks. `path` is the probe path of the
   // service. Returns the number of the check.
   uint64_t Begin(const Replica& replica,
                  const std::string& path,
+                 SurvivalProof proof,
                  Handler handler);
   // Drops a check, whose handler is not called.
   void Drop(uint64_t check);
-  // The replica has answered a request that was sent at `sent_at`.
-  void RecordResponse(const Replica& replica, TimePoint sent_at);
+  // The replica has answered a request that was sent at `sent_at` on a
+  // connection established at `connected_at`.
+  void RecordResponse(const Replica& replica,
+                      TimePoint connected_at,
+                      TimePoint sent_at);
+
+  // The following two keep a connection ready for the next probe, for replicas
+  // whose answers to probes do not state their process: if it was open before
+  // a response ended, its answer shows that the process outlived that.
+
+  // A response that ends with its connection has begun.
+  void RecordUnframedHead(const Replica& replica);
+  // A request was sent. Its response may end before a connection that is opened
+  // at its head is established.
+  void RecordRequest(const Replica& replica);
+
   void Stop();
 
  private:
   struct Probe;
+  // Kept for a while for a replica whose responses end with their connections.
+  struct Reserve {
+    explicit Reserve(boost::asio::io_context& io) : expiry(io) {}
+
+    std::unique_ptr<ReservedConnection> connection;
+    boost::asio::steady_timer expiry;
+  };
 
   void Advance(const std::shared_ptr<Probe>& probe);
   void Send(const std::shared_ptr<Probe>& probe);
@@ -55,6 +77,7 @@
   void Finish(const std::shared_ptr<Probe>& probe,
               SurvivalProbeOutcome outcome);
   void Deliver(const std::vector<SurvivalAnswer>& answers);
+  void OpenIfClosed(const Replica& replica, Reserve* reserve);
 
   boost::asio::io_context& io_;
   const WireProtocol& protocol_;
@@ -63,6 +86,7 @@
   Placer& placer_;
   SurvivalChecks checks_;
   std::map<uint64_t, std::shared_ptr<Probe>> probes_;  // by key of the replica
+  std::map<uint64_t, Reserve> reserves_;               // by key of the replica
   std::map<uint64_t, Handler> handlers_;               // by number of the check
   bool stopped_ = false;
 };
--- a/src/relay/target_call.cc
+++ b/src/relay/target_call.cc
@@ -55,6 +55,7 @@
   tcp::socket socket;
   beast::flat_buffer buffer;
   std::string address;
+  TimePoint connected_at{};
   // Digests of the ids of all requests written.
   std::vector<uint64_t> request_digests;
   TimePoint idle_since{};
@@ -107,6 +108,8 @@
 
 }  // namespace
 
+class HttpTargetCall;
+
 class TargetClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(asio::io_context& io, const WireProtocol& protocol, Options options)
@@ -154,6 +157,9 @@
     idle_[connection->address].push_back(std::move(connection));
   }
 
+  // Makes the call report its connection here, and return it to the pool.
+  void Observe(HttpTargetCall* call);
+
   asio::io_context& io() { return io_; }
   const WireProtocol& protocol() const { return protocol_; }
   const Options& options() const { return options_; }
@@ -199,7 +205,8 @@
   size_t idle_count_ = 0;
 };
 
-// Sends one request over one connection and reads its response.
+// Sends one request over one connection and reads its response. The connection
+// may be opened before the request is known.
 class HttpTargetCall : public TargetCall,
                        public std::enable_shared_from_this<HttpTargetCall> {
  public:
@@ -224,11 +231,12 @@
 
   void StartOnConnection(std::unique_ptr<Connection> connection) {
     connection_ = std::move(connection);
+    is_reserved_ = false;
     reused_connection_ = true;
     WriteRequest();
   }
 
-  void ConnectAndStart() {
+  void Connect() {
     connection_ = std::make_unique<Connection>(io_);
     connection_->address = request_.ip + ":" + std::to_string(request_.port);
     connection_->idle_limit = options_.max_idle_time;
@@ -264,6 +272,7 @@
             return;
           }
           self->connected_ = true;
+          self->connection_->connected_at = BootClock::now();
           self->connect_timer_.cancel();
           self->on_connect(self->connection_->address, !connect_ec);
           self->refused_ = connect_ec == asio::error::connection_refused;
@@ -271,10 +280,32 @@
             self->End(TransportStatus::kNotSent, connect_ec.message());
             return;
           }
-          self->WriteRequest();
+          if (!self->is_reserved_) {
+            self->WriteRequest();
+          }
         });
   }
 
+  void ConnectAndStart() {
+    is_reserved_ = false;
+    Connect();
+  }
+
+  // Sends the request that the connection was reserved for.
+  void StartReserved(TargetRequest request, TargetCallHandlers handlers) {
+    is_reserved_ = false;
+    request_ = std::move(request);
+    handlers_ = std::move(handlers);
+    if (connected_) {
+      WriteRequest();
+    }
+  }
+
+  bool IsReservedAndOpen() const {
+    return is_reserved_ && !ended_ &&
+           (!connected_ || IsReusable(connection_->socket));
+  }
+
   // Keeps the handlers, as it may be called by one of them.
   void Cancel() override {
     ended_ = true;
@@ -311,6 +342,7 @@
         }
       });
     }
+    response_head_.connected_at = connection_->connected_at;
     response_head_.earlier_requests =
         static_cast<int>(connection_->request_digests.size());
     connection_->request_digests.push_back(Digest64(request_.request_id));
@@ -658,6 +690,7 @@
   uint64_t body_bytes_ = 0;   // of the current response
   std::string skipped_body_;  // so far, of a response to an earlier request
   error_code write_error_;
+  bool is_reserved_ = true;  // there is no request yet
   bool connected_ = false;
   bool refused_ = false;
   bool reused_connection_ = false;
@@ -689,6 +722,35 @@
 
 TargetClient::~TargetClient() = default;
 
+void TargetClient::Impl::Observe(HttpTargetCall* call) {
+  call->return_to_pool =
+      [self = shared_from_this()](std::unique_ptr<Connection> connection) {
+        self->PutIdle(std::move(connection));
+      };
+  call->on_connect = [self = shared_from_this()](const std::string& address,
+                                                 bool connected) {
+    self->NotifyConnect(address, connected);
+  };
+}
+
+class ReservedConnection::Impl : public HttpTargetCall {
+ public:
+  using HttpTargetCall::HttpTargetCall;
+};
+
+ReservedConnection::ReservedConnection(std::shared_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+ReservedConnection::~ReservedConnection() {
+  if (impl_) {
+    impl_->Cancel();
+  }
+}
+
+bool ReservedConnection::IsOpen() const {
+  return impl_ && impl_->IsReservedAndOpen();
+}
+
 std::shared_ptr<TargetCall> TargetClient::Start(TargetRequest request,
                                                 TargetCallHandlers handlers) {
   const std::string address = request.ip + ":" + std::to_string(request.port);
@@ -701,14 +763,7 @@
   auto call = std::make_shared<HttpTargetCall>(
       impl_->io(), impl_->protocol(), impl_->options(), std::move(request),
       std::move(handlers));
-  call->return_to_pool = [impl =
-                              impl_](std::unique_ptr<Connection> connection) {
-    impl->PutIdle(std::move(connection));
-  };
-  call->on_connect = [impl = impl_](const std::string& connect_address,
-                                    bool connected) {
-    impl->NotifyConnect(connect_address, connected);
-  };
+  impl_->Observe(call.get());
   if (idle) {
     call->StartOnConnection(std::move(idle));
   } else {
@@ -717,6 +772,28 @@
   return call;
 }
 
+std::shared_ptr<TargetCall> TargetClient::Start(
+    TargetRequest request,
+    TargetCallHandlers handlers,
+    ReservedConnection* connection) {
+  std::shared_ptr<ReservedConnection::Impl> call = std::move(connection->impl_);
+  call->StartReserved(std::move(request), std::move(handlers));
+  return call;
+}
+
+std::unique_ptr<ReservedConnection> TargetClient::Reserve(const std::string& ip,
+                                                          uint16_t port) {
+  TargetRequest request;
+  request.ip = ip;
+  request.port = port;
+  auto call = std::make_shared<ReservedConnection::Impl>(
+      impl_->io(), impl_->protocol(), impl_->options(), std::move(request),
+      TargetCallHandlers());
+  impl_->Observe(call.get());
+  call->Connect();
+  return std::make_unique<ReservedConnection>(std::move(call));
+}
+
 bool TargetClient::HasIdleConnection(const std::string& ip,
                                      uint16_t port,
                                      const std::string& request_id) const {
--- a/tests/platform/platform_wire_protocol_test.cc
+++ b/tests/platform/platform_wire_protocol_test.cc
@@ -241,11 +241,11 @@
     const char* body;
     Outcome outcome;
   } cases[] = {
-      {200, own, "", Outcome::kAnswered},
-      {503, own, "", Outcome::kAnswered},
-      {503, refusal, "", Outcome::kAnswered},
+      {200, own, "", Outcome::kSameId},
+      {503, own, "", Outcome::kSameId},
+      {503, refusal, "", Outcome::kSameId},
       {200, {}, R"({"stage":"decode","born":7})", Outcome::kAnswered},
-      {200, {}, R"({"stage":"decode"})", Outcome::kAnswered},
+      {200, {}, R"({"stage":"decode"})", Outcome::kSameId},
       {200, {}, R"({"stage":"decode","born":8})", Outcome::kOtherReplica},
       {200, other, "", Outcome::kOtherReplica},
       {421, {}, "", Outcome::kOtherReplica},
--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -6,8 +6,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <future>
+#include <iterator>
 #include <stdexcept>
 
 #include <boost/asio/buffer.hpp>
@@ -210,10 +212,53 @@
                        uint16_t port)
     : io_(io), acceptor_(io, tcp::endpoint(asio::ip::make_address(ip), port)) {}
 
+bool TestTarget::HasRequestWithin(int ms) {
+  const auto end =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(ms);
+  while (true) {
+    while (HasConnectionWithin(0)) {
+      unused_.push_back(AcceptConnection());
+    }
+    std::vector<pollfd> sockets = {{acceptor_.native_handle(), POLLIN, 0}};
+    auto used = unused_.end();
+    for (auto it = unused_.begin(); it != unused_.end();) {
+      char byte = 0;
+      const ssize_t n = recv(it->fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (n > 0) {
+        used = it;
+        break;
+      }
+      if (n < 0 && errno == EAGAIN) {
+        sockets.push_back({it->fd(), POLLIN, 0});
+        ++it;
+      } else {
+        it = unused_.erase(it);
+      }
+    }
+    if (used != unused_.end()) {
+      // Accept(), which is called next, takes the first one.
+      std::rotate(unused_.begin(), used, std::next(used));
+      return true;
+    }
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        end - std::chrono::steady_clock::now());
+    if (poll(sockets.data(), sockets.size(),
+             std::max(0, static_cast<int>(left.count()))) == 0) {
+      return false;
+    }
+  }
+}
+
 TestConnection TestTarget::Accept() {
-  if (!HasConnectionWithin(10000)) {
-    throw std::runtime_error("target got no connection within 10 s");
+  if (!HasRequestWithin(10000)) {
+    throw std::runtime_error("target got no request within 10 s");
   }
+  TestConnection connection = std::move(unused_.front());
+  unused_.erase(unused_.begin());
+  return connection;
+}
+
+TestConnection TestTarget::AcceptConnection() {
   tcp::socket socket(io_);
   acceptor_.accept(socket);
   return TestConnection(std::move(socket));
@@ -241,7 +286,7 @@
     : thread_([this, target, respond = std::move(respond)] {
         constexpr int kStopCheckIntervalMs = 20;
         while (!stopped_) {
-          if (!target->HasConnectionWithin(kStopCheckIntervalMs)) {
+          if (!target->HasRequestWithin(kStopCheckIntervalMs)) {
             continue;
           }
           TestConnection connection = target->Accept();
@@ -300,6 +345,7 @@
   options.peer_ip = fixture_options.peer_ip;
   options.target_client.peer_timeout = fixture_options.peer_timeout;
   options.end_check_limit = fixture_options.end_check_limit;
+  options.registration_time = fixture_options.registration_time;
   relay_ = std::make_unique<Relay>(io_, options, protocol_, &routing_state_,
                                    log_.get(), &metrics_);
   relay_->set_instance_count(kInstances);
--- a/tests/platform/relay_fixture.h
+++ b/tests/platform/relay_fixture.h
@@ -70,20 +70,35 @@
   // Listens at another address of the loopback network.
   TestTarget(boost::asio::io_context& io, const std::string& ip, uint16_t port);
 
+  // Returns the next connection that carries a request. Those that carry none
+  // yet are kept.
   TestConnection Accept();
+  // Returns the next connection, whether it carries anything or not.
+  TestConnection AcceptConnection();
   // Waits until a request arrives on `kept` or a new connection is opened.
   // Returns the new connection, or null if `kept` was used.
   std::unique_ptr<TestConnection> AcceptUnlessUsed(TestConnection* kept);
   // Returns true if a connection arrives within `ms`, or waits already.
   bool HasConnectionWithin(int ms);
+  // The same for a connection that carries no request yet.
+  bool HasUnusedConnectionWithin(int ms) {
+    return !unused_.empty() || HasConnectionWithin(ms);
+  }
+  // The same for a connection that carries a request.
+  bool HasRequestWithin(int ms);
   // Refuses connections from now on, as after the end of the process.
-  void StopListening() { acceptor_.close(); }
+  void StopListening() {
+    acceptor_.close();
+    unused_.clear();
+  }
   uint16_t port() const;
   int fd() { return acceptor_.native_handle(); }
 
  private:
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  // Accepted, and without a request until now.
+  std::vector<TestConnection> unused_;
 };
 
 // Responds to all connections of a target on a thread of its own: reads one
@@ -113,6 +128,7 @@
   // See RelayOptions. Longer than a test takes by default, so that it only
   // passes where a test is about it.
   Duration end_check_limit = std::chrono::seconds(60);
+  Duration registration_time = std::chrono::milliseconds(200);
 };
 
 inline RelayFixtureOptions WithPeerPort(uint16_t port) {
--- a/tests/platform/reset_during_upload_test.cc
+++ b/tests/platform/reset_during_upload_test.cc
@@ -53,7 +53,7 @@
         resets ? target.Reset() : target.Close();
         // The target itself goes on.
         constexpr int kProbeMs = 300;
-        if (first().HasConnectionWithin(kProbeMs)) {
+        if (first().HasRequestWithin(kProbeMs)) {
           AnswerProbe(&first());
         }
         if (std::string(path) == "/unsafe/x") {
--- a/tests/platform/response_fuzz_test.cc
+++ b/tests/platform/response_fuzz_test.cc
@@ -159,7 +159,7 @@
   }
 
   void Accept(TestTarget* target) {
-    targets_.push_back(target->Accept());
+    targets_.push_back(target->AcceptConnection());
     const int no_delay = 1;  // each piece is a segment
     setsockopt(targets_.back().fd(), IPPROTO_TCP, TCP_NODELAY, &no_delay,
                sizeof no_delay);
--- a/tests/platform/silent_peer_test.cc
+++ b/tests/platform/silent_peer_test.cc
@@ -59,7 +59,7 @@
   const int limit_ms = static_cast<int>(limit.count());
   setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
              sizeof limit_ms);
-  TestConnection peer = listener.Accept();
+  TestConnection peer = listener.AcceptConnection();
   if (kind == Peer::kAcknowledgesNothing) {
     peer.DiscardIncoming();
   }
--- a/tests/platform/unframed_end_test.cc
+++ b/tests/platform/unframed_end_test.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <vector>
 
 #include "relay_fixture.h"
 
@@ -162,22 +163,33 @@
   BOOST_TEST(Contains(LogText(), R"("verdict":"alive")"));
 }
 
-// The same where the target does not answer the probe, but another request.
+// The same where the target does not answer the probe, but another request on a
+// connection that was open before the end.
 BOOST_FIXTURE_TEST_CASE(AnswersToLaterRequestsShowThatATargetRuns,
                         RelayFixture) {
   UseOneTarget();
+  std::vector<TestConnection> callers;
+  std::vector<TestConnection> targets;
+  for (const char* id : {"a", "b"}) {
+    callers.push_back(Connect());
+    callers.back().Send(RequestHead("POST", "/unsafe/x", id, kNoBody));
+    targets.push_back(first().Accept());
+    targets.back().ReadMessage();
+  }
+  for (size_t n = 0; n < targets.size(); ++n) {
+    targets[n].Send(SignedResponse(n == 0 ? "a" : "b", "done"));
+    callers[n].ReadMessage();
+  }
+  // The connection that was used last is used first.
   TestConnection caller = Connect();
   caller.Send(RequestHead("POST", "/once/x", "r1", kNoBody));
-  TestConnection target = first().Accept();
-  target.ReadMessage();
-  target.Send(UnframedHead("r1") + kEvents);
-  target.Close();
+  targets[1].ReadMessage();
+  targets[1].Send(UnframedHead("r1") + kEvents);
+  targets[1].Close();
   const TestConnection probe = first().Accept();
-  TestConnection other_caller = Connect();
-  other_caller.Send(RequestHead("POST", "/unsafe/x", "r2", kNoBody));
-  TestConnection other = first().Accept();
-  other.ReadMessage();
-  other.Send(SignedResponse("r2", "done"));
+  callers[0].Send(RequestHead("POST", "/unsafe/x", "r2", kNoBody));
+  targets[0].ReadMessage();
+  targets[0].Send(SignedResponse("r2", "done"));
   BOOST_TEST(Contains(caller.ReadUntil("\r\n0\r\n\r\n"), "data: b\n\n"));
 }
 
@@ -246,6 +258,71 @@
 
 namespace {
 
+template <int kRegistrationSeconds>
+struct RegistrationFixture : RelayFixture {
+  static RelayFixtureOptions Options() {
+    RelayFixtureOptions options;
+    options.registration_time = std::chrono::seconds(kRegistrationSeconds);
+    return options;
+  }
+  RegistrationFixture() : RelayFixture(Options()) {}
+};
+
+// Waits until the connection is open that is to show the process.
+void AwaitReservedConnection(TestTarget* target) {
+  constexpr int kMaxWaitMs = 10000;
+  BOOST_TEST_REQUIRE(target->HasUnusedConnectionWithin(kMaxWaitMs));
+}
+
+}  // namespace
+
+// Guards against a body cut off by a crash that reaches the caller as a whole
+// one: the target is back at once under its id, and registers a little later.
+BOOST_FIXTURE_TEST_CASE(LaterProcessesUnderTheSameIdDoNotAnswerForEarlierOnes,
+                        RegistrationFixture<3>) {
+  UseOneTarget();
+  TestConnection caller = Connect();
+  caller.Send(RequestHead("POST", "/unsafe/x", "r1", kNoBody));
+  TestConnection target = first().Accept();
+  target.ReadMessage();
+  target.Send(UnframedHead("r1") + "half of");
+  AwaitReservedConnection(&first());
+  first().AcceptConnection().Close();
+  target.Close();
+  AnswerProbe(&first());
+  constexpr int kBeforeRegistrationMs = 500;
+  BOOST_TEST(!caller.IsClosedWithin(kBeforeRegistrationMs));  // nor answered
+  RestartTargets();
+  UseOneTarget();
+  const std::string response = caller.ReadMessage();
+  BOOST_TEST(Contains(response, "HTTP/1.1 502 "));
+  BOOST_TEST(!Contains(response, "half of"));
+}
+
+// Guards against whole responses that wait until a later process would have
+// registered, although the target answers on a connection it had before.
+BOOST_FIXTURE_TEST_CASE(ConnectionsFromBeforeTheEndShowTheTarget,
+                        RegistrationFixture<60>) {
+  UseOneTarget();
+  for (const bool is_first : {true, false}) {
+    TestConnection caller = Connect();
+    caller.Send(RequestHead("POST", "/unsafe/x", "r1", kNoBody));
+    TestConnection target = first().Accept();
+    target.ReadMessage();
+    if (is_first) {
+      target.Send(UnframedHead("r1"));
+    }
+    // Later ones are opened with the request.
+    AwaitReservedConnection(&first());
+    target.Send((is_first ? "" : UnframedHead("r1")) + "whole");
+    target.Close();
+    AnswerProbe(&first());
+    BOOST_TEST(Contains(caller.ReadMessage(), "\r\n\r\nwhole"));
+  }
+}
+
+namespace {
+
 struct ShortCheckFixture : RelayFixture {
   static RelayFixtureOptions Options() {
     RelayFixtureOptions options;
