Keep a replica's rate limit when its entry lapses (LIMIT)

A replica that states Server-Limit: 1.0 and is cut off from the store for 5 s got 19 or 20 requests in 4 s as its entry came back, where 11 are allowed; no work was lost by it.

Cause: Placer::Retain() removed the limits of replicas without an entry. A replica that is cut off from the store serves on, and its limit is as it was. Limits now end by their own lifetime of a minute; their keys name the process, and their number is bounded as before.

LimitsEnd checked that Retain() removes a limit; it now checks that a limit is removed once its lifetime has passed, and not before.

--- a/include/endiveyard/placement/replica_rate_limits.h
+++ b/include/endiveyard/placement/replica_rate_limits.h
@@ -69,8 +69,9 @@
 // instances that are leaving go to the others, until these know that the
 // instance is back.
 //
-// Instances tell each other the limits; the latest response counts. Not
-// thread-safe.
+// Instances tell each other the limits; the latest response counts. A limit
+// outlives the registration of its replica, which lapses while a replica that
+// serves is cut off from the registry. Not thread-safe.
 class ReplicaRateLimits {
  public:
   // Records the limit in a response of the replica, or that a response had
@@ -106,9 +107,6 @@
   // Returns up to `max` of the limits in force, in turn.
   std::vector<RateLimitReport> Digest(size_t max, TimePoint now);
 
-  // Removes the limits of replicas that are not among `replica_keys`, which
-  // have to be sorted.
-  void Retain(const std::vector<uint64_t>& replica_keys);
   bool empty() const { return limits_.empty(); }
 
  private:
--- a/src/placement/placer_measurements.cc
+++ b/src/placement/placer_measurements.cc
@@ -57,7 +57,6 @@
       }
     }
     std::sort(keys.begin(), keys.end());
-    rate_limits_.Retain(keys);
     paces_.Retain(keys);
     call_limits_.Retain(keys);
     for (const Service& service : services->services) {
--- a/src/placement/replica_rate_limits.cc
+++ b/src/placement/replica_rate_limits.cc
@@ -232,14 +232,6 @@
   return digest;
 }
 
-void ReplicaRateLimits::Retain(const std::vector<uint64_t>& replica_keys) {
-  for (auto it = limits_.begin(); it != limits_.end();) {
-    it = std::binary_search(replica_keys.begin(), replica_keys.end(), it->first)
-             ? std::next(it)
-             : limits_.erase(it);
-  }
-}
-
 void ReplicaRateLimits::RemoveExpired(TimePoint now) {
   for (auto it = limits_.begin(); it != limits_.end();) {
     it = now - it->second.stated_at >= kRateLimitLifetime ? limits_.erase(it)
--- a/tests/placement/placer_test.cc
+++ b/tests/placement/placer_test.cc
@@ -724,4 +724,26 @@
   }
 }
 
+// Guards against a replica that gets more than the rate it states as its entry
+// comes back: one that is cut off from the registry serves on, and its entry
+// lapses.
+BOOST_AUTO_TEST_CASE(RateLimitsOutliveTheEntryOfTheirReplica) {
+  const Replica limited = MakeReplica("d1", Stage::kDecode);
+  ServiceMap services;
+  services.services.emplace_back().name = limited.service;
+  ReplicaView view;
+  view.Reset({limited, MakeReplica("d2", Stage::kDecode)}, At(0));
+  Placer placer = MakePlacer();
+  placer.rate_limits().RecordResponse(EngineKey(limited), 1.0, At(0));
+  placer.Retain(view, &services);
+  view.Reset({MakeReplica("d2", Stage::kDecode)}, At(1000));
+  placer.Retain(view, &services);
+  BOOST_TEST(
+      (placer.rate_limits().LimitOf(EngineKey(limited), At(5000)) == 1.0));
+  // Another process under the id has no limit until it states one.
+  Replica restarted = limited;
+  restarted.started_unix_ms = limited.started_unix_ms + 1;
+  BOOST_TEST(!placer.rate_limits().LimitOf(EngineKey(restarted), At(5000)));
+}
+
 }  // namespace endiveyard
--- a/tests/placement/replica_rate_limits_test.cc
+++ b/tests/placement/replica_rate_limits_test.cc
@@ -68,9 +68,10 @@
   BOOST_TEST(!IsOpen(&limits, 40));
   BOOST_TEST(IsOpen(&limits, 61000));
   limits.RecordResponse(kReplica, 1.0, At(61000));
-  limits.Retain({kReplica});
+  limits.Digest(1, At(61000 + 59999));
   BOOST_TEST(!limits.empty());
-  limits.Retain({kReplica + 1});
+  limits.Digest(1, At(61000 + 60000));
+  limits.Digest(1, At(61000 + 60000));
   BOOST_TEST(limits.empty());
 }
 
