Hold a connection ready while a probe is in progress; restarts under an id in the soak

In a soak in which all responses end with their connection, some 140 whole responses of a route came in 12 s, where 320 to 380 did on: those that ended while a probe was in progress waited until a later process would have registered.

Cause: the connection that is reserved to show the replica was opened again only with the next head or request. ResponsesThatEndDuringAProbeHaveAConnectionToo failed without that.

--replica-same-id restarts killed replicas under their id and address after 10 to 300 ms, and writes their entries up to a heartbeat later.

--- a/src/relay/survival_prober.cc
+++ b/src/relay/survival_prober.cc
@@ -192,6 +192,8 @@
       reserve->second.connection->IsOpen()) {
     probe->call = client_.Start(std::move(request), std::move(handlers),
                                 reserve->second.connection.get());
+    // For responses that end while the probe is in progress.
+    OpenIfClosed(probe->replica, &reserve->second);
   } else {
     probe->call = client_.Start(std::move(request), std::move(handlers));
   }
--- a/tests/platform/unframed_end_test.cc
+++ b/tests/platform/unframed_end_test.cc
@@ -321,6 +321,34 @@
   }
 }
 
+// Guards against whole responses that wait because the connection that would
+// show the target was used for an earlier one.
+BOOST_FIXTURE_TEST_CASE(ResponsesThatEndDuringAProbeHaveAConnectionToo,
+                        RegistrationFixture<60>) {
+  UseOneTarget();
+  const std::vector<std::string> ids = {"r1", "r2"};
+  std::vector<TestConnection> callers;
+  std::vector<TestConnection> targets;
+  for (const std::string& id : ids) {
+    callers.push_back(Connect());
+    callers.back().Send(RequestHead("POST", "/unsafe/x", id, kNoBody));
+    targets.push_back(first().Accept());
+    targets.back().ReadMessage();
+    targets.back().Send(UnframedHead(id));
+  }
+  AwaitReservedConnection(&first());
+  targets[0].Send("whole");
+  targets[0].Close();
+  TestConnection probe = first().Accept();
+  AwaitReservedConnection(&first());
+  targets[1].Send("whole");
+  targets[1].Close();
+  probe.Send(ResponseToProbe(probe.ReadMessage()));
+  BOOST_TEST(Contains(callers[0].ReadMessage(), "\r\n\r\nwhole"));
+  AnswerProbe(&first());
+  BOOST_TEST(Contains(callers[1].ReadMessage(), "\r\n\r\nwhole"));
+}
+
 namespace {
 
 struct ShortCheckFixture : RelayFixture {
--- a/tools/soak/http_peer.cc
+++ b/tools/soak/http_peer.cc
@@ -267,8 +267,12 @@
 }
 
 HttpListener::HttpListener(const std::string& ip,
-                           std::function<void(HttpPeer&)> serve)
-    : ip_(ip), serve_(std::move(serve)), fd_(BindSocket(ip, &port_)) {
+                           std::function<void(HttpPeer&)> serve,
+                           uint16_t port)
+    : ip_(ip),
+      serve_(std::move(serve)),
+      port_(port),
+      fd_(BindSocket(ip, &port_)) {
   if (listen(fd_, kBacklog) != 0) {
     throw std::runtime_error("cannot listen on " + ip);
   }
--- a/tools/soak/http_peer.h
+++ b/tools/soak/http_peer.h
@@ -81,7 +81,10 @@
 // Serves each connection on a thread of its own.
 class HttpListener {
  public:
-  HttpListener(const std::string& ip, std::function<void(HttpPeer&)> serve);
+  // Listens at a free port if `port` is 0.
+  HttpListener(const std::string& ip,
+               std::function<void(HttpPeer&)> serve,
+               uint16_t port = 0);
   // Stops accepting. Connections that are open are not waited for.
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -951,10 +951,10 @@
 
 int main(int argc, char** argv) {
   using endiveyard::soak::ReplicaProcess;
-  constexpr int kReplicaArguments = 5;
+  constexpr int kReplicaArguments = 7;
   if (argc == kReplicaArguments &&
       std::string(argv[1]) == ReplicaProcess::kRoleArgument) {
-    return ReplicaProcess::Serve(argv[2], argv[3], argv[4]);
+    return ReplicaProcess::Serve(argv[2], argv[3], argv[4], argv[5], argv[6]);
   }
   namespace po = boost::program_options;
   using endiveyard::soak::Soak;
@@ -1038,6 +1038,9 @@
       "answer without faults and are killed in turn")(
       "replica-kill-ms", po::value(&kills.kill_every_ms),
       "interval at which one of these replicas is killed; 0 for never")(
+      "replica-same-id", po::value(&kills.keeps_id),
+      "killed replicas are back at once under their id and address, and "
+      "register later")(
       "framing", po::value(&framing),
       "how the responses of these replicas end: with their connection "
       "(connection) or with the last chunk (chunks)");
--- a/tools/soak/replica_kills.cc
+++ b/tools/soak/replica_kills.cc
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,6 +20,7 @@
 
 constexpr int kTimeoutMs = 4000;
 constexpr int kMaxAttempts = 2;
+constexpr int64_t kHeartbeatMs = 1200;  // as in the settings of the processes
 
 struct Outcomes {
   int whole = 0;
@@ -52,6 +54,9 @@
  private:
   // Starts the replica with this number under a new id.
   void StartReplica(size_t number);
+  // Starts it again under its id and address.
+  void RestartReplica(size_t number, std::mt19937_64* random);
+  ReplicaProcess::Options OptionsOf(size_t number) const;
   void KillReplicas();
   void RunClient(int number);
   void Record(const std::string& id,
@@ -72,20 +77,44 @@
   std::vector<std::string> violations_;
 };
 
-void ReplicaKillSoak::StartReplica(size_t number) {
+ReplicaProcess::Options ReplicaKillSoak::OptionsOf(size_t number) const {
   constexpr size_t kFirstHost = 10;
   ReplicaProcess::Options options;
   options.ip = network_ + std::to_string(kFirstHost + number);
-  options.id =
-      "i-" + std::to_string(number) + "-" + std::to_string(++incarnations_);
   options.is_engine = number < static_cast<size_t>(options_.replicas + 1) / 2;
   options.service = options.is_engine ? "chat" : "orders";
   options.framing = options_.framing;
+  options.started_unix_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count();
+  return options;
+}
+
+void ReplicaKillSoak::StartReplica(size_t number) {
+  ReplicaProcess::Options options = OptionsOf(number);
+  options.id =
+      "i-" + std::to_string(number) + "-" + std::to_string(++incarnations_);
   replicas_[number] = std::make_unique<ReplicaProcess>(options);
   replicas_[number]->Start();
   registry_.Put("servers", options.id, replicas_[number]->Spec());
 }
 
+void ReplicaKillSoak::RestartReplica(size_t number, std::mt19937_64* random) {
+  constexpr int64_t kMinDownMs = 10;
+  constexpr int64_t kMaxDownMs = 300;
+  std::uniform_int_distribution<int64_t> down_ms(kMinDownMs, kMaxDownMs);
+  std::uniform_int_distribution<int64_t> unregistered_ms(0, kHeartbeatMs);
+  SleepMs(down_ms(*random));
+  ReplicaProcess::Options options = OptionsOf(number);
+  options.id = replicas_[number]->id();
+  options.port = replicas_[number]->port();
+  replicas_[number] = std::make_unique<ReplicaProcess>(options);
+  replicas_[number]->Start();
+  SleepMs(unregistered_ms(*random));
+  registry_.Put("servers", options.id, replicas_[number]->Spec());
+}
+
 void ReplicaKillSoak::KillReplicas() {
   // A dead replica stays registered until its heartbeats are missed.
   constexpr int64_t kLapseMs = 300;
@@ -96,6 +125,10 @@
     const std::string id = replicas_[number]->id();
     replicas_[number]->Kill();
     ++kills_;
+    if (options_.keeps_id) {
+      RestartReplica(number, &random);
+      continue;
+    }
     SleepMs(kLapseMs);
     registry_.Delete("servers", id);
     StartReplica(number);
--- a/tools/soak/replica_kills.h
+++ b/tools/soak/replica_kills.h
@@ -19,11 +19,14 @@
   // Processes of replicas; the first half are engines for streams.
   int replicas = 0;
   int kill_every_ms = 1000;  // 0 to kill none
+  // Killed replicas start again under their id and address in 10 to 300 ms, and
+  // write their entry up to a heartbeat after that.
+  bool keeps_id = false;
   Framing framing = Framing::kConnection;
 };
 
-// Runs processes of endiveyard while replicas are killed and started again
-// under other ids. Returns the responses that ended as complete and are not,
+// Runs processes of endiveyard while replicas are killed and started again.
+// Returns the responses that ended as complete and are not,
 // and, if no replica is killed, those that are not complete. Writes counts to
 // `summary`.
 std::vector<std::string> RunReplicaKills(const ReplicaKillOptions& options,
--- a/tools/soak/replica_process.cc
+++ b/tools/soak/replica_process.cc
@@ -34,7 +34,8 @@
 bool Respond(HttpPeer& peer,
              const HttpMessage& request,
              const std::string& replica_id,
-             Framing framing) {
+             Framing framing,
+             const std::string& report) {
   const std::string expected = request.Header("Endiveyard-Expect-Instance");
   const std::string replica = "Endiveyard-Replica-Id: " + replica_id + "\r\n";
   if (!expected.empty() && expected != replica_id) {
@@ -43,8 +44,8 @@
   }
   const std::string id = request.Header("Endiveyard-Request-Id");
   if (id.empty()) {
-    return peer.Send("HTTP/1.1 200 OK\r\n" + replica +
-                     "Content-Length: 0\r\n\r\n");
+    return peer.Send("HTTP/1.1 200 OK\r\n" + replica + "Content-Length: " +
+                     std::to_string(report.size()) + "\r\n\r\n" + report);
   }
   const bool is_framed = framing == Framing::kChunks;
   std::string head = "HTTP/1.1 200 OK\r\nEndiveyard-Request-Id: " + id +
@@ -84,12 +85,20 @@
   if (pipe2(pipe_fds, O_CLOEXEC) != 0) {
     throw std::runtime_error("cannot make a pipe");
   }
+  const std::string port_argument = std::to_string(options_.port);
+  // Health paths of plain services do not state the process.
+  const std::string report =
+      options_.is_engine ? R"({"stage":"decode","born":)" +
+                               std::to_string(options_.started_unix_ms) + "}"
+                         : "";
   const char* const arguments[] = {
       "/proc/self/exe",
       kRoleArgument,
       options_.ip.c_str(),
       options_.id.c_str(),
       options_.framing == Framing::kConnection ? kUnframed : kChunked,
+      port_argument.c_str(),
+      report.c_str(),
       nullptr};
   const pid_t parent = getpid();
   pid_ = fork();
@@ -124,7 +133,8 @@
   return R"({"service":")" + options_.service + R"(","address":")" +
          options_.ip + ":" + std::to_string(port_) +
          R"(","zone":"zone-a","version":"v1","slots":64,"state":"ready",)" +
-         R"("cold_remaining_ms":0,)" +
+         R"("cold_remaining_ms":0,"born":)" +
+         std::to_string(options_.started_unix_ms) + "," +
          (options_.is_engine
               ? R"("stage":"decode",)"
                 R"("models":[{"name":"m","version":1,"adapters":[]}],)"
@@ -134,14 +144,20 @@
 
 int ReplicaProcess::Serve(const std::string& ip,
                           const std::string& id,
-                          const std::string& framing_name) {
+                          const std::string& framing_name,
+                          const std::string& port,
+                          const std::string& report) {
   const Framing framing = FramingNamed(framing_name);
-  const HttpListener listener(ip, [id, framing](HttpPeer& peer) {
-    HttpMessage request = peer.Read(kIdleMs);
-    while (request.complete && Respond(peer, request, id, framing)) {
-      request = peer.Read(kIdleMs);
-    }
-  });
+  const HttpListener listener(
+      ip,
+      [id, framing, report](HttpPeer& peer) {
+        HttpMessage request = peer.Read(kIdleMs);
+        while (request.complete &&
+               Respond(peer, request, id, framing, report)) {
+          request = peer.Read(kIdleMs);
+        }
+      },
+      static_cast<uint16_t>(std::atoi(port.c_str())));
   std::printf("%u\n", static_cast<unsigned>(listener.port()));
   std::fflush(stdout);
   while (true) {
--- a/tools/soak/replica_process.h
+++ b/tools/soak/replica_process.h
@@ -30,6 +30,8 @@
     std::string service;
     bool is_engine = false;  // decodes
     Framing framing = Framing::kConnection;
+    uint16_t port = 0;  // 0 for a free one
+    int64_t started_unix_ms = 0;
   };
 
   explicit ReplicaProcess(const Options& options) : options_(options) {}
@@ -43,15 +45,19 @@
   // Kills the process and waits for its end.
   void Kill();
   const std::string& id() const { return options_.id; }
+  uint16_t port() const { return port_; }
   // Its entry in the registry.
   std::string Spec() const;
 
-  // First argument of the process of a replica; IP, id and framing follow.
+  // First argument of the process of a replica; IP, id, framing, port and what
+  // it answers to probes follow.
   static constexpr const char* kRoleArgument = "--serve-as-replica";
   // Runs the process of a replica. Writes its port to standard output.
   static int Serve(const std::string& ip,
                    const std::string& id,
-                   const std::string& framing);
+                   const std::string& framing,
+                   const std::string& port,
+                   const std::string& report);
 
  private:
   const Options options_;
