--- a/tests/platform/relay_fixture.cc
+++ b/tests/platform/relay_fixture.cc
@@ -220,13 +220,14 @@
       unused_.push_back(AcceptConnection());
     }
     std::vector<pollfd> sockets = {{acceptor_.native_handle(), POLLIN, 0}};
-    auto used = unused_.end();
-    for (auto it = unused_.begin(); it != unused_.end();) {
+    auto it = unused_.begin();
+    while (it != unused_.end()) {
       char byte = 0;
       const ssize_t n = recv(it->fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
       if (n > 0) {
-        used = it;
-        break;
+        // Accept(), which is called next, takes the first one.
+        std::rotate(unused_.begin(), it, std::next(it));
+        return true;
       }
       if (n < 0 && errno == EAGAIN) {
         sockets.push_back({it->fd(), POLLIN, 0});
@@ -235,11 +236,6 @@
         it = unused_.erase(it);
       }
     }
-    if (used != unused_.end()) {
-      // Accept(), which is called next, takes the first one.
-      std::rotate(unused_.begin(), used, std::next(used));
-      return true;
-    }
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
         end - std::chrono::steady_clock::now());
     if (poll(sockets.data(), sockets.size(),
